--- /dev/null
+++ b/ebonywell/__init__.py
@@ -0,0 +1,1 @@
+"""Serves many models on fewer accelerators for many workspaces."""
--- /dev/null
+++ b/ebonywell/exceptions.py
@@ -0,0 +1,53 @@
+"""Every error of ebonywell, under one base and grouped by layer."""
+
+
+class EbonywellError(Exception):
+    """The base of every error that ebonywell raises."""
+
+
+class SettingsError(EbonywellError):
+    """A setting is missing or cannot be used."""
+
+
+class KernelError(EbonywellError):
+    """A service is missing, doubled or has failed."""
+
+
+class LogServiceError(EbonywellError):
+    """The platform's log service cannot be used now."""
+
+
+class LogOutageError(LogServiceError):
+    """The log service did not answer, or answered that it is down."""
+
+
+class LogGapError(LogServiceError):
+    """Records after the asked offset have passed the log's retention."""
+
+    def __init__(self, first_offset: int) -> None:
+        super().__init__(f'the log now starts at offset {first_offset}')
+        self.first_offset = first_offset
+
+
+class RecordError(EbonywellError):
+    """A record of the log cannot be read."""
+
+
+class ConflictError(EbonywellError):
+    """A change names a revision that is no longer the newest."""
+
+
+class PeerError(EbonywellError):
+    """A message between entry processes cannot be read or sent."""
+
+
+class TargetError(EbonywellError):
+    """A target cannot be reached or broke off."""
+
+
+class TargetUnreachableError(TargetError):
+    """No byte of the request was handed to the target."""
+
+
+class TargetBrokenError(TargetError):
+    """The exchange broke after bytes may have reached the target."""
--- /dev/null
+++ b/ebonywell/version.py
@@ -0,0 +1,3 @@
+"""The version of ebonywell, in one place."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring scripts and the stand-ins for what the platform gives."""
