--- /dev/null
+++ b/ebonywell/logs.py
@@ -0,0 +1,49 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+import json
+from typing import Any, Protocol
+
+from absl import logging
+
+
+class Logger(Protocol):
+    """Writes one event."""
+
+    def __call__(self, event: str, /, **fields: Any) -> None:
+        """Write an event with its fields."""
+
+
+def format_event(event: str, **fields: Any) -> str:
+    """Return the line for an event.
+
+    Values that hold spaces, quotes or control characters are quoted as JSON
+    strings, so that a line never holds a line break.
+    """
+    pairs = ''.join(
+        f' {key}={_format_value(value)}' for key, value in fields.items()
+    )
+    return f'event={event}{pairs}'
+
+
+def _format_value(value: Any) -> str:
+    text = format(value, '.6g') if isinstance(value, float) else str(value)
+    is_plain = text.isprintable() and text and not set(text) & set(' "=\\')
+    return text if is_plain else json.dumps(text)
+
+
+def write_event(event: str, /, **fields: Any) -> None:
+    """Write an event through absl's logging at level info."""
+    logging.info('%s', format_event(event, **fields))
+
+
+def bind(log: Logger, **bound: Any) -> Logger:
+    """Return a logger that adds fields to every event."""
+
+    def bound_log(event: str, /, **fields: Any) -> None:
+        log(event, **bound, **fields)
+
+    return bound_log
+
+
+def discard_event(event: str, /, **fields: Any) -> None:
+    """Write nothing; for tests and measuring scripts."""
--- /dev/null
+++ b/ebonywell/misc.py
@@ -0,0 +1,38 @@
+"""Small helpers, grouped by use."""
+
+import hashlib
+import ipaddress
+
+from .exceptions import SettingsError
+
+# Addresses
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and port of ``ip:port``.
+
+    Raises
+    ------
+    SettingsError
+        If it is anything else, such as a host name.
+    """
+    number, colon, port = address.rpartition(':')
+    try:
+        ipaddress.ip_address(number.strip('[]'))
+    except ValueError as error:
+        raise SettingsError(f'{address!r} is not ip:port') from error
+    if not colon or not port.isdigit():
+        raise SettingsError(f'{address!r} is not ip:port')
+    return number.strip('[]'), int(port)
+
+
+# Digests
+
+
+def request_digest(*parts: bytes) -> str:
+    """Return a digest of a request's parts, each with its length."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/ebonywell/state.py
@@ -0,0 +1,96 @@
+"""The state that every host builds alike from the log."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+
+from . import catalogue, changes
+from .catalogue import Catalogue
+from .exceptions import RecordError
+from .records import Record
+
+
+@dataclass(slots=True)
+class State:
+    """All tables, as they are after the record at `applied`.
+
+    Attributes
+    ----------
+    applied : int
+        The offset of the last record that was applied; -1 before the first.
+    written_at : float
+        The latest time that a record named, in seconds since the epoch.
+    """
+
+    applied: int = -1
+    written_at: float = 0
+    catalogue: Catalogue = field(default_factory=Catalogue)
+
+
+def _apply_catalogue(state: State, offset: int, record: Record) -> bool:
+    body: Any = record.body
+    return catalogue.apply(state.catalogue, offset, body)
+
+
+_Apply = Callable[[State, int, Record], bool]
+_APPLIES: Mapping[type[Any], _Apply] = MappingProxyType(
+    {
+        changes.EntrySet: _apply_catalogue,
+        changes.EntryRemoved: _apply_catalogue,
+        changes.WorkspaceSet: _apply_catalogue,
+        changes.WorkspaceRemoved: _apply_catalogue,
+        changes.ApprovalSet: _apply_catalogue,
+        changes.KeyIssued: _apply_catalogue,
+        changes.KeyWithdrawn: _apply_catalogue,
+    }
+)
+
+
+def apply(state: State, offset: int, record: Record) -> bool:
+    """Apply the record that follows the state, and say whether it counted.
+
+    Parameters
+    ----------
+    state : State
+        Changed in place.
+    offset : int
+        Must be greater than ``state.applied``.
+    record : Record
+
+    Returns
+    -------
+    bool
+        Whether the record counted: whether it won, where records race.
+
+    Raises
+    ------
+    RecordError
+        If the offset has been applied already.
+    """
+    if offset <= state.applied:
+        raise RecordError(f'offset {offset} has been applied already')
+    state.applied = offset
+    state.written_at = max(state.written_at, record.written_at)
+    return _APPLIES[type(record.body)](state, offset, record)
+
+
+def encode(state: State) -> bytes:
+    """Return the state as bytes for a checkpoint or a peer."""
+    return msgspec.msgpack.encode(state)
+
+
+def decode(encoded: bytes) -> State:
+    """Return the state that `encode` wrote.
+
+    Raises
+    ------
+    RecordError
+        If the bytes are no state of this version.
+    """
+    try:
+        return msgspec.msgpack.decode(encoded, type=State)
+    except msgspec.MsgspecError as error:
+        raise RecordError(f'state: {error}') from error
