--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from . import catalogue, changes
+from . import changes
 from .catalogue import Catalogue
+from .catalogue import apply as apply_change
 from .exceptions import RecordError
 from .records import Record
 
@@ -32,7 +33,7 @@
 
 def _apply_catalogue(state: State, offset: int, record: Record) -> bool:
     body: Any = record.body
-    return catalogue.apply(state.catalogue, offset, body)
+    return apply_change(state.catalogue, offset, body)
 
 
 _Apply = Callable[[State, int, Record], bool]
