--- /dev/null
+++ b/ebonywell/config.py
@@ -0,0 +1,110 @@
+"""The settings of an entry process, checked at start."""
+
+from dataclasses import dataclass
+from typing import Annotated
+from urllib.parse import urlsplit
+
+from cyclopts import Parameter
+
+from .exceptions import SettingsError
+from .misc import split_address
+
+_MIB = 1024 * 1024
+
+
+@dataclass(slots=True, kw_only=True)
+class Settings:
+    """The settings of an entry process.
+
+    Attributes
+    ----------
+    host_id : str
+        The name of this entry host, different on each.
+    zone : str
+        The availability zone of this host.
+    listen : str
+        The ip:port on which callers and operators reach this process.
+    peer_listen : str
+        The ip:port on which the other entry processes reach this one.
+    log_url : str
+        The URL of the platform's log service.
+    host_list_url : str
+        The URL of the platform's host list.
+    operator_token : str
+        What operators present; operators are refused while it is empty.
+    fleet_secret : str
+        What the entry processes prove to each other that they know.
+    max_body_bytes : int
+        The largest request body taken.
+    deadline_s : float
+        The longest that a call may take, in seconds.
+    hosts_ttl_s : float
+        How long callers keep an answer of ``GET /v1/hosts``, in seconds.
+    grace_s : float
+        The longest that a planned stop waits for running calls, in seconds.
+    allow_faults : bool
+        Whether tests may cut this process's links.
+    """
+
+    host_id: str
+    zone: str
+    listen: str
+    peer_listen: str
+    log_url: str
+    host_list_url: str
+    operator_token: Annotated[str, Parameter(show_default=False)] = ''
+    fleet_secret: Annotated[str, Parameter(show_default=False)] = ''
+    max_body_bytes: int = 8 * _MIB
+    deadline_s: float = 60
+    hosts_ttl_s: float = 30
+    grace_s: float = 120
+    allow_faults: bool = False
+
+
+def check(settings: Settings) -> None:
+    """Check what the types alone do not say.
+
+    Raises
+    ------
+    SettingsError
+        With one sentence that names the setting.
+    """
+    for name in ('host_id', 'zone'):
+        _check_name(name, getattr(settings, name))
+    for name in ('listen', 'peer_listen'):
+        _check_address(name, getattr(settings, name))
+    for name in ('log_url', 'host_list_url'):
+        _check_url(name, getattr(settings, name))
+    for name in ('max_body_bytes', 'deadline_s', 'grace_s'):
+        if getattr(settings, name) <= 0:
+            raise SettingsError(f'{_flag(name)} must be greater than 0')
+    if settings.hosts_ttl_s < 0:
+        raise SettingsError('--hosts-ttl-s must not be less than 0')
+
+
+def _flag(name: str) -> str:
+    dashed = name.replace('_', '-')
+    return f'--{dashed}'
+
+
+def _check_name(name: str, text: str) -> None:
+    plain = text.replace('-', '').replace('.', '')
+    if not plain.isalnum():
+        raise SettingsError(
+            f'{_flag(name)}: {text!r} is not made of letters, digits, - and .',
+        )
+
+
+def _check_address(name: str, text: str) -> None:
+    try:
+        split_address(text)
+    except SettingsError as error:
+        raise SettingsError(f'{_flag(name)}: {error}') from error
+
+
+def _check_url(name: str, text: str) -> None:
+    parts = urlsplit(text)
+    if parts.scheme not in {'http', 'https'} or not parts.netloc:
+        raise SettingsError(f'{_flag(name)}: {text!r} is not an http URL')
+    if parts.path not in {'', '/'}:
+        raise SettingsError(f'{_flag(name)}: {text!r} must have no path')
--- /dev/null
+++ b/ebonywell/entry.py
@@ -0,0 +1,169 @@
+"""Assembles an entry process from its services and runs it."""
+
+import signal
+import time
+from typing import Any
+
+import anyio
+
+from . import changes, logs
+from .answers import Refusal, refuse
+from .calls import Calls
+from .config import Settings
+from .dispatch import Dispatcher
+from .kernel import Kernel
+from .logclient import LogClient
+from .messages import Call
+from .records import Record
+from .replica import Replica
+from .targets import Target, Targets
+from .types import HostId, RunState, new_incarnation
+from .web import Web
+
+_STATUS_UNAVAILABLE = 503
+_RETRY_AFTER_S = 1.0
+
+
+class Entry:
+    """One entry process.
+
+    Attributes
+    ----------
+    kernel : Kernel
+    replica : Replica
+    targets : Targets
+    calls : Calls
+    web : Web
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.host = HostId(settings.host_id, new_incarnation())
+        self.log = logs.bind(logs.write_event, host=settings.host_id)
+        self.kernel = Kernel()
+        self.replica = Replica(
+            LogClient(settings.log_url),
+            self.host,
+            self.log,
+            anyio.current_time,
+            time.time,
+        )
+        self.targets = Targets(settings.host_list_url, self.log)
+        self.calls = Calls(
+            Dispatcher(),
+            self.choose,
+            lambda call: _no_settlement,
+            self.log,
+        )
+        self.web = Web(
+            settings,
+            self.replica,
+            self.calls,
+            self.check_serving,
+            self.hosts,
+            self.log,
+        )
+        self.replica.watchers.append(self._cut_withdrawn)
+        self.kernel.add('replica', self.replica)
+        self.kernel.add('targets', self.targets)
+        self.kernel.add('calls', self.calls)
+        self.kernel.add('web', self.web)
+
+    def check_serving(self) -> None:
+        """Raise RefusedError while this process must not take calls."""
+
+    def hosts(self) -> Any:
+        """Return what ``GET /v1/hosts`` answers."""
+        zones: dict[str, list[str]] = {}
+        for host in self.targets.listed:
+            if host.role == 'entry' and host.state == 'live':
+                zones.setdefault(host.zone, []).append(host.address)
+        return {'zones': zones, 'ttl_s': self.settings.hosts_ttl_s}
+
+    def choose(self, call: Call, tried: frozenset[str]) -> Target:
+        """Return a target for a call.
+
+        Raises
+        ------
+        RefusedError
+            If there is none.
+        """
+        candidates = [
+            target
+            for target in self.targets.table.by_name.values()
+            if target.name not in tried and _serves(target, call)
+        ]
+        name = call.entry.name
+        if not candidates:
+            raise refuse(
+                'no_target',
+                _STATUS_UNAVAILABLE,
+                f'No target serves {name} now.',
+                _RETRY_AFTER_S,
+            )
+        return min(candidates, key=lambda target: target.in_flight)
+
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then stop gracefully.
+
+        Raises
+        ------
+        ExceptionGroup
+            What failing services raised.
+        """
+        stopping = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_signals, stopping)
+            await self.kernel.run(stopping)
+            group.cancel_scope.cancel()
+        self.log('stopped')
+
+    async def _watch_signals(self, stopping: anyio.Event) -> None:
+        signals = (signal.SIGTERM, signal.SIGINT)
+        with anyio.open_signal_receiver(*signals) as received:
+            async for number in received:
+                self.log('signal', number=int(number))
+                if stopping.is_set():
+                    self.web.server.should_exit = True
+                    self.calls.cut(lambda _: True, _stopping_refusal())
+                stopping.set()
+
+    def _cut_withdrawn(self, _: int, record: Record, counted: bool) -> None:
+        if counted and isinstance(record.body, changes.CatalogueRecord):
+            count = self.calls.cut_unapproved(self.replica.state.catalogue)
+            if count:
+                self.log('calls_cut', count=count)
+
+
+def _serves(target: Target, call: Call) -> bool:
+    if target.is_leaving or target.failing or target.report is None:
+        return False
+    if not call.is_model:
+        return target.name in call.entry.targets
+    return any(
+        resident.model == call.entry.name and resident.state == 'ready'
+        for resident in target.report.models
+    )
+
+
+def _stopping_refusal() -> Refusal:
+    return Refusal(
+        'host_stopping',
+        _STATUS_UNAVAILABLE,
+        'This host stops now.',
+        RunState.not_run,
+        _RETRY_AFTER_S,
+    )
+
+
+def _no_settlement(used_tokens: int) -> None:
+    """Settle nothing."""
+
+
+def run(settings: Settings, backend_options: dict[str, Any]) -> None:
+    """Run an entry process to its end."""
+    anyio.run(_run, settings, backend_options=backend_options)
+
+
+async def _run(settings: Settings) -> None:
+    await Entry(settings).run()
--- a/ebonywell/exceptions.py
+++ b/ebonywell/exceptions.py
@@ -51,3 +51,7 @@
 
 class TargetBrokenError(TargetError):
     """The exchange broke after bytes may have reached the target."""
+
+
+class TargetRefusedError(TargetError):
+    """The target said that the request has not run."""
--- /dev/null
+++ b/ebonywell/messages.py
@@ -0,0 +1,144 @@
+"""What callers send, checked: chat requests and calls of services."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from .answers import refuse
+from .changes import Entry
+from .misc import request_digest
+from .types import EntryKind
+
+_CHARACTERS_A_TOKEN = 4
+_STATUS_BAD = 400
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True)
+class Call:
+    """One call, as the rest of the process sees it.
+
+    Attributes
+    ----------
+    request_id : str
+    workspace : str
+        Empty on a route that is open to all.
+    key_digest : str
+        Empty on a route that is open to all.
+    entry : Entry
+    adapter : str
+        Empty if none is asked for.
+    method : str
+    path : str
+        As the target gets it, with the query.
+    headers : list of (bytes, bytes)
+        Those that the target may see.
+    body : bytes
+        As the target gets it.
+    is_streamed : bool
+    prompt_tokens : int
+    tokens : int
+        Reserved for it: the prompt's and the most of the output.
+    idempotency_key : str
+        Empty if there is none.
+    digest : str
+        The same for every repeat of the same request.
+    deadline : float
+        By the process's clock, in seconds.
+    """
+
+    request_id: str
+    workspace: str
+    key_digest: str
+    entry: Entry
+    adapter: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    is_streamed: bool
+    prompt_tokens: int
+    tokens: int
+    idempotency_key: str
+    digest: str
+    deadline: float
+
+    @property
+    def is_model(self) -> bool:
+        """Whether a model is called, and not a plain service."""
+        return self.entry.kind == EntryKind.model
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str | list[Any] | None = None
+
+
+class ChatRequest(msgspec.Struct):
+    """The part of a chat request that is looked at."""
+
+    model: str
+    messages: list[_Message]
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+def read_chat(body: bytes) -> ChatRequest:
+    """Return a chat request.
+
+    Raises
+    ------
+    RefusedError
+        With the place and kind of the first fault.
+    """
+    try:
+        chat = msgspec.json.decode(body, type=ChatRequest)
+    except msgspec.ValidationError as fault:
+        raise refuse('bad_request', _STATUS_BAD, f'{fault}') from fault
+    except (msgspec.DecodeError, RecursionError) as fault:
+        raise refuse(
+            'bad_json',
+            _STATUS_BAD,
+            f'The body is not JSON: {fault}',
+        ) from fault
+    if not chat.messages:
+        raise refuse('bad_request', _STATUS_BAD, 'There are no messages.')
+    if (chat.max_tokens or 1) < 1 or (chat.max_completion_tokens or 1) < 1:
+        raise refuse('bad_request', _STATUS_BAD, 'max_tokens is less than 1.')
+    return chat
+
+
+def output_limit(chat: ChatRequest, entry: Entry) -> int:
+    """Return the most tokens that the answer may have."""
+    asked = chat.max_completion_tokens or chat.max_tokens
+    return min(asked or entry.max_output_tokens, entry.max_output_tokens)
+
+
+def prompt_tokens(chat: ChatRequest) -> int:
+    """Return how many tokens are reserved for a prompt."""
+    texts = [str(message.content or '') for message in chat.messages]
+    return sum(
+        max(len(text.split()), len(text) // _CHARACTERS_A_TOKEN)
+        for text in texts
+    )
+
+
+def limited_body(body: bytes, max_tokens: int) -> bytes:
+    """Return a chat request whose answer cannot exceed what was reserved."""
+    fields = msgspec.json.decode(body, type=dict[str, Any])
+    fields.pop('max_completion_tokens', None)
+    fields['max_tokens'] = max_tokens
+    return msgspec.json.encode(fields)
+
+
+def call_digest(entry: str, method: str, path: str, body: bytes) -> str:
+    """Return a digest by which a repeat of a request is known."""
+    return request_digest(
+        entry.encode(),
+        method.encode(),
+        path.encode(),
+        body,
+    )
--- /dev/null
+++ b/ebonywell/targets.py
@@ -0,0 +1,215 @@
+"""The targets: what the host list and their own reports say of them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import TypeVar
+
+import anyio
+import httpcore
+import msgspec
+
+from .exceptions import TargetError
+from .logs import Logger
+from .types import HostState
+
+POLL_GAP_S = 0.5
+POLL_TIMEOUT_S = 1.0
+_STATUS_OK = 200
+_Answer = TypeVar('_Answer')
+_TIMEOUT = MappingProxyType(
+    dict.fromkeys(('connect', 'read', 'write', 'pool'), POLL_TIMEOUT_S),
+)
+
+
+class ListedHost(msgspec.Struct, frozen=True):
+    """One line of the platform's host list."""
+
+    name: str
+    role: str
+    address: str
+    zone: str = ''
+    state: HostState = HostState.live
+    peer_address: str = ''
+
+
+class HostList(msgspec.Struct, frozen=True):
+    """An answer of the platform's host list."""
+
+    hosts: tuple[ListedHost, ...]
+
+
+class ResidentModel(msgspec.Struct, frozen=True):
+    """A model in an engine's memory, loading or ready."""
+
+    model: str
+    bytes: int
+    state: str
+    adapters: tuple[str, ...] = ()
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What a target reports of itself; the load in it lags."""
+
+    name: str
+    incarnation: str
+    role: str = 'engine'
+    zone: str = ''
+    memory_bytes: int = 0
+    used_bytes: int = 0
+    checks_fencing: bool = False
+    fencing: int = 0
+    draining: bool = False
+    queue_depth: int = 0
+    running: int = 0
+    max_running: int = 0
+    models: tuple[ResidentModel, ...] = ()
+
+
+@dataclass(slots=True)
+class Target:
+    """All that this process knows of one target.
+
+    Attributes
+    ----------
+    listed : ListedHost
+    report : Report or None
+        The newest report, None before the first.
+    reported_at : float
+        When it came, in seconds by the process's clock.
+    failing : bool
+        Whether the last report could not be read.
+    in_flight : int
+        Calls of this process that run on it now.
+    """
+
+    listed: ListedHost
+    report: Report | None = None
+    reported_at: float = 0
+    failing: bool = False
+    in_flight: int = 0
+
+    @property
+    def name(self) -> str:
+        """The target's name in the host list."""
+        return self.listed.name
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the host list or the target itself says that it leaves."""
+        draining = self.report is not None and self.report.draining
+        return draining or self.listed.state == HostState.leaving
+
+
+@dataclass(slots=True)
+class TargetTable:
+    """All targets by name."""
+
+    by_name: dict[str, Target] = field(default_factory=dict)
+
+
+class Targets:
+    """Polls the host list and the targets' reports.
+
+    Attributes
+    ----------
+    table : TargetTable
+        Read by every service of the process, changed by this one only.
+    listed : tuple of ListedHost
+        The newest host list, entry hosts among it.
+    """
+
+    def __init__(
+        self,
+        host_list_url: str,
+        log: Logger,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.host_list_url = host_list_url
+        self.log = log
+        self.clock = clock
+        self.table = TargetTable()
+        self.listed: tuple[ListedHost, ...] = ()
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=None,
+            max_keepalive_connections=None,
+        )
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Poll until cancelled; ready after the first round."""
+        async with self.pool:
+            await self._poll()
+            ready()
+            while True:
+                await anyio.sleep(POLL_GAP_S)
+                await self._poll()
+
+    async def stop(self) -> None:
+        """Do nothing: polling needs no last step."""
+
+    async def _poll(self) -> None:
+        try:
+            self.listed = (await self._get_hosts()).hosts
+        except TargetError as error:
+            # The last list stands: a list that is down ejects nobody.
+            self.log('host_list_unreadable', reason=str(error))
+        update_listed(self.table, self.listed)
+        async with anyio.create_task_group() as group:
+            for target in self.table.by_name.values():
+                group.start_soon(self._poll_target, target)
+
+    async def _get_hosts(self) -> HostList:
+        content = await self._get(f'{self.host_list_url}/hosts')
+        return _decode(content, HostList)
+
+    async def _poll_target(self, target: Target) -> None:
+        address = target.listed.address
+        try:
+            content = await self._get(f'http://{address}/report')
+            report = _decode(content, Report)
+        except TargetError as error:
+            if not target.failing:
+                self.log('target_silent', target=target.name, reason=str(error))
+            target.failing = True
+            return
+        target.report = report
+        target.reported_at = self.clock()
+        target.failing = False
+
+    async def _get(self, url: str) -> bytes:
+        try:
+            response = await self.pool.request(
+                'GET',
+                url,
+                extensions={'timeout': _TIMEOUT},
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError) as broken:
+            raise TargetError(f'{url}: {broken!r}') from broken
+        except httpcore.TimeoutException as late:
+            raise TargetError(f'{url}: {late!r}') from late
+        if response.status != _STATUS_OK:
+            raise TargetError(f'{url}: status {response.status}')
+        return response.content
+
+
+def update_listed(
+    table: TargetTable,
+    listed: tuple[ListedHost, ...],
+) -> None:
+    """Add, change and drop targets so that the table matches the list."""
+    wanted = {host.name: host for host in listed if host.role != 'entry'}
+    for gone in set(table.by_name) - set(wanted):
+        table.by_name.pop(gone)
+    for name, host in wanted.items():
+        known = table.by_name.get(name)
+        if known is None or known.listed.address != host.address:
+            table.by_name[name] = Target(host)
+        else:
+            known.listed = host
+
+
+def _decode(content: bytes, kind: type[_Answer]) -> _Answer:
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.MsgspecError as error:
+        raise TargetError(f'unreadable answer: {error}') from error
--- /dev/null
+++ b/ebonywell/web.py
@@ -0,0 +1,273 @@
+"""The HTTP edge of an entry process."""
+
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from typing import Any
+
+import anyio
+import msgspec
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute, Route
+from starlette.types import Receive, Scope, Send
+
+from . import edge
+from .answers import RefusedError, refuse
+from .calls import Calls
+from .config import Settings
+from .exceptions import SettingsError
+from .logs import Logger
+from .messages import Call
+from .misc import split_address
+from .replica import Replica
+from .reply import Reply
+from .types import EntryKind, new_id
+
+START_POLL_S = 0.01
+BACKLOG = 2048
+_STATUS_UNAVAILABLE = 503
+_STATUS_OK = 200
+_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+
+ReadCall = Callable[..., Awaitable[Call]]
+CheckServing = Callable[[], None]
+
+
+class _Server(uvicorn.Server):
+    """uvicorn's server without handlers of its own for signals."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the process's signals to the entry process."""
+        yield
+
+
+class CallAnswer(Response):
+    """Reads, checks and runs one call, and sends its answer.
+
+    Attributes
+    ----------
+    request : Request
+    edge : Edge
+    read : callable
+        Makes the call from the request.
+    """
+
+    def __init__(self, request: Request, web: 'Web', read: ReadCall) -> None:
+        self.request = request
+        self.web = web
+        self.read = read
+        self.background = None
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer as ASGI asks."""
+        reply = Reply(send, new_id(), self.web.answer_headers())
+        try:
+            call = await self._read_call(reply.request_id)
+        except RefusedError as refused:
+            self.web.log(
+                'call_refused',
+                request=reply.request_id,
+                code=refused.refusal.code,
+            )
+            await reply.refuse(refused.refusal)
+        except ClientDisconnect:
+            self.web.log('caller_left', request=reply.request_id)
+        else:
+            await self._run(call, reply, receive)
+
+    async def _read_call(self, request_id: str) -> Call:
+        self.web.check_serving()
+        return await self.read(
+            self.request,
+            self.web.replica.state.catalogue,
+            self.web.settings.max_body_bytes,
+            request_id,
+            self.web.settings.deadline_s,
+        )
+
+    async def _run(self, call: Call, reply: Reply, receive: Receive) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch_caller, receive, group.cancel_scope)
+            await self.web.calls.answer(call, reply)
+            group.cancel_scope.cancel()
+
+
+class Web:
+    """The server that callers, operators and probes reach.
+
+    Attributes
+    ----------
+    check_serving : callable
+        Raises RefusedError while this process must not take calls.
+    hosts : callable
+        Returns what ``GET /v1/hosts`` answers, ready for JSON.
+    leave : callable
+        Called first on a planned stop; returns when callers no longer come.
+    is_leaving : bool
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        replica: Replica,
+        calls: Calls,
+        check_serving: CheckServing,
+        hosts: Callable[[], Any],
+        log: Logger,
+        routes: Sequence[BaseRoute] = (),
+    ) -> None:
+        self.settings = settings
+        self.replica = replica
+        self.calls = calls
+        self.check_serving = check_serving
+        self.hosts = hosts
+        self.log = log
+        self.is_leaving = False
+        app = Starlette(routes=[*self._routes(), *routes])
+        self.server = _Server(_server_config(app))
+        self.finished = anyio.Event()
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Serve until `stop` has ended every connection."""
+        with bind(self.settings.listen) as bound:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._serve, bound)
+                while not self.server.started:
+                    await anyio.sleep(START_POLL_S)
+                ready()
+
+    async def stop(self) -> None:
+        """Let running calls end, take no new connections, and close."""
+        self.is_leaving = True
+        await anyio.sleep(self.settings.hosts_ttl_s)
+        self.server.should_exit = True
+        await self.finished.wait()
+
+    def answer_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that every answer carries now."""
+        return [(b'connection', b'close')] if self.is_leaving else []
+
+    async def _serve(self, bound: socket.socket) -> None:
+        try:
+            await self.server.serve([bound])
+        finally:
+            self.finished.set()
+
+    def _routes(self) -> list[Route]:
+        return [
+            Route('/v1/hosts', self._get_hosts),
+            Route('/v1/models', self._get_models),
+            Route('/v1/chat/completions', self._post_chat, methods=['POST']),
+            Route(
+                '/v1/services/{entry}/{path:path}',
+                self._call_service,
+                methods=_METHODS,
+            ),
+            Route('/healthz', self._get_health),
+            Route('/readyz', self._get_ready),
+        ]
+
+    async def _get_hosts(self, request: Request) -> Response:
+        return json_answer(self.hosts())
+
+    async def _get_models(self, request: Request) -> Response:
+        table = self.replica.state.catalogue
+        try:
+            key = edge.authenticate(table, edge.read_key(request))
+        except RefusedError as refused:
+            return refusal_answer(refused)
+        models = [
+            {'id': entry.name, 'object': 'model', 'owned_by': entry.owner}
+            for entry in table.entries.values()
+            if entry.kind == EntryKind.model
+            and (
+                entry.open or edge.is_approved(table, key.workspace, entry.name)
+            )
+        ]
+        return json_answer({'object': 'list', 'data': models})
+
+    async def _post_chat(self, request: Request) -> Response:
+        return CallAnswer(request, self, edge.read_chat_call)
+
+    async def _call_service(self, request: Request) -> Response:
+        return CallAnswer(request, self, edge.read_service_call)
+
+    async def _get_health(self, request: Request) -> Response:
+        return json_answer({'healthy': True})
+
+    async def _get_ready(self, request: Request) -> Response:
+        try:
+            self.check_serving()
+        except RefusedError as refused:
+            return refusal_answer(refused)
+        if self.is_leaving:
+            return refusal_answer(
+                refuse('leaving', _STATUS_UNAVAILABLE, 'This host leaves.'),
+            )
+        return json_answer({'ready': True})
+
+
+def json_answer(body: Any, status: int = _STATUS_OK) -> Response:
+    """Return a JSON response."""
+    return Response(
+        msgspec.json.encode(body),
+        status,
+        media_type='application/json',
+    )
+
+
+def refusal_answer(refused: RefusedError) -> Response:
+    """Return the response for a refusal of a call that reaches no target."""
+    reason = refused.refusal
+    return json_answer(
+        {'error': {'code': reason.code, 'message': reason.message}},
+        reason.status,
+    )
+
+
+def bind(address: str) -> socket.socket:
+    """Return a listening socket.
+
+    Raises
+    ------
+    SettingsError
+        If the address cannot be used.
+    """
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    bound = socket.socket(family)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        bound.bind((host, port))
+    except OSError as error:
+        bound.close()
+        raise SettingsError(f'--listen {address}: {error}') from error
+    bound.listen(BACKLOG)
+    return bound
+
+
+def _server_config(app: Starlette) -> uvicorn.Config:
+    return uvicorn.Config(
+        app,
+        loop='asyncio',
+        http='httptools',
+        ws='none',
+        lifespan='off',
+        access_log=False,
+        log_config=None,
+        server_header=False,
+    )
+
+
+async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            scope.cancel()
+            return
