--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -17,6 +17,7 @@
 from . import edge
 from .answers import RefusedError, refuse
 from .calls import Calls
+from .catalogue import is_approved
 from .config import Settings
 from .exceptions import SettingsError
 from .logs import Logger
@@ -186,9 +187,7 @@
             {'id': entry.name, 'object': 'model', 'owned_by': entry.owner}
             for entry in table.entries.values()
             if entry.kind == EntryKind.model
-            and (
-                entry.open or edge.is_approved(table, key.workspace, entry.name)
-            )
+            and (entry.open or is_approved(table, key.workspace, entry.name))
         ]
         return json_answer({'object': 'list', 'data': models})
 
