--- /dev/null
+++ b/lab/engine_memory.py
@@ -0,0 +1,51 @@
+"""The accelerator memory of the engine's stand-in."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass(slots=True)
+class Resident:
+    """A model that is in memory, or on its way there."""
+
+    bytes: int
+    state: str = 'loading'
+    adapters: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Memory:
+    """Memory of a fixed size that is never exceeded."""
+
+    size: int
+    models: dict[str, Resident] = field(default_factory=dict)
+
+    def used(self) -> int:
+        """Return the bytes that models and adapters take."""
+        return sum(
+            resident.bytes + sum(resident.adapters.values())
+            for resident in self.models.values()
+        )
+
+    def has_room(self, more: int) -> bool:
+        """Return whether so many bytes would still fit."""
+        return self.used() + more <= self.size
+
+    def is_ready(self, model: str, adapter: str = '') -> bool:
+        """Return whether a model, and its adapter, can serve."""
+        resident = self.models.get(model)
+        if resident is None or resident.state != 'ready':
+            return False
+        return not adapter or adapter in resident.adapters
+
+    def listed(self) -> list[dict[str, Any]]:
+        """Return the models as a report shows them."""
+        return [
+            {
+                'model': name,
+                'bytes': resident.bytes,
+                'state': resident.state,
+                'adapters': sorted(resident.adapters),
+            }
+            for name, resident in self.models.items()
+        ]
--- /dev/null
+++ b/lab/engine_orders.py
@@ -0,0 +1,170 @@
+"""How the engine's stand-in takes and carries out orders."""
+
+import math
+from collections.abc import Awaitable, Callable
+
+import anyio
+import httpcore
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+
+from .engine_memory import Memory, Resident
+from .standin_common import answer, failure
+from .standin_target import TargetState
+
+ADAPTER_LOAD_S = 0.01
+_NOT_FOUND = 404
+_CONFLICT = 409
+_NO_MEMORY = 507
+_OK = 200
+_TIMEOUT_S = 600.0
+
+
+class Order(msgspec.Struct):
+    """One order."""
+
+    order_id: str
+    fencing: int
+    action: str
+    model: str = ''
+    bytes: int = 0
+    adapter: str = ''
+    role: str = ''
+    version: str = ''
+
+
+class Orders:
+    """Takes orders, each once, and carries them out.
+
+    Attributes
+    ----------
+    states : dict of str to str
+        ``pending``, ``done`` or ``failed`` by order id.
+    fencing : int
+        The largest fencing number seen.
+    """
+
+    def __init__(
+        self,
+        state: TargetState,
+        memory: Memory,
+        weights_url: str,
+        checks_fencing: bool,
+    ) -> None:
+        self.target = state
+        self.memory = memory
+        self.weights_url = weights_url
+        self.checks_fencing = checks_fencing
+        self.fencing = 0
+        self.role = 'engine'
+        self.states: dict[str, str] = {}
+        sender, receiver = anyio.create_memory_object_stream[Order](math.inf)
+        self.queue_in = sender
+        self.queue_out = receiver
+
+    async def run(self) -> None:
+        """Carry out accepted orders until cancelled."""
+        async with anyio.create_task_group() as group:
+            async for order in self.queue_out:
+                group.start_soon(self._carry_out, order)
+
+    async def post(self, request: Request) -> Response:
+        """Answer ``POST /orders``."""
+        order = msgspec.json.decode(await request.body(), type=Order)
+        if self.target.faults.take('drop_orders'):
+            await anyio.sleep_forever()
+        if self.target.faults.take('delay_orders'):
+            await anyio.sleep(
+                self.target.faults.field('delay_orders', 'seconds', 1),
+            )
+        return self._accept(order)
+
+    async def get(self, request: Request) -> Response:
+        """Answer ``GET /orders/{order_id}``."""
+        order_id = request.path_params['order_id']
+        state = self.states.get(order_id)
+        if state is None:
+            return failure(_NOT_FOUND, 'unknown_order')
+        return answer({'order_id': order_id, 'state': state})
+
+    def _accept(self, order: Order) -> Response:
+        accepted = answer({'order_id': order.order_id, 'accepted': True})
+        if order.order_id in self.states:
+            return accepted
+        if self.checks_fencing and order.fencing < self.fencing:
+            return failure(_CONFLICT, 'stale_fencing')
+        self.fencing = max(self.fencing, order.fencing)
+        if not self._reserve(order):
+            return failure(_NO_MEMORY, 'no_memory')
+        self.states[order.order_id] = 'pending'
+        self.queue_in.send_nowait(order)
+        return accepted
+
+    def _reserve(self, order: Order) -> bool:
+        resident = self.memory.models.get(order.model)
+        if order.action == 'load' and resident is None:
+            if not self.memory.has_room(order.bytes):
+                return False
+            self.memory.models[order.model] = Resident(order.bytes)
+        if order.action == 'load_adapter' and resident is not None:
+            if order.adapter not in resident.adapters:
+                return self.memory.has_room(order.bytes)
+        return True
+
+    async def _carry_out(self, order: Order) -> None:
+        actions: dict[str, Callable[[Order], Awaitable[bool]]] = {
+            'load': self._load,
+            'unload': self._unload,
+            'load_adapter': self._load_adapter,
+            'unload_adapter': self._unload_adapter,
+            'set_role': self._set_role,
+        }
+        is_done = order.action in actions and await actions[order.action](order)
+        self.states[order.order_id] = 'done' if is_done else 'failed'
+
+    async def _load(self, order: Order) -> bool:
+        resident = self.memory.models[order.model]
+        if resident.state == 'ready':
+            return True
+        if not await self._fetch(order.model, order.bytes):
+            self.memory.models.pop(order.model, None)
+            return False
+        resident.state = 'ready'
+        return True
+
+    async def _fetch(self, model: str, size: int) -> bool:
+        if not self.weights_url:
+            return True
+        timeout = {'read': _TIMEOUT_S, 'connect': 1.0}
+        try:
+            async with httpcore.AsyncConnectionPool() as pool:
+                response = await pool.request(
+                    'GET',
+                    f'{self.weights_url}/weights/{model}?bytes={size}',
+                    extensions={'timeout': timeout},
+                )
+        except (httpcore.NetworkError, httpcore.TimeoutException):
+            return False
+        return response.status == _OK
+
+    async def _unload(self, order: Order) -> bool:
+        return self.memory.models.pop(order.model, None) is not None
+
+    async def _load_adapter(self, order: Order) -> bool:
+        resident = self.memory.models.get(order.model)
+        if resident is None or not self.memory.has_room(order.bytes):
+            return False
+        resident.adapters[order.adapter] = order.bytes
+        await anyio.sleep(ADAPTER_LOAD_S)
+        return True
+
+    async def _unload_adapter(self, order: Order) -> bool:
+        resident = self.memory.models.get(order.model)
+        if resident is None:
+            return False
+        return resident.adapters.pop(order.adapter, None) is not None
+
+    async def _set_role(self, order: Order) -> bool:
+        self.role = order.role
+        return True
--- /dev/null
+++ b/lab/standin_engine.py
@@ -0,0 +1,151 @@
+"""A stand-in for a model engine: serving, reports and cache events."""
+
+import anyio
+import cyclopts
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from .engine_chat import Chat
+from .engine_memory import Memory
+from .engine_orders import Orders
+from .standin_common import address_of, answer, bind, serve
+from .standin_target import Identity, TargetState, register
+
+app = cyclopts.App()
+
+
+class Engine:
+    """A model engine.
+
+    Attributes
+    ----------
+    state : TargetState
+    memory : Memory
+    orders : Orders
+    chat : Chat
+    report_lag_s : float
+        How old the load in a report may be, in seconds.
+    """
+
+    def __init__(
+        self,
+        state: TargetState,
+        memory: Memory,
+        orders: Orders,
+        chat: Chat,
+        report_lag_s: float,
+    ) -> None:
+        self.state = state
+        self.memory = memory
+        self.orders = orders
+        self.chat = chat
+        self.report_lag_s = report_lag_s
+        self.load = {'running': 0, 'queue_depth': 0}
+
+    async def keep_load(self) -> None:
+        """Note the load that reports show, every so often."""
+        while True:
+            self.load = {
+                'running': self.chat.running,
+                'queue_depth': len(self.chat.queue),
+            }
+            await anyio.sleep(max(self.report_lag_s, 0.01))
+
+    async def report(self, request: Request) -> Response:
+        """Answer ``GET /report``."""
+        identity = self.state.identity
+        faults = self.state.faults
+        return answer(
+            {
+                'name': identity.name,
+                'incarnation': identity.incarnation,
+                'role': self.orders.role,
+                'zone': identity.zone,
+                'memory_bytes': self.memory.size,
+                'used_bytes': self.memory.used(),
+                'checks_fencing': self.orders.checks_fencing,
+                'fencing': self.orders.fencing,
+                'draining': faults.is_set('draining'),
+                'max_running': self.chat.max_running,
+                'models': self.memory.listed(),
+                **self.load,
+                **faults.by_name.get('lying_report', {}),
+            }
+        )
+
+
+@app.default
+def main(
+    *,
+    name: str,
+    listen: str = '127.0.0.1:0',
+    zone: str = 'z1',
+    host_list_url: str = '',
+    weights_url: str = '',
+    memory_bytes: int = 100,
+    token_ms: float = 5,
+    max_running: int = 16,
+    checks_fencing: bool = True,
+    report_lag_s: float = 0.2,
+) -> None:
+    """Run the stand-in until SIGTERM.
+
+    Parameters
+    ----------
+    name
+        The target's name in the host list.
+    listen
+        The ip:port to listen on.
+    zone
+        The target's availability zone.
+    host_list_url
+        Where the target puts itself on the list; empty for nowhere.
+    weights_url
+        The weight store; empty for loads that take no time.
+    memory_bytes
+        The size of the accelerator memory.
+    token_ms
+        The time between two tokens, in milliseconds.
+    max_running
+        How many calls run at once.
+    checks_fencing
+        Whether orders with an old fencing number are refused.
+    report_lag_s
+        How old the load in a report may be, in seconds.
+    """
+    state = TargetState(Identity(name, 'engine', zone))
+    memory = Memory(memory_bytes)
+    engine = Engine(
+        state,
+        memory,
+        Orders(state, memory, weights_url, checks_fencing),
+        Chat(state, memory, token_ms, max_running),
+        report_lag_s,
+    )
+    anyio.run(_run, engine, listen, host_list_url)
+
+
+async def _run(engine: Engine, listen: str, host_list_url: str) -> None:
+    routes = [
+        Route('/report', engine.report),
+        Route('/orders', engine.orders.post, methods=['POST']),
+        Route('/orders/{order_id}', engine.orders.get),
+        Route('/cache-events', engine.chat.cache_events),
+        Route('/journal', engine.state.journal.get),
+        Route('/v1/chat/completions', engine.chat.post, methods=['POST']),
+        *engine.state.faults.routes(),
+    ]
+    bound = bind(listen)
+    identity = engine.state.identity
+    await register(host_list_url, identity, address_of(bound))
+    async with anyio.create_task_group() as group:
+        group.start_soon(engine.keep_load)
+        group.start_soon(engine.orders.run)
+        await serve(Starlette(routes=routes), bound)
+        group.cancel_scope.cancel()
+
+
+if __name__ == '__main__':
+    app()
--- /dev/null
+++ b/lab/standin_weights.py
@@ -0,0 +1,93 @@
+"""A stand-in for the platform's weight store."""
+
+from dataclasses import dataclass, field
+
+import anyio
+import cyclopts
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from .standin_common import Faults, answer, bind, failure, serve
+
+app = cyclopts.App()
+_DOWN = 503
+
+
+@dataclass(slots=True)
+class WeightStore:
+    """Gives out weights at a limited rate.
+
+    Attributes
+    ----------
+    loads_a_second : float
+    at_once : int
+        How many transfers run at full speed; more of them share that speed.
+    transfer_s : float
+        How long one transfer takes at full speed, in seconds.
+    """
+
+    loads_a_second: float
+    at_once: int
+    transfer_s: float
+    running: int = 0
+    gate: anyio.Lock = field(default_factory=anyio.Lock)
+    faults: Faults = field(default_factory=Faults)
+
+    async def get(self, request: Request) -> Response:
+        """Answer ``GET /weights/{model}``."""
+        if self.faults.is_set('outage'):
+            return failure(_DOWN, 'outage')
+        async with self.gate:
+            await anyio.sleep(1 / self.loads_a_second)
+        self.running += 1
+        try:
+            slowdown = max(1, self.running / self.at_once)
+            extra_s = self.faults.field('slow', 'seconds', 0)
+            await anyio.sleep(self.transfer_s * slowdown + extra_s)
+        finally:
+            self.running -= 1
+        return answer({'model': request.path_params['model']})
+
+
+@app.default
+def main(
+    *,
+    listen: str = '127.0.0.1:0',
+    loads_a_second: float = 2.5,
+    at_once: int = 3,
+    transfer_s: float = 0.4,
+) -> None:
+    """Run the stand-in until SIGTERM.
+
+    Parameters
+    ----------
+    listen
+        The ip:port to listen on.
+    loads_a_second
+        How many transfers begin in a second.
+    at_once
+        How many transfers run at full speed.
+    transfer_s
+        How long a transfer takes at full speed, in seconds.
+    """
+    anyio.run(_run, listen, loads_a_second, at_once, transfer_s)
+
+
+async def _run(
+    listen: str,
+    loads_a_second: float,
+    at_once: int,
+    transfer_s: float,
+) -> None:
+    store = WeightStore(loads_a_second, at_once, transfer_s)
+    routes = [
+        Route('/weights/{model}', store.get),
+        *store.faults.routes(),
+    ]
+    await serve(Starlette(routes=routes), bind(listen))
+
+
+if __name__ == '__main__':
+    app()
