--- /dev/null
+++ b/ebonywell/appender.py
@@ -0,0 +1,171 @@
+"""Appends records to the log in batches and finds them again by id."""
+
+from collections.abc import Callable
+
+import anyio
+
+from . import records
+from .exceptions import LogOutageError, LogRefusedError
+from .logclient import LogClient
+from .logs import Logger
+from .types import HostId
+
+FLEET_APPENDS_A_SECOND = 200
+CONFIRM_TIMEOUT_S = 4.0
+REFUSED_PAUSE_S = 0.2
+BATCH_RECORDS = 200
+QUEUED_RECORDS = 10000
+
+
+class Ticket:
+    """A record on its way into the log.
+
+    Attributes
+    ----------
+    record : Record
+    done : anyio.Event
+        Set once the record has been read back.
+    offset : int or None
+    counted : bool
+        Whether the record counted: whether it won, where records race.
+    sent : bool
+        Whether the log may hold it.
+    """
+
+    def __init__(self, record: records.Record) -> None:
+        self.record = record
+        self.done = anyio.Event()
+        self.offset: int | None = None
+        self.counted = False
+        self.sent = False
+
+
+class Appender:
+    """The records of this process that are on their way into the log.
+
+    Attributes
+    ----------
+    tickets : dict of str to Ticket
+        Those not yet read back or given up, by record id.
+    fleet_size : callable
+        Returns how many entry processes share the log's append rate.
+    appends : int
+        How many appends were sent.
+    """
+
+    def __init__(
+        self,
+        client: LogClient,
+        host: HostId,
+        log: Logger,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self.client = client
+        self.host = host
+        self.log = log
+        self.wall_clock = wall_clock
+        self.fleet_size: Callable[[], int] = lambda: 1
+        self.appends = 0
+        self.tickets: dict[str, Ticket] = {}
+        sender, receiver = anyio.create_memory_object_stream[Ticket](
+            QUEUED_RECORDS,
+        )
+        self.queue_in = sender
+        self.queue_out = receiver
+
+    async def run(self) -> None:
+        """Append what is handed in until cancelled."""
+        while True:
+            batch = await self._next_batch()
+            with anyio.move_on_after(CONFIRM_TIMEOUT_S):
+                await self._append(batch)
+            await anyio.sleep(self.fleet_size() / FLEET_APPENDS_A_SECOND)
+
+    async def append(self, body: records.Body) -> Ticket:
+        """Append a record and wait until it is read back.
+
+        Parameters
+        ----------
+        body : Body
+
+        Returns
+        -------
+        Ticket
+
+        Raises
+        ------
+        LogOutageError
+            If it was not read back in time; the error's `is_sent` tells
+            whether it may be in the log all the same.
+        """
+        record = records.make_record(body, str(self.host), self.wall_clock())
+        ticket = Ticket(record)
+        self.tickets[record.record_id] = ticket
+        try:
+            with anyio.move_on_after(CONFIRM_TIMEOUT_S):
+                await self.queue_in.send(ticket)
+                await ticket.done.wait()
+        finally:
+            self.tickets.pop(record.record_id, None)
+        if ticket.offset is None:
+            raise LogOutageError('the record was not read back', ticket.sent)
+        return ticket
+
+    def confirm(
+        self,
+        offset: int,
+        record: records.Record,
+        counted: bool,
+    ) -> None:
+        """Note that a record has been read back, whoever wrote it."""
+        ticket = self.tickets.get(record.record_id)
+        if ticket is None:
+            return
+        ticket.offset = offset
+        ticket.counted = counted
+        ticket.done.set()
+
+    async def drain(self) -> None:
+        """Wait until all that was handed in has been decided."""
+        with anyio.move_on_after(CONFIRM_TIMEOUT_S):
+            for ticket in list(self.tickets.values()):
+                await ticket.done.wait()
+
+    async def _next_batch(self) -> list[Ticket]:
+        batch = [await self.queue_out.receive()]
+        while len(batch) < BATCH_RECORDS:
+            try:
+                batch.append(self.queue_out.receive_nowait())
+            except anyio.WouldBlock:
+                break
+        return batch
+
+    async def _append(self, batch: list[Ticket]) -> None:
+        while True:
+            waiting = [one for one in batch if self._is_wanted(one)]
+            if not waiting or await self._is_appended(waiting):
+                return
+            await anyio.sleep(REFUSED_PAUSE_S)
+
+    def _is_wanted(self, ticket: Ticket) -> bool:
+        # What its writer has given up is not appended later on.
+        return ticket.record.record_id in self.tickets
+
+    async def _is_appended(self, waiting: list[Ticket]) -> bool:
+        for ticket in waiting:
+            ticket.sent = True
+        encoded = [records.to_json(one.record) for one in waiting]
+        self.appends += 1
+        try:
+            await self.client.append(encoded)
+        except LogRefusedError as refused:
+            # The log said that it kept nothing, so trying again is safe.
+            for ticket in waiting:
+                ticket.sent = False
+            self.log('append_refused', reason=str(refused))
+            return False
+        except LogOutageError as outage:
+            # The records may have been kept all the same. They are found
+            # again by their ids, and never appended a second time.
+            self.log('append_unanswered', reason=str(outage))
+        return True
--- /dev/null
+++ b/ebonywell/checkpoint.py
@@ -0,0 +1,115 @@
+"""Checkpoints: the whole state, written back into the log in parts."""
+
+import hashlib
+from dataclasses import dataclass, field
+
+import msgspec
+
+_KIB = 1024
+_PART_KIB = 48
+PART_BYTES = _PART_KIB * _KIB
+KEPT_ASSEMBLIES = 4
+
+
+class CheckpointPart(msgspec.Struct, frozen=True, tag='checkpoint_part'):
+    """A part of a state.
+
+    Attributes
+    ----------
+    checkpoint_id : str
+    covers : int
+        The offset of the last record that the state has applied.
+    digest : str
+        Of the whole encoded state.
+    index : int
+    count : int
+    payload : bytes
+    """
+
+    checkpoint_id: str
+    covers: int
+    digest: str
+    index: int
+    count: int
+    payload: bytes
+
+
+class Checkpoint(msgspec.Struct, frozen=True):
+    """A whole checkpoint as found in the log.
+
+    Attributes
+    ----------
+    covers : int
+    first_offset : int
+        The offset of its earliest part.
+    encoded : bytes
+        The encoded state.
+    """
+
+    covers: int
+    first_offset: int
+    encoded: bytes
+
+
+@dataclass(slots=True)
+class _Partial:
+    first_offset: int
+    parts: dict[int, bytes] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Assembly:
+    """Parts of checkpoints that are not yet whole, in order of arrival."""
+
+    partials: dict[str, _Partial] = field(default_factory=dict)
+
+
+def split_state(
+    checkpoint_id: str,
+    covers: int,
+    encoded: bytes,
+) -> list[CheckpointPart]:
+    """Return an encoded state in parts that fit into records."""
+    digest = _digest(encoded)
+    starts = range(0, max(len(encoded), 1), PART_BYTES)
+    return [
+        CheckpointPart(
+            checkpoint_id,
+            covers,
+            digest,
+            index,
+            len(starts),
+            encoded[start : start + PART_BYTES],
+        )
+        for index, start in enumerate(starts)
+    ]
+
+
+def add_part(
+    assembly: Assembly,
+    offset: int,
+    part: CheckpointPart,
+) -> Checkpoint | None:
+    """Add a part and return its checkpoint if that is whole now.
+
+    A checkpoint whose writer died half-way never becomes whole; it is
+    forgotten once enough later ones have begun.
+    """
+    partials = assembly.partials
+    partial = partials.setdefault(part.checkpoint_id, _Partial(offset))
+    partial.parts[part.index] = part.payload
+    if len(partials) > KEPT_ASSEMBLIES:
+        partials.pop(next(iter(partials)))
+    if len(partial.parts) < part.count:
+        return None
+    partials.pop(part.checkpoint_id, None)
+    encoded = b''.join(
+        partial.parts.get(index, b'') for index in range(part.count)
+    )
+    if _digest(encoded) != part.digest:
+        return None
+    return Checkpoint(part.covers, partial.first_offset, encoded)
+
+
+def _digest(encoded: bytes) -> str:
+    return hashlib.sha256(encoded).hexdigest()
--- /dev/null
+++ b/ebonywell/checkpointer.py
@@ -0,0 +1,147 @@
+"""Writes checkpoints before what they replace can expire."""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from .checkpoint import split_state
+from .exceptions import LogOutageError
+from .logs import Logger
+from .replica import NO_CHECKPOINT, Replica
+from .state import encode_state
+from .types import new_id
+
+CHECK_GAP_S = 1.0
+RANK_DELAY_S = 5.0
+RECORDS_BETWEEN = 5000
+PARTS_AT_ONCE = 8
+# Three more writers in turn may fail before a checkpoint has expired.
+RENEW_AFTER_SHARE = 0.25
+
+
+@dataclass(slots=True)
+class CheckpointView:
+    """What decides whether a checkpoint is due.
+
+    Attributes
+    ----------
+    applied : int
+    first_offset : int
+        The first offset that the log still holds.
+    checkpoint_offset : int
+        Of the newest whole checkpoint, ``NO_CHECKPOINT`` without one.
+    age_s : float
+        Since that checkpoint was read, in seconds.
+    retention_s : float
+        How long the log keeps a record, in seconds.
+    """
+
+    applied: int
+    first_offset: int
+    checkpoint_offset: int
+    age_s: float
+    retention_s: float
+
+
+def is_due(view: CheckpointView) -> bool:
+    """Return whether a checkpoint should be written.
+
+    It is due long before the last one can expire, so that a new process can
+    always begin with a whole state, and at once if it has expired already.
+    """
+    if view.applied < 0:
+        return False
+    is_missing = view.checkpoint_offset == NO_CHECKPOINT
+    if view.checkpoint_offset < view.first_offset and not is_missing:
+        return True
+    if view.first_offset > 0 and is_missing:
+        return True
+    if view.applied - view.checkpoint_offset > RECORDS_BETWEEN:
+        return True
+    return view.age_s > view.retention_s * RENEW_AFTER_SHARE
+
+
+class Checkpointer:
+    """Writes checkpoints when they are due.
+
+    Two writers at once do no harm: any whole checkpoint is right, whoever
+    wrote it. A rank among the hosts makes it rare.
+
+    Attributes
+    ----------
+    rank : callable
+        Returns this host's place among those that may write, from 0.
+    written : int
+        How many whole checkpoints this process wrote.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        retention_s: float,
+        rank: Callable[[], int],
+        log: Logger,
+    ) -> None:
+        self.replica = replica
+        self.retention_s = retention_s
+        self.rank = rank
+        self.log = log
+        self.written = 0
+        self.due_since = math.inf
+        self.started_at = math.inf
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Check every so often until cancelled."""
+        self.started_at = self.replica.clock()
+        ready()
+        while True:
+            await anyio.sleep(CHECK_GAP_S)
+            await self._check()
+
+    async def stop(self) -> None:
+        """Do nothing: another host will write what is due."""
+
+    def view(self) -> CheckpointView:
+        """Return what decides whether a checkpoint is due."""
+        read_at = max(self.replica.checkpoint_at, self.started_at)
+        return CheckpointView(
+            self.replica.state.applied,
+            self.replica.first_offset,
+            self.replica.checkpoint_offset,
+            self.replica.clock() - read_at,
+            self.retention_s,
+        )
+
+    async def write(self) -> None:
+        """Write the state as it is now.
+
+        Raises
+        ------
+        ExceptionGroup
+            Of LogOutageError, if a part was not read back; the rest is not
+            written then.
+        """
+        covers = self.replica.state.applied
+        encoded = encode_state(self.replica.state)
+        parts = split_state(new_id(), covers, encoded)
+        for start in range(0, len(parts), PARTS_AT_ONCE):
+            async with anyio.create_task_group() as group:
+                for part in parts[start : start + PARTS_AT_ONCE]:
+                    group.start_soon(self.replica.append, part)
+        self.written += 1
+        self.log('checkpoint_written', covers=covers, parts=len(parts))
+
+    async def _check(self) -> None:
+        now = self.replica.clock()
+        if not self.replica.is_complete or not is_due(self.view()):
+            self.due_since = math.inf
+            return
+        self.due_since = min(self.due_since, now)
+        if now - self.due_since < self.rank() * RANK_DELAY_S:
+            return
+        try:
+            await self.write()
+        except* LogOutageError as outages:
+            self.log('checkpoint_failed', reason=str(outages.exceptions[0]))
--- a/ebonywell/exceptions.py
+++ b/ebonywell/exceptions.py
@@ -18,7 +18,24 @@
 
 
 class LogOutageError(LogServiceError):
-    """The log service did not answer, or answered that it is down."""
+    """The log service did not answer, or answered that it is down.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether a record may have been kept all the same.
+    """
+
+    def __init__(self, message: str, is_sent: bool = True) -> None:
+        super().__init__(message)
+        self.is_sent = is_sent
+
+
+class LogRefusedError(LogOutageError):
+    """The log service answered that it kept nothing."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, is_sent=False)
 
 
 class LogGapError(LogServiceError):
--- a/ebonywell/logclient.py
+++ b/ebonywell/logclient.py
@@ -6,7 +6,7 @@
 import httpcore
 import msgspec
 
-from .exceptions import LogGapError, LogOutageError
+from .exceptions import LogGapError, LogOutageError, LogRefusedError
 
 APPEND_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 3.0
@@ -74,6 +74,8 @@
 
         Raises
         ------
+        LogRefusedError
+            If the service answered that it kept nothing.
         LogOutageError
             If there was no answer; the records may still have been kept.
         """
@@ -137,7 +139,7 @@
         if response.status == _STATUS_EXPIRED:
             raise LogGapError(_decode(response.content, Page).first_offset)
         if response.status != _STATUS_OK:
-            raise LogOutageError(f'{method} {path}: status {response.status}')
+            raise LogRefusedError(f'{method} {path}: status {response.status}')
         return response.content
 
 
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -3,10 +3,11 @@
 import msgspec
 
 from . import changes
+from .checkpoint import CheckpointPart
 from .exceptions import RecordError
 from .types import new_id
 
-Body = changes.CatalogueRecord
+Body = changes.CatalogueRecord | CheckpointPart
 
 
 class Record(msgspec.Struct, frozen=True):
@@ -34,7 +35,7 @@
     return Record(new_id(), writer, written_at, body)
 
 
-def from_json(parsed: object) -> Record:
+def parse_record(parsed: object) -> Record:
     """Return the record that a piece of parsed JSON stands for.
 
     Raises
--- /dev/null
+++ b/ebonywell/recovery.py
@@ -0,0 +1,57 @@
+"""Finds a state to begin with in what the log still holds."""
+
+from dataclasses import dataclass, field
+
+from .checkpoint import Assembly, Checkpoint, CheckpointPart, add_part
+from .exceptions import RecordError
+from .logclient import Stored
+from .records import Record, parse_record
+from .state import State, apply_record, decode_state
+
+
+@dataclass(slots=True)
+class Recovery:
+    """What has been read so far in search of a checkpoint.
+
+    Attributes
+    ----------
+    first_offset : int
+        The first offset that the log still holds.
+    tail : list of (int, Record)
+        All records from there on.
+    """
+
+    first_offset: int
+    assembly: Assembly = field(default_factory=Assembly)
+    tail: list[tuple[int, Record]] = field(default_factory=list)
+
+
+def feed(recovery: Recovery, stored: Stored) -> State | None:
+    """Take the next record and return the state once one can be built.
+
+    A checkpoint is of use only if every record after the offset that it
+    covers is still there.
+    """
+    try:
+        record = parse_record(stored.record)
+    except RecordError:
+        # A record of another version changes nothing in this one.
+        return None
+    recovery.tail.append((stored.offset, record))
+    if not isinstance(record.body, CheckpointPart):
+        return None
+    found = add_part(recovery.assembly, stored.offset, record.body)
+    if found is None or found.covers < recovery.first_offset - 1:
+        return None
+    return _build(recovery, found)
+
+
+def _build(recovery: Recovery, found: Checkpoint) -> State | None:
+    try:
+        built = decode_state(found.encoded)
+    except RecordError:
+        return None
+    for offset, record in recovery.tail:
+        if offset > found.covers:
+            apply_record(built, offset, record)
+    return built
--- a/ebonywell/replica.py
+++ b/ebonywell/replica.py
@@ -1,49 +1,28 @@
-"""Follows the log, keeps the state that it makes, and appends to it."""
+"""Follows the log and keeps the state that it makes."""
 
 import math
 import time
-from collections.abc import Callable
+from collections import deque
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
-from . import records, state
+from . import records, recovery
+from .appender import Appender, Ticket
+from .checkpoint import Assembly, CheckpointPart, add_part
 from .exceptions import LogGapError, LogOutageError, RecordError
-from .logclient import LONG_POLL_S, LogClient, Page
+from .logclient import LONG_POLL_S, LogClient, Page, Stored
 from .logs import Logger
+from .state import State, apply_record
 from .types import HostId
 
-APPEND_GAP_S = 0.02
 RETRY_PAUSE_S = 0.2
-CONFIRM_TIMEOUT_S = 4.0
-QUEUED_RECORDS = 10000
-BATCH_RECORDS = 200
+TAIL_RECORDS = 5000
+NO_CHECKPOINT = -1
 
 Watcher = Callable[[int, records.Record, bool], None]
 
 
-class Ticket:
-    """A record on its way into the log.
-
-    Attributes
-    ----------
-    record : Record
-    done : anyio.Event
-        Set once the record has been read back, or was given up.
-    offset : int or None
-    counted : bool
-        Whether the record counted: whether it won, where records race.
-    sent : bool
-        Whether the log may have seen it.
-    """
-
-    def __init__(self, record: records.Record) -> None:
-        self.record = record
-        self.done = anyio.Event()
-        self.offset: int | None = None
-        self.counted = False
-        self.sent = False
-
-
 class Replica:
     """The state of the log on this host.
 
@@ -51,14 +30,24 @@
     ----------
     state : State
         Read by every service of the process, changed by this one only.
-    applied_log : list of (int, Record)
-        The latest records, for peers that are cut off from the log.
+    tail : deque of Stored
+        The latest records as parsed JSON, for peers cut off from the log.
     read_at : float
         When the log last answered a read, by `clock`.
+    first_offset : int
+        The first offset that the log held then.
+    checkpoint_offset : int
+        The offset of the earliest part of the newest whole checkpoint.
+    checkpoint_at : float
+        When that checkpoint was read, by `clock`.
     watchers : list of callable
         Called with offset, record and whether it counted, after each apply.
+    adopters : list of callable
+        Called after the state was replaced by a whole one.
     unreadable : int
-        How many records no version of this program could have written.
+        How many records could not be read by this version.
+    is_complete : bool
+        Whether the state has no gap before `state.applied`.
     """
 
     def __init__(
@@ -70,33 +59,34 @@
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.client = client
-        self.host = host
         self.log = log
         self.clock = clock
-        self.wall_clock = wall_clock
-        self.state = state.State()
+        self.appender = Appender(client, host, log, wall_clock)
+        self.state = State()
+        self.tail: deque[Stored] = deque(maxlen=TAIL_RECORDS)
         self.read_at = -math.inf
+        self.first_offset = 0
+        self.checkpoint_offset = NO_CHECKPOINT
+        self.checkpoint_at = -math.inf
+        self.assembly = Assembly()
         self.watchers: list[Watcher] = []
+        self.adopters: list[Callable[[], None]] = []
         self.unreadable = 0
-        self.tickets: dict[str, Ticket] = {}
+        self.is_complete = False
         self.changed = anyio.Event()
-        sender, receiver = anyio.create_memory_object_stream[Ticket](
-            QUEUED_RECORDS,
-        )
-        self.queue_in = sender
-        self.queue_out = receiver
 
     async def run(self, ready: Callable[[], None]) -> None:
         """Follow the log until cancelled; ready once it has caught up."""
         async with self.client, anyio.create_task_group() as group:
-            group.start_soon(self._append_batches)
-            await self._follow(ready)
+            group.start_soon(self.appender.run)
+            group.start_soon(self._follow)
+            while not self.is_complete:
+                await self.changed.wait()
+            ready()
 
     async def stop(self) -> None:
         """Wait until what was handed in for appending has been decided."""
-        with anyio.move_on_after(CONFIRM_TIMEOUT_S):
-            for ticket in list(self.tickets.values()):
-                await ticket.done.wait()
+        await self.appender.drain()
 
     async def append(self, body: records.Body) -> Ticket:
         """Append a record and wait until it is read back and applied here.
@@ -113,21 +103,10 @@
         Raises
         ------
         LogOutageError
-            If it was not read back in time. It may be in the log all the same
-            if the ticket in the error's ``args[1]`` says that it was sent.
+            If it was not read back in time; the error's `is_sent` tells
+            whether it may be in the log all the same.
         """
-        record = records.make_record(body, str(self.host), self.wall_clock())
-        ticket = Ticket(record)
-        self.tickets[record.record_id] = ticket
-        try:
-            with anyio.move_on_after(CONFIRM_TIMEOUT_S):
-                await self.queue_in.send(ticket)
-                await ticket.done.wait()
-        finally:
-            self.tickets.pop(record.record_id, None)
-        if ticket.offset is None:
-            raise LogOutageError('the record was not read back', ticket)
-        return ticket
+        return await self.appender.append(body)
 
     async def wait_past(self, offset: int) -> None:
         """Wait until the state has applied an offset."""
@@ -146,77 +125,95 @@
         """
         if offset <= self.state.applied:
             return
+        self.tail.append(Stored(offset, parsed))
         try:
-            record = records.from_json(parsed)
+            record = records.parse_record(parsed)
         except RecordError as error:
             self.unreadable += 1
             self.state.applied = offset
             self.log('record_unreadable', offset=offset, reason=str(error))
             return
-        counted = state.apply(self.state, offset, record)
-        self._confirm(offset, record, counted)
+        counted = apply_record(self.state, offset, record)
+        self._note_checkpoint(offset, record)
+        self.appender.confirm(offset, record, counted)
         for watcher in self.watchers:
             watcher(offset, record, counted)
 
-    def _confirm(
-        self,
-        offset: int,
-        record: records.Record,
-        counted: bool,
-    ) -> None:
-        ticket = self.tickets.get(record.record_id)
-        if ticket is None:
+    def adopt(self, whole: State) -> bool:
+        """Replace the state by a later one, and say whether it was later.
+
+        Parameters
+        ----------
+        whole : State
+            From a checkpoint or a peer. Applied offsets never go back.
+        """
+        if whole.applied < self.state.applied:
+            return False
+        self.state = whole
+        self.tail.clear()
+        self.is_complete = True
+        self.log('state_adopted', applied=whole.applied)
+        for adopter in self.adopters:
+            adopter()
+        self.notify()
+        return True
+
+    def notify(self) -> None:
+        """Wake those that wait for the state to change."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _note_checkpoint(self, offset: int, record: records.Record) -> None:
+        if not isinstance(record.body, CheckpointPart):
             return
-        ticket.offset = offset
-        ticket.counted = counted
-        ticket.done.set()
+        found = add_part(self.assembly, offset, record.body)
+        if found is not None:
+            self.checkpoint_offset = found.first_offset
+            self.checkpoint_at = self.clock()
 
-    async def _follow(self, ready: Callable[[], None]) -> None:
-        is_ready = False
+    async def _follow(self) -> None:
         while True:
-            page = await self._read_page(LONG_POLL_S if is_ready else 0)
-            if page is None:
+            try:
+                await self._follow_page()
+            except LogOutageError as outage:
+                self.log('log_unreadable', reason=str(outage))
                 await anyio.sleep(RETRY_PAUSE_S)
-                continue
-            for stored in page.records:
-                self.take(stored.offset, stored.record)
-            self.changed.set()
-            self.changed = anyio.Event()
-            if not is_ready and self.state.applied + 1 >= page.end_offset:
-                is_ready = True
-                ready()
-
-    async def _read_page(self, wait_s: float) -> Page | None:
-        try:
-            page = await self.client.read(self.state.applied + 1, wait_s)
-        except LogOutageError as outage:
-            self.log('log_unreadable', reason=str(outage))
-            return None
-        except LogGapError as gap:
-            self.log('log_gap', first_offset=gap.first_offset)
-            return None
+            except LogGapError as gap:
+                await self._recover(gap.first_offset)
+
+    async def _follow_page(self) -> None:
+        wait_s = LONG_POLL_S if self.is_complete else 0
+        applied = self.state.applied
+        page = await self.client.read(applied + 1, wait_s)
+        if applied != self.state.applied and not page.records:
+            return
+        self._note_read(page)
+        for stored in page.records:
+            self.take(stored.offset, stored.record)
+        if self.state.applied + 1 >= page.end_offset:
+            self.is_complete = True
+        self.notify()
+
+    def _note_read(self, page: Page) -> None:
         self.read_at = self.clock()
-        return page
-
-    async def _append_batches(self) -> None:
-        async for first in self.queue_out:
-            batch = [first]
-            while len(batch) < BATCH_RECORDS:
-                try:
-                    batch.append(self.queue_out.receive_nowait())
-                except anyio.WouldBlock:
-                    break
-            await self._append(batch)
-            await anyio.sleep(APPEND_GAP_S)
-
-    async def _append(self, batch: list[Ticket]) -> None:
-        waiting = [one for one in batch if not one.done.is_set()]
-        for ticket in waiting:
-            ticket.sent = True
-        encoded = [records.to_json(one.record) for one in waiting]
+        self.first_offset = page.first_offset
+
+    async def _recover(self, first_offset: int) -> None:
+        """Look for a checkpoint in all that the log still holds."""
+        self.log('log_gap', first_offset=first_offset)
+        search = recovery.Recovery(first_offset)
         try:
-            await self.client.append(encoded)
-        except LogOutageError as outage:
-            # The records may have been kept all the same. The follower finds
-            # them by their ids; they are never appended a second time.
-            self.log('append_unanswered', reason=str(outage))
+            async for stored in self._retained(first_offset):
+                whole = recovery.feed(search, stored)
+                if whole is not None and self.adopt(whole):
+                    return
+        except (LogOutageError, LogGapError) as error:
+            self.log('recovery_broken', reason=str(error))
+        await anyio.sleep(RETRY_PAUSE_S)
+
+    async def _retained(self, first_offset: int) -> AsyncIterator[Stored]:
+        page = await self.client.read(first_offset)
+        while page.records:
+            for stored in page.records:
+                yield stored
+            page = await self.client.read(page.records[-1].offset + 1)
--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -10,6 +10,7 @@
 from . import changes
 from .catalogue import Catalogue
 from .catalogue import apply as apply_change
+from .checkpoint import CheckpointPart
 from .exceptions import RecordError
 from .records import Record
 
@@ -36,6 +37,10 @@
     return apply_change(state.catalogue, offset, body)
 
 
+def _apply_nothing(state: State, offset: int, record: Record) -> bool:
+    return True
+
+
 _Apply = Callable[[State, int, Record], bool]
 _APPLIES: Mapping[type[Any], _Apply] = MappingProxyType(
     {
@@ -46,11 +51,12 @@
         changes.ApprovalSet: _apply_catalogue,
         changes.KeyIssued: _apply_catalogue,
         changes.KeyWithdrawn: _apply_catalogue,
+        CheckpointPart: _apply_nothing,
     }
 )
 
 
-def apply(state: State, offset: int, record: Record) -> bool:
+def apply_record(state: State, offset: int, record: Record) -> bool:
     """Apply the record that follows the state, and say whether it counted.
 
     Parameters
@@ -78,13 +84,13 @@
     return _APPLIES[type(record.body)](state, offset, record)
 
 
-def encode(state: State) -> bytes:
+def encode_state(state: State) -> bytes:
     """Return the state as bytes for a checkpoint or a peer."""
     return msgspec.msgpack.encode(state)
 
 
-def decode(encoded: bytes) -> State:
-    """Return the state that `encode` wrote.
+def decode_state(encoded: bytes) -> State:
+    """Return the state that `encode_state` wrote.
 
     Raises
     ------
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -47,7 +47,7 @@
 
 def test_a_state_survives_its_encoding_and_only_moves_on(built):
     whole = state.State(applied=3, catalogue=built)
-    assert state.decode(state.encode(whole)) == whole
+    assert state.decode_state(state.encode_state(whole)) == whole
     late = records.make_record(changes.KeyWithdrawn('k1'), 'h', 0)
     with pytest.raises(RecordError):
-        state.apply(whole, 3, late)
+        state.apply_record(whole, 3, late)
