--- a/ebonywell/exceptions.py
+++ b/ebonywell/exceptions.py
@@ -55,3 +55,19 @@
 
 class TargetRefusedError(TargetError):
     """The target said that the request has not run."""
+
+
+class OperatorError(EbonywellError):
+    """What an operator asked for was not done."""
+
+
+class NotReachableError(OperatorError):
+    """No entry process could do it, and nothing was changed."""
+
+
+class OutcomeUnknownError(OperatorError):
+    """It may have been done: the answer was lost, or the log was down."""
+
+
+class CatalogueFileError(OperatorError):
+    """A catalogue file has faults; ``args`` holds a line for each."""
--- /dev/null
+++ b/ebonywell/operations.py
@@ -0,0 +1,357 @@
+"""The operators' HTTP routes of an entry process."""
+
+import hmac
+import math
+from collections.abc import Awaitable, Callable, Mapping
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from . import catalogue, changes, checks, opmessages
+from .exceptions import LogOutageError
+from .metrics import CONTENT_TYPE, Metrics
+from .replica import Replica
+from .timeline import EventFilter, Timeline
+from .types import RunState
+
+MAX_CHANGE_BYTES = 1024 * 1024
+_STATUS_OK = 200
+_STATUS_BAD = 400
+_STATUS_UNAUTHORIZED = 401
+_STATUS_CONFLICT = 409
+_STATUS_TOO_LARGE = 413
+_STATUS_UNAVAILABLE = 503
+_BEARER = 'Bearer '
+
+StatusSource = Callable[[], Mapping[str, object]]
+Withdraw = Callable[[str], None]
+_Endpoint = Callable[[Request], Awaitable[Response]]
+
+
+def _say_nothing() -> Mapping[str, object]:
+    return {}
+
+
+def _ignore_key(key_id: str) -> None:
+    """Leave a withdrawal to the log alone."""
+
+
+class Operations:
+    """What operators ask of this process.
+
+    Attributes
+    ----------
+    replica : Replica
+    token : str
+        What operators present; empty refuses all of them.
+    timeline : Timeline
+    metrics : Metrics
+    status : callable
+        Returns what else to say in the status.
+    withdraw : callable
+        Called with a key id before its withdrawal is appended, so that peers
+        hear of it without the log.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        token: str,
+        timeline: Timeline,
+        metrics: Metrics,
+        status: StatusSource = _say_nothing,
+        withdraw: Withdraw = _ignore_key,
+    ) -> None:
+        self.replica = replica
+        self.token = token
+        self.timeline = timeline
+        self.metrics = metrics
+        self.status = status
+        self.withdraw = withdraw
+
+    def routes(self) -> list[Route]:
+        """Return the routes; all but ``/metrics`` ask for the token."""
+        prefix = opmessages.PREFIX
+        return [
+            Route(
+                f'{prefix}/changes',
+                self._guard(self.post_change),
+                methods=['POST'],
+            ),
+            Route(f'{prefix}/catalogue', self._guard(self.show_catalogue)),
+            Route(f'{prefix}/keys', self._guard(self.show_keys)),
+            Route(f'{prefix}/status', self._guard(self.show_status)),
+            Route(f'{prefix}/timeline', self._guard(self.show_timeline)),
+            Route('/metrics', self.show_metrics),
+        ]
+
+    async def post_change(self, request: Request) -> Response:
+        """Append a change and answer once it is read back."""
+        content = await _read_body(request)
+        if content is None:
+            return _fail(
+                _STATUS_TOO_LARGE, 'too_large', 'The body is too long.'
+            )
+        try:
+            change = read_change(content)
+        except msgspec.MsgspecError as error:
+            return self._refuse_change(f'This is no change: {error}.')
+        faults = checks.find_faults(change)
+        if faults:
+            return self._refuse_change('; '.join(faults))
+        return await self._append(change)
+
+    async def show_catalogue(self, request: Request) -> Response:
+        """Answer with the catalogue in force here."""
+        state = self.replica.state
+        return _answer(view_catalogue(state.catalogue, state.applied))
+
+    async def show_keys(self, request: Request) -> Response:
+        """Answer with ids and workspaces of keys, never their digests."""
+        keys = self.replica.state.catalogue.keys.values()
+        views = [
+            opmessages.KeyView(key.key_id, key.workspace, key.withdrawn)
+            for key in keys
+        ]
+        return _answer(opmessages.KeysView(tuple(views)))
+
+    async def show_status(self, request: Request) -> Response:
+        """Answer with how this process is."""
+        age_s = self.replica.clock() - self.replica.read_at
+        view = opmessages.StatusView(
+            str(self.replica.host),
+            self.replica.state.applied,
+            age_s if math.isfinite(age_s) else -1,
+            self.replica.unreadable,
+            dict(self.status()),
+        )
+        return _answer(view)
+
+    async def show_timeline(self, request: Request) -> Response:
+        """Answer with the events that the query asks for."""
+        query = dict(request.query_params)
+        try:
+            wanted = msgspec.convert(query, EventFilter, strict=False)
+        except msgspec.ValidationError as error:
+            return _fail(_STATUS_BAD, 'bad_query', f'{error}.')
+        events = tuple(self.timeline.select(wanted))
+        return _answer(opmessages.TimelineView(events))
+
+    async def show_metrics(self, request: Request) -> Response:
+        """Answer with all numbers of this process as text."""
+        return Response(self.metrics.expose(), media_type=CONTENT_TYPE)
+
+    def _guard(self, endpoint: _Endpoint) -> _Endpoint:
+        async def guarded(request: Request) -> Response:
+            if self._is_operator(request):
+                return await endpoint(request)
+            self.metrics.count('operator_refused_total')
+            return _fail(
+                _STATUS_UNAUTHORIZED,
+                'operator_token',
+                'The operator token is missing, wrong, or not set here.',
+            )
+
+        return guarded
+
+    def _is_operator(self, request: Request) -> bool:
+        # Compared as bytes and in constant time, so that the time of an
+        # answer says nothing about the token.
+        presented = request.headers.get('authorization', '').encode()
+        expected = f'{_BEARER}{self.token}'.encode()
+        return bool(self.token) and hmac.compare_digest(presented, expected)
+
+    def _refuse_change(self, sentence: str) -> Response:
+        self.metrics.count('operator_changes_total', outcome='bad')
+        return _fail(_STATUS_BAD, 'bad_change', sentence)
+
+    async def _append(self, change: changes.CatalogueRecord) -> Response:
+        if isinstance(change, changes.KeyWithdrawn):
+            self.withdraw(change.key_id)
+        try:
+            ticket = await self.replica.append(change)
+        except LogOutageError as outage:
+            return self._report_outage(outage)
+        table = self.replica.state.catalogue
+        revision = table.revisions.get(catalogue.revision_name(change), 0)
+        if not ticket.counted and not is_in_force(table, change):
+            return self._report_loss(change, revision)
+        self.metrics.count('operator_changes_total', outcome='accepted')
+        self.timeline.record(
+            'change_accepted',
+            change=catalogue.revision_name(change),
+            revision=revision,
+        )
+        return _answer(opmessages.ChangeAccepted(revision))
+
+    def _report_loss(
+        self,
+        change: changes.CatalogueRecord,
+        revision: int,
+    ) -> Response:
+        replaces = getattr(change, 'replaces', revision)
+        if replaces == revision:
+            return self._refuse_change(
+                'It refers to something that is not in the catalogue, '
+                'or issues a key id that is taken.',
+            )
+        self.metrics.count('operator_changes_total', outcome='conflict')
+        name = catalogue.revision_name(change)
+        sentence = f'{name} is at revision {revision}, not {replaces}.'
+        return _fail(_STATUS_CONFLICT, 'conflict', sentence, revision=revision)
+
+    def _report_outage(self, outage: LogOutageError) -> Response:
+        self.metrics.count('operator_changes_total', outcome='outage')
+        if outage.args[1].sent:
+            return _fail(
+                _STATUS_UNAVAILABLE,
+                'outcome_unknown',
+                'The log did not confirm the change; '
+                'it may take effect. Look before you repeat it.',
+                RunState.unknown,
+            )
+        return _fail(
+            _STATUS_UNAVAILABLE,
+            'log_outage',
+            'The log is down; the change was not sent and has no effect.',
+        )
+
+
+def routes(
+    replica: Replica,
+    token: str,
+    timeline: Timeline,
+    metrics: Metrics,
+    status: StatusSource = _say_nothing,
+    withdraw: Withdraw = _ignore_key,
+) -> list[Route]:
+    """Return the operators' routes; `Operations` says what each takes."""
+    operations = Operations(
+        replica,
+        token,
+        timeline,
+        metrics,
+        status,
+        withdraw,
+    )
+    return operations.routes()
+
+
+def read_change(content: bytes) -> changes.CatalogueRecord:
+    """Return the change that a body holds.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If it holds none, or fields that no change has.
+    """
+    change: changes.CatalogueRecord = msgspec.json.decode(
+        content,
+        type=changes.CatalogueRecord,
+    )
+    given = msgspec.json.decode(content)
+    # The tag is a field of the encoded form only.
+    places = checks.unknown_fields(given, checks.to_plain(change))
+    if places:
+        listed = ', '.join(places)
+        raise msgspec.ValidationError(f'unknown fields {listed}')
+    return change
+
+
+def view_catalogue(
+    table: catalogue.Catalogue,
+    applied: int,
+) -> opmessages.CatalogueView:
+    """Return the catalogue as operators see it."""
+    approvals = [
+        _view_approval(pair, granted)
+        for pair, granted in table.approvals.items()
+    ]
+    revisions = {
+        name: revision
+        for name, revision in table.revisions.items()
+        if not name.startswith('key/')
+    }
+    return opmessages.CatalogueView(
+        applied,
+        tuple(table.entries.values()),
+        tuple(table.workspaces.values()),
+        tuple(approvals),
+        revisions,
+    )
+
+
+def _view_approval(pair: str, granted: bool) -> opmessages.ApprovalView:
+    workspace, _, entry = pair.partition('/')
+    return opmessages.ApprovalView(workspace, entry, granted)
+
+
+def is_in_force(
+    table: catalogue.Catalogue,
+    change: changes.CatalogueRecord,
+) -> bool:
+    """Return whether the catalogue already says what a change says.
+
+    A command whose answer was lost sends its change again; the change then
+    loses against itself, which is a success.
+    """
+    match change:
+        case changes.EntrySet():
+            return table.entries.get(change.entry.name) == change.entry
+        case changes.WorkspaceSet():
+            name = change.workspace.name
+            return table.workspaces.get(name) == change.workspace
+        case changes.EntryRemoved():
+            return _was_removed(table, change, change.name in table.entries)
+        case changes.WorkspaceRemoved():
+            return _was_removed(table, change, change.name in table.workspaces)
+        case changes.ApprovalSet():
+            pair = f'{change.workspace}/{change.entry}'
+            return table.approvals.get(pair) is change.granted
+        case changes.KeyIssued():
+            return _is_issued(table, change)
+    return False
+
+
+def _was_removed(
+    table: catalogue.Catalogue,
+    change: changes.EntryRemoved | changes.WorkspaceRemoved,
+    is_there: bool,
+) -> bool:
+    revision = table.revisions.get(catalogue.revision_name(change), 0)
+    return not is_there and revision > change.replaces
+
+
+def _is_issued(table: catalogue.Catalogue, change: changes.KeyIssued) -> bool:
+    key = table.keys.get(change.digest)
+    return key == catalogue.Key(change.key_id, change.workspace)
+
+
+async def _read_body(request: Request) -> bytes | None:
+    content = bytearray()
+    async for chunk in request.stream():
+        content.extend(chunk)
+        if len(content) > MAX_CHANGE_BYTES:
+            return None
+    return bytes(content)
+
+
+def _answer(body: msgspec.Struct, status: int = _STATUS_OK) -> Response:
+    return Response(
+        msgspec.json.encode(body),
+        status,
+        media_type='application/json',
+    )
+
+
+def _fail(
+    status: int,
+    code: str,
+    message: str,
+    run_state: RunState = RunState.not_run,
+    revision: int | None = None,
+) -> Response:
+    failure = opmessages.Failure(code, message, run_state, revision)
+    return _answer(opmessages.FailureAnswer(failure), status)
