--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,90 +1,69 @@
-"""Small fakes at the interfaces, for logic tests under a virtual clock."""
+"""Small fakes that tests of several modules share."""
 
 import anyio
+import msgspec
 
 from ebonywell import logclient
-from ebonywell.exceptions import (
-    LogGapError,
-    LogOutageError,
-    LogRefusedError,
-)
+from ebonywell.exceptions import LogOutageError
 
 
-class FakeLog:
-    """An append-only log in memory, with the faults of the real one."""
+class MemoryLog:
+    """A log in memory in the place of a client of the log service.
+
+    Set `is_down` to refuse everything, `loses_replies` to keep records and
+    then fail to say so.
+    """
 
     def __init__(self):
-        self.records = []
-        self.first_offset = 0
+        self.records = [{'unreadable': True}]
         self.is_down = False
-        self.lost_replies = 0
-        self.refusals = 0
-        self.appends = 0
-        self.changed = anyio.Event()
-
-    @property
-    def end_offset(self):
-        return self.first_offset + len(self.records)
-
-    def expire(self, before):
-        while self.records and self.first_offset < before:
-            self.records.pop(0)
-            self.first_offset += 1
-
-    def keep(self, records):
-        self.records.extend(records)
-        self.changed.set()
-        self.changed = anyio.Event()
-
-
-class FakeLogClient:
-    """A host's connection to a `FakeLog`, which can be cut."""
-
-    def __init__(self, log):
-        self.log = log
-        self.is_cut = False
+        self.loses_replies = False
 
     async def __aenter__(self):
         return self
 
-    async def __aexit__(self, *failure):
-        """Close nothing."""
+    async def __aexit__(self, *_):
+        """Leave the records where they are."""
 
     async def append(self, records):
-        await anyio.sleep(0.005)
-        if self.log.is_down or self.is_cut:
-            raise LogOutageError('down')
-        if self.log.refusals:
-            self.log.refusals -= 1
-            raise LogRefusedError('too fast')
-        first = self.log.end_offset
-        self.log.appends += 1
-        self.log.keep(records)
-        if self.log.lost_replies:
-            self.log.lost_replies -= 1
-            raise LogOutageError('reply lost')
-        return first
+        self._check()
+        self.records.extend(records)
+        if self.loses_replies:
+            raise LogOutageError('the reply was lost')
+        return len(self.records) - len(records)
 
     async def read(self, offset, wait_s=0):
-        await anyio.sleep(0.005)
-        self._check()
-        with anyio.move_on_after(wait_s):
-            while offset >= self.log.end_offset:
-                await self.log.changed.wait()
         self._check()
-        if offset < self.log.first_offset:
-            raise LogGapError(self.log.first_offset)
-        start = offset - self.log.first_offset
-        kept = [
+        if len(self.records) <= offset:
+            await anyio.sleep(wait_s)
+        stored = [
             logclient.Stored(offset + index, record)
-            for index, record in enumerate(self.log.records[start:])
+            for index, record in enumerate(self.records[offset:])
         ]
-        return logclient.Page(
-            self.log.first_offset,
-            self.log.end_offset,
-            tuple(kept[: logclient.READ_LIMIT]),
-        )
+        return logclient.Page(0, len(self.records), tuple(stored))
 
     def _check(self):
-        if self.log.is_down or self.is_cut:
-            raise LogOutageError('down')
+        if self.is_down:
+            raise LogOutageError('the log is down')
+
+
+async def ask(app, method, path, content=b'', token='', query=''):
+    """Call an ASGI application and return the status and parsed JSON."""
+    scope = {
+        'type': 'http',
+        'method': method,
+        'path': path,
+        'query_string': query.encode(),
+        'headers': [(b'authorization', f'Bearer {token}'.encode())],
+    }
+    sent = []
+
+    async def receive():
+        return {'type': 'http.request', 'body': content, 'more_body': False}
+
+    async def send(message):
+        sent.append(message)
+
+    await app(scope, receive, send)
+    body = b''.join(message.get('body', b'') for message in sent)
+    return sent[0]['status'], msgspec.json.decode(body)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -13,7 +13,7 @@
 from ebonywell.replica import Replica
 from ebonywell.types import HostId
 
-from .fakes import FakeLog, FakeLogClient
+from .fakelog import FakeLog, FakeLogClient
 
 RETENTION_S = 100
 
