--- a/ebonywell/appender.py
+++ b/ebonywell/appender.py
@@ -77,8 +77,7 @@
         """Append what is handed in until cancelled."""
         while True:
             batch = await self._next_batch()
-            with anyio.move_on_after(CONFIRM_TIMEOUT_S):
-                await self._append(batch)
+            await self._append(batch)
             await anyio.sleep(self.fleet_size() / FLEET_APPENDS_A_SECOND)
 
     async def append(self, body: records.Body) -> Ticket:
--- a/ebonywell/catalogue.py
+++ b/ebonywell/catalogue.py
@@ -42,7 +42,7 @@
     key_digests : dict of str to str
         Digest by key id.
     revisions : dict of str to int
-        The offset of the last change, by ``kind/name``.
+        One more than the offset of the last change, by ``kind/name``.
     """
 
     entries: dict[str, Entry] = field(default_factory=dict)
@@ -101,7 +101,8 @@
     catalogue : Catalogue
         Changed in place.
     offset : int
-        The record's offset, which becomes the revision of what it sets.
+        The record's offset. One more is the revision of what it sets, so that
+        revision 0 means that there is none yet.
     record : CatalogueRecord
 
     Returns
@@ -115,7 +116,7 @@
         return False
     if not _change(catalogue, record):
         return False
-    catalogue.revisions[name] = offset
+    catalogue.revisions[name] = offset + 1
     return True
 
 
--- a/ebonywell/operations.py
+++ b/ebonywell/operations.py
@@ -204,7 +204,7 @@
 
     def _report_outage(self, outage: LogOutageError) -> Response:
         self.metrics.count('operator_changes_total', outcome='outage')
-        if outage.args[1].sent:
+        if outage.is_sent:
             return _fail(
                 _STATUS_UNAVAILABLE,
                 'outcome_unknown',
--- a/ebonywell/replica.py
+++ b/ebonywell/replica.py
@@ -59,6 +59,7 @@
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.client = client
+        self.host = host
         self.log = log
         self.clock = clock
         self.appender = Appender(client, host, log, wall_clock)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -15,7 +15,7 @@
     """
 
     def __init__(self):
-        self.records = [{'unreadable': True}]
+        self.records = []
         self.is_down = False
         self.loses_replies = False
 
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -22,8 +22,8 @@
 
 
 def test_the_second_of_two_racing_operators_loses(built):
-    first = changes.EntrySet(changes.Entry('quote', EntryKind.model, 'a'), 1)
-    second = changes.EntrySet(changes.Entry('quote', EntryKind.model, 'b'), 1)
+    first = changes.EntrySet(changes.Entry('quote', EntryKind.model, 'a'), 2)
+    second = changes.EntrySet(changes.Entry('quote', EntryKind.model, 'b'), 2)
     assert catalogue.apply(built, 4, first)
     assert not catalogue.apply(built, 5, second)
     assert built.entries['quote'].owner == 'a'
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -170,7 +170,9 @@
 
 @in_virtual_time
 async def test_status_and_time_line_answer():
-    async with running(MemoryLog()) as host:
+    log = MemoryLog()
+    log.records.append({'of': 'another version'})
+    async with running(log) as host:
         await host.change(changes.WorkspaceSet(COUNTER))
         status = (await host.ask('GET', '/operator/v1/status'))[1]
         assert status['applied'] == 1
@@ -201,7 +203,7 @@
         async with running(log) as host:
             status, body = await host.change(record)
             assert (status, body['error']['code']) == (400, 'bad_change')
-            assert len(log.records) == 1
+            assert not log.records
 
     story()
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -40,7 +40,7 @@
             writer = Checkpointer(
                 replica,
                 RETENTION_S,
-                lambda: 0,
+                int,
                 logs.discard_event,
             )
             await group.start(run_service, writer)
