--- a/ebonywell/config.py
+++ b/ebonywell/config.py
@@ -10,6 +10,7 @@
 from .misc import split_address
 
 _MIB = 1024 * 1024
+_POSITIVE = ('max_body_bytes', 'deadline_s', 'grace_s', 'log_retention_s')
 
 
 @dataclass(slots=True, kw_only=True)
@@ -42,6 +43,8 @@
         How long callers keep an answer of ``GET /v1/hosts``, in seconds.
     grace_s : float
         The longest that a planned stop waits for running calls, in seconds.
+    log_retention_s : float
+        How long the log service keeps a record, in seconds.
     allow_faults : bool
         Whether tests may cut this process's links.
     """
@@ -58,6 +61,7 @@
     deadline_s: float = 60
     hosts_ttl_s: float = 30
     grace_s: float = 120
+    log_retention_s: float = 3600
     allow_faults: bool = False
 
 
@@ -75,7 +79,7 @@
         _check_address(name, getattr(settings, name))
     for name in ('log_url', 'host_list_url'):
         _check_url(name, getattr(settings, name))
-    for name in ('max_body_bytes', 'deadline_s', 'grace_s'):
+    for name in _POSITIVE:
         if getattr(settings, name) <= 0:
             raise SettingsError(f'{_flag(name)} must be greater than 0')
     if settings.hosts_ttl_s < 0:
--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -9,14 +9,18 @@
 from . import changes, logs
 from .answers import Refusal, refuse
 from .calls import Calls
+from .checkpointer import Checkpointer
 from .config import Settings
 from .dispatch import Dispatcher
 from .kernel import Kernel
 from .logclient import LogClient
 from .messages import Call
+from .metrics import Metrics
+from .operations import Operations
 from .records import Record
 from .replica import Replica
 from .targets import Target, Targets
+from .timeline import Timeline
 from .types import HostId, RunState, new_incarnation
 from .web import Web
 
@@ -41,6 +45,8 @@
         self.host = HostId(settings.host_id, new_incarnation())
         self.log = logs.bind(logs.write_event, host=settings.host_id)
         self.kernel = Kernel()
+        self.timeline = Timeline(str(self.host))
+        self.metrics = Metrics()
         self.replica = Replica(
             LogClient(settings.log_url),
             self.host,
@@ -55,6 +61,18 @@
             lambda call: _no_settlement,
             self.log,
         )
+        self.checkpointer = Checkpointer(
+            self.replica,
+            settings.log_retention_s,
+            self.rank,
+            self.log,
+        )
+        self.operations = Operations(
+            self.replica,
+            settings.operator_token,
+            self.timeline,
+            self.metrics,
+        )
         self.web = Web(
             settings,
             self.replica,
@@ -62,16 +80,28 @@
             self.check_serving,
             self.hosts,
             self.log,
+            self.operations.routes(),
         )
         self.replica.watchers.append(self._cut_withdrawn)
         self.kernel.add('replica', self.replica)
         self.kernel.add('targets', self.targets)
+        self.kernel.add('checkpointer', self.checkpointer)
         self.kernel.add('calls', self.calls)
         self.kernel.add('web', self.web)
 
     def check_serving(self) -> None:
         """Raise RefusedError while this process must not take calls."""
 
+    def rank(self) -> int:
+        """Return this host's place among the live entry hosts, from 0."""
+        names = sorted(
+            host.name
+            for host in self.targets.listed
+            if host.role == 'entry' and host.state == 'live'
+        )
+        name = self.settings.host_id
+        return names.index(name) if name in names else len(names)
+
     def hosts(self) -> Any:
         """Return what ``GET /v1/hosts`` answers."""
         zones: dict[str, list[str]] = {}
@@ -162,6 +192,7 @@
 
 def run(settings: Settings, backend_options: dict[str, Any]) -> None:
     """Run an entry process to its end."""
+    logs.start_logging()
     anyio.run(_run, settings, backend_options=backend_options)
 
 
--- a/ebonywell/logs.py
+++ b/ebonywell/logs.py
@@ -1,6 +1,7 @@
 """Structured logs: one line of key=value pairs for each event."""
 
 import json
+from logging import Formatter
 from typing import Any, Protocol
 
 from absl import logging
@@ -13,6 +14,30 @@
         """Write an event with its fields."""
 
 
+class _LineFormatter(Formatter):
+    """Puts the time before the event, as one more pair."""
+
+    def format(self, record: Any) -> str:
+        """Return a record's line."""
+        message = super().format(record)
+        if not message.startswith('event='):
+            # Libraries log sentences and traces, which become one line too.
+            message = format_event(
+                'library_message',
+                logger=record.name,
+                text=message,
+            )
+        return f'time={record.created:.6f} {message}'
+
+
+def start_logging() -> None:
+    """Write events of level info and above to standard error."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_LineFormatter())
+
+
 def format_event(event: str, **fields: Any) -> str:
     """Return the line for an event.
 
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -260,6 +260,7 @@
         lifespan='off',
         access_log=False,
         log_config=None,
+        log_level='error',
         server_header=False,
     )
 
