--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -7,7 +7,7 @@
 import anyio
 
 from . import changes, logs
-from .answers import Refusal, refuse
+from .answers import refuse
 from .calls import Calls
 from .checkpointer import Checkpointer
 from .config import Settings
@@ -21,8 +21,8 @@
 from .replica import Replica
 from .targets import Target, Targets
 from .timeline import Timeline
-from .types import HostId, RunState, new_incarnation
-from .web import Web
+from .types import HostId, new_incarnation
+from .web import Web, stopping_refusal
 
 _STATUS_UNAVAILABLE = 503
 _RETRY_AFTER_S = 1.0
@@ -155,7 +155,7 @@
                 self.log('signal', number=int(number))
                 if stopping.is_set():
                     self.web.server.should_exit = True
-                    self.calls.cut(lambda _: True, _stopping_refusal())
+                    self.calls.cut(lambda _: True, stopping_refusal())
                 stopping.set()
 
     def _cut_withdrawn(self, _: int, record: Record, counted: bool) -> None:
@@ -176,16 +176,6 @@
     )
 
 
-def _stopping_refusal() -> Refusal:
-    return Refusal(
-        'host_stopping',
-        _STATUS_UNAVAILABLE,
-        'This host stops now.',
-        RunState.not_run,
-        _RETRY_AFTER_S,
-    )
-
-
 def _no_settlement(used_tokens: int) -> None:
     """Settle nothing."""
 
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -15,7 +15,7 @@
 from starlette.types import Receive, Scope, Send
 
 from . import edge
-from .answers import RefusedError, refuse
+from .answers import RETRY_SOON_S, Refusal, RefusedError, refuse
 from .calls import Calls
 from .catalogue import is_approved
 from .config import Settings
@@ -25,7 +25,7 @@
 from .misc import split_address
 from .replica import Replica
 from .reply import Reply
-from .types import EntryKind, new_id
+from .types import EntryKind, RunState, new_id
 
 START_POLL_S = 0.01
 BACKLOG = 2048
@@ -148,6 +148,9 @@
         self.is_leaving = True
         await anyio.sleep(self.settings.hosts_ttl_s)
         self.server.should_exit = True
+        with anyio.move_on_after(self.settings.grace_s):
+            await self.finished.wait()
+        self.calls.cut(lambda _: True, stopping_refusal())
         await self.finished.wait()
 
     def answer_headers(self) -> list[tuple[bytes, bytes]]:
@@ -212,6 +215,17 @@
         return json_answer({'ready': True})
 
 
+def stopping_refusal() -> Refusal:
+    """Return what calls get that are cut because the process stops."""
+    return Refusal(
+        'host_stopping',
+        _STATUS_UNAVAILABLE,
+        'This host stops now.',
+        RunState.not_run,
+        RETRY_SOON_S,
+    )
+
+
 def json_answer(body: Any, status: int = _STATUS_OK) -> Response:
     """Return a JSON response."""
     return Response(
