Operators' commands: catalogue, key, status, time line

Catalogue files are checked as a whole. Only differences are sent, each for the revision that it replaces. Exit codes tell a conflict, nobody reached and an unknown outcome apart.

--- a/ebonywell/cmdline.py
+++ b/ebonywell/cmdline.py
@@ -6,7 +6,7 @@
 from cyclopts import App, CycloptsError, Parameter
 from cyclopts.config import Env
 
-from . import config, entry
+from . import config, entry, opcommands
 from .exceptions import SettingsError
 from .version import __version__
 
@@ -18,6 +18,7 @@
     help='Serve many models on fewer accelerators for many workspaces.',
     config=Env('EBONYWELL_', command=False),
 )
+opcommands.register(app)
 
 
 @app.command(name='entry')
@@ -36,7 +37,7 @@
 def main() -> None:
     """Run the command line and exit with its code."""
     try:
-        app(print_error=False, exit_on_error=False)
+        app(sys.argv[1:], print_error=False, exit_on_error=False)
     except (SettingsError, CycloptsError) as error:
         line = ' '.join(str(error).split())
         sys.stderr.write(f'ebonywell: {line}\n')
--- /dev/null
+++ b/ebonywell/opclient.py
@@ -0,0 +1,264 @@
+"""The operators' client: asks entry processes one by one or all at once."""
+
+from collections.abc import Sequence
+from types import TracebackType
+from typing import Self, TypeVar
+
+import anyio
+import httpcore
+import msgspec
+
+from . import opmessages
+from .changes import CatalogueRecord
+from .exceptions import (
+    ConflictError,
+    EbonywellError,
+    NotReachableError,
+    OperatorError,
+    OutcomeUnknownError,
+)
+from .timeline import Event, merge
+from .types import RunState
+
+TIMEOUT_S = 6.0
+CONNECT_TIMEOUT_S = 2.0
+MAX_CONNECTIONS = 64
+_STATUS_OK = 200
+_STATUS_CONFLICT = 409
+_STATUS_UNAVAILABLE = 503
+_View = TypeVar('_View')
+
+
+class HostsView(msgspec.Struct, frozen=True):
+    """What ``GET /v1/hosts`` says: addresses by availability zone."""
+
+    zones: dict[str, tuple[str, ...]] = {}
+
+
+class OperatorClient:
+    """Connections to entry processes, closed on leaving the context.
+
+    Attributes
+    ----------
+    urls : list of str
+        Without a slash at the end.
+    token : str
+    pool : httpcore.AsyncConnectionPool
+    """
+
+    def __init__(self, urls: Sequence[str], token: str) -> None:
+        self.urls = [url.rstrip('/') for url in urls]
+        self.token = token
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS
+        )
+
+    async def __aenter__(self) -> Self:
+        await self.pool.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.pool.__aexit__(kind, error, trace)
+
+    async def fetch(self, path: str, kind: type[_View]) -> _View:
+        """Return an answer of the first process that gives one.
+
+        Raises
+        ------
+        OperatorError
+            If a process refuses, or none can be reached.
+        """
+        reasons: list[str] = []
+        for url in self.urls:
+            try:
+                return await self.fetch_from(url, path, kind)
+            except NotReachableError as error:
+                reasons.append(str(error))
+        raise NotReachableError('; '.join(reasons))
+
+    async def fetch_from(
+        self,
+        url: str,
+        path: str,
+        kind: type[_View],
+    ) -> _View:
+        """Return an answer of one process.
+
+        Raises
+        ------
+        OperatorError
+            If it refuses or cannot be reached.
+        """
+        try:
+            content = await self._ask(url, 'GET', path)
+        except OutcomeUnknownError as error:
+            raise NotReachableError(str(error)) from error
+        return _decode(url, content, kind)
+
+    async def change(self, record: CatalogueRecord) -> int:
+        """Send a change to one process after the other until one takes it.
+
+        A process reports a change that is in force already as accepted, so
+        that sending it again after a lost answer is safe.
+
+        Returns
+        -------
+        int
+            The revision that the change got.
+
+        Raises
+        ------
+        ConflictError
+            If it names a revision that is not the one in force.
+        OutcomeUnknownError
+            If it may take effect, though no process confirmed it.
+        NotReachableError
+            If it has no effect: no process took it.
+        OperatorError
+            If it is refused.
+        """
+        reasons: list[str] = []
+        is_unknown = False
+        for url in self.urls:
+            try:
+                return await self.change_at(url, record)
+            except OutcomeUnknownError as error:
+                is_unknown = True
+                reasons.append(str(error))
+            except NotReachableError as refused:
+                reasons.append(str(refused))
+        failure = OutcomeUnknownError if is_unknown else NotReachableError
+        raise failure('; '.join(reasons))
+
+    async def change_at(self, url: str, record: CatalogueRecord) -> int:
+        """Send a change to one process; see `change` for the errors."""
+        path = f'{opmessages.PREFIX}/changes'
+        encoded = msgspec.json.encode(record)
+        content = await self._ask(url, 'POST', path, encoded)
+        return _decode(url, content, opmessages.ChangeAccepted).revision
+
+    async def change_at_all(
+        self,
+        record: CatalogueRecord,
+    ) -> dict[str, int | EbonywellError]:
+        """Send a change to all processes at once; revision or error by URL."""
+        outcomes: dict[str, int | EbonywellError] = {}
+
+        async def send(url: str) -> None:
+            try:
+                outcomes[url] = await self.change_at(url, record)
+            except (OperatorError, ConflictError) as error:
+                outcomes[url] = error
+
+        async with anyio.create_task_group() as group:
+            for each in self.urls:
+                group.start_soon(send, each)
+        return outcomes
+
+    async def find_hosts(self) -> None:
+        """Add the addresses that the fleet itself names to `urls`."""
+        hosts = await self.fetch('/v1/hosts', HostsView)
+        for addresses in hosts.zones.values():
+            named = (f'http://{address}' for address in addresses)
+            self.urls.extend(url for url in named if url not in self.urls)
+
+    async def fetch_timeline(
+        self,
+        query: str,
+    ) -> tuple[list[Event], dict[str, OperatorError]]:
+        """Return the events of all processes in one order.
+
+        Parameters
+        ----------
+        query : str
+            What to ask for, as in a URL.
+
+        Returns
+        -------
+        list of Event
+        dict of str to OperatorError
+            Why some processes are missing, by URL.
+        """
+        parts: list[tuple[Event, ...]] = []
+        missing: dict[str, OperatorError] = {}
+        path = f'{opmessages.PREFIX}/timeline?{query}'
+
+        async def collect(url: str) -> None:
+            try:
+                view = await self.fetch_from(
+                    url,
+                    path,
+                    opmessages.TimelineView,
+                )
+            except OperatorError as error:
+                missing[url] = error
+            else:
+                parts.append(view.events)
+
+        async with anyio.create_task_group() as group:
+            for each in self.urls:
+                group.start_soon(collect, each)
+        return merge(parts), missing
+
+    async def _ask(
+        self,
+        url: str,
+        method: str,
+        path: str,
+        content: bytes | None = None,
+    ) -> bytes:
+        headers = [('authorization', f'Bearer {self.token}')]
+        timeout = dict.fromkeys(('read', 'write', 'pool'), TIMEOUT_S)
+        timeout['connect'] = CONNECT_TIMEOUT_S
+        try:
+            response = await self.pool.request(
+                method,
+                url + path,
+                headers=headers,
+                content=content,
+                extensions={'timeout': timeout},
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise NotReachableError(f'{url}: {error!r}') from error
+        except httpcore.UnsupportedProtocol as error:
+            raise OperatorError(f'{url} is not an http URL') from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise OutcomeUnknownError(f'{url}: {error!r}') from error
+        if response.status != _STATUS_OK:
+            raise _read_failure(url, response)
+        return response.content
+
+
+def _read_failure(url: str, response: httpcore.Response) -> Exception:
+    try:
+        answer = msgspec.json.decode(
+            response.content,
+            type=opmessages.FailureAnswer,
+        )
+    except msgspec.MsgspecError:
+        return OperatorError(f'{url}: status {response.status}')
+    message = answer.error.message
+    told = f'{url}: {message}'
+    if response.status == _STATUS_CONFLICT:
+        return ConflictError(told)
+    if answer.error.run_state == RunState.unknown:
+        return OutcomeUnknownError(told)
+    if response.status == _STATUS_UNAVAILABLE:
+        return NotReachableError(told)
+    return OperatorError(told)
+
+
+def _decode(url: str, content: bytes, kind: type[_View]) -> _View:
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.MsgspecError as error:
+        raise OperatorError(f'{url}: unreadable answer: {error}') from error
--- /dev/null
+++ b/ebonywell/outcomes.py
@@ -0,0 +1,102 @@
+"""How the operators' commands print what they report."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+
+import msgspec
+
+from .changes import Entry
+from .logs import format_event
+from .opmessages import CatalogueView
+from .timeline import Event
+from .types import EntryKind
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a command reports.
+
+    Attributes
+    ----------
+    code : int
+        The exit code.
+    body : object
+        What ``--output json`` prints.
+    lines : list of str
+        What ``--output text`` prints.
+    remarks : list of str
+        What goes to standard error with ``--output text``.
+    """
+
+    code: int
+    body: object
+    lines: list[str]
+    remarks: list[str] = field(default_factory=list)
+
+
+def encode_body(body: object) -> str:
+    """Return a body as one line of JSON."""
+    return msgspec.json.encode(body).decode()
+
+
+def event_line(event: Event) -> str:
+    """Return an event as one line that starts with its time in UTC."""
+    at = datetime.fromtimestamp(event.time, UTC)
+    stamp = at.isoformat(timespec='microseconds').replace('+00:00', 'Z')
+    named = {
+        'request': event.request,
+        'workspace': event.workspace,
+        'target': event.target,
+    }
+    present = {name: text for name, text in named.items() if text}
+    pairs = format_event(event.event, **present, **event.fields)
+    return f'{stamp} host={event.host} sequence={event.sequence} {pairs}'
+
+
+def catalogue_lines(view: CatalogueView) -> list[str]:
+    """Return a catalogue as lines for a person."""
+    return [
+        *_entry_lines(view),
+        *_workspace_lines(view),
+        *(
+            f'approval   {one.workspace} may call {one.entry}'
+            for one in view.approvals
+            if one.granted
+        ),
+    ]
+
+
+def _entry_lines(view: CatalogueView) -> Iterator[str]:
+    for entry in view.entries:
+        access = 'open to all' if entry.open else 'by approval'
+        facts = [entry.service_class, access, *_entry_facts(entry)]
+        listed = ', '.join(facts)
+        revision = view.revisions.get(f'entry/{entry.name}', 0)
+        kind = entry.kind.ljust(len('workspace'))
+        yield f'{kind}  {entry.name}  {listed}  revision {revision}'
+
+
+def _entry_facts(entry: Entry) -> list[str]:
+    if entry.kind == EntryKind.model:
+        adapters = len(entry.adapters)
+        return [f'{entry.bytes} bytes', f'{adapters} adapters']
+    return ['idempotent' if entry.idempotent else 'not idempotent']
+
+
+def _workspace_lines(view: CatalogueView) -> Iterator[str]:
+    for workspace in view.workspaces:
+        limits = {
+            'rate': workspace.rate,
+            'burst': workspace.burst,
+            'weight': workspace.weight,
+        }
+        listed = ', '.join(map(_limit, limits.items()))
+        revision = view.revisions.get(f'workspace/{workspace.name}', 0)
+        yield f'workspace  {workspace.name}  {listed}  revision {revision}'
+
+
+def _limit(named: tuple[str, float]) -> str:
+    name, size = named
+    shown = format(size, 'g')
+    return f'{name} {shown}'
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -18,6 +18,7 @@
         self.records = [{'unreadable': True}]
         self.is_down = False
         self.loses_replies = False
+        self.appended = anyio.Event()
 
     async def __aenter__(self):
         return self
@@ -28,6 +29,8 @@
     async def append(self, records):
         self._check()
         self.records.extend(records)
+        self.appended.set()
+        self.appended = anyio.Event()
         if self.loses_replies:
             raise LogOutageError('the reply was lost')
         return len(self.records) - len(records)
@@ -35,7 +38,8 @@
     async def read(self, offset, wait_s=0):
         self._check()
         if len(self.records) <= offset:
-            await anyio.sleep(wait_s)
+            with anyio.move_on_after(wait_s):
+                await self.appended.wait()
         stored = [
             logclient.Stored(offset + index, record)
             for index, record in enumerate(self.records[offset:])
--- /dev/null
+++ b/tests/test_differences.py
@@ -0,0 +1,89 @@
+"""Differences between a file and the catalogue, and their order."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonywell import catalogue, changes, differences, operations
+from ebonywell.catfile import Approval, WantedCatalogue
+from ebonywell.types import EntryKind
+
+_NAMES = st.sampled_from(['a', 'b', 'c'])
+_ENTRIES = st.dictionaries(_NAMES, st.integers(1, 3), max_size=3)
+_PAIRS = st.sets(st.tuples(_NAMES, _NAMES), max_size=4)
+
+
+@st.composite
+def wanted_catalogues(draw):
+    """Draw a file without faults."""
+    entries = draw(_ENTRIES)
+    workspaces = draw(_ENTRIES)
+    return WantedCatalogue(
+        tuple(
+            changes.Entry(name, EntryKind.model, bytes=size)
+            for name, size in entries.items()
+        ),
+        tuple(
+            changes.Workspace(name, size, size)
+            for name, size in workspaces.items()
+        ),
+        tuple(
+            Approval(workspace, entry)
+            for workspace, entry in sorted(draw(_PAIRS))
+            if workspace in workspaces and entry in entries
+        ),
+    )
+
+
+def apply_file(table, wanted, prune, offset):
+    """Apply the differences in their order; all must count."""
+    view = operations.view_catalogue(table, offset)
+    for change in differences.find_changes(wanted, view, prune):
+        offset += 1
+        assert catalogue.apply(table, offset, change)
+    return offset
+
+
+@given(st.lists(wanted_catalogues(), max_size=4))
+def test_a_pruning_apply_makes_the_catalogue_what_the_file_says(files):
+    table = catalogue.Catalogue()
+    offset = 0
+    for wanted in files:
+        offset = apply_file(table, wanted, prune=True, offset=offset)
+        assert table.entries == {one.name: one for one in wanted.entries}
+        assert table.workspaces == {one.name: one for one in wanted.workspaces}
+        granted = {pair for pair, is_on in table.approvals.items() if is_on}
+        assert granted == {
+            f'{one.workspace}/{one.entry}' for one in wanted.approvals
+        }
+        view = operations.view_catalogue(table, offset)
+        assert not differences.find_changes(wanted, view, prune=True)
+
+
+@given(wanted_catalogues(), wanted_catalogues())
+def test_an_apply_without_pruning_removes_nothing(first, second):
+    table = catalogue.Catalogue()
+    offset = apply_file(table, first, prune=False, offset=0)
+    apply_file(table, second, prune=False, offset=offset)
+    for wanted in (first, second):
+        assert {one.name for one in wanted.entries} <= set(table.entries)
+        for one in wanted.approvals:
+            assert catalogue.is_approved(table, one.workspace, one.entry)
+
+
+@pytest.mark.parametrize(
+    ('change', 'words'),
+    [
+        (changes.WorkspaceSet(changes.Workspace('a', 1, 1)), 'add workspace a'),
+        (
+            changes.WorkspaceSet(changes.Workspace('a', 1, 1), 7),
+            'set workspace a',
+        ),
+        (changes.EntryRemoved('a', 7), 'remove entry a'),
+        (changes.ApprovalSet('a', 'b', granted=True), 'grant approval a/b'),
+        (changes.ApprovalSet('a', 'b', granted=False), 'end approval a/b'),
+        (changes.KeyWithdrawn('k1'), 'withdraw key k1'),
+    ],
+)
+def test_a_change_is_described_in_a_few_words(change, words):
+    assert differences.describe(change) == words
