--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,10 @@
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
 
 $(STAMP): pyproject.toml requirements/lock.txt
-	test -x $(RUN) || $(PYTHON) -m venv $(VENV)
-	$(RUN) -m pip install -q --disable-pip-version-check -r requirements/lock.txt
-	$(RUN) -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
-	touch $(STAMP)
+	@test -x $(RUN) || $(PYTHON) -m venv $(VENV)
+	@$(RUN) -m pip install -q --disable-pip-version-check -r requirements/lock.txt >&2
+	@$(RUN) -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e . >&2
+	@touch $(STAMP)
 
 install: $(STAMP) ## install the project and its tools into $(VENV)
 
--- a/lab/client.py
+++ b/lab/client.py
@@ -121,7 +121,7 @@
         """
         async with self.stream(method, url, headers, body) as stream:
             parts = [part async for part in stream.chunks()]
-        return Answer(stream.status, stream.headers, b''.join(parts))
+            return Answer(stream.status, stream.headers, b''.join(parts))
 
     @asynccontextmanager
     async def stream(
@@ -141,7 +141,7 @@
         manager = self.pool.stream(
             method,
             url,
-            headers=[*headers.items()],
+            headers=list(headers.items()),
             content=_encode(body),
             extensions={'timeout': _timeouts(self.timeout_s)},
         )
--- /dev/null
+++ b/lab/demo.py
@@ -0,0 +1,257 @@
+"""Runs the whole path on loopback and prints a line for each step."""
+
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+
+from .client import Answer, ClientError, bearer
+from .commands import CommandError, Issued
+from .deployment import Deployment, wait_until
+from .processes import ProcessError, flatten
+
+EXIT_FAILED = 1
+WITHDRAWAL_TIMEOUT_S = 6.0
+_STATUS_OK = 200
+_STATUS_UNAUTHORIZED = 401
+_STATUS_FORBIDDEN = 403
+_END_OF_EVENTS = b'data: [DONE]'
+
+
+class DemoError(Exception):
+    """A step of the demo went wrong."""
+
+
+@dataclass(slots=True)
+class Demo:
+    """What the steps share.
+
+    Attributes
+    ----------
+    deployment : Deployment
+    keys : dict of str to Issued
+        By workspace.
+    url : str
+        The entry process that the caller uses.
+    """
+
+    deployment: Deployment
+    keys: dict[str, Issued] = field(default_factory=dict)
+    url: str = ''
+
+    async def ask(
+        self,
+        workspace: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        **headers: str,
+    ) -> Answer:
+        """Send a request with a workspace's key."""
+        named = {name.replace('_', '-'): text for name, text in headers.items()}
+        return await self.deployment.client.ask(
+            method,
+            f'{self.url}{path}',
+            {**bearer(self.keys[workspace].key), **named},
+            body,
+        )
+
+
+Step = Callable[[Demo], Awaitable[str]]
+
+
+async def fill_catalogue(demo: Demo) -> str:
+    """Apply the sample catalogue through the operators' command."""
+    await demo.deployment.fill()
+    shown = await demo.deployment.operator.ask('catalogue', 'show')
+    names = ', '.join(sorted(_entry_names(shown)))
+    return f'catalogue applied: {names}'
+
+
+async def issue_keys(demo: Demo) -> str:
+    """Issue a key for each workspace."""
+    operator = demo.deployment.operator
+    for workspace in ('counter', 'stranger'):
+        demo.keys[workspace] = await operator.issue_key(workspace)
+    ids = ', '.join(f'{name} {key.key_id}' for name, key in demo.keys.items())
+    return f'keys issued: {ids}'
+
+
+async def ask_address(demo: Demo) -> str:
+    """Ask an entry process which address to use."""
+    client = demo.deployment.client
+    wanted = {member.address for member in demo.deployment.entries.values()}
+    url = demo.deployment.entry_urls()[-1]
+    listed: dict[str, list[str]] = {}
+
+    async def are_all_listed() -> bool:
+        answer = (await client.ask('GET', f'{url}/v1/hosts')).json()
+        listed.update(answer['zones'])
+        return wanted <= {one for zone in listed.values() for one in zone}
+
+    await wait_until(are_all_listed, 'all entry processes listed')
+    zone = min(listed)
+    demo.url = f'http://{listed[zone][0]}'
+    return f'{len(wanted)} addresses in {len(listed)} zones, using {demo.url}'
+
+
+async def stream_answer(demo: Demo) -> str:
+    """Run a streamed answer of a model."""
+    chunks: list[bytes] = []
+    async with demo.deployment.client.stream(
+        'POST',
+        f'{demo.url}/v1/chat/completions',
+        bearer(demo.keys['counter'].key),
+        _chat('Price of a 2 t coil, galvanised, cut to 1 m?', is_streamed=True),
+    ) as stream:
+        _check(stream.status == _STATUS_OK, f'status {stream.status}')
+        async for chunk in stream.chunks():
+            chunks.append(chunk)
+    events = b''.join(chunks)
+    _check(_END_OF_EVENTS in events, 'the stream has no end')
+    return f'quote streamed: {events.count(b"data: ") - 1} tokens'
+
+
+async def look_up_stock(demo: Demo) -> str:
+    """Look something up at an idempotent plain service."""
+    path = '/v1/services/stock/coils/DX51D'
+    answer = await demo.ask('counter', 'GET', path)
+    _check(answer.status == _STATUS_OK, _describe(answer))
+    return f'stock looked up at {answer.json()["service"]}'
+
+
+async def send_order(demo: Demo) -> str:
+    """Send a cutting order twice under one idempotency key: it runs once."""
+    answers = [
+        await demo.ask(
+            'counter',
+            'POST',
+            '/v1/services/orders/cut',
+            {'coil': 'DX51D', 'length_mm': 1000, 'pieces': 40},
+            idempotency_key='order-1',
+        )
+        for _ in range(2)
+    ]
+    for answer in answers:
+        _check(answer.status == _STATUS_OK, _describe(answer))
+    _check(answers[0].body == answers[1].body, 'the repeat ran again')
+    journals = [
+        await demo.deployment.read_journal(name)
+        for name in ('orders-1', 'orders-2')
+    ]
+    runs = sum(len(journal) for journal in journals)
+    _check(runs == 1, f'the order ran {runs} times')
+    return 'cutting order sent twice, run once, answered alike'
+
+
+async def refuse_stranger(demo: Demo) -> str:
+    """Show that a workspace without an approval is refused."""
+    answer = await demo.ask(
+        'stranger',
+        'POST',
+        '/v1/chat/completions',
+        _chat('Price?'),
+    )
+    _check(answer.status == _STATUS_FORBIDDEN, _describe(answer))
+    code = answer.json()['error']['code']
+    notices = await demo.ask('stranger', 'GET', '/v1/services/notices/today')
+    _check(notices.status == _STATUS_OK, _describe(notices))
+    return f'stranger refused with {code}, but may read the open notices'
+
+
+async def withdraw_key(demo: Demo) -> str:
+    """Withdraw the key in use and show that it stops everywhere."""
+    await demo.deployment.operator.withdraw_key(demo.keys['counter'].key_id)
+    await wait_until(
+        lambda: _is_withdrawn(demo),
+        'every entry process refuses the key',
+        WITHDRAWAL_TIMEOUT_S,
+    )
+    return 'key of counter withdrawn, refused by every entry process'
+
+
+STEPS: tuple[Step, ...] = (
+    fill_catalogue,
+    issue_keys,
+    ask_address,
+    stream_answer,
+    look_up_stock,
+    send_order,
+    refuse_stranger,
+    withdraw_key,
+)
+
+
+async def run() -> None:
+    """Start everything, run the steps, and stop everything.
+
+    Raises
+    ------
+    DemoError, ClientError, CommandError, ProcessError
+        If a step went wrong; possibly in an exception group.
+    """
+    async with Deployment() as deployment:
+        names = ', '.join(member.name for member in deployment.members)
+        _say('start', f'started {names}')
+        demo = Demo(deployment)
+        for step in STEPS:
+            try:
+                done = await step(demo)
+            except (DemoError, ClientError, CommandError) as error:
+                raise DemoError(f'{step.__name__}: {error}') from error
+            _say(step.__name__, done)
+    _say('stop', 'stopped every process')
+
+
+def main() -> int:
+    """Run the demo and return the exit code."""
+    reasons: list[str] = []
+    try:
+        anyio.run(run)
+    except* (DemoError, ProcessError) as failed:
+        reasons.extend(flatten(failed))
+    for reason in reasons:
+        sys.stderr.write(f'demo failed: {reason}\n')
+    return EXIT_FAILED if reasons else 0
+
+
+def _say(step: str, line: str) -> None:
+    sys.stdout.write(f'{step}: {line}\n')
+    sys.stdout.flush()
+
+
+def _check(holds: bool, reason: str) -> None:
+    if not holds:
+        raise DemoError(reason)
+
+
+def _describe(answer: Answer) -> str:
+    return f'status {answer.status}: {answer.body.decode(errors="replace")}'
+
+
+def _chat(text: str, *, is_streamed: bool = False) -> dict[str, Any]:
+    return {
+        'model': 'quote',
+        'messages': [{'role': 'user', 'content': text}],
+        'stream': is_streamed,
+        'max_tokens': 16,
+    }
+
+
+def _entry_names(shown: Any) -> list[str]:
+    return [one['name'] for one in shown['entries']]
+
+
+async def _is_withdrawn(demo: Demo) -> bool:
+    statuses = set()
+    for url in demo.deployment.entry_urls():
+        demo.url = url
+        answer = await demo.ask('counter', 'GET', '/v1/services/stock/coils')
+        statuses.add(answer.status)
+    return statuses == {_STATUS_UNAUTHORIZED}
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/lab/deployment.py
@@ -0,0 +1,259 @@
+"""Runs the stand-ins and the entry processes of a deployment on loopback."""
+
+import secrets
+import tempfile
+import tomllib
+from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import ExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import anyio
+
+from .client import Client, ClientError
+from .commands import Operator
+from .processes import Member, ProcessError, free_address, start, stop
+from .shape import (
+    SAMPLE_CATALOGUE,
+    Platform,
+    Shape,
+    engine_arguments,
+    entry_arguments,
+    log_arguments,
+    service_arguments,
+)
+
+READY_TIMEOUT_S = 60.0
+POLL_GAP_S = 0.1
+# Two rounds of an entry process's polls of its targets.
+TARGETS_SEEN_S = 1.5
+_STATUS_OK = 200
+_REASON_CHARACTERS = 500
+_Start = Callable[[str, list[str]], Coroutine[Any, Any, None]]
+
+
+class Deployment:
+    """Separate processes that are stopped on leaving the context.
+
+    Attributes
+    ----------
+    shape : Shape
+    platform : dict of str to Member
+        ``log``, ``hosts`` and ``weights``.
+    targets : dict of str to Member
+    entries : dict of str to Member
+        ``entry-1`` and so on; a member that ended stays until it is replaced.
+    ended : list of Member
+        Entry processes that were replaced.
+    client : Client
+    logs : Path
+        A directory with one log for each process.
+    secrets : dict of str to str
+        The environment that carries the operators' token and the fleet's
+        secret, so that neither shows in a list of processes.
+    operator : Operator
+    """
+
+    def __init__(self, shape: Shape | None = None) -> None:
+        self.shape = shape or Shape()
+        self.platform: dict[str, Member] = {}
+        self.targets: dict[str, Member] = {}
+        self.entries: dict[str, Member] = {}
+        self.ended: list[Member] = []
+        self.client = Client()
+        self.logs = Path()
+        self.secrets = {
+            'EBONYWELL_OPERATOR_TOKEN': secrets.token_hex(16),
+            'EBONYWELL_FLEET_SECRET': secrets.token_hex(16),
+        }
+        self.operator = Operator(self.entry_urls, self.secrets)
+        self.stack = ExitStack()
+
+    async def __aenter__(self) -> Self:
+        directory = tempfile.TemporaryDirectory(prefix='ebonywell-')
+        self.logs = Path(self.stack.enter_context(directory))
+        await self.client.__aenter__()
+        try:
+            await self._start()
+        except BaseException:
+            await self._stop()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stop()
+
+    @property
+    def members(self) -> list[Member]:
+        """All processes, entry processes first."""
+        parts = (self.entries, self.targets, self.platform)
+        return [member for part in parts for member in part.values()]
+
+    def find(self, name: str) -> Member:
+        """Return a process by its name.
+
+        Raises
+        ------
+        ProcessError
+            If there is none.
+        """
+        for member in self.members:
+            if member.name == name:
+                return member
+        raise ProcessError(f'no process {name}')
+
+    def entry_urls(self) -> list[str]:
+        """Return the URLs of the entry processes that run."""
+        return [
+            member.url
+            for member in self.entries.values()
+            if member.is_running()
+        ]
+
+    async def start_entry(self, name: str) -> Member:
+        """Start an entry process and wait until it is ready.
+
+        Parameters
+        ----------
+        name : str
+            Takes the place of a process of that name that has ended.
+
+        Raises
+        ------
+        ProcessError
+            If it does not become ready.
+        """
+        before = self.entries.get(name)
+        if before is not None:
+            self.ended.append(before)
+        listen = free_address()
+        arguments = entry_arguments(
+            self.shape,
+            self._platform_urls(),
+            name,
+            listen,
+        )
+        member = await start(name, arguments, self.logs, self.secrets, listen)
+        self.entries[name] = member
+        await wait_until(lambda: self._is_ready(member), f'{name} ready')
+        return member
+
+    async def fill(self, catalogue: Path = SAMPLE_CATALOGUE) -> None:
+        """Apply a catalogue and wait until its models can be called."""
+        await self.operator.ask('catalogue', 'apply', str(catalogue))
+        models = set(entry_names(catalogue, 'model'))
+        await wait_until(lambda: _are_loaded(self, models), 'models loaded')
+        await anyio.sleep(TARGETS_SEEN_S)
+
+    async def set_fault(self, name: str, fault: str, **fields: Any) -> None:
+        """Tell a stand-in to fail in some way."""
+        await self.client.ask(
+            'POST',
+            f'{self.find(name).url}/fault',
+            body={'name': fault, **fields},
+        )
+
+    async def clear_faults(self, name: str) -> None:
+        """Tell a stand-in to stop failing."""
+        await self.client.ask('DELETE', f'{self.find(name).url}/fault')
+
+    async def read_journal(self, name: str) -> list[dict[str, Any]]:
+        """Return the callers' requests that a target has received."""
+        url = f'{self.targets[name].url}/journal'
+        answer = await self.client.ask('GET', url)
+        journal: list[dict[str, Any]] = answer.json()
+        return journal
+
+    async def _start(self) -> None:
+        start_platform = self._starter(self.platform)
+        async with anyio.create_task_group() as group:
+            group.start_soon(start_platform, 'log', log_arguments(self.shape))
+            group.start_soon(start_platform, 'hosts', ['lab.standin_hosts'])
+            group.start_soon(start_platform, 'weights', ['lab.standin_weights'])
+        urls = self._platform_urls()
+        start_target = self._starter(self.targets)
+        async with anyio.create_task_group() as group:
+            for engine in self.shape.engines:
+                arguments = engine_arguments(self.shape, urls, engine)
+                group.start_soon(start_target, engine, arguments)
+            for service in self.shape.services:
+                arguments = service_arguments(self.shape, urls, service)
+                group.start_soon(start_target, service, arguments)
+        async with anyio.create_task_group() as group:
+            for number in range(1, self.shape.entries + 1):
+                group.start_soon(self.start_entry, f'entry-{number}')
+
+    def _starter(
+        self,
+        members: dict[str, Member],
+    ) -> _Start:
+        async def start_member(name: str, arguments: list[str]) -> None:
+            members[name] = await start(name, arguments, self.logs, {})
+
+        return start_member
+
+    async def _stop(self) -> None:
+        with anyio.CancelScope(shield=True):
+            await stop([*self.ended, *self.entries.values()])
+            await stop([*self.targets.values(), *self.platform.values()])
+            await self.client.__aexit__(None, None, None)
+        self.stack.close()
+
+    def _platform_urls(self) -> Platform:
+        return Platform(
+            self.platform['log'].url,
+            self.platform['hosts'].url,
+            self.platform['weights'].url,
+        )
+
+    async def _is_ready(self, member: Member) -> bool:
+        if not member.is_running():
+            reason = member.read_log()[-_REASON_CHARACTERS:]
+            raise ProcessError(f'{member.name} ended: {reason}')
+        try:
+            answer = await self.client.ask('GET', f'{member.url}/readyz')
+        except ClientError:
+            return False
+        return answer.status == _STATUS_OK
+
+
+async def wait_until(
+    condition: Callable[[], Awaitable[bool]],
+    what: str,
+    timeout_s: float = READY_TIMEOUT_S,
+) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    ProcessError
+        If it does not hold in time.
+    """
+    with anyio.move_on_after(timeout_s):
+        while not await condition():
+            await anyio.sleep(POLL_GAP_S)
+        return
+    raise ProcessError(f'not in time: {what}')
+
+
+def entry_names(catalogue: Path, kind: str) -> list[str]:
+    """Return the names of a catalogue file's entries of one kind."""
+    parsed = tomllib.loads(catalogue.read_text())
+    return [one['name'] for one in parsed['entry'] if one['kind'] == kind]
+
+
+async def _are_loaded(deployment: Deployment, models: set[str]) -> bool:
+    loaded: set[str] = set()
+    for name in deployment.shape.engines:
+        url = f'{deployment.targets[name].url}/report'
+        report = (await deployment.client.ask('GET', url)).json()
+        loaded |= {
+            one['model'] for one in report['models'] if one['state'] == 'ready'
+        }
+    return models <= loaded
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -181,3 +181,14 @@
     member.send_signal(signal.SIGKILL)
     await member.process.wait()
     await member.process.aclose()
+
+
+def flatten(group: BaseExceptionGroup[Exception]) -> list[str]:
+    """Return what the errors of a group and its groups say."""
+    reasons: list[str] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            reasons.extend(flatten(error))
+        else:
+            reasons.append(str(error))
+    return reasons
--- /dev/null
+++ b/lab/shape.py
@@ -0,0 +1,120 @@
+"""What a deployment is made of, and the arguments of its processes."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from .processes import free_address
+
+ENGINE_MEMORY_BYTES = 16_000_000_000
+SAMPLE_CATALOGUE = Path(__file__).with_name('sample.toml')
+
+
+@dataclass(slots=True, kw_only=True)
+class Shape:
+    """What a deployment is made of.
+
+    Attributes
+    ----------
+    entries : int
+        How many entry processes.
+    zones : tuple of str
+        Hosts and targets are dealt to them in turn.
+    engines : tuple of str
+        Names of the model engines.
+    services : tuple of str
+        Names of the targets that are plain services.
+    hosts_ttl_s : float
+        How long callers keep an answer of ``GET /v1/hosts``, in seconds.
+    token_ms : float
+        The engines' time between two tokens, in milliseconds.
+    entry_flags : tuple of str
+        Added to every entry process's arguments.
+    log_flags : tuple of str
+        Added to the log service's arguments.
+    """
+
+    entries: int = 3
+    zones: tuple[str, ...] = ('zone-a', 'zone-b', 'zone-c')
+    engines: tuple[str, ...] = ('engine-1', 'engine-2')
+    services: tuple[str, ...] = (
+        'orders-1',
+        'orders-2',
+        'stock-1',
+        'stock-2',
+        'notices-1',
+    )
+    hosts_ttl_s: float = 2
+    token_ms: float = 10
+    entry_flags: tuple[str, ...] = ()
+    log_flags: tuple[str, ...] = ()
+
+    def zone(self, index: int) -> str:
+        """Return the zone of the host or target with that index."""
+        return self.zones[index % len(self.zones)]
+
+
+@dataclass(slots=True)
+class Platform:
+    """The URLs of the platform's services."""
+
+    log_url: str
+    hosts_url: str
+    weights_url: str
+
+
+def entry_arguments(
+    shape: Shape,
+    platform: Platform,
+    name: str,
+    listen: str,
+) -> list[str]:
+    """Return the arguments of the entry process `name`."""
+    number = int(name.rpartition('-')[2])
+    return [
+        'ebonywell',
+        'entry',
+        f'--host-id={name}',
+        f'--zone={shape.zone(number - 1)}',
+        f'--listen={listen}',
+        f'--peer-listen={free_address()}',
+        f'--log-url={platform.log_url}',
+        f'--host-list-url={platform.hosts_url}',
+        f'--hosts-ttl-s={shape.hosts_ttl_s}',
+        *shape.entry_flags,
+    ]
+
+
+def engine_arguments(
+    shape: Shape,
+    platform: Platform,
+    name: str,
+) -> list[str]:
+    """Return the arguments of the stand-in for an engine."""
+    return [
+        'lab.standin_engine',
+        f'--name={name}',
+        f'--zone={shape.zone(shape.engines.index(name))}',
+        f'--host-list-url={platform.hosts_url}',
+        f'--weights-url={platform.weights_url}',
+        f'--memory-bytes={ENGINE_MEMORY_BYTES}',
+        f'--token-ms={shape.token_ms}',
+    ]
+
+
+def service_arguments(
+    shape: Shape,
+    platform: Platform,
+    name: str,
+) -> list[str]:
+    """Return the arguments of the stand-in for a plain service."""
+    return [
+        'lab.standin_service',
+        f'--name={name}',
+        f'--zone={shape.zone(shape.services.index(name))}',
+        f'--host-list-url={platform.hosts_url}',
+    ]
+
+
+def log_arguments(shape: Shape) -> list[str]:
+    """Return the arguments of the stand-in for the log service."""
+    return ['lab.standin_log', *shape.log_flags]
