--- a/lab/standin_weights.py
+++ b/lab/standin_weights.py
@@ -13,6 +13,8 @@
 
 app = cyclopts.App()
 _DOWN = 503
+ADAPTER_S = 0.008
+ADAPTERS_AT_ONCE = 25
 
 
 @dataclass(slots=True)
@@ -32,6 +34,7 @@
     at_once: int
     transfer_s: float
     running: int = 0
+    adapters_running: int = 0
     gate: anyio.Lock = field(default_factory=anyio.Lock)
     faults: Faults = field(default_factory=Faults)
 
@@ -50,6 +53,19 @@
             self.running -= 1
         return answer({'model': request.path_params['model']})
 
+    async def get_adapter(self, request: Request) -> Response:
+        """Answer ``GET /adapters/{adapter}``."""
+        if self.faults.is_set('outage'):
+            return failure(_DOWN, 'outage')
+        self.adapters_running += 1
+        try:
+            slowdown = max(1, self.adapters_running / ADAPTERS_AT_ONCE)
+            extra_s = self.faults.field('slow', 'seconds', 0)
+            await anyio.sleep(ADAPTER_S * slowdown + extra_s)
+        finally:
+            self.adapters_running -= 1
+        return answer({'adapter': request.path_params['adapter']})
+
 
 @app.default
 def main(
@@ -84,6 +100,7 @@
     store = WeightStore(loads_a_second, at_once, transfer_s)
     routes = [
         Route('/weights/{model}', store.get),
+        Route('/adapters/{adapter}', store.get_adapter),
         *store.faults.routes(),
     ]
     await serve(Starlette(routes=routes), bind(listen))
