--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -22,8 +22,8 @@
 
 
 def test_the_second_of_two_racing_operators_loses(built):
-    first = changes.EntrySet(changes.Entry('quote', EntryKind.model, 'a'), 1)
-    second = changes.EntrySet(changes.Entry('quote', EntryKind.model, 'b'), 1)
+    first = changes.EntrySet(changes.Entry('quote', EntryKind.model, 'a'), 2)
+    second = changes.EntrySet(changes.Entry('quote', EntryKind.model, 'b'), 2)
     assert catalogue.apply(built, 4, first)
     assert not catalogue.apply(built, 5, second)
     assert built.entries['quote'].owner == 'a'
@@ -47,7 +47,7 @@
 
 def test_a_state_survives_its_encoding_and_only_moves_on(built):
     whole = state.State(applied=3, catalogue=built)
-    assert state.decode(state.encode(whole)) == whole
+    assert state.decode_state(state.encode_state(whole)) == whole
     late = records.make_record(changes.KeyWithdrawn('k1'), 'h', 0)
     with pytest.raises(RecordError):
-        state.apply(whole, 3, late)
+        state.apply_record(whole, 3, late)
