--- a/ebonywell/control.py
+++ b/ebonywell/control.py
@@ -1,10 +1,8 @@
 """What the operators' commands do, and the outcomes that they report."""
 
-import enum
 import secrets
 import time
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
 from pathlib import Path
 from urllib.parse import urlencode
 
@@ -12,88 +10,22 @@
 import msgspec
 
 from . import catfile, changes, differences, opmessages
-from .catalogue import key_digest
-from .exceptions import (
-    ConflictError,
-    NotReachableError,
-    OperatorError,
-    OutcomeUnknownError,
+from .batches import (
+    Batch,
+    ChangeReport,
+    ChangeState,
+    report_line,
+    worst_code,
 )
+from .catalogue import key_digest
+from .exceptions import OperatorError, OutcomeUnknownError
+from .exitcodes import ExitCode, exit_code
 from .opclient import OperatorClient
 from .outcomes import Outcome, catalogue_lines, event_line
 from .timeline import EventFilter
 
 KEY_BYTES = 32
 KEY_ID_BYTES = 6
-CHANGES_AT_ONCE = 32
-
-
-class ExitCode(enum.IntEnum):
-    """How a command ended, for scripts."""
-
-    ok = 0
-    failed = 1
-    usage = 2
-    conflict = 3
-    not_reachable = 4
-    outcome_unknown = 5
-
-
-class _Phase(enum.Enum):
-    settings = enum.auto()
-    approvals = enum.auto()
-    removals = enum.auto()
-
-
-class ChangeState(enum.StrEnum):
-    """What became of one change."""
-
-    accepted = 'accepted'
-    conflict = 'conflict'
-    refused = 'refused'
-    not_reachable = 'not_reachable'
-    outcome_unknown = 'outcome_unknown'
-    not_sent = 'not_sent'
-
-
-@dataclass(slots=True)
-class ChangeReport:
-    """What became of one change of several.
-
-    Attributes
-    ----------
-    change : str
-        The change in a few words.
-    state : ChangeState
-    revision : int or None
-        If it was accepted.
-    message : str
-        If it was not.
-    """
-
-    change: str
-    state: ChangeState = ChangeState.not_sent
-    revision: int | None = None
-    message: str = ''
-
-
-@dataclass(slots=True)
-class _Batch:
-    """Changes on their way, and whether to go on sending."""
-
-    reports: list[ChangeReport] = field(default_factory=list)
-    is_stopped: bool = False
-
-
-def exit_code(error: Exception) -> ExitCode:
-    """Return the exit code that stands for an error."""
-    if isinstance(error, ConflictError):
-        return ExitCode.conflict
-    if isinstance(error, NotReachableError):
-        return ExitCode.not_reachable
-    if isinstance(error, OutcomeUnknownError):
-        return ExitCode.outcome_unknown
-    return ExitCode.failed
 
 
 class Operator:
@@ -131,13 +63,12 @@
         wanted = catfile.read_file(path)
         view = await self._fetch_catalogue()
         found = differences.find_changes(wanted, view, prune)
-        batch = _Batch()
-        for phase in _phases(found):
-            await self._send_phase(phase, batch)
+        batch = Batch(self.client)
+        await batch.send(found)
         kept = _extras(wanted, view, prune)
-        lines = [_report_line(report) for report in batch.reports]
+        lines = [report_line(report) for report in batch.reports]
         return Outcome(
-            _worst(report.state for report in batch.reports),
+            worst_code(batch.reports),
             {'changes': batch.reports, 'not_in_file': kept},
             [*(lines or ['nothing to change']), *_kept_lines(kept)],
         )
@@ -153,7 +84,7 @@
             ChangeState.accepted,
             accepted,
         )
-        return Outcome(ExitCode.ok, report, [_report_line(report)])
+        return Outcome(ExitCode.ok, report, [report_line(report)])
 
     async def issue_key(self, workspace: str) -> Outcome:
         """Make a key, send its digest, and return the key once.
@@ -276,44 +207,6 @@
             # does not answer is reported.
             return
 
-    async def _send_phase(
-        self,
-        phase: Iterable[changes.CatalogueRecord],
-        batch: _Batch,
-    ) -> None:
-        limiter = anyio.CapacityLimiter(CHANGES_AT_ONCE)
-        async with anyio.create_task_group() as group:
-            for change in phase:
-                report = ChangeReport(differences.describe(change))
-                batch.reports.append(report)
-                group.start_soon(self._send, change, report, batch, limiter)
-
-    async def _send(
-        self,
-        change: changes.CatalogueRecord,
-        report: ChangeReport,
-        batch: _Batch,
-        limiter: anyio.CapacityLimiter,
-    ) -> None:
-        async with limiter:
-            if batch.is_stopped:
-                return
-            try:
-                report.revision = await self.client.change(change)
-            except (OperatorError, ConflictError) as error:
-                report.state = _state_of(error)
-                report.message = str(error)
-                # Nothing that follows would fare better; a conflict or a
-                # refusal concerns one change only.
-                batch.is_stopped = report.state in _STOPPING
-            else:
-                report.state = ChangeState.accepted
-
-
-_STOPPING = frozenset(
-    (ChangeState.not_reachable, ChangeState.outcome_unknown),
-)
-
 
 def check_file(path: Path) -> Outcome:
     """Return what a catalogue file holds, without asking any process.
@@ -352,26 +245,6 @@
     )
 
 
-def _phases(
-    found: Sequence[changes.CatalogueRecord],
-) -> list[list[changes.CatalogueRecord]]:
-    return [
-        [change for change in found if _phase_of(change) == phase]
-        for phase in _Phase
-    ]
-
-
-def _phase_of(change: changes.CatalogueRecord) -> _Phase:
-    # Approvals refer to entries and workspaces, so that these go first; what
-    # is removed goes last.
-    match change:
-        case changes.ApprovalSet():
-            return _Phase.approvals
-        case changes.EntryRemoved() | changes.WorkspaceRemoved():
-            return _Phase.removals
-    return _Phase.settings
-
-
 def _extras(
     wanted: catfile.WantedCatalogue,
     view: opmessages.CatalogueView,
@@ -387,33 +260,6 @@
     return [f'not in the file, kept: {extra}' for extra in kept]
 
 
-def _state_of(error: Exception) -> ChangeState:
-    states = {
-        ExitCode.conflict: ChangeState.conflict,
-        ExitCode.not_reachable: ChangeState.not_reachable,
-        ExitCode.outcome_unknown: ChangeState.outcome_unknown,
-    }
-    return states.get(exit_code(error), ChangeState.refused)
-
-
-def _worst(states: Iterable[ChangeState]) -> ExitCode:
-    codes = {
-        ChangeState.accepted: ExitCode.ok,
-        ChangeState.refused: ExitCode.failed,
-        ChangeState.conflict: ExitCode.conflict,
-        ChangeState.not_reachable: ExitCode.not_reachable,
-        ChangeState.outcome_unknown: ExitCode.outcome_unknown,
-        ChangeState.not_sent: ExitCode.failed,
-    }
-    return max((codes[state] for state in states), default=ExitCode.ok)
-
-
-def _report_line(report: ChangeReport) -> str:
-    if report.revision is not None:
-        return f'{report.state}  {report.change}  revision {report.revision}'
-    return f'{report.state}  {report.change}  {report.message}'.rstrip()
-
-
 def _code_of_missing(found: int, missing: int) -> ExitCode:
     if not found:
         return ExitCode.not_reachable
--- a/ebonywell/opcommands.py
+++ b/ebonywell/opcommands.py
@@ -11,13 +11,14 @@
 import anyio
 from cyclopts import App, Parameter
 
-from .control import ExitCode, Operator, check_file, exit_code
+from .control import Operator, check_file
 from .exceptions import (
     CatalogueFileError,
     ConflictError,
     OperatorError,
     SettingsError,
 )
+from .exitcodes import ExitCode, exit_code
 from .opclient import OperatorClient
 from .outcomes import Outcome, encode_body
 from .timeline import EventFilter
--- a/ebonywell/operations.py
+++ b/ebonywell/operations.py
@@ -9,7 +9,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from . import catalogue, changes, checks, opmessages
+from . import catalogue, changes, checks, opmessages, opviews
 from .exceptions import LogOutageError
 from .metrics import CONTENT_TYPE, Metrics
 from .replica import Replica
@@ -106,7 +106,7 @@
     async def show_catalogue(self, request: Request) -> Response:
         """Answer with the catalogue in force here."""
         state = self.replica.state
-        return _answer(view_catalogue(state.catalogue, state.applied))
+        return _answer(opviews.view_catalogue(state.catalogue, state.applied))
 
     async def show_keys(self, request: Request) -> Response:
         """Answer with ids and workspaces of keys, never their digests."""
@@ -176,7 +176,7 @@
             return self._report_outage(outage)
         table = self.replica.state.catalogue
         revision = table.revisions.get(catalogue.revision_name(change), 0)
-        if not ticket.counted and not is_in_force(table, change):
+        if not ticket.counted and not opviews.is_in_force(table, change):
             return self._report_loss(change, revision)
         self.metrics.count('operator_changes_total', outcome='accepted')
         self.timeline.record(
@@ -260,75 +260,6 @@
     return change
 
 
-def view_catalogue(
-    table: catalogue.Catalogue,
-    applied: int,
-) -> opmessages.CatalogueView:
-    """Return the catalogue as operators see it."""
-    approvals = [
-        _view_approval(pair, granted)
-        for pair, granted in table.approvals.items()
-    ]
-    revisions = {
-        name: revision
-        for name, revision in table.revisions.items()
-        if not name.startswith('key/')
-    }
-    return opmessages.CatalogueView(
-        applied,
-        tuple(table.entries.values()),
-        tuple(table.workspaces.values()),
-        tuple(approvals),
-        revisions,
-    )
-
-
-def _view_approval(pair: str, granted: bool) -> opmessages.ApprovalView:
-    workspace, _, entry = pair.partition('/')
-    return opmessages.ApprovalView(workspace, entry, granted)
-
-
-def is_in_force(
-    table: catalogue.Catalogue,
-    change: changes.CatalogueRecord,
-) -> bool:
-    """Return whether the catalogue already says what a change says.
-
-    A command whose answer was lost sends its change again; the change then
-    loses against itself, which is a success.
-    """
-    match change:
-        case changes.EntrySet():
-            return table.entries.get(change.entry.name) == change.entry
-        case changes.WorkspaceSet():
-            name = change.workspace.name
-            return table.workspaces.get(name) == change.workspace
-        case changes.EntryRemoved():
-            return _was_removed(table, change, change.name in table.entries)
-        case changes.WorkspaceRemoved():
-            return _was_removed(table, change, change.name in table.workspaces)
-        case changes.ApprovalSet():
-            pair = f'{change.workspace}/{change.entry}'
-            return table.approvals.get(pair) is change.granted
-        case changes.KeyIssued():
-            return _is_issued(table, change)
-    return False
-
-
-def _was_removed(
-    table: catalogue.Catalogue,
-    change: changes.EntryRemoved | changes.WorkspaceRemoved,
-    is_there: bool,
-) -> bool:
-    revision = table.revisions.get(catalogue.revision_name(change), 0)
-    return not is_there and revision > change.replaces
-
-
-def _is_issued(table: catalogue.Catalogue, change: changes.KeyIssued) -> bool:
-    key = table.keys.get(change.digest)
-    return key == catalogue.Key(change.key_id, change.workspace)
-
-
 async def _read_body(request: Request) -> bytes | None:
     content = bytearray()
     async for chunk in request.stream():
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,8 +12,9 @@
 
 from ebonywell import changes, cmdline, web
 from ebonywell.catalogue import find_key
-from ebonywell.control import ExitCode, Operator
+from ebonywell.control import Operator
 from ebonywell.exceptions import NotReachableError, OutcomeUnknownError
+from ebonywell.exitcodes import ExitCode
 from ebonywell.opclient import OperatorClient
 from ebonywell.timeline import EventFilter
 
--- a/tests/test_differences.py
+++ b/tests/test_differences.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ebonywell import catalogue, changes, differences, operations
+from ebonywell import catalogue, changes, differences, opviews
 from ebonywell.catfile import Approval, WantedCatalogue
 from ebonywell.types import EntryKind
 
@@ -37,7 +37,7 @@
 
 def apply_file(table, wanted, prune, offset):
     """Apply the differences in their order; all must count."""
-    view = operations.view_catalogue(table, offset)
+    view = opviews.view_catalogue(table, offset)
     for change in differences.find_changes(wanted, view, prune):
         offset += 1
         assert catalogue.apply(table, offset, change)
@@ -56,7 +56,7 @@
         assert granted == {
             f'{one.workspace}/{one.entry}' for one in wanted.approvals
         }
-        view = operations.view_catalogue(table, offset)
+        view = opviews.view_catalogue(table, offset)
         assert not differences.find_changes(wanted, view, prune=True)
 
 
