--- a/lab/state_bench.py
+++ b/lab/state_bench.py
@@ -63,7 +63,9 @@
         stored = [
             Stored(
                 offset,
-                records.to_json records.make_record(workspace_change(offset), 'h', 0)),
+                records.to_json(
+                    records.make_record(workspace_change(offset), 'h', 0)
+                ),
             )
             for offset in range(count)
         ]
@@ -71,7 +73,10 @@
         built = _replay(stored)
         parts = split_state(new_id(), built.applied, encode_state(built))
         tail = [
-            Stored(count + index, records.to_json records.make_record(part, 'h', 0)))
+            Stored(
+                count + index,
+                records.to_json(records.make_record(part, 'h', 0)),
+            )
             for index, part in enumerate(parts)
         ]
         rows.append(
