--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -2,6 +2,8 @@
 
 import signal
 import time
+from collections import Counter
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
@@ -14,6 +16,7 @@
 from .kernel import Kernel
 from .logclient import LogClient
 from .messages import Call
+from .planner import Planner
 from .records import Record
 from .replica import Replica
 from .targets import Target, Targets
@@ -32,6 +35,7 @@
     kernel : Kernel
     replica : Replica
     targets : Targets
+    planner : Planner
     calls : Calls
     web : Web
     """
@@ -63,15 +67,30 @@
             self.hosts,
             self.log,
         )
+        self.planner = Planner(
+            self.replica,
+            self.targets,
+            self.demand,
+            self.log,
+        )
         self.replica.watchers.append(self._cut_withdrawn)
         self.kernel.add('replica', self.replica)
         self.kernel.add('targets', self.targets)
+        self.kernel.add('planner', self.planner)
         self.kernel.add('calls', self.calls)
         self.kernel.add('web', self.web)
 
     def check_serving(self) -> None:
         """Raise RefusedError while this process must not take calls."""
 
+    def demand(self) -> Mapping[str, float]:
+        """Return the requests of this process that run now, by model."""
+        return Counter(
+            opened.call.entry.name
+            for opened in self.calls.open.values()
+            if opened.call.is_model
+        )
+
     def hosts(self) -> Any:
         """Return what ``GET /v1/hosts`` answers."""
         zones: dict[str, list[str]] = {}
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
-from . import changes
+from . import changes, leases, orders
 from .exceptions import RecordError
 from .types import new_id
 
-Body = changes.CatalogueRecord
+Body = changes.CatalogueRecord | leases.LeaseRecord | orders.OrderRecord
 
 
 class Record(msgspec.Struct, frozen=True):
--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -7,10 +7,20 @@
 
 import msgspec
 
-from . import changes
+from . import changes, orders
 from .catalogue import Catalogue
 from .catalogue import apply as apply_change
 from .exceptions import RecordError
+from .leases import (
+    Lease,
+    LeaseClaimed,
+    LeaseReleased,
+    LeaseRenewed,
+    is_held,
+)
+from .leases import apply as apply_lease
+from .memory import Memory
+from .memory import apply as apply_orders
 from .records import Record
 
 
@@ -29,6 +39,8 @@
     applied: int = -1
     written_at: float = 0
     catalogue: Catalogue = field(default_factory=Catalogue)
+    lease: Lease = field(default_factory=Lease)
+    memory: Memory = field(default_factory=dict)
 
 
 def _apply_catalogue(state: State, offset: int, record: Record) -> bool:
@@ -36,6 +48,17 @@
     return apply_change(state.catalogue, offset, body)
 
 
+def _apply_lease(state: State, offset: int, record: Record) -> bool:
+    body: Any = record.body
+    return apply_lease(state.lease, offset, body)
+
+
+def _apply_orders(state: State, _: int, record: Record) -> bool:
+    body: Any = record.body
+    holds = is_held(state.lease, body.fencing)
+    return apply_orders(state.memory, holds, state.catalogue.entries, body)
+
+
 _Apply = Callable[[State, int, Record], bool]
 _APPLIES: Mapping[type[Any], _Apply] = MappingProxyType(
     {
@@ -46,6 +69,13 @@
         changes.ApprovalSet: _apply_catalogue,
         changes.KeyIssued: _apply_catalogue,
         changes.KeyWithdrawn: _apply_catalogue,
+        LeaseClaimed: _apply_lease,
+        LeaseRenewed: _apply_lease,
+        LeaseReleased: _apply_lease,
+        orders.TargetSeen: _apply_orders,
+        orders.TargetGone: _apply_orders,
+        orders.OrdersIntended: _apply_orders,
+        orders.OrdersSettled: _apply_orders,
     }
 )
 
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,132 @@
+"""The placement's decisions: order, limits, safeguards, hysteresis."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ebonywell.changes import Adapter
+from ebonywell.layout import Copy, Layout, Need, Site
+from ebonywell.moves import Pace
+from ebonywell.orders import Action
+from ebonywell.placement import decide
+
+ADAPTERS = (Adapter('x', 1), Adapter('y', 1))
+
+
+def site(name, zone, models=(), size=30, **fields):
+    copies = {model: Copy(ready=True, adapters={'x', 'y'}) for model in models}
+    free = size - 10 * len(copies)
+    return Site(name, zone, size, free, 10, copies=copies, **fields)
+
+
+def need(model, demand=0):
+    return Need(model, 8, ADAPTERS, demand)
+
+
+def moves(sites, needs, pace=None, now=100):
+    decision = decide(Layout(sites, needs), pace or Pace(), now)
+    return [(one.action, one.target, one.model) for one in decision.moves]
+
+
+def test_models_that_nobody_serves_come_first_by_demand():
+    needs = [need('a'), need('b', 1), need('c', 2), need('d', 3)]
+    made = moves([site('t', 'z1'), site('u', 'z2', 'd')], needs)
+    assert [model for _, _, model in made] == ['c', 'b', 'a']
+
+
+def test_the_copy_on_a_leaving_target_is_replaced():
+    leaving = site('t', 'z1', 'a', is_open=False)
+    assert moves([leaving, site('u', 'z2')], [need('a')]) == [
+        (Action.load, 'u', 'a'),
+    ]
+
+
+def test_room_for_an_unreachable_model_is_made_by_a_spare_copy_only():
+    full = [site('t', 'z1', 'abc'), site('u', 'z2', 'ade')]
+    pace = Pace()
+    made = moves(full, [need(model) for model in 'abcdef'], pace)
+    assert len(made) == 1
+    action, target, model = made[0]
+    assert (action, model) == (Action.unload, 'a')
+    assert pace.earmarks[target].model == 'f'
+
+
+def test_a_busy_model_gets_a_second_zone():
+    sites = [site('t', 'z1', 'a'), site('u', 'z1', 'a'), site('v', 'z2')]
+    assert moves(sites, [need('a', 5)]) == [(Action.load, 'v', 'a')]
+
+
+def test_overflow_moves_to_an_idle_target():
+    sites = [site('t', 'z1', 'ab'), site('u', 'z2', 'ab'), site('v', 'z3')]
+    made = moves(sites, [need('a', 20), need('b', 0)])
+    assert made == [(Action.load, 'v', 'a')]
+
+
+def test_steady_demand_causes_no_moves():
+    sites = [site('t', 'z1', 'abc'), site('u', 'z2', 'abc')]
+    pace = Pace()
+    rng = random.Random(7)
+    for now in range(100, 200):
+        needs = [need(model, 3 + rng.random()) for model in 'abc']
+        assert not moves(sites, needs, pace, now)
+
+
+def test_loads_keep_to_the_rate_and_number_of_the_weight_store():
+    pace = Pace()
+    started = []
+    sites = [site(f't{number}', 'z1') for number in range(8)]
+    needs = [need(str(number)) for number in range(24)]
+    for now in range(10):
+        made = moves(sites, needs, pace, now)
+        started.append(len(made))
+        for _, target, model in made:
+            placed = next(one for one in sites if one.name == target)
+            placed.copies[model].ready = True
+            placed.copies[model].adapters = {'x', 'y'}
+    assert max(started) <= pace.loads_at_once
+    assert sum(started) <= pace.loads_at_once + 9 * pace.loads_per_s
+    assert sum(started) >= 9 * pace.loads_per_s
+
+
+def test_missing_adapters_come_with_those_first_that_nobody_has():
+    sites = [site('t', 'z1', 'a'), site('u', 'z2', 'a')]
+    sites[0].copies['a'].adapters = {'x'}
+    sites[1].copies['a'].adapters = set()
+    made = decide(Layout(sites, [need('a')]), Pace(), 100).moves
+    assert [(one.target, one.adapter) for one in made] == [
+        ('t', 'y'),
+        ('u', 'x'),
+        ('u', 'y'),
+    ]
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.data())
+def test_no_decision_unloads_the_last_copy_or_overfills_a_target(data):
+    models = 'abcdefg'
+    sites = [
+        site(
+            f't{number}',
+            f'z{number % 3}',
+            data.draw(st.sets(st.sampled_from(models), max_size=3)),
+            is_open=data.draw(st.booleans()),
+        )
+        for number in range(4)
+    ]
+    demands = data.draw(st.lists(st.floats(0, 30), min_size=7, max_size=7))
+    needs = [need(*pair) for pair in zip(models, demands, strict=True)]
+    free = {one.name: one.free_bytes for one in sites}
+    serving = {
+        model: {
+            one.name for one in sites if one.is_open and model in one.copies
+        }
+        for model in models
+    }
+    for move in decide(Layout(sites, needs), Pace(), 100).moves:
+        if move.action is Action.unload:
+            serving[move.model].discard(move.target)
+            assert serving[move.model]
+        elif move.action is Action.load:
+            free[move.target] -= move.bytes
+            assert free[move.target] >= 0
