--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -9,19 +9,23 @@
 import anyio
 
 from . import changes, logs
-from .answers import Refusal, refuse
+from .answers import refuse
 from .calls import Calls
+from .checkpointer import Checkpointer
 from .config import Settings
 from .dispatch import Dispatcher
 from .kernel import Kernel
 from .logclient import LogClient
 from .messages import Call
 from .planner import Planner
+from .metrics import Metrics
+from .operations import Operations
 from .records import Record
 from .replica import Replica
 from .targets import Target, Targets
-from .types import HostId, RunState, new_incarnation
-from .web import Web
+from .timeline import Timeline
+from .types import HostId, new_incarnation
+from .web import Web, stopping_refusal
 
 _STATUS_UNAVAILABLE = 503
 _RETRY_AFTER_S = 1.0
@@ -45,6 +49,8 @@
         self.host = HostId(settings.host_id, new_incarnation())
         self.log = logs.bind(logs.write_event, host=settings.host_id)
         self.kernel = Kernel()
+        self.timeline = Timeline(str(self.host))
+        self.metrics = Metrics()
         self.replica = Replica(
             LogClient(settings.log_url),
             self.host,
@@ -59,6 +65,18 @@
             lambda call: _no_settlement,
             self.log,
         )
+        self.checkpointer = Checkpointer(
+            self.replica,
+            settings.log_retention_s,
+            self.rank,
+            self.log,
+        )
+        self.operations = Operations(
+            self.replica,
+            settings.operator_token,
+            self.timeline,
+            self.metrics,
+        )
         self.web = Web(
             settings,
             self.replica,
@@ -66,6 +84,7 @@
             self.check_serving,
             self.hosts,
             self.log,
+            self.operations.routes(),
         )
         self.planner = Planner(
             self.replica,
@@ -77,6 +96,7 @@
         self.kernel.add('replica', self.replica)
         self.kernel.add('targets', self.targets)
         self.kernel.add('planner', self.planner)
+        self.kernel.add('checkpointer', self.checkpointer)
         self.kernel.add('calls', self.calls)
         self.kernel.add('web', self.web)
 
@@ -91,6 +111,16 @@
             if opened.call.is_model
         )
 
+    def rank(self) -> int:
+        """Return this host's place among the live entry hosts, from 0."""
+        names = sorted(
+            host.name
+            for host in self.targets.listed
+            if host.role == 'entry' and host.state == 'live'
+        )
+        name = self.settings.host_id
+        return names.index(name) if name in names else len(names)
+
     def hosts(self) -> Any:
         """Return what ``GET /v1/hosts`` answers."""
         zones: dict[str, list[str]] = {}
@@ -144,7 +174,7 @@
                 self.log('signal', number=int(number))
                 if stopping.is_set():
                     self.web.server.should_exit = True
-                    self.calls.cut(lambda _: True, _stopping_refusal())
+                    self.calls.cut(lambda _: True, stopping_refusal())
                 stopping.set()
 
     def _cut_withdrawn(self, _: int, record: Record, counted: bool) -> None:
@@ -165,22 +195,13 @@
     )
 
 
-def _stopping_refusal() -> Refusal:
-    return Refusal(
-        'host_stopping',
-        _STATUS_UNAVAILABLE,
-        'This host stops now.',
-        RunState.not_run,
-        _RETRY_AFTER_S,
-    )
-
-
 def _no_settlement(used_tokens: int) -> None:
     """Settle nothing."""
 
 
 def run(settings: Settings, backend_options: dict[str, Any]) -> None:
     """Run an entry process to its end."""
+    logs.start_logging()
     anyio.run(_run, settings, backend_options=backend_options)
 
 
