--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -17,9 +17,9 @@
 from .kernel import Kernel
 from .logclient import LogClient
 from .messages import Call
-from .planner import Planner
 from .metrics import Metrics
 from .operations import Operations
+from .planner import Planner
 from .records import Record
 from .replica import Replica
 from .targets import Target, Targets
