Engine stand-in: cuts, cancels, unloads and cache events as in PROTOCOLS.md

A cut answer sent its status line first, whole answers ran on after the caller had left, an unload freed memory that running requests still used, a request whose model went while it waited ran all the same, cache events came at once and by characters, and streams had no usage.

--- /dev/null
+++ b/lab/engine_answers.py
@@ -0,0 +1,121 @@
+"""What the engine's stand-in answers, so that answers show whose they are.
+
+Word `n` of an answer, from 0, is ``D-n`` and a space. `D` is the hex xxh64 of
+the model's name as the engine got it, a line feed and the prompt. So a caller
+can tell its own answer from anybody else's.
+"""
+
+import re
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import xxhash
+
+DEFAULT_TOKENS = 8
+END_OF_EVENTS = b'data: [DONE]\n\n'
+_LENGTH = re.compile(r'words=(\d+)')
+
+
+class Message(msgspec.Struct):
+    """One message of a chat."""
+
+    role: str
+    content: Any = ''
+
+
+class ChatBody(msgspec.Struct):
+    """The part of a chat request that the stand-in reads."""
+
+    model: str
+    messages: list[Message]
+    stream: bool = False
+    max_tokens: int = DEFAULT_TOKENS
+
+    def prompt(self) -> str:
+        """Return the text of all messages."""
+        return '\n'.join(str(message.content) for message in self.messages)
+
+    def length(self) -> int:
+        """Return how many words the answer has.
+
+        A prompt that holds ``words=N`` gets N of them, any other as many as
+        it may have; none gets more than that.
+        """
+        asked = _LENGTH.search(self.prompt())
+        if asked is None:
+            return self.max_tokens
+        return min(int(asked.group(1)), self.max_tokens)
+
+
+@dataclass(slots=True)
+class Completion:
+    """An answer in the form of OpenAI's.
+
+    Attributes
+    ----------
+    request_id : str
+    body : ChatBody
+    words : list of str
+    created : int
+        In seconds since the epoch.
+    """
+
+    request_id: str
+    body: ChatBody
+    words: list[str] = field(init=False)
+    created: int = field(default_factory=lambda: int(time.time()))
+
+    def __post_init__(self) -> None:
+        """Make the words."""
+        self.words = expected_words(
+            self.body.model,
+            self.body.prompt(),
+            self.body.length(),
+        )
+
+    def usage(self) -> dict[str, int]:
+        """Return the tokens, a word of the prompt or the answer each."""
+        prompt_tokens = len(self.body.prompt().split())
+        return {
+            'prompt_tokens': prompt_tokens,
+            'completion_tokens': len(self.words),
+            'total_tokens': prompt_tokens + len(self.words),
+        }
+
+    def whole(self) -> dict[str, Any]:
+        """Return the answer to a request that is not streamed."""
+        message = {'role': 'assistant', 'content': ''.join(self.words)}
+        choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
+        return self._envelope('chat.completion', choice, usage=self.usage())
+
+    def event(self, index: int) -> bytes:
+        """Return the event for one word; the last one says that it is."""
+        delta = {'role': 'assistant', 'content': self.words[index]}
+        choice: dict[str, Any] = {'index': 0, 'delta': delta}
+        kind = 'chat.completion.chunk'
+        if index < len(self.words) - 1:
+            return _event(self._envelope(kind, choice))
+        choice['finish_reason'] = 'stop'
+        return _event(self._envelope(kind, choice, usage=self.usage()))
+
+    def _envelope(self, kind: str, choice: Any, **extra: Any) -> dict[str, Any]:
+        return {
+            'id': f'chatcmpl-{self.request_id}',
+            'object': kind,
+            'created': self.created,
+            'model': self.body.model,
+            'choices': [choice],
+            **extra,
+        }
+
+
+def expected_words(model: str, prompt: str, count: int) -> list[str]:
+    """Return the words that a model answers to a prompt."""
+    mark = xxhash.xxh64_hexdigest(f'{model}\n{prompt}'.encode())
+    return [f'{mark}-{index} ' for index in range(count)]
+
+
+def _event(body: dict[str, Any]) -> bytes:
+    return b'data: %b\n\n' % msgspec.json.encode(body)
--- a/lab/engine_chat.py
+++ b/lab/engine_chat.py
@@ -1,252 +1,255 @@
-"""How the engine's stand-in answers chat requests.
+"""How the engine's stand-in runs chat requests."""
 
-The answer's words are made from a digest of the model's name and the prompt,
-so that a caller can tell its own answer from anybody else's.
-"""
-
-import heapq
-import itertools
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
-from typing import Any
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import anyio
 import msgspec
-import xxhash
 from starlette.requests import Request
-from starlette.responses import Response, StreamingResponse
-
-from .engine_memory import Memory
-from .standin_common import Cut, JournalLine, answer, not_run
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+from .engine_answers import END_OF_EVENTS, ChatBody, Completion
+from .engine_cache import PrefixCache
+from .engine_memory import Memory, Resident
+from .engine_turns import BusyError, Turns
+from .standin_common import (
+    STATUS_OK,
+    Cut,
+    JournalLine,
+    answer,
+    cut_connection,
+    failure,
+    not_run,
+)
 from .standin_target import TargetState
 
-DEFAULT_TOKENS = 8
 QUEUE_LIMIT = 256
-PREFIX_CHARACTERS = 256
-GAP_EVERY = 7
+DISCONNECT_POLL_S = 0.05
+_REQUEST_ID = 'x-request-id'
+_BAD_REQUEST = 400
 _NOT_FOUND = 404
 _BUSY = 429
 _DOWN = 503
 
 
-class Message(msgspec.Struct):
-    """One message of a chat."""
-
-    role: str
-    content: Any = ''
-
-
-class ChatBody(msgspec.Struct):
-    """The part of a chat request that the stand-in reads."""
-
-    model: str
-    messages: list[Message]
-    stream: bool = False
-    max_tokens: int = DEFAULT_TOKENS
-
+class NotRunError(Exception):
+    """A request is refused before anything of it has run."""
 
-@dataclass(slots=True, order=True)
-class Waiting:
-    """A call that waits for its turn; lower priorities go first."""
-
-    priority: int
-    number: int
-    turn: anyio.Event = field(compare=False)
-
-
-def prompt_text(body: ChatBody) -> str:
-    """Return the text of all messages."""
-    return '\n'.join(str(message.content) for message in body.messages)
-
-
-def expected_words(model: str, prompt: str, count: int) -> list[str]:
-    """Return the words that a model answers to a prompt."""
-    mark = xxhash.xxh64_hexdigest(f'{model}\n{prompt}'.encode())
-    return [f'{mark}-{index} ' for index in range(count)]
+    def __init__(self, status: int, code: str) -> None:
+        super().__init__(code)
+        self.status = status
+        self.code = code
 
 
+@dataclass(slots=True)
 class Chat:
-    """Runs chat requests, some at once, the rest by priority.
+    """Runs chat requests.
 
     Attributes
     ----------
-    running : int
-    queue : list of Waiting
-        A heap.
+    state : TargetState
+    memory : Memory
+    turns : Turns
+    cache : PrefixCache
+    token_s : float
+        The time for each word of an answer, in seconds.
+    prefill_s : float
+        The time before the first word of a prompt whose prefix is not held.
     """
 
-    def __init__(
-        self,
-        state: TargetState,
-        memory: Memory,
-        token_ms: float,
-        max_running: int,
-    ) -> None:
-        self.target = state
-        self.memory = memory
-        self.token_s = token_ms / 1000
-        self.max_running = max_running
-        self.running = 0
-        self.queue: list[Waiting] = []
-        self.numbers = itertools.count()
-        self.events: list[dict[str, Any]] = []
+    state: TargetState
+    memory: Memory
+    turns: Turns
+    cache: PrefixCache
+    token_s: float
+    prefill_s: float = 0
 
     async def post(self, request: Request) -> Response:
         """Answer ``POST /v1/chat/completions``."""
-        body = msgspec.json.decode(await request.body(), type=ChatBody)
-        refused = self._refuse(body)
-        if refused is not None:
-            return refused
-        line = await self.target.journal.receive(request)
-        self.target.crash_if_asked(line.body)
-        if self.target.faults.take('hang'):
-            await anyio.sleep_forever()
-        priority = int(request.headers.get('x-ebonywell-priority', '0'))
-        request_id = request.headers.get('x-request-id', '')
-        words = expected_words(
-            body.model,
-            prompt_text(body),
-            body.max_tokens,
-        )
+        try:
+            body = msgspec.json.decode(await request.body(), type=ChatBody)
+        except msgspec.MsgspecError as error:
+            return failure(_BAD_REQUEST, 'bad_request', str(error))
+        line = await self.state.journal.receive(request)
+        request_id = request.headers.get(_REQUEST_ID, '')
+        completion = Completion(request_id, body)
         if body.stream:
-            events = self._stream(body, words, line, priority)
-            response: Response = StreamingResponse(
-                events,
-                media_type='text/event-stream',
-            )
-        else:
-            response = await self._whole(body, words, line, priority)
-        response.headers['x-request-id'] = request_id
-        return response
+            return EventStream(request, completion, line, self)
+        return await self._whole(request, completion, line)
 
     async def cache_events(self, request: Request) -> Response:
-        """Answer ``GET /cache-events``, with gaps."""
-        after = int(request.query_params.get('after', '-1'))
-        shown = [
-            event
-            for event in self.events
-            if event['number'] > after and event['number'] % GAP_EVERY
-        ]
-        return answer({'events': shown, 'next': len(self.events)})
-
-    def _refuse(self, body: ChatBody) -> Response | None:
+        """Answer ``GET /cache-events``."""
+        after = int(request.query_params.get('after', '0'))
+        events = self.cache.told_after(after)
+        newest = events[-1].number if events else after
+        return answer({'events': events, 'next': newest})
+
+    @asynccontextmanager
+    async def run(
+        self,
+        request: Request,
+        body: ChatBody,
+    ) -> AsyncIterator[None]:
+        """Run the body when it is the request's turn.
+
+        Raises
+        ------
+        NotRunError
+            If the request is refused.
+        """
+        self._refuse(body)
+        priority = int(request.headers.get('x-ebonywell-priority', '0'))
+        try:
+            async with self.turns.take(priority):
+                # The model may have been unloaded while the request waited.
+                with self._refuse(body).counted():
+                    yield
+        except BusyError as busy:
+            raise NotRunError(_BUSY, 'busy') from busy
+
+    async def words(self, completion: Completion) -> AsyncIterator[int]:
+        """Yield the index of each word when it is made."""
+        if not self.cache.use(completion.body.prompt()):
+            await anyio.sleep(self.prefill_s)
+        for index, _ in enumerate(completion.words):
+            extra_s = self.state.faults.field('slow', 'seconds', 0)
+            await anyio.sleep(self.token_s + extra_s)
+            yield index
+
+    async def fail_if_asked(self, line: JournalLine) -> None:
+        """Crash or hang if a fault says so."""
+        self.state.crash_if_asked(line.body)
+        if self.state.faults.take('hang'):
+            await anyio.sleep_forever()
+
+    def _refuse(self, body: ChatBody) -> Resident:
+        if self.state.faults.is_set('draining'):
+            raise NotRunError(_DOWN, 'draining')
         model, _, adapter = body.model.partition(':')
-        if self.target.faults.is_set('draining'):
-            return not_run(_DOWN, 'draining')
         if not self.memory.is_ready(model, adapter):
-            return not_run(_NOT_FOUND, 'model_not_loaded')
-        if len(self.queue) >= QUEUE_LIMIT:
-            return not_run(_BUSY, 'busy')
-        return None
+            raise NotRunError(_NOT_FOUND, 'model_not_loaded')
+        return self.memory.models[model]
 
     async def _whole(
         self,
-        body: ChatBody,
-        words: list[str],
+        request: Request,
+        completion: Completion,
+        line: JournalLine,
+    ) -> Response:
+        # Nobody reads this one if the caller left in the meantime.
+        response: Response = Cut()
+        async with _while_connected(request):
+            try:
+                async with self.run(request, completion.body):
+                    response = await self._make_whole(completion, line)
+            except NotRunError as refused:
+                response = not_run(refused.status, refused.code)
+        response.headers[_REQUEST_ID] = completion.request_id
+        return response
+
+    async def _make_whole(
+        self,
+        completion: Completion,
         line: JournalLine,
-        priority: int,
     ) -> Response:
-        text = []
-        async for word in self._words(body, words, priority):
-            text.append(word)
+        await self.fail_if_asked(line)
+        async for _ in self.words(completion):
+            """Wait for every word."""
         line.finished = True
-        if self.target.faults.take('cut_stream'):
+        if self.state.faults.take('cut_stream'):
             return Cut()
-        return answer(_completion(body, ''.join(text), len(text)))
+        return answer(completion.whole())
+
+
+class EventStream(Response):
+    """Runs a streamed request while it sends the answer.
+
+    Attributes
+    ----------
+    request : Request
+        Its body has been read.
+    completion : Completion
+    line : JournalLine
+    chat : Chat
+    """
 
-    async def _stream(
+    def __init__(
         self,
-        body: ChatBody,
-        words: list[str],
+        request: Request,
+        completion: Completion,
         line: JournalLine,
-        priority: int,
-    ) -> AsyncIterator[bytes]:
-        cut_after = self.target.faults.field('cut_stream', 'after')
-        async for word in self._words(body, words, priority):
-            yield _event(_delta(body, word))
-            if cut_after is not None:
-                cut_after -= 1
-                if cut_after < 1 and self.target.faults.take('cut_stream'):
-                    raise ConnectionError('cut as asked')
-        line.finished = True
-        yield b'data: [DONE]\n\n'
+        chat: Chat,
+    ) -> None:
+        super().__init__(media_type='text/event-stream')
+        self.request = request
+        self.completion = completion
+        self.line = line
+        self.chat = chat
 
-    async def _words(
+    async def __call__(
         self,
-        body: ChatBody,
-        words: list[str],
-        priority: int,
-    ) -> AsyncIterator[str]:
-        await self._take_turn(priority)
-        try:
-            self._note_prefix(prompt_text(body))
-            for word in words:
-                extra_s = self.target.faults.field('slow', 'seconds', 0)
-                await anyio.sleep(self.token_s + extra_s)
-                yield word
-        finally:
-            self._end_turn()
-
-    async def _take_turn(self, priority: int) -> None:
-        if self.running < self.max_running:
-            self.running += 1
-            return
-        waiting = Waiting(priority, next(self.numbers), anyio.Event())
-        heapq.heappush(self.queue, waiting)
-        try:
-            await waiting.turn.wait()
-        except BaseException:
-            if waiting.turn.is_set():
-                self._end_turn()
-            else:
-                self.queue.remove(waiting)
-                heapq.heapify(self.queue)
-            raise
-
-    def _end_turn(self) -> None:
-        if self.queue:
-            heapq.heappop(self.queue).turn.set()
-        else:
-            self.running -= 1
-
-    def _note_prefix(self, text: str) -> None:
-        prefix = xxhash.xxh64_hexdigest(text[:PREFIX_CHARACTERS].encode())
-        self.events.append(
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer as ASGI asks; a caller who leaves cancels the request."""
+        async with _while_connected(self.request):
+            try:
+                async with self.chat.run(self.request, self.completion.body):
+                    await self._send_events(scope, send)
+            except NotRunError as refused:
+                response = not_run(refused.status, refused.code)
+                response.headers[_REQUEST_ID] = self.completion.request_id
+                await response(scope, receive, send)
+
+    async def _send_events(self, scope: Scope, send: Send) -> None:
+        await self.chat.fail_if_asked(self.line)
+        faults = self.chat.state.faults
+        cut_after = faults.field('cut_stream', 'after')
+        is_cut = faults.take('cut_stream')
+        await self._start(send)
+        async for index in self.chat.words(self.completion):
+            if is_cut and index == cut_after:
+                await cut_connection(scope)
+                return
+            await _send_part(send, self.completion.event(index))
+        self.line.finished = True
+        await _send_part(send, END_OF_EVENTS)
+        await _send_part(send, b'', has_more=False)
+
+    async def _start(self, send: Send) -> None:
+        request_id = self.completion.request_id.encode()
+        await send(
             {
-                'number': len(self.events),
-                'prefix': prefix,
-                'event': 'stored',
-            }
+                'type': 'http.response.start',
+                'status': STATUS_OK,
+                'headers': [
+                    (b'content-type', b'text/event-stream'),
+                    (b'cache-control', b'no-store'),
+                    (_REQUEST_ID.encode(), request_id),
+                ],
+            },
         )
 
 
-def _delta(body: ChatBody, word: str) -> dict[str, Any]:
-    return {
-        'object': 'chat.completion.chunk',
-        'model': body.model,
-        'choices': [{'index': 0, 'delta': {'content': word}}],
-    }
+@asynccontextmanager
+async def _while_connected(request: Request) -> AsyncIterator[None]:
+    """Cancel the body once the caller has closed the connection."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch, request, group.cancel_scope)
+        yield
+        group.cancel_scope.cancel()
 
 
-def _completion(body: ChatBody, text: str, tokens: int) -> dict[str, Any]:
-    prompt_tokens = len(prompt_text(body).split())
-    return {
-        'object': 'chat.completion',
-        'model': body.model,
-        'choices': [
-            {
-                'index': 0,
-                'message': {'role': 'assistant', 'content': text},
-                'finish_reason': 'stop',
-            },
-        ],
-        'usage': {
-            'prompt_tokens': prompt_tokens,
-            'completion_tokens': tokens,
-            'total_tokens': prompt_tokens + tokens,
-        },
-    }
+async def _watch(request: Request, scope: anyio.CancelScope) -> None:
+    while not await request.is_disconnected():
+        await anyio.sleep(DISCONNECT_POLL_S)
+    scope.cancel()
 
 
-def _event(body: dict[str, Any]) -> bytes:
-    return b'data: %b\n\n' % msgspec.json.encode(body)
+async def _send_part(send: Send, part: bytes, *, has_more: bool = True) -> None:
+    await send(
+        {'type': 'http.response.body', 'body': part, 'more_body': has_more},
+    )
--- a/lab/engine_memory.py
+++ b/lab/engine_memory.py
@@ -1,5 +1,7 @@
 """The accelerator memory of the engine's stand-in."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,23 +14,35 @@
     ----------
     bytes : int
     state : str
-        ``loading`` or ``ready``.
+        ``loading``, ``ready`` or ``unloading``.
     adapters : dict of str to int
         The bytes of each adapter that can serve.
     arriving : dict of str to int
         The bytes of each adapter that is on its way.
+    running : int
+        Callers' requests that run on it now.
     """
 
     bytes: int
     state: str = 'loading'
     adapters: dict[str, int] = field(default_factory=dict)
     arriving: dict[str, int] = field(default_factory=dict)
+    running: int = 0
 
     def used(self) -> int:
         """Return the bytes that the model and its adapters take."""
         adapters = sum(self.adapters.values()) + sum(self.arriving.values())
         return self.bytes + adapters
 
+    @contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count a request that runs on the model."""
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+
 
 @dataclass(slots=True)
 class Memory:
--- a/lab/engine_orders.py
+++ b/lab/engine_orders.py
@@ -18,6 +18,7 @@
 _NO_MEMORY = 507
 _OK = 200
 _TIMEOUT_S = 600.0
+_POLL_S = 0.01
 
 
 class Order(msgspec.Struct):
@@ -134,14 +135,17 @@
         resident = self.memory.models.get(order.model)
         if resident is None:
             return False
-        if resident.state == 'ready':
-            return True
+        if resident.state != 'loading':
+            return resident.state == 'ready'
         path = f'/weights/{order.model}?bytes={order.bytes}'
         if not await self._fetch(path):
-            self.memory.models.pop(order.model, None)
+            # Another order for the same model may have loaded it meanwhile.
+            if resident.state == 'loading' and self._holds(order, resident):
+                self.memory.models.pop(order.model)
             return False
-        resident.state = 'ready'
-        return True
+        if resident.state == 'loading':
+            resident.state = 'ready'
+        return resident.state == 'ready'
 
     async def _fetch(self, path: str) -> bool:
         if not self.weights_url:
@@ -163,7 +167,22 @@
         return response.status == _OK
 
     async def _unload(self, order: Order) -> bool:
-        return self.memory.models.pop(order.model, None) is not None
+        resident = self.memory.models.get(order.model)
+        if resident is None:
+            return False
+        while resident.state == 'loading' and self._holds(order, resident):
+            await anyio.sleep(_POLL_S)
+        resident.state = 'unloading'
+        # The memory is free only when the last request on it has ended.
+        while resident.running:
+            await anyio.sleep(_POLL_S)
+        is_held = self._holds(order, resident)
+        if is_held:
+            self.memory.models.pop(order.model)
+        return is_held
+
+    def _holds(self, order: Order, resident: Resident) -> bool:
+        return self.memory.models.get(order.model) is resident
 
     async def _load_adapter(self, order: Order) -> bool:
         resident = self.memory.models.get(order.model)
--- a/lab/standin_common.py
+++ b/lab/standin_common.py
@@ -16,9 +16,12 @@
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import BaseRoute, Route
+from starlette.types import ASGIApp, Receive, Scope, Send
 
 STATUS_OK = 200
 _BACKLOG = 1024
+_CUT_SETTLE_S = 0.02
+_ABORT = 'ebonywell.abort'
 
 
 @dataclass(slots=True)
@@ -112,17 +115,31 @@
 
 
 class Cut(Response):
-    """An answer that is cut off: the server closes the connection."""
+    """No answer: the connection is closed before a byte of one is sent."""
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        """Begin nothing, so that the caller gets no answer."""
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': STATUS_OK,
-                'headers': [(b'content-length', b'1')],
-            }
-        )
+        """Close the connection."""
+        await cut_connection(scope)
+
+
+async def cut_connection(scope: Scope) -> None:
+    """Close the connection of a request, whatever of an answer was sent."""
+    scope[_ABORT]()
+    # uvicorn learns of a closed connection some turns of the loop later, and
+    # would answer in the place of an application that ends before that.
+    await anyio.sleep(_CUT_SETTLE_S)
+
+
+def with_abort(app: ASGIApp) -> ASGIApp:
+    """Return an application whose requests can close their connection."""
+
+    async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
+        # uvicorn's `send` is a method of the object that has the transport.
+        cycle: Any = getattr(send, '__self__')  # noqa: B009
+        scope[_ABORT] = cycle.transport.abort
+        await app(scope, receive, send)
+
+    return wrapped
 
 
 def answer(body: Any, status: int = STATUS_OK) -> Response:
@@ -172,13 +189,14 @@
 async def serve(app: Starlette, bound: socket.socket) -> None:
     """Serve until SIGTERM or SIGINT; print the address first."""
     config = uvicorn.Config(
-        app,
+        with_abort(app),
         loop='asyncio',
         http='httptools',
         ws='none',
         lifespan='off',
         access_log=False,
         log_config=None,
+        proxy_headers=False,
         timeout_graceful_shutdown=1,
     )
     server = _Server(config)
--- a/lab/standin_engine.py
+++ b/lab/standin_engine.py
@@ -7,9 +7,11 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from .engine_chat import Chat
+from .engine_cache import PrefixCache
+from .engine_chat import QUEUE_LIMIT, Chat
 from .engine_memory import Memory
 from .engine_orders import Orders
+from .engine_turns import Turns
 from .standin_common import address_of, answer, bind, serve
 from .standin_target import Identity, TargetState, register
 
@@ -48,8 +50,8 @@
         """Note the load that reports show, every so often."""
         while True:
             self.load = {
-                'running': self.chat.running,
-                'queue_depth': len(self.chat.queue),
+                'running': self.chat.turns.running,
+                'queue_depth': len(self.chat.turns.queue),
             }
             await anyio.sleep(max(self.report_lag_s, 0.01))
 
@@ -68,7 +70,7 @@
                 'checks_fencing': self.orders.checks_fencing,
                 'fencing': self.orders.fencing,
                 'draining': faults.is_set('draining'),
-                'max_running': self.chat.max_running,
+                'max_running': self.chat.turns.max_running,
                 'models': self.memory.listed(),
                 **self.load,
                 **faults.by_name.get('lying_report', {}),
@@ -89,6 +91,9 @@
     max_running: int = 16,
     checks_fencing: bool = True,
     report_lag_s: float = 0.2,
+    prefill_ms: float = 0,
+    cache_prefixes: int = 64,
+    cache_lag_s: float = 0.5,
 ) -> None:
     """Run the stand-in until SIGTERM.
 
@@ -114,6 +119,13 @@
         Whether orders with an old fencing number are refused.
     report_lag_s
         How old the load in a report may be, in seconds.
+    prefill_ms
+        The time before the first token if the prompt's prefix is not held, in
+        milliseconds.
+    cache_prefixes
+        How many prompt prefixes are held.
+    cache_lag_s
+        How late cache events are told, in seconds.
     """
     state = TargetState(Identity(name, 'engine', zone))
     memory = Memory(memory_bytes)
@@ -121,7 +133,14 @@
         state,
         memory,
         Orders(state, memory, weights_url, checks_fencing),
-        Chat(state, memory, token_ms, max_running),
+        Chat(
+            state,
+            memory,
+            Turns(max_running, QUEUE_LIMIT),
+            PrefixCache(cache_prefixes, cache_lag_s),
+            token_ms / 1000,
+            prefill_ms / 1000,
+        ),
         report_lag_s,
     )
     anyio.run(_run, engine, listen, host_list_url)
--- a/lab/standin_service.py
+++ b/lab/standin_service.py
@@ -63,7 +63,7 @@
         line.finished = True
         if faults.take('cut_after_run'):
             return Cut()
-        return answer(
+        response = answer(
             {
                 'service': self.state.identity.name,
                 'path': line.path,
@@ -71,6 +71,10 @@
                 'run': self.runs,
             }
         )
+        request_id = request.headers.get('x-request-id')
+        if request_id:
+            response.headers['x-request-id'] = request_id
+        return response
 
 
 @app.default
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,9 +9,12 @@
 from starlette.requests import Request
 from trio.testing import MockClock
 
-from lab.engine_chat import Chat, expected_words
+from lab.engine_answers import expected_words
+from lab.engine_cache import PrefixCache
+from lab.engine_chat import Chat
 from lab.engine_memory import Memory, Resident
 from lab.engine_orders import Order, Orders
+from lab.engine_turns import Turns
 from lab.standin_common import Faults
 from lab.standin_hosts import HostList
 from lab.standin_log import LogService
@@ -174,7 +177,7 @@
 
 def test_engine_lets_lower_priorities_go_first(run, state):
     memory = Memory(MEMORY_BYTES, {'quote': Resident(10, 'ready')})
-    chat = Chat(state, memory, token_ms=10, max_running=1)
+    chat = Chat(state, memory, Turns(1, 9), PrefixCache(9, 0), token_s=0.01)
     ended = []
 
     async def ask(name, priority):
