--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -2,6 +2,8 @@
 
 import signal
 import time
+from collections import Counter
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
@@ -17,6 +19,7 @@
 from .messages import Call
 from .metrics import Metrics
 from .operations import Operations
+from .planner import Planner
 from .records import Record
 from .replica import Replica
 from .targets import Target, Targets
@@ -36,6 +39,7 @@
     kernel : Kernel
     replica : Replica
     targets : Targets
+    planner : Planner
     calls : Calls
     web : Web
     """
@@ -82,9 +86,16 @@
             self.log,
             self.operations.routes(),
         )
+        self.planner = Planner(
+            self.replica,
+            self.targets,
+            self.demand,
+            self.log,
+        )
         self.replica.watchers.append(self._cut_withdrawn)
         self.kernel.add('replica', self.replica)
         self.kernel.add('targets', self.targets)
+        self.kernel.add('planner', self.planner)
         self.kernel.add('checkpointer', self.checkpointer)
         self.kernel.add('calls', self.calls)
         self.kernel.add('web', self.web)
@@ -92,6 +103,14 @@
     def check_serving(self) -> None:
         """Raise RefusedError while this process must not take calls."""
 
+    def demand(self) -> Mapping[str, float]:
+        """Return the requests of this process that run now, by model."""
+        return Counter(
+            opened.call.entry.name
+            for opened in self.calls.open.values()
+            if opened.call.is_model
+        )
+
     def rank(self) -> int:
         """Return this host's place among the live entry hosts, from 0."""
         names = sorted(
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -2,12 +2,17 @@
 
 import msgspec
 
-from . import changes
+from . import changes, leases, orders
 from .checkpoint import CheckpointPart
 from .exceptions import RecordError
 from .types import new_id
 
-Body = changes.CatalogueRecord | CheckpointPart
+Body = (
+    changes.CatalogueRecord
+    | leases.LeaseRecord
+    | orders.OrderRecord
+    | CheckpointPart
+)
 
 
 class Record(msgspec.Struct, frozen=True):
