--- a/lab/callers.py
+++ b/lab/callers.py
@@ -10,7 +10,7 @@
 
 from .arrivals import CallKind
 from .client import Answer, Client, ClientError, Stream, bearer
-from .engine_chat import expected_words
+from .engine_answers import expected_words
 
 _STATUS_OK = 200
 _DATA = b'data: '
