--- a/ebonywell/exceptions.py
+++ b/ebonywell/exceptions.py
@@ -41,6 +41,10 @@
     """A message between entry processes cannot be read or sent."""
 
 
+class MalformedFrameError(PeerError):
+    """A frame holds no message."""
+
+
 class TargetError(EbonywellError):
     """A target cannot be reached or broke off."""
 
--- /dev/null
+++ b/ebonywell/handshake.py
@@ -0,0 +1,80 @@
+"""How two entry processes prove to each other that they are of one fleet.
+
+Each side proves with an HMAC over both sides' nonces that it knows the
+fleet's secret, so that a recorded handshake is worth nothing.
+"""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Awaitable, Callable
+
+from . import wire
+from .exceptions import MalformedFrameError, PeerError
+from .types import HostId
+from .wire import Message
+
+NONCE_BYTES = 16
+MAX_FRAME_BYTES = 4096
+
+Send = Callable[[Message], Awaitable[None]]
+Read = Callable[[], Awaitable[Message]]
+
+
+def prove(secret: str, role: str, nonces: bytes, host: HostId) -> bytes:
+    """Return the proof that a host of a role knows the secret."""
+    text = f'{role} {host} '.encode()
+    return hmac.digest(secret.encode(), text + nonces, hashlib.sha256)
+
+
+def _check(secret: str, role: str, nonces: bytes, claim: wire.Hello) -> HostId:
+    host = HostId(claim.name, claim.incarnation)
+    if not hmac.compare_digest(
+        prove(secret, role, nonces, host),
+        claim.proof,
+    ):
+        raise PeerError(f'{host} does not know the secret of this fleet')
+    return host
+
+
+async def dial(secret: str, me: HostId, send: Send, read: Read) -> HostId:
+    """Prove who dials, and return who accepted.
+
+    Raises
+    ------
+    PeerError
+        If the other side does not know the secret or breaks off.
+    """
+    challenge = wire.expect(await read(), wire.Challenge)
+    own = secrets.token_bytes(NONCE_BYTES)
+    nonces = challenge.nonce + own
+    proof = prove(secret, 'dial', nonces, me)
+    await send(wire.Hello(me.name, me.incarnation, own, proof))
+    welcome = wire.expect(await read(), wire.Welcome)
+    claim = wire.Hello(
+        welcome.name,
+        welcome.incarnation,
+        own,
+        welcome.proof,
+    )
+    return _check(secret, 'accept', nonces, claim)
+
+
+async def accept(secret: str, me: HostId, send: Send, read: Read) -> HostId:
+    """Check who dials, and prove who accepts.
+
+    Raises
+    ------
+    PeerError
+        If the other side does not know the secret or breaks off.
+    """
+    own = secrets.token_bytes(NONCE_BYTES)
+    await send(wire.Challenge(own))
+    claim = wire.expect(await read(), wire.Hello)
+    if len(claim.nonce) != NONCE_BYTES:
+        raise MalformedFrameError('the nonce has another length')
+    nonces = own + claim.nonce
+    peer = _check(secret, 'dial', nonces, claim)
+    proof = prove(secret, 'accept', nonces, me)
+    await send(wire.Welcome(me.name, me.incarnation, proof))
+    return peer
--- /dev/null
+++ b/ebonywell/peers.py
@@ -0,0 +1,301 @@
+"""Links to the other entry hosts, their heartbeats, and messages to them."""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import SocketStream, TaskGroup
+from anyio.streams.memory import MemoryObjectSendStream
+
+from . import handshake, wire
+from .exceptions import MalformedFrameError, PeerError, SettingsError
+from .logs import Logger
+from .misc import split_address
+from .types import HostId
+from .wire import Message
+
+HEARTBEAT_GAP_S = 0.5
+DIAL_TIMEOUT_S = 1.0
+SEND_TIMEOUT_S = 3.0
+FORGET_AFTER_S = 10.0
+QUEUED_MESSAGES = 1000
+
+Handler = Callable[[HostId, Any], None]
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    """Where another entry process listens for its peers."""
+
+    name: str
+    peer_address: str
+
+
+@dataclass(slots=True)
+class Peer:
+    """What is known of another entry process.
+
+    Attributes
+    ----------
+    host : HostId
+    heartbeat : Heartbeat
+        The latest.
+    heard_at : float
+        When it came, by this process's clock.
+    """
+
+    host: HostId
+    heartbeat: wire.Heartbeat
+    heard_at: float
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Counts since the start of the process."""
+
+    messages_sent: int = 0
+    bytes_sent: int = 0
+    messages_received: int = 0
+    messages_dropped: int = 0
+    frames_malformed: int = 0
+
+
+@dataclass(slots=True)
+class Cuts:
+    """Links that a test has cut, by host name.
+
+    Attributes
+    ----------
+    refuse : set of str
+        Connections are closed and not made.
+    drop : set of str
+        Messages vanish, in both directions.
+    """
+
+    refuse: set[str] = field(default_factory=set)
+    drop: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _Link:
+    name: str
+    address: str
+    queue: MemoryObjectSendStream[Message]
+    scope: anyio.CancelScope
+
+
+class Peers:
+    """The links of this process to its peers.
+
+    Every process dials every other one and sends on the connection that it
+    dialled. The service owns the listener and all connections.
+
+    Attributes
+    ----------
+    known : dict of str to Peer
+        By host name, of those heard lately.
+    handlers : dict of type to callable
+        Called with the sender and the message, by type of message.
+    heartbeat : callable
+        Returns the heartbeat for a host name.
+    listed : callable
+        Returns the addresses of the host list.
+    traffic : Traffic
+    cuts : Cuts
+    address : str
+        The ip:port bound for peers, once `run` has begun.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        listen: str,
+        secret: str,
+        log: Logger,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.host = host
+        self.address = listen
+        self.secret = secret
+        self.log = log
+        self.clock = clock
+        self.known: dict[str, Peer] = {}
+        self.links: dict[str, _Link] = {}
+        self.handlers: dict[type[Message], list[Handler]] = {}
+        self.heartbeat: Callable[[str], wire.Heartbeat] | None = None
+        self.listed: Callable[[], list[Address]] = list
+        self.traffic = Traffic()
+        self.cuts = Cuts()
+        self.add_handler(wire.Heartbeat, self._note_heartbeat)
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Listen, dial and send heartbeats until cancelled."""
+        ip, port = split_address(self.address)
+        listener = await anyio.create_tcp_listener(
+            local_host=ip,
+            local_port=port,
+        )
+        # The port may have been 0, for any free one.
+        number = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f'{ip}:{number}'
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, self._accept)
+            ready()
+            while True:
+                self._update_links(group)
+                self.beat()
+                await anyio.sleep(HEARTBEAT_GAP_S)
+
+    async def stop(self) -> None:
+        """Tell the peers of the latest state once more."""
+        self.beat()
+        await anyio.sleep(0)
+
+    def add_handler(self, kind: type[Message], handler: Handler) -> None:
+        """Have a function called for every message of a kind."""
+        self.handlers.setdefault(kind, []).append(handler)
+
+    def send(self, name: str, message: Message) -> bool:
+        """Queue a message for a host, and say whether there is a link.
+
+        Nothing is kept for a host without a link, and a full queue drops.
+        """
+        link = self.links.get(name)
+        if link is None:
+            return False
+        try:
+            link.queue.send_nowait(message)
+        except (anyio.WouldBlock, anyio.BrokenResourceError):
+            self.traffic.messages_dropped += 1
+            return False
+        return True
+
+    def broadcast(self, message: Message) -> None:
+        """Queue a message for every host with a link."""
+        for name in list(self.links):
+            self.send(name, message)
+
+    def beat(self) -> None:
+        """Send a heartbeat to every host with a link."""
+        if self.heartbeat is not None:
+            for name in list(self.links):
+                self.send(name, self.heartbeat(name))
+
+    def _note_heartbeat(self, sender: HostId, beat: wire.Heartbeat) -> None:
+        self.known[sender.name] = Peer(sender, beat, self.clock())
+
+    def _addresses(self) -> dict[str, str]:
+        now = self.clock()
+        told = {
+            name: peer.heartbeat.peer_address
+            for name, peer in self.known.items()
+            if now - peer.heard_at < FORGET_AFTER_S
+        }
+        listed = {one.name: one.peer_address for one in self.listed()}
+        # A peer's own word is newer than the lagging list.
+        merged = listed | told
+        merged.pop(self.host.name, None)
+        return {
+            name: address
+            for name, address in merged.items()
+            if address and name not in self.cuts.refuse
+        }
+
+    def _update_links(self, group: TaskGroup) -> None:
+        wanted = self._addresses()
+        for name, link in list(self.links.items()):
+            if wanted.get(name) != link.address:
+                link.scope.cancel()
+                self.links.pop(name)
+        for name in wanted.keys() - self.links.keys():
+            sender, receiver = anyio.create_memory_object_stream[Message](
+                QUEUED_MESSAGES,
+            )
+            link = _Link(name, wanted[name], sender, anyio.CancelScope())
+            self.links[name] = link
+            group.start_soon(self._keep_link, link, receiver)
+        now = self.clock()
+        for gone, peer in list(self.known.items()):
+            if now - peer.heard_at > FORGET_AFTER_S:
+                self.known.pop(gone)
+
+    async def _keep_link(self, link: _Link, queued: Any) -> None:
+        with link.scope, queued:
+            try:
+                await self._serve_link(link, queued)
+            except (PeerError, SettingsError) as error:
+                self.log('link_down', peer=link.name, reason=str(error))
+            await anyio.sleep(HEARTBEAT_GAP_S)
+        if self.links.get(link.name) is link:
+            self.links.pop(link.name)
+
+    async def _serve_link(self, link: _Link, queued: Any) -> None:
+        stream = await _connect(link.address)
+        async with stream:
+            with anyio.move_on_after(DIAL_TIMEOUT_S) as scope:
+                reader = wire.FrameReader(stream, handshake.MAX_FRAME_BYTES)
+                await handshake.dial(
+                    self.secret,
+                    self.host,
+                    lambda message: self._write(stream, message),
+                    reader.read,
+                )
+            if scope.cancelled_caught:
+                raise PeerError('no handshake in time')
+            async for message in queued:
+                if link.name not in self.cuts.drop:
+                    await self._write(stream, message)
+
+    async def _write(self, stream: SocketStream, message: Message) -> None:
+        frame = wire.encode(message)
+        try:
+            with anyio.fail_after(SEND_TIMEOUT_S):
+                await stream.send(frame)
+        except (OSError, anyio.BrokenResourceError) as error:
+            raise PeerError(f'cannot send: {error!r}') from error
+        self.traffic.messages_sent += 1
+        self.traffic.bytes_sent += len(frame)
+
+    async def _accept(self, stream: SocketStream) -> None:
+        async with stream:
+            try:
+                await self._serve_peer(stream)
+            except MalformedFrameError as malformed:
+                self.traffic.frames_malformed += 1
+                self.log('frame_malformed', reason=str(malformed))
+            except PeerError as error:
+                self.log('peer_lost', reason=str(error))
+
+    async def _serve_peer(self, stream: SocketStream) -> None:
+        reader = wire.FrameReader(stream, handshake.MAX_FRAME_BYTES)
+        with anyio.move_on_after(DIAL_TIMEOUT_S) as scope:
+            peer = await handshake.accept(
+                self.secret,
+                self.host,
+                lambda message: self._write(stream, message),
+                reader.read,
+            )
+        if scope.cancelled_caught:
+            raise PeerError('no handshake in time')
+        reader.max_bytes = wire.MAX_FRAME_BYTES
+        while peer.name not in self.cuts.refuse:
+            message = await reader.read()
+            if peer.name not in self.cuts.drop:
+                self._handle(peer, message)
+
+    def _handle(self, sender: HostId, message: Message) -> None:
+        self.traffic.messages_received += 1
+        for handler in self.handlers.get(type(message), ()):
+            handler(sender, message)
+
+
+async def _connect(address: str) -> SocketStream:
+    ip, port = split_address(address)
+    try:
+        with anyio.fail_after(DIAL_TIMEOUT_S):
+            return await anyio.connect_tcp(ip, port)
+    except OSError as error:
+        raise PeerError(f'cannot connect: {error!r}') from error
+
--- /dev/null
+++ b/ebonywell/registry.py
@@ -0,0 +1,241 @@
+"""The entry hosts that share the limits, and their allocation epochs.
+
+A life is one run of a host's process, written ``name/incarnation``.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+
+class HostRegistered(msgspec.Struct, frozen=True, tag='host_registered'):
+    """Adds a host, in place of an earlier life of the same name.
+
+    Attributes
+    ----------
+    name : str
+    incarnation : str
+    address : str
+        The ip:port that the process has bound for its peers.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+
+
+class HostLeft(msgspec.Struct, frozen=True, tag='host_left'):
+    """Removes a host that admits nothing any more, by its own word."""
+
+    name: str
+    incarnation: str
+
+
+class HostExpelled(msgspec.Struct, frozen=True, tag='host_expelled'):
+    """Removes a host that its peers no longer hear.
+
+    Attributes
+    ----------
+    name : str
+    incarnation : str
+    confirmed : bool
+        Whether an operator vouches that the process has ended.
+    """
+
+    name: str
+    incarnation: str
+    confirmed: bool = False
+
+
+class EpochSettled(msgspec.Struct, frozen=True, tag='epoch_settled'):
+    """Says that nobody holds more than its share of an epoch.
+
+    Attributes
+    ----------
+    epoch : int
+        The offset of the record that began the epoch.
+    """
+
+    epoch: int
+
+
+RegistryRecord = HostRegistered | HostLeft | HostExpelled | EpochSettled
+
+
+@dataclass(slots=True)
+class Step:
+    """A change of the members that is not settled yet.
+
+    Attributes
+    ----------
+    epoch : int
+        The offset of the change.
+    before : list of str
+        The lives that were members before the change.
+    """
+
+    epoch: int
+    before: list[str]
+
+
+@dataclass(slots=True)
+class Registry:
+    """The table of registered entry hosts.
+
+    Attributes
+    ----------
+    epoch : int
+        The offset of the latest change of the members; -1 before the first.
+    members : dict of str to str
+        Life by host name.
+    settled : int
+        The latest epoch that was settled; -1 before the first.
+    steps : list of Step
+        The changes since then, oldest first.
+    addresses : dict of str to str
+        Peer address by life, of all lives in `members` and `steps`.
+    ended : list of str
+        The lives in `steps` that certainly admit nothing any more.
+    """
+
+    epoch: int = -1
+    members: dict[str, str] = field(default_factory=dict)
+    settled: int = -1
+    steps: list[Step] = field(default_factory=list)
+    addresses: dict[str, str] = field(default_factory=dict)
+    ended: list[str] = field(default_factory=list)
+
+
+def apply(table: Registry, offset: int, record: RegistryRecord) -> bool:
+    """Apply a record, and say whether it counted.
+
+    Parameters
+    ----------
+    table : Registry
+        Changed in place.
+    offset : int
+    record : RegistryRecord
+
+    Returns
+    -------
+    bool
+        False for a record about a life or an epoch that is not the present
+        one.
+    """
+    match record:
+        case EpochSettled():
+            return _settle(table, record.epoch)
+        case HostRegistered():
+            return _register(table, offset, record)
+        case HostLeft():
+            return _remove(table, offset, record, has_ended=True)
+        case HostExpelled():
+            return _remove(table, offset, record, has_ended=record.confirmed)
+
+
+def _settle(table: Registry, epoch: int) -> bool:
+    if epoch != table.epoch or epoch == table.settled:
+        return False
+    table.settled = epoch
+    table.steps.clear()
+    table.ended.clear()
+    for life in set(table.addresses) - set(table.members.values()):
+        table.addresses.pop(life)
+    return True
+
+
+def _register(
+    table: Registry,
+    offset: int,
+    record: HostRegistered,
+) -> bool:
+    life = f'{record.name}/{record.incarnation}'
+    if life in table.addresses:
+        return False
+    # The address is bound by one process at a time, so its earlier holders
+    # have ended. A life of the same name elsewhere may only be frozen.
+    for earlier, address in table.addresses.items():
+        if address == record.address:
+            _note_end(table, earlier)
+    _begin(table, offset)
+    table.members[record.name] = life
+    table.addresses[life] = record.address
+    return True
+
+
+def _remove(
+    table: Registry,
+    offset: int,
+    record: HostLeft | HostExpelled,
+    *,
+    has_ended: bool,
+) -> bool:
+    life = f'{record.name}/{record.incarnation}'
+    if has_ended and life in table.addresses:
+        _note_end(table, life)
+    is_member = table.members.get(record.name) == life
+    if is_member:
+        _begin(table, offset)
+        table.members.pop(record.name)
+    return is_member
+
+
+def _note_end(table: Registry, life: str) -> None:
+    if life not in table.ended:
+        table.ended.append(life)
+
+
+def _begin(table: Registry, offset: int) -> None:
+    table.steps.append(Step(offset, list(table.members.values())))
+    table.epoch = offset
+
+
+def may_settle(table: Registry, acks: Mapping[str, int]) -> bool:
+    """Return whether the present epoch may be settled, the wait apart.
+
+    Every member must have acknowledged the epoch. Of the members before each
+    unsettled change a majority must have acknowledged that change or have
+    ended, so that the others are no majority that may know nothing of it.
+
+    Parameters
+    ----------
+    table : Registry
+    acks : mapping of str to int
+        The largest applied offset heard, by life.
+    """
+    if not table.members or table.settled == table.epoch:
+        return False
+    lives = table.members.values()
+    ended = frozenset(table.ended)
+    has_all = all(acks.get(life, -1) >= table.epoch for life in lives)
+    return has_all and all(
+        _count_known(step, acks, ended) >= majority(len(step.before))
+        for step in table.steps
+    )
+
+
+def _count_known(
+    step: Step,
+    acks: Mapping[str, int],
+    ended: frozenset[str],
+) -> int:
+    return sum(
+        life in ended or acks.get(life, -1) >= step.epoch
+        for life in step.before
+    )
+
+
+def may_run(table: Registry) -> set[str]:
+    """Return the removed lives that may still be running."""
+    removed = _union(step.before for step in table.steps)
+    return removed - set(table.members.values()) - set(table.ended)
+
+
+def _union(parts: Iterable[list[str]]) -> set[str]:
+    return set().union(*parts)
+
+
+def majority(count: int) -> int:
+    """Return how many of `count` members make a majority; 0 of none."""
+    return count // 2 + 1 if count else 0
--- /dev/null
+++ b/ebonywell/wire.py
@@ -0,0 +1,275 @@
+"""The messages between entry processes, and their frames.
+
+Frames hold Cap'n Proto's plain form: pycapnp ends the process when packed
+bytes stop short, so packed frames of strangers must not be read.
+"""
+
+from collections.abc import Mapping
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+import anyio
+import capnp
+import msgspec
+from anyio.abc import ByteStream
+
+from .exceptions import MalformedFrameError, PeerError
+
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+_LENGTH_BYTES = 4
+_WORD_BYTES = 8
+_READ_BYTES = 65536
+# Pointers may lead to the same bytes again and again; the reader gives up
+# beyond this many words.
+_MAX_WORDS = 2 * MAX_FRAME_BYTES // _WORD_BYTES
+
+_schema = capnp.load(str(Path(__file__).with_name('messages.capnp')))
+
+
+class _Message(msgspec.Struct, frozen=True, rename='camel'):
+    """The base of all messages; fields stand in messages.capnp."""
+
+
+class Challenge(_Message, frozen=True):
+    """What the accepting side sends first."""
+
+    nonce: bytes
+
+
+class Hello(_Message, frozen=True):
+    """Who dials, with a proof that it knows the fleet's secret."""
+
+    name: str
+    incarnation: str
+    nonce: bytes
+    proof: bytes
+
+
+class Welcome(_Message, frozen=True):
+    """Who accepted, with its own proof."""
+
+    name: str
+    incarnation: str
+    proof: bytes
+
+
+class Heartbeat(_Message, frozen=True):
+    """A sign of life.
+
+    Attributes
+    ----------
+    zone : str
+    address : str
+        For callers.
+    peer_address : str
+    leaving : bool
+    applied : int
+        The last offset of the log applied.
+    sent_at : float
+        By the sender's monotonic clock.
+    echo : float
+        The latest `sent_at` that the sender heard from the receiver.
+    echo_of : str
+        The receiver's incarnation that it was heard from; empty if none.
+    fresh_age, log_age : float
+        How old the sender's evidence of freshness is, in seconds.
+    """
+
+    zone: str
+    address: str
+    peer_address: str
+    leaving: bool
+    applied: int
+    sent_at: float
+    echo: float
+    echo_of: str
+    fresh_age: float
+    log_age: float
+
+
+class Fetch(_Message, frozen=True):
+    """Asks a peer for the records of the log from an offset on."""
+
+    offset: int
+
+
+class LogRecord(_Message, frozen=True):
+    """One record of the log, as JSON."""
+
+    offset: int
+    content: bytes
+
+
+class LogRecords(_Message, frozen=True):
+    """Consecutive records of the log."""
+
+    records: tuple[LogRecord, ...]
+
+
+class StateCopy(_Message, frozen=True):
+    """A whole state, as `state.encode` writes it."""
+
+    content: bytes
+
+
+class Transfer(_Message, frozen=True):
+    """What the sender has given the receiver, and what it asks for.
+
+    Attributes
+    ----------
+    workspace : str
+    cap, tokens : int
+        All that was given in this epoch, see `shares.Counters`.
+    want : int
+        Tokens asked for; 0 if none.
+    urgent : bool
+        Whether a request waits that needs more than one host's cap.
+    spare : int
+        Tokens that the sender could give.
+    """
+
+    workspace: str
+    cap: int
+    tokens: int
+    want: int
+    urgent: bool
+    spare: int
+
+
+class Transfers(_Message, frozen=True):
+    """Transfers of one epoch."""
+
+    epoch: int
+    items: tuple[Transfer, ...]
+
+
+class Note(_Message, frozen=True):
+    """A message of another service, in that service's own encoding."""
+
+    kind: str
+    content: bytes
+
+
+Message = (
+    Challenge
+    | Hello
+    | Welcome
+    | Heartbeat
+    | Fetch
+    | LogRecords
+    | StateCopy
+    | Transfers
+    | Note
+)
+_Wanted = TypeVar('_Wanted')
+
+_KINDS: Mapping[str, type[Message]] = MappingProxyType(
+    {
+        'challenge': Challenge,
+        'hello': Hello,
+        'welcome': Welcome,
+        'heartbeat': Heartbeat,
+        'fetch': Fetch,
+        'logRecords': LogRecords,
+        'stateCopy': StateCopy,
+        'transfers': Transfers,
+        'note': Note,
+    }
+)
+_NAMES: Mapping[type[Message], str] = MappingProxyType(
+    {kind: name for name, kind in _KINDS.items()}
+)
+
+
+def encode(message: Message) -> bytes:
+    """Return a message as a frame with its length."""
+    fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+    envelope = _schema.Envelope.new_message(**{_NAMES[type(message)]: fields})
+    content: bytes = envelope.to_bytes()
+    return len(content).to_bytes(_LENGTH_BYTES, 'big') + content
+
+
+def decode(content: bytes) -> Message:
+    """Return the message of a frame without its length.
+
+    Raises
+    ------
+    MalformedFrameError
+        If the bytes are no message.
+    """
+    try:
+        return _decode(content)
+    except (capnp.KjException, ValueError, KeyError) as error:
+        # msgspec's ValidationError is a ValueError.
+        reason = str(error).partition('\n')[0]
+        raise MalformedFrameError(reason) from error
+
+
+def _decode(content: bytes) -> Message:
+    opened = _schema.Envelope.from_bytes(
+        content,
+        traversal_limit_in_words=_MAX_WORDS,
+    )
+    with opened as envelope:
+        name = str(envelope.which())
+        fields: Any = getattr(envelope, name).to_dict(verbose=True)
+        return msgspec.convert(fields, _KINDS[name], builtin_types=(bytes,))
+
+
+def expect(message: Message, kind: type[_Wanted]) -> _Wanted:
+    """Return the message if it is of the kind that must come next.
+
+    Raises
+    ------
+    PeerError
+        If it is another.
+    """
+    if not isinstance(message, kind):
+        raise PeerError(f'{type(message).__name__} came out of turn')
+    return message
+
+
+class FrameReader:
+    """Cuts a byte stream into messages.
+
+    Attributes
+    ----------
+    stream : ByteStream
+    max_bytes : int
+        The longest frame taken.
+    buffered : bytearray
+    """
+
+    def __init__(self, stream: ByteStream, max_bytes: int) -> None:
+        self.stream = stream
+        self.max_bytes = max_bytes
+        self.buffered = bytearray()
+
+    async def read(self) -> Message:
+        """Return the next message.
+
+        Raises
+        ------
+        PeerError
+            If the frame is malformed or the connection has ended.
+        """
+        length = int.from_bytes(await self._take(_LENGTH_BYTES), 'big')
+        if length > self.max_bytes:
+            raise MalformedFrameError(f'{length} bytes long')
+        return decode(await self._take(length))
+
+    async def _take(self, count: int) -> bytes:
+        while len(self.buffered) < count:
+            try:
+                self.buffered += await self.stream.receive(_READ_BYTES)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                OSError,
+            ) as error:
+                raise PeerError(f'connection ended: {error!r}') from error
+        taken = bytes(self.buffered[:count])
+        del self.buffered[:count]  # noqa: WPS420 - the idiom for bytearrays
+        return taken
