--- /dev/null
+++ b/ebonywell/limits.py
@@ -0,0 +1,196 @@
+"""Keeps the workspaces' limits over all hosts together."""
+
+from collections.abc import Callable
+
+import anyio
+
+from . import ledger as books
+from . import wire
+from .answers import RefusedError, refuse
+from .changes import WorkspaceSet
+from .ledger import Ledger
+from .logs import Logger
+from .membership import Membership
+from .peers import Peers
+from .records import Record
+from .replica import Replica
+from .shares import Account, Reservation, Waiter, refund
+from .types import HostId
+
+TICK_S = 0.1
+WAITING_TICK_S = 0.02
+_STATUS_LIMITED = 429
+_STATUS_STALE = 503
+_STALE_RETRY_S = 1.0
+
+
+class Limits:
+    """Takes tokens for requests and moves them between hosts.
+
+    Attributes
+    ----------
+    ledger : Ledger
+    refused : int
+        Reservations refused since the start.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        replica: Replica,
+        peers: Peers,
+        membership: Membership,
+        log: Logger,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.replica = replica
+        self.peers = peers
+        self.membership = membership
+        self.log = log
+        self.clock = clock
+        self.ledger = Ledger(host.name, str(host), self._send)
+        self.refused = 0
+        replica.watchers.append(self._note_record)
+        peers.add_handler(wire.Transfers, self._take)
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Move tokens to where they are asked for, until cancelled."""
+        ready()
+        while True:
+            now = self._follow()
+            books.tick(self.ledger, now)
+            is_waiting = any(
+                self.ledger.accounts[name].waiters
+                for name in self.ledger.active
+            )
+            await anyio.sleep(WAITING_TICK_S if is_waiting else TICK_S)
+
+    async def stop(self) -> None:
+        """Give the peers all tokens; this host admits nothing any more."""
+        books.hand_over(self.ledger, self._follow())
+        await anyio.sleep(TICK_S)
+
+    async def reserve(
+        self,
+        workspace: str,
+        tokens: int,
+        deadline: float,
+    ) -> Reservation:
+        """Take tokens for a request, at once if they are here.
+
+        Parameters
+        ----------
+        workspace : str
+        tokens : int
+            The prompt's and the most that the output may have.
+        deadline : float
+            Until when the request may wait, by the clock of this process.
+
+        Raises
+        ------
+        RefusedError
+            If the workspace may not have the tokens now, or this host
+            cannot know.
+        """
+        now = self._follow()
+        account = self._account(workspace, now)
+        if tokens > account.burst:
+            raise refuse(
+                'request_too_large',
+                _STATUS_LIMITED,
+                f'{tokens} tokens are more than the burst of {workspace}.',
+            )
+        reservation = books.reserve(self.ledger, account, tokens, now)
+        if reservation is None:
+            reservation = await self._wait(account, tokens, deadline)
+        if reservation is None:
+            raise self._limited(account, tokens)
+        return reservation
+
+    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+        """Give back what a request did not use."""
+        account = self.ledger.accounts[reservation.workspace]
+        refund(account, reservation, used_tokens, self._follow())
+
+    def _follow(self) -> float:
+        now = self.clock()
+        books.follow(self.ledger, self.replica.state.registry, now)
+        return now
+
+    def _account(self, workspace: str, now: float) -> Account:
+        if self.membership.is_stale(now):
+            raise refuse(
+                'host_out_of_date',
+                _STATUS_STALE,
+                'This host has lost touch with the log and its peers.',
+                _STALE_RETRY_S,
+            )
+        limit = self.replica.state.catalogue.workspaces.get(workspace)
+        if limit is None:
+            raise refuse(
+                'unknown_workspace',
+                _STATUS_LIMITED,
+                f'There is no workspace {workspace}.',
+            )
+        return books.open_account(
+            self.ledger,
+            workspace,
+            limit.rate,
+            limit.burst,
+            now,
+        )
+
+    async def _wait(
+        self,
+        account: Account,
+        tokens: int,
+        deadline: float,
+    ) -> Reservation | None:
+        now = self.clock()
+        done = anyio.Event()
+        expires_at = min(deadline, now + books.WAIT_S)
+        waiter = Waiter(tokens, expires_at, done.set)
+        if not books.wait(self.ledger, account, waiter, now):
+            return None
+        is_over = False
+        try:
+            with anyio.move_on_after(max(0, expires_at - now)):
+                await done.wait()
+            is_over = not self.membership.is_stale(self.clock())
+        finally:
+            books.leave_queue(account, waiter)
+            if waiter.reservation and not is_over:
+                # The caller has gone, or this host was frozen meanwhile.
+                self.settle(waiter.reservation, 0)
+        return waiter.reservation if is_over else None
+
+    def _limited(self, account: Account, tokens: int) -> RefusedError:
+        self.refused += 1
+        return refuse(
+            'workspace_limit',
+            _STATUS_LIMITED,
+            f'The rate and burst of {account.workspace} are used up.',
+            books.retry_after(account, tokens, self.clock()),
+        )
+
+    def _send(self, name: str, message: wire.Transfers) -> None:
+        self.peers.send(name, message)
+
+    def _take(self, sender: HostId, message: wire.Transfers) -> None:
+        books.take(self.ledger, sender.name, message, self._follow())
+
+    def _note_record(self, _: int, record: Record, counted: bool) -> None:
+        if not counted or not isinstance(record.body, WorkspaceSet):
+            return
+        limit = record.body.workspace
+        now = self._follow()
+        is_new = limit.name not in self.ledger.accounts
+        account = books.open_account(
+            self.ledger,
+            limit.name,
+            limit.rate,
+            limit.burst,
+            now,
+        )
+        if is_new:
+            books.endow(self.ledger, account)
--- a/ebonywell/peers.py
+++ b/ebonywell/peers.py
@@ -123,6 +123,7 @@
         self.clock = clock
         self.known: dict[str, Peer] = {}
         self.links: dict[str, _Link] = {}
+        self.down: set[str] = set()
         self.handlers: dict[type[Message], list[Handler]] = {}
         self.heartbeat: Callable[[str], wire.Heartbeat] | None = None
         self.listed: Callable[[], list[Address]] = list
@@ -226,7 +227,9 @@
             try:
                 await self._serve_link(link, queued)
             except (PeerError, SettingsError) as error:
-                self.log('link_down', peer=link.name, reason=str(error))
+                if link.name not in self.down:
+                    self.log('link_down', peer=link.name, reason=str(error))
+                self.down.add(link.name)
             await anyio.sleep(HEARTBEAT_GAP_S)
         if self.links.get(link.name) is link:
             self.links.pop(link.name)
@@ -244,6 +247,8 @@
                 )
             if scope.cancelled_caught:
                 raise PeerError('no handshake in time')
+            self.down.discard(link.name)
+            self.log('link_up', peer=link.name)
             async for message in queued:
                 if link.name not in self.cuts.drop:
                     await self._write(stream, message)
--- /dev/null
+++ b/ebonywell/relay.py
@@ -0,0 +1,101 @@
+"""Passes the log's records on to hosts that cannot read the log."""
+
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from . import state, wire
+from .exceptions import RecordError
+from .logs import Logger
+from .peers import Peers
+from .replica import Replica
+from .types import HostId
+
+READ_LATE_S = 2.0
+FETCH_GAP_S = 0.1
+RECORDS_A_MESSAGE = 500
+
+
+class Relay:
+    """Fetches records from peers, and answers such fetches.
+
+    Attributes
+    ----------
+    replica : Replica
+    peers : Peers
+    fetched_at : float
+        When records were last asked for, in seconds.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        peers: Peers,
+        log: Logger,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.replica = replica
+        self.peers = peers
+        self.log = log
+        self.clock = clock
+        self.fetched_at = 0.0
+        peers.add_handler(wire.Heartbeat, self._compare)
+        peers.add_handler(wire.Fetch, self._answer)
+        peers.add_handler(wire.LogRecords, self._take_records)
+        peers.add_handler(wire.StateCopy, self._take_state)
+
+    def _compare(self, sender: HostId, beat: wire.Heartbeat) -> None:
+        now = self.clock()
+        applied = self.replica.state.applied
+        is_late = now - self.replica.read_at > READ_LATE_S
+        is_due = now - self.fetched_at >= FETCH_GAP_S
+        if is_late and is_due and beat.applied > applied:
+            self.fetched_at = now
+            self.peers.send(sender.name, wire.Fetch(applied + 1))
+
+    def _answer(self, sender: HostId, fetch: wire.Fetch) -> None:
+        tail = self.replica.tail
+        if fetch.offset > self.replica.state.applied:
+            return
+        if not tail or tail[0].offset > fetch.offset:
+            content = state.encode(self.replica.state)
+            self.peers.send(sender.name, wire.StateCopy(content))
+            return
+        wanted = [one for one in tail if one.offset >= fetch.offset]
+        records = tuple(
+            wire.LogRecord(one.offset, msgspec.json.encode(one.record))
+            for one in wanted[:RECORDS_A_MESSAGE]
+        )
+        self.peers.send(sender.name, wire.LogRecords(records))
+
+    def _take_records(self, sender: HostId, message: wire.LogRecords) -> None:
+        before = self.replica.state.applied
+        for record in message.records:
+            # Another reply or the log itself may have been quicker.
+            if record.offset == self.replica.state.applied + 1:
+                parsed = msgspec.json.decode(record.content)
+                self.replica.take(record.offset, parsed)
+        self._note_gain(sender, before)
+
+    def _take_state(self, sender: HostId, message: wire.StateCopy) -> None:
+        before = self.replica.state.applied
+        try:
+            copied = state.decode(message.content)
+        except RecordError as error:
+            self.log('state_unreadable', peer=sender, reason=str(error))
+            return
+        self.replica.adopt(copied)
+        self._note_gain(sender, before)
+
+    def _note_gain(self, sender: HostId, before: int) -> None:
+        applied = self.replica.state.applied
+        if applied <= before:
+            return
+        self.replica.note_changed()
+        self.log('records_relayed', peer=sender, first=before + 1, last=applied)
+        peer = self.peers.known.get(sender.name)
+        if peer is not None and applied >= peer.heartbeat.applied:
+            self.replica.is_ready = True
+        else:
+            self.peers.send(sender.name, wire.Fetch(applied + 1))
