--- a/ebonywell/calls.py
+++ b/ebonywell/calls.py
@@ -1,7 +1,7 @@
 """Runs one call: admits it, picks a target, relays the answer."""
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -51,7 +51,7 @@
 )
 
 Settle = Callable[[int], None]
-Reserve = Callable[[Call], Settle]
+Reserve = Callable[[Call], Awaitable[Settle]]
 Choose = Callable[[Call, frozenset[str]], Target]
 
 
@@ -163,7 +163,7 @@
 
     async def _admit(self, opened: OpenCall, reply: Reply) -> None:
         try:
-            settle = self.reserve(opened.call)
+            settle = await self.reserve(opened.call)
         except RefusedError as refused:
             await reply.refuse(refused.refusal)
             return
--- /dev/null
+++ b/ebonywell/decider.py
@@ -0,0 +1,106 @@
+"""Decides which changes of the registry are due."""
+
+import math
+from collections.abc import Callable
+
+from .freshness import EXPELLED_WAIT_S, OUTAGE_LIMIT_S
+from .records import Body
+from .registry import (
+    EpochSettled,
+    HostExpelled,
+    Registry,
+    majority,
+    may_run,
+    may_settle,
+)
+
+EXPEL_AFTER_S = 4.0
+RANK_DELAY_S = 2.0
+
+
+class Decider:
+    """Decides when to expel a host and when to settle an epoch.
+
+    Every member runs one. The one with the least name among those in touch
+    writes first and the others only when it fails to, which spares the log
+    doubled records.
+
+    Attributes
+    ----------
+    life : str
+    heard : dict of str to float
+        When each life was last heard, or first looked for, in seconds.
+    epoch : int
+        The epoch that the times below are about.
+    began_at : float
+    agreed_at : float
+        Since when the epoch might be settled but for the wait.
+    due : Body or None
+        The record that is due.
+    due_at : float
+        Since when.
+    """
+
+    def __init__(self, life: str, clock: Callable[[], float]) -> None:
+        self.life = life
+        self.clock = clock
+        self.heard: dict[str, float] = {}
+        self.epoch = -1
+        self.began_at = math.inf
+        self.agreed_at = math.inf
+        self.due: Body | None = None
+        self.due_at = math.inf
+
+    def note_heard(self, life: str) -> None:
+        """Note a heartbeat of a life."""
+        self.heard[life] = self.clock()
+
+    def decide(
+        self,
+        table: Registry,
+        acks: dict[str, int],
+        now: float,
+    ) -> Body | None:
+        """Return the record that this host must write now, if any."""
+        if table.epoch != self.epoch:
+            self.epoch = table.epoch
+            self.began_at = now
+            self.agreed_at = math.inf
+        lives = sorted(table.members.values())
+        in_touch = [life for life in lives if self._is_in_touch(life, now)]
+        silent = sorted(set(lives) - set(in_touch))
+        due: Body | None = None
+        if silent and len(in_touch) >= majority(len(lives)):
+            name, _, incarnation = silent[0].partition('/')
+            due = HostExpelled(name, incarnation)
+        elif self._may_settle(table, acks, now):
+            due = EpochSettled(table.epoch)
+        if due != self.due:
+            self.due = due
+            self.due_at = now
+        rank = sum(life < self.life for life in in_touch)
+        return due if now - self.due_at >= rank * RANK_DELAY_S else None
+
+    def _is_in_touch(self, life: str, now: float) -> bool:
+        heard_at = self.heard.setdefault(life, now)
+        return life == self.life or now - heard_at < EXPEL_AFTER_S
+
+    def _may_settle(
+        self,
+        table: Registry,
+        acks: dict[str, int],
+        now: float,
+    ) -> bool:
+        if table.settled == table.epoch:
+            return False
+        if may_settle(table, acks):
+            self.agreed_at = min(self.agreed_at, now)
+            wait_s = EXPELLED_WAIT_S if may_run(table) else 0
+            return now - self.agreed_at >= wait_s
+        # Without a majority that knows, wait until no host can run on a
+        # majority's word any longer.
+        has_all = all(
+            acks.get(life, -1) >= table.epoch for life in table.members.values()
+        )
+        outage_s = OUTAGE_LIMIT_S + EXPELLED_WAIT_S
+        return has_all and now - self.began_at >= outage_s
--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -12,6 +12,7 @@
 from .checkpointer import Checkpointer
 from .config import Settings
 from .dispatch import Dispatcher
+from .fleet import Announcer, Fleet
 from .kernel import Kernel
 from .logclient import LogClient
 from .messages import Call
@@ -55,10 +56,17 @@
             time.time,
         )
         self.targets = Targets(settings.host_list_url, self.log)
+        self.fleet = Fleet(
+            settings,
+            self.host,
+            self.replica,
+            lambda: self.targets.listed,
+            self.log,
+        )
         self.calls = Calls(
             Dispatcher(),
             self.choose,
-            lambda call: _no_settlement,
+            self.fleet.reserve,
             self.log,
         )
         self.checkpointer = Checkpointer(
@@ -80,17 +88,22 @@
             self.check_serving,
             self.hosts,
             self.log,
-            self.operations.routes(),
+            [
+                *self.operations.routes(),
+                *self.fleet.routes(),
+            ],
         )
         self.replica.watchers.append(self._cut_withdrawn)
-        self.kernel.add('replica', self.replica)
         self.kernel.add('targets', self.targets)
+        self.fleet.add_to(self.kernel)
         self.kernel.add('checkpointer', self.checkpointer)
         self.kernel.add('calls', self.calls)
         self.kernel.add('web', self.web)
+        self.kernel.add('announcer', Announcer(self.fleet.membership))
 
     def check_serving(self) -> None:
         """Raise RefusedError while this process must not take calls."""
+        self.fleet.check_fresh()
 
     def rank(self) -> int:
         """Return this host's place among the live entry hosts, from 0."""
@@ -104,10 +117,7 @@
 
     def hosts(self) -> Any:
         """Return what ``GET /v1/hosts`` answers."""
-        zones: dict[str, list[str]] = {}
-        for host in self.targets.listed:
-            if host.role == 'entry' and host.state == 'live':
-                zones.setdefault(host.zone, []).append(host.address)
+        zones = self.fleet.membership.hosts()
         return {'zones': zones, 'ttl_s': self.settings.hosts_ttl_s}
 
     def choose(self, call: Call, tried: frozenset[str]) -> Target:
@@ -186,10 +196,6 @@
     )
 
 
-def _no_settlement(used_tokens: int) -> None:
-    """Settle nothing."""
-
-
 def run(settings: Settings, backend_options: dict[str, Any]) -> None:
     """Run an entry process to its end."""
     logs.start_logging()
--- /dev/null
+++ b/ebonywell/fleet.py
@@ -0,0 +1,131 @@
+"""Assembles the services by which the entry processes act together."""
+
+from collections.abc import Callable
+from functools import partial
+
+import anyio
+from starlette.routing import Route
+
+from .calls import Settle
+from .config import Settings
+from .faults import fault_routes
+from .hostlist import ROLE, HostLine, HostListClient
+from .kernel import Kernel
+from .limits import Limits, stale_refusal
+from .logs import Logger
+from .membership import Membership
+from .messages import Call
+from .peers import Peers
+from .relay import Relay
+from .replica import Replica
+from .targets import ListedHost
+from .types import HostId
+
+
+class Fleet:
+    """The part of a process that deals with the other entry processes.
+
+    Attributes
+    ----------
+    peers : Peers
+    membership : Membership
+    relay : Relay
+    limits : Limits
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        host: HostId,
+        replica: Replica,
+        listed: Callable[[], tuple[ListedHost, ...]],
+        log: Logger,
+    ) -> None:
+        self.allows_faults = settings.allow_faults
+        self.replica = replica
+        self.peers = Peers(
+            host,
+            settings.peer_listen,
+            settings.fleet_secret,
+            log,
+        )
+        line = ListedHost(
+            settings.host_id,
+            ROLE,
+            settings.listen,
+            settings.zone,
+            peer_address=settings.peer_listen,
+        )
+        self.membership = Membership(
+            host,
+            HostLine(line, HostListClient(settings.host_list_url), log),
+            replica,
+            self.peers,
+            listed,
+            log,
+        )
+        self.relay = Relay(replica, self.peers, log)
+        self.limits = Limits(host, replica, self.peers, self.membership, log)
+
+    def add_to(self, kernel: Kernel) -> None:
+        """Add the services and the replica in the order of their start.
+
+        A host that starts while the log is down gets its state from its
+        peers, so their links come before the replica.
+        """
+        kernel.add('peers', self.peers)
+        kernel.add('replica', self.replica)
+        kernel.add('membership', self.membership)
+        kernel.add('limits', self.limits)
+
+    def routes(self) -> list[Route]:
+        """Return the routes by which tests cut links, if they may."""
+        return fault_routes(self.peers) if self.allows_faults else []
+
+    def check_fresh(self) -> None:
+        """Raise RefusedError while this host may be out of date."""
+        if self.membership.is_stale(anyio.current_time()):
+            raise stale_refusal()
+
+    async def reserve(self, call: Call) -> Settle:
+        """Take a call's tokens and return what settles them.
+
+        Raises
+        ------
+        RefusedError
+            If the workspace may not have them now.
+        """
+        if not call.workspace:
+            return _settle_nothing
+        reservation = await self.limits.reserve(
+            call.workspace,
+            call.tokens,
+            call.deadline,
+        )
+        return partial(self.limits.settle, reservation)
+
+
+class Announcer:
+    """The service that is started last and stopped first.
+
+    Attributes
+    ----------
+    membership : Membership
+    """
+
+    def __init__(self, membership: Membership) -> None:
+        self.membership = membership
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Let callers be sent here, now that all services run."""
+        self.membership.announce()
+        ready()
+        await anyio.sleep_forever()
+
+    async def stop(self) -> None:
+        """Have callers sent here no longer."""
+        await self.membership.leave()
+
+
+def _settle_nothing(used_tokens: int) -> None:
+    """Settle a call without a workspace, which is open to all."""
--- a/ebonywell/freshness.py
+++ b/ebonywell/freshness.py
@@ -13,8 +13,6 @@
 EXPELLED_WAIT_S = STALE_AFTER_S + 1.0
 
 
-
-
 @dataclass(slots=True)
 class Touch:
     """What a peer's latest heartbeat proves.
--- a/ebonywell/handshake.py
+++ b/ebonywell/handshake.py
@@ -12,13 +12,12 @@
 from . import wire
 from .exceptions import MalformedFrameError, PeerError
 from .types import HostId
-from .wire import Message
 
 NONCE_BYTES = 16
 MAX_FRAME_BYTES = 4096
 
-Send = Callable[[Message], Awaitable[None]]
-Read = Callable[[], Awaitable[Message]]
+Send = Callable[[wire.Message], Awaitable[None]]
+Read = Callable[[], Awaitable[wire.Message]]
 
 
 def prove(secret: str, role: str, nonces: bytes, host: HostId) -> bytes:
--- a/ebonywell/hostlist.py
+++ b/ebonywell/hostlist.py
@@ -3,17 +3,24 @@
 from types import TracebackType
 from typing import Self
 
+import anyio
 import httpcore
 import msgspec
 
 from .exceptions import PeerError
+from .logs import Logger
 from .targets import ListedHost
+from .types import HostState
 
 TIMEOUT_S = 1.0
 _STATUS_OK = 200
 _STATUS_ERROR = 300
 
 
+ROLE = 'entry'
+PUT_RETRY_S = 1.0
+
+
 class HostListClient:
     """A connection pool to the host list, closed on leaving the context.
 
@@ -78,3 +85,63 @@
             raise PeerError(f'{method} {url}: {late!r}') from late
         if not _STATUS_OK <= response.status < _STATUS_ERROR:
             raise PeerError(f'{method} {url}: status {response.status}')
+
+
+class HostLine:
+    """A process's own line in the host list, with the client that it owns.
+
+    Attributes
+    ----------
+    host : ListedHost
+    client : HostListClient
+    """
+
+    def __init__(
+        self,
+        host: ListedHost,
+        client: HostListClient,
+        log: Logger,
+    ) -> None:
+        self.host = host
+        self.client = client
+        self.log = log
+
+    async def __aenter__(self) -> Self:
+        await self.client.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.client.__aexit__(kind, error, trace)
+
+    async def publish(self, peer_address: str) -> None:
+        """Put the line into the list, however often that has to be tried."""
+        self.host = msgspec.structs.replace(
+            self.host, peer_address=peer_address
+        )
+        while not await self._put():
+            await anyio.sleep(PUT_RETRY_S)
+
+    async def mark_leaving(self) -> None:
+        """Say in the list that this host leaves, if the list answers."""
+        self.host = msgspec.structs.replace(self.host, state=HostState.leaving)
+        await self._put()
+
+    async def remove(self) -> None:
+        """Take the line out of the list, if the list answers."""
+        try:
+            await self.client.delete(self.host.name)
+        except PeerError as error:
+            self.log('host_list_unwritable', reason=str(error))
+
+    async def _put(self) -> bool:
+        try:
+            await self.client.put(self.host)
+        except PeerError as error:
+            self.log('host_list_unwritable', reason=str(error))
+            return False
+        return True
--- a/ebonywell/limits.py
+++ b/ebonywell/limits.py
@@ -5,7 +5,7 @@
 import anyio
 
 from . import ledger as books
-from . import wire
+from . import lending, wire
 from .answers import RefusedError, refuse
 from .changes import WorkspaceSet
 from .ledger import Ledger
@@ -57,8 +57,8 @@
         """Move tokens to where they are asked for, until cancelled."""
         ready()
         while True:
-            now = self._follow()
-            books.tick(self.ledger, now)
+            now = self.follow()
+            lending.tick(self.ledger, now)
             is_waiting = any(
                 self.ledger.accounts[name].waiters
                 for name in self.ledger.active
@@ -67,7 +67,7 @@
 
     async def stop(self) -> None:
         """Give the peers all tokens; this host admits nothing any more."""
-        books.hand_over(self.ledger, self._follow())
+        lending.hand_over(self.ledger, self.follow())
         await anyio.sleep(TICK_S)
 
     async def reserve(
@@ -92,8 +92,8 @@
             If the workspace may not have the tokens now, or this host
             cannot know.
         """
-        now = self._follow()
-        account = self._account(workspace, now)
+        now = self.follow()
+        account = self.open_account(workspace, now)
         if tokens > account.burst:
             raise refuse(
                 'request_too_large',
@@ -110,21 +110,24 @@
     def settle(self, reservation: Reservation, used_tokens: int) -> None:
         """Give back what a request did not use."""
         account = self.ledger.accounts[reservation.workspace]
-        refund(account, reservation, used_tokens, self._follow())
+        refund(account, reservation, used_tokens, self.follow())
 
-    def _follow(self) -> float:
+    def follow(self) -> float:
+        """Take over the registry's epoch, and return the time."""
         now = self.clock()
         books.follow(self.ledger, self.replica.state.registry, now)
         return now
 
-    def _account(self, workspace: str, now: float) -> Account:
+    def open_account(self, workspace: str, now: float) -> Account:
+        """Return a workspace's account.
+
+        Raises
+        ------
+        RefusedError
+            If this host may be out of date or there is no such workspace.
+        """
         if self.membership.is_stale(now):
-            raise refuse(
-                'host_out_of_date',
-                _STATUS_STALE,
-                'This host has lost touch with the log and its peers.',
-                _STALE_RETRY_S,
-            )
+            raise stale_refusal()
         limit = self.replica.state.catalogue.workspaces.get(workspace)
         if limit is None:
             raise refuse(
@@ -148,9 +151,9 @@
     ) -> Reservation | None:
         now = self.clock()
         done = anyio.Event()
-        expires_at = min(deadline, now + books.WAIT_S)
+        expires_at = min(deadline, now + lending.WAIT_S)
         waiter = Waiter(tokens, expires_at, done.set)
-        if not books.wait(self.ledger, account, waiter, now):
+        if not lending.wait(self.ledger, account, waiter, now):
             return None
         is_over = False
         try:
@@ -158,7 +161,7 @@
                 await done.wait()
             is_over = not self.membership.is_stale(self.clock())
         finally:
-            books.leave_queue(account, waiter)
+            lending.leave_queue(account, waiter)
             if waiter.reservation and not is_over:
                 # The caller has gone, or this host was frozen meanwhile.
                 self.settle(waiter.reservation, 0)
@@ -177,13 +180,13 @@
         self.peers.send(name, message)
 
     def _take(self, sender: HostId, message: wire.Transfers) -> None:
-        books.take(self.ledger, sender.name, message, self._follow())
+        lending.take(self.ledger, sender.name, message, self.follow())
 
     def _note_record(self, _: int, record: Record, counted: bool) -> None:
         if not counted or not isinstance(record.body, WorkspaceSet):
             return
         limit = record.body.workspace
-        now = self._follow()
+        now = self.follow()
         is_new = limit.name not in self.ledger.accounts
         account = books.open_account(
             self.ledger,
@@ -194,3 +197,13 @@
         )
         if is_new:
             books.endow(self.ledger, account)
+
+
+def stale_refusal() -> RefusedError:
+    """Return the refusal of a host that may be out of date."""
+    return refuse(
+        'host_out_of_date',
+        _STATUS_STALE,
+        'This host has lost touch with the log and its peers.',
+        _STALE_RETRY_S,
+    )
--- a/ebonywell/peers.py
+++ b/ebonywell/peers.py
@@ -1,6 +1,5 @@
 """Links to the other entry hosts, their heartbeats, and messages to them."""
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,7 +13,6 @@
 from .logs import Logger
 from .misc import split_address
 from .types import HostId
-from .wire import Message
 
 HEARTBEAT_GAP_S = 0.5
 DIAL_TIMEOUT_S = 1.0
@@ -82,7 +80,7 @@
 class _Link:
     name: str
     address: str
-    queue: MemoryObjectSendStream[Message]
+    queue: MemoryObjectSendStream[wire.Message]
     scope: anyio.CancelScope
 
 
@@ -124,7 +122,7 @@
         self.known: dict[str, Peer] = {}
         self.links: dict[str, _Link] = {}
         self.down: set[str] = set()
-        self.handlers: dict[type[Message], list[Handler]] = {}
+        self.handlers: dict[type[wire.Message], list[Handler]] = {}
         self.heartbeat: Callable[[str], wire.Heartbeat] | None = None
         self.listed: Callable[[], list[Address]] = list
         self.traffic = Traffic()
@@ -154,11 +152,11 @@
         self.beat()
         await anyio.sleep(0)
 
-    def add_handler(self, kind: type[Message], handler: Handler) -> None:
+    def add_handler(self, kind: type[wire.Message], handler: Handler) -> None:
         """Have a function called for every message of a kind."""
         self.handlers.setdefault(kind, []).append(handler)
 
-    def send(self, name: str, message: Message) -> bool:
+    def send(self, name: str, message: wire.Message) -> bool:
         """Queue a message for a host, and say whether there is a link.
 
         Nothing is kept for a host without a link, and a full queue drops.
@@ -173,7 +171,7 @@
             return False
         return True
 
-    def broadcast(self, message: Message) -> None:
+    def broadcast(self, message: wire.Message) -> None:
         """Queue a message for every host with a link."""
         for name in list(self.links):
             self.send(name, message)
@@ -210,13 +208,13 @@
             if wanted.get(name) != link.address:
                 link.scope.cancel()
                 self.links.pop(name)
-        for name in wanted.keys() - self.links.keys():
-            sender, receiver = anyio.create_memory_object_stream[Message](
+        for added in wanted.keys() - self.links.keys():
+            sender, receiver = anyio.create_memory_object_stream[wire.Message](
                 QUEUED_MESSAGES,
             )
-            link = _Link(name, wanted[name], sender, anyio.CancelScope())
-            self.links[name] = link
-            group.start_soon(self._keep_link, link, receiver)
+            fresh = _Link(added, wanted[added], sender, anyio.CancelScope())
+            self.links[added] = fresh
+            group.start_soon(self._keep_link, fresh, receiver)
         now = self.clock()
         for gone, peer in list(self.known.items()):
             if now - peer.heard_at > FORGET_AFTER_S:
@@ -237,7 +235,8 @@
     async def _serve_link(self, link: _Link, queued: Any) -> None:
         stream = await _connect(link.address)
         async with stream:
-            with anyio.move_on_after(DIAL_TIMEOUT_S) as scope:
+            scope = anyio.move_on_after(DIAL_TIMEOUT_S)
+            with scope:
                 reader = wire.FrameReader(stream, handshake.MAX_FRAME_BYTES)
                 await handshake.dial(
                     self.secret,
@@ -253,7 +252,7 @@
                 if link.name not in self.cuts.drop:
                     await self._write(stream, message)
 
-    async def _write(self, stream: SocketStream, message: Message) -> None:
+    async def _write(self, stream: SocketStream, message: wire.Message) -> None:
         frame = wire.encode(message)
         try:
             with anyio.fail_after(SEND_TIMEOUT_S):
@@ -275,7 +274,8 @@
 
     async def _serve_peer(self, stream: SocketStream) -> None:
         reader = wire.FrameReader(stream, handshake.MAX_FRAME_BYTES)
-        with anyio.move_on_after(DIAL_TIMEOUT_S) as scope:
+        scope = anyio.move_on_after(DIAL_TIMEOUT_S)
+        with scope:
             peer = await handshake.accept(
                 self.secret,
                 self.host,
@@ -288,9 +288,9 @@
         while peer.name not in self.cuts.refuse:
             message = await reader.read()
             if peer.name not in self.cuts.drop:
-                self._handle(peer, message)
+                self._dispatch(peer, message)
 
-    def _handle(self, sender: HostId, message: Message) -> None:
+    def _dispatch(self, sender: HostId, message: wire.Message) -> None:
         self.traffic.messages_received += 1
         for handler in self.handlers.get(type(message), ()):
             handler(sender, message)
@@ -303,4 +303,3 @@
             return await anyio.connect_tcp(ip, port)
     except OSError as error:
         raise PeerError(f'cannot connect: {error!r}') from error
-
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -5,9 +5,10 @@
 from . import changes
 from .checkpoint import CheckpointPart
 from .exceptions import RecordError
+from .registry import RegistryRecord
 from .types import new_id
 
-Body = changes.CatalogueRecord | CheckpointPart
+Body = changes.CatalogueRecord | CheckpointPart | RegistryRecord
 
 
 class Record(msgspec.Struct, frozen=True):
--- a/ebonywell/refunds.py
+++ b/ebonywell/refunds.py
@@ -6,7 +6,9 @@
 the reservation, so that history is one in which only the use was charged.
 """
 
+import itertools
 import math
+from collections import deque
 from dataclasses import dataclass, field
 
 SLOT_S = 0.25
@@ -21,11 +23,11 @@
     ----------
     first : int
         The number of the first slot kept.
-    lows : list of float
+    lows : deque of float
     """
 
     first: int = 0
-    lows: list[float] = field(default_factory=list)
+    lows: deque[float] = field(default_factory=deque)
 
 
 def slot_of(now: float) -> int:
@@ -48,15 +50,14 @@
     if not room.lows or slot - room.first > 2 * KEPT_SLOTS:
         kept = min(room.lows, default=math.inf)
         room.first = slot
-        room.lows = [kept]
+        room.lows = deque([kept])
     while room.first + len(room.lows) <= slot:
         room.lows.append(math.inf)
     room.lows[-1] = min(room.lows[-1], free)
-    surplus = len(room.lows) - KEPT_SLOTS
-    if surplus > 0:
-        merged = min(room.lows[: surplus + 1])
-        room.lows[: surplus + 1] = [merged]
-        room.first += surplus
+    while len(room.lows) > KEPT_SLOTS:
+        oldest = room.lows.popleft()
+        room.lows[0] = min(room.lows[0], oldest)
+        room.first += 1
 
 
 def take(room: Room, since: int, wanted: float) -> float:
@@ -72,7 +73,8 @@
         Tokens reserved and not used.
     """
     start = max(0, since - room.first)
-    kept = max(0, min(wanted, *room.lows[start:]))
-    for index in range(start, len(room.lows)):
-        room.lows[index] -= kept
+    later = list(itertools.islice(room.lows, start, None))
+    kept = max(0, min(wanted, *later))
+    room.lows = deque(itertools.islice(room.lows, start))
+    room.lows.extend(low - kept for low in later)
     return kept
--- a/ebonywell/relay.py
+++ b/ebonywell/relay.py
@@ -5,11 +5,12 @@
 import anyio
 import msgspec
 
-from . import state, wire
+from . import wire
 from .exceptions import RecordError
 from .logs import Logger
 from .peers import Peers
 from .replica import Replica
+from .state import decode_state, encode_state
 from .types import HostId
 
 READ_LATE_S = 2.0
@@ -39,7 +40,7 @@
         self.peers = peers
         self.log = log
         self.clock = clock
-        self.fetched_at = 0.0
+        self.fetched_at: float = 0
         peers.add_handler(wire.Heartbeat, self._compare)
         peers.add_handler(wire.Fetch, self._answer)
         peers.add_handler(wire.LogRecords, self._take_records)
@@ -59,7 +60,7 @@
         if fetch.offset > self.replica.state.applied:
             return
         if not tail or tail[0].offset > fetch.offset:
-            content = state.encode(self.replica.state)
+            content = encode_state(self.replica.state)
             self.peers.send(sender.name, wire.StateCopy(content))
             return
         wanted = [one for one in tail if one.offset >= fetch.offset]
@@ -81,7 +82,7 @@
     def _take_state(self, sender: HostId, message: wire.StateCopy) -> None:
         before = self.replica.state.applied
         try:
-            copied = state.decode(message.content)
+            copied = decode_state(message.content)
         except RecordError as error:
             self.log('state_unreadable', peer=sender, reason=str(error))
             return
@@ -92,10 +93,10 @@
         applied = self.replica.state.applied
         if applied <= before:
             return
-        self.replica.note_changed()
         self.log('records_relayed', peer=sender, first=before + 1, last=applied)
         peer = self.peers.known.get(sender.name)
         if peer is not None and applied >= peer.heartbeat.applied:
-            self.replica.is_ready = True
+            self.replica.is_complete = True
         else:
             self.peers.send(sender.name, wire.Fetch(applied + 1))
+        self.replica.notify()
--- a/ebonywell/replica.py
+++ b/ebonywell/replica.py
@@ -11,7 +11,7 @@
 from .appender import Appender, Ticket
 from .checkpoint import Assembly, CheckpointPart, add_part
 from .exceptions import LogGapError, LogOutageError, RecordError
-from .logclient import LONG_POLL_S, LogClient, Page, Stored
+from .logclient import LONG_POLL_S, LogClient, Stored
 from .logs import Logger
 from .state import State, apply_record
 from .types import HostId
@@ -33,7 +33,7 @@
     tail : deque of Stored
         The latest records as parsed JSON, for peers cut off from the log.
     read_at : float
-        When the log last answered a read, by `clock`.
+        When the latest read that reached the log's end was sent, by `clock`.
     first_offset : int
         The first offset that the log held then.
     checkpoint_offset : int
@@ -185,20 +185,20 @@
     async def _follow_page(self) -> None:
         wait_s = LONG_POLL_S if self.is_complete else 0
         applied = self.state.applied
+        sent_at = self.clock()
         page = await self.client.read(applied + 1, wait_s)
         if applied != self.state.applied and not page.records:
             return
-        self._note_read(page)
+        self.first_offset = page.first_offset
         for stored in page.records:
             self.take(stored.offset, stored.record)
         if self.state.applied + 1 >= page.end_offset:
+            # A frozen process may see an old answer late, so the time that
+            # counts is when it was asked for.
+            self.read_at = sent_at
             self.is_complete = True
         self.notify()
 
-    def _note_read(self, page: Page) -> None:
-        self.read_at = self.clock()
-        self.first_offset = page.first_offset
-
     async def _recover(self, first_offset: int) -> None:
         """Look for a checkpoint in all that the log still holds."""
         self.log('log_gap', first_offset=first_offset)
--- a/ebonywell/shares.py
+++ b/ebonywell/shares.py
@@ -79,6 +79,10 @@
         The workspace's, over all hosts: tokens a second, and tokens.
     minted_at : float
         When `level` was right, in seconds.
+    homes : list of str
+        The hosts among which the epoch divides the bucket.
+    own : int
+        This host's part of that division, of `WHOLE`.
     share : int
         The part of the rate that is minted here, of `WHOLE`.
     cap : int
@@ -109,6 +113,8 @@
     rate: float
     burst: float
     minted_at: float
+    homes: list[str] = field(default_factory=list)
+    own: int = 0
     share: int = 0
     cap: int = 0
     level: float = 0
@@ -159,11 +165,11 @@
         _clip(account, now)
 
 
-def shrink(account: Account, share: int, now: float) -> None:
-    """Begin an epoch with the lesser of the present and the new share."""
+def shrink(account: Account, now: float) -> None:
+    """Begin an epoch with the lesser of the present and its own share."""
     mint(account, now)
-    account.share = min(account.share, share)
-    account.cap = min(account.cap, share)
+    account.share = min(account.share, account.own)
+    account.cap = min(account.cap, account.own)
     account.sent.clear()
     account.received.clear()
     account.spare.clear()
@@ -171,11 +177,11 @@
     _clip(account, now)
 
 
-def grow(account: Account, share: int, now: float) -> None:
+def grow(account: Account, now: float) -> None:
     """Take the whole share of a settled epoch; it comes without tokens."""
     mint(account, now)
-    account.share = share
-    account.cap = share
+    account.share = account.own
+    account.cap = account.own
 
 
 def spend(account: Account, tokens: int, now: float) -> Reservation | None:
--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -13,6 +13,14 @@
 from .checkpoint import CheckpointPart
 from .exceptions import RecordError
 from .records import Record
+from .registry import (
+    EpochSettled,
+    HostExpelled,
+    HostLeft,
+    HostRegistered,
+    Registry,
+)
+from .registry import apply as apply_membership
 
 
 @dataclass(slots=True)
@@ -30,6 +38,7 @@
     applied: int = -1
     written_at: float = 0
     catalogue: Catalogue = field(default_factory=Catalogue)
+    registry: Registry = field(default_factory=Registry)
 
 
 def _apply_catalogue(state: State, offset: int, record: Record) -> bool:
@@ -37,6 +46,11 @@
     return apply_change(state.catalogue, offset, body)
 
 
+def _apply_registry(state: State, offset: int, record: Record) -> bool:
+    body: Any = record.body
+    return apply_membership(state.registry, offset, body)
+
+
 def _apply_nothing(state: State, offset: int, record: Record) -> bool:
     return True
 
@@ -52,6 +66,10 @@
         changes.KeyIssued: _apply_catalogue,
         changes.KeyWithdrawn: _apply_catalogue,
         CheckpointPart: _apply_nothing,
+        HostRegistered: _apply_registry,
+        HostLeft: _apply_registry,
+        HostExpelled: _apply_registry,
+        EpochSettled: _apply_registry,
     }
 )
 
--- a/ebonywell/wire.py
+++ b/ebonywell/wire.py
@@ -16,7 +16,9 @@
 
 from .exceptions import MalformedFrameError, PeerError
 
-MAX_FRAME_BYTES = 64 * 1024 * 1024
+_MIB = 1024 * 1024
+MAX_FRAME_MIB = 64
+MAX_FRAME_BYTES = MAX_FRAME_MIB * _MIB
 _LENGTH_BYTES = 4
 _WORD_BYTES = 8
 _READ_BYTES = 65536
@@ -162,6 +164,12 @@
     | Transfers
     | Note
 )
+_ENDS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
 _Wanted = TypeVar('_Wanted')
 
 _KINDS: Mapping[str, type[Message]] = MappingProxyType(
@@ -263,12 +271,7 @@
         while len(self.buffered) < count:
             try:
                 self.buffered += await self.stream.receive(_READ_BYTES)
-            except (
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-                OSError,
-            ) as error:
+            except _ENDS as error:
                 raise PeerError(f'connection ended: {error!r}') from error
         taken = bytes(self.buffered[:count])
         del self.buffered[:count]  # noqa: WPS420 - the idiom for bytearrays
--- /dev/null
+++ b/lab/limits_fleet.py
@@ -0,0 +1,452 @@
+"""A few entry hosts in memory: their limits under faults and a virtual clock.
+
+Log, links and clocks are small fakes; membership, relay and limits are the
+program's own.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import msgspec
+
+from ebonywell import ledger as books
+from ebonywell import lending, logs, registry
+from ebonywell.answers import RefusedError
+from ebonywell.changes import Workspace, WorkspaceSet
+from ebonywell.hostlist import ROLE, HostLine
+from ebonywell.limits import TICK_S, Limits
+from ebonywell.membership import Membership
+from ebonywell.peers import HEARTBEAT_GAP_S, Peer, Peers
+from ebonywell.records import Body, make_record
+from ebonywell.relay import Relay
+from ebonywell.replica import Replica
+from ebonywell.shares import Reservation, Waiter
+from ebonywell.targets import ListedHost
+from ebonywell.types import HostId
+from ebonywell.wire import Heartbeat, Message, Transfers, encode
+
+READ_GAP_S = 0.25
+READ_TRIP_S = 0.004
+APPEND_TRIP_S = 0.01
+TRIP_S = 0.0015
+TRIP_SPREAD_S = 0.002
+WAITING_TICK_S = 0.02
+REGISTRY_GAP_S = 0.25
+ZONE = 'az1'
+
+
+@dataclass(slots=True)
+class Admitted:
+    """A request that was admitted.
+
+    Attributes
+    ----------
+    at : float
+        Seconds since the start.
+    workspace : str
+    host : str
+    tokens : int
+        Those used, once they are known; until then those reserved.
+    """
+
+    at: float
+    workspace: str
+    host: str
+    tokens: int
+
+
+@dataclass(slots=True)
+class Tally:
+    """What became of the requests of a workspace."""
+
+    admitted: int = 0
+    limited: int = 0
+    stale: int = 0
+    waited: int = 0
+    lost: int = 0
+    waits_s: list[float] = field(default_factory=list)
+
+
+class FakePeers:
+    """Stands for the links of one host."""
+
+    def __init__(self, host: 'FakeHost') -> None:
+        self.host = host
+        self.address = f'{host.id.name}:1'
+        self.known: dict[str, Peer] = {}
+        self.handlers: dict[type[Message], list[Any]] = {}
+        self.heartbeat: Callable[[str], Heartbeat] | None = None
+        self.listed: Any = None
+        self.add_handler(Heartbeat, self._note)
+
+    def add_handler(self, kind: type[Message], handler: Any) -> None:
+        """Have a function called for every message of a kind."""
+        self.handlers.setdefault(kind, []).append(handler)
+
+    def send(self, name: str, message: Message) -> bool:
+        """Send a message with the fleet's delays and faults."""
+        return self.host.fleet.send(self.host, name, message)
+
+    def beat(self) -> None:
+        """Send a heartbeat to every other host."""
+        for name in self.host.fleet.hosts:
+            if name != self.host.id.name and self.heartbeat is not None:
+                self.send(name, self.heartbeat(name))
+
+    def handle_message(self, sender: HostId, message: Message) -> None:
+        """Hand a message to its handlers."""
+        for handler in self.handlers.get(type(message), ()):
+            handler(sender, message)
+
+    def _note(self, sender: HostId, beat: Heartbeat) -> None:
+        self.known[sender.name] = Peer(sender, beat, self.host.clock())
+
+
+class FakeHost:
+    """One life of a host, with the program's own membership and limits.
+
+    Attributes
+    ----------
+    id : HostId
+    frozen_until : float
+    is_dead, is_leaving, has_log : bool
+    held_back : list of callable
+        What waits for a frozen host to resume.
+    """
+
+    def __init__(self, fleet: 'Fleet', host_id: HostId, address: str) -> None:
+        self.fleet = fleet
+        self.id = host_id
+        self.skew_s = fleet.chance.uniform(0, 1000)
+        self.frozen_until: float = 0
+        self.is_dead = False
+        self.is_leaving = False
+        self.has_log = True
+        self.is_reading = False
+        self.appended_at = -math.inf
+        self.held_back: list[Callable[[], None]] = []
+        self.peers = FakePeers(self)
+        self.peers.address = address
+        peers = cast(Peers, self.peers)
+        self.replica = Replica(
+            cast(Any, None),
+            host_id,
+            logs.discard_event,
+            self.clock,
+        )
+        line = ListedHost(host_id.name, ROLE, address, ZONE)
+        self.membership = Membership(
+            host_id,
+            HostLine(line, cast(Any, None), logs.discard_event),
+            self.replica,
+            peers,
+            tuple,
+            logs.discard_event,
+            self.clock,
+        )
+        self.relay = Relay(self.replica, peers, logs.discard_event, self.clock)
+        self.limits = Limits(
+            host_id,
+            self.replica,
+            peers,
+            self.membership,
+            logs.discard_event,
+            self.clock,
+        )
+        self.membership.is_open = True
+
+    def clock(self) -> float:
+        """Return the host's own monotonic time."""
+        return self.fleet.now + self.skew_s
+
+    def when_awake(self, action: Callable[[], None]) -> None:
+        """Act now, or on resuming if frozen, or never if dead."""
+        if self.is_dead:
+            return
+        if self.fleet.now < self.frozen_until:
+            self.held_back.append(action)
+        else:
+            action()
+
+    def resume(self) -> None:
+        """Do what waited while the host was frozen."""
+        if self.is_dead or self.fleet.now < self.frozen_until:
+            return
+        waiting = list(self.held_back)
+        self.held_back.clear()
+        for action in waiting:
+            action()
+
+    def read_log(self) -> None:
+        """Ask the log for what is new; the answer may find the host frozen."""
+        fleet = self.fleet
+        if self.is_reading or not fleet.log_is_up or not self.has_log:
+            return
+        sent_at = self.clock()
+        start = self.replica.state.applied + 1
+        page = list(enumerate(fleet.records[start:], start))
+        self.is_reading = True
+        fleet.after(
+            READ_TRIP_S,
+            lambda: self.when_awake(lambda: self._take_page(page, sent_at)),
+        )
+
+    def keep_registry(self) -> None:
+        """Write the record that is due, as `Membership.run` does."""
+        now = self.clock()
+        if not self.replica.is_complete or self.is_leaving:
+            return
+        self.membership.acks[str(self.id)] = self.replica.state.applied
+        record = self.membership.due_record(now)
+        if record is not None and now - self.appended_at > 1:
+            self.appended_at = now
+            self.append(record)
+
+    def append(self, record: Body) -> None:
+        """Append a record, unless the log is down for this host."""
+        if self.fleet.log_is_up and self.has_log:
+            self.fleet.after(APPEND_TRIP_S, lambda: self.fleet.append(record))
+
+    def tick(self) -> None:
+        """Move tokens, as `Limits.run` does."""
+        lending.tick(self.limits.ledger, self.limits.follow())
+
+    def leave(self) -> None:
+        """Hand over and leave, as a planned stop does."""
+        self.is_leaving = True
+        self.limits.follow()
+        lending.hand_over(self.limits.ledger, self.clock())
+        self.append(registry.HostLeft(self.id.name, self.id.incarnation))
+        self.fleet.after(1, self.die)
+
+    def die(self) -> None:
+        """End at once."""
+        self.is_dead = True
+
+    def request(self, workspace: str, tokens: int, used: int) -> None:
+        """Take a request of a caller."""
+        tally = self.fleet.tallies.setdefault(workspace, Tally())
+        if self.is_dead or self.is_leaving:
+            tally.lost += 1
+            return
+        self.when_awake(lambda: self._admit(workspace, tokens, used, tally))
+
+    def _take_page(self, page: list[tuple[int, object]], at: float) -> None:
+        self.is_reading = False
+        for offset, parsed in page:
+            self.replica.take(offset, parsed)
+        self.replica.read_at = at
+        self.replica.is_complete = True
+
+    def _admit(
+        self,
+        workspace: str,
+        tokens: int,
+        used: int,
+        tally: Tally,
+    ) -> None:
+        now = self.limits.follow()
+        try:
+            account = self.limits.open_account(workspace, now)
+        except RefusedError:
+            tally.stale += 1
+            return
+        ledger = self.limits.ledger
+        taken = books.reserve(ledger, account, tokens, now)
+        if taken is not None:
+            tally.waits_s.append(0)
+            self._run(taken, used, tally)
+            return
+
+        def finish() -> None:
+            if self.membership.is_stale(self.clock()):
+                tally.stale += 1
+            elif waiter.reservation is None:
+                tally.limited += 1
+            else:
+                tally.waited += 1
+                tally.waits_s.append(self.clock() - now)
+                self._run(waiter.reservation, used, tally)
+
+        waiter = Waiter(tokens, now + lending.WAIT_S, finish)
+        if lending.wait(ledger, account, waiter, now):
+            self._poll(WAITING_TICK_S, waiter)
+        else:
+            tally.limited += 1
+
+    def _poll(self, gap_s: float, waiter: Waiter) -> None:
+        account_waiters = [
+            account.waiters for account in self.limits.ledger.accounts.values()
+        ]
+        if any(waiter in waiters for waiters in account_waiters):
+            self.when_awake(self.tick)
+            self.fleet.after(gap_s, lambda: self._poll(gap_s, waiter))
+
+    def _run(self, taken: Reservation, used: int, tally: Tally) -> None:
+        tally.admitted += 1
+        fleet = self.fleet
+        entry = Admitted(
+            fleet.now,
+            taken.workspace,
+            self.id.name,
+            taken.tokens,
+        )
+        fleet.history.append(entry)
+
+        def settle() -> None:
+            entry.tokens = used
+            self.limits.settle(taken, used)
+
+        fleet.after(
+            fleet.chance.uniform(0.1, 3),
+            lambda: self.when_awake(settle),
+        )
+
+
+class Fleet:
+    """Hosts, a log, links and the virtual time.
+
+    Attributes
+    ----------
+    now : float
+        Seconds since the start.
+    hosts : dict of str to FakeHost
+        The latest life of each name.
+    records : list of object
+        The log.
+    cuts : set of frozenset of str
+        Pairs of hosts that cannot reach each other.
+    history : list of Admitted
+    """
+
+    def __init__(self, seed: int, names: list[str]) -> None:
+        self.chance = random.Random(seed)
+        self.now: float = 0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.hosts: dict[str, FakeHost] = {}
+        self.records: list[object] = []
+        self.log_is_up = True
+        self.cuts: set[frozenset[str]] = set()
+        self.loss: float = 0
+        self.doubling: float = 0
+        self.messages = 0
+        self.message_bytes = 0
+        self.history: list[Admitted] = []
+        self.tallies: dict[str, Tally] = {}
+        for name in names:
+            self.start(name)
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Act after a delay."""
+        event = (self.now + delay_s, next(self.numbers), action)
+        heapq.heappush(self.events, event)
+
+    def run_until(self, end: float) -> None:
+        """Let time pass."""
+        while self.events and self.events[0][0] <= end:
+            at, _, action = heapq.heappop(self.events)
+            self.now = at
+            action()
+        self.now = end
+
+    def start(self, name: str, address: str = '') -> FakeHost:
+        """Start a new life of a host."""
+        incarnation = str(next(self.numbers))
+        host = FakeHost(self, HostId(name, incarnation), address or name)
+        self.hosts[name] = host
+        self._repeat(HEARTBEAT_GAP_S, host, host.peers.beat)
+        self._repeat(READ_GAP_S, host, host.read_log)
+        self._repeat(REGISTRY_GAP_S, host, host.keep_registry)
+        self._repeat(TICK_S, host, host.tick)
+        return host
+
+    def freeze(self, host: FakeHost, seconds: float) -> None:
+        """Stop a host's process for a while; its sockets fill meanwhile."""
+        host.frozen_until = max(host.frozen_until, self.now + seconds)
+        self.after(seconds, host.resume)
+
+    def append(self, record: Body) -> None:
+        """Put a record into the log, whose readers are told at once."""
+        made = make_record(record, '', self.now)
+        self.records.append(msgspec.to_builtins(made))
+        for host in self.hosts.values():
+            host.when_awake(host.read_log)
+
+    def add_workspace(self, name: str, rate: float, burst: float) -> None:
+        """Create a workspace."""
+        self.append(WorkspaceSet(Workspace(name, rate, burst)))
+
+    def send(self, sender: FakeHost, name: str, message: Message) -> bool:
+        """Deliver a message late, twice or not at all."""
+        target = self.hosts.get(name)
+        is_cut = frozenset((sender.id.name, name)) in self.cuts
+        if target is None or is_cut or self.chance.random() < self.loss:
+            return False
+        if isinstance(message, Transfers):
+            self.messages += 1
+            self.message_bytes += len(encode(message))
+        self._deliver(sender.id, target, message)
+        if self.chance.random() < self.doubling:
+            self._deliver(sender.id, target, message)
+        return True
+
+    def _deliver(
+        self,
+        sender: HostId,
+        target: FakeHost,
+        message: Message,
+    ) -> None:
+        def hand_over() -> None:
+            target.when_awake(
+                lambda: target.peers.handle_message(sender, message),
+            )
+
+        delay_s = TRIP_S + self.chance.random() * TRIP_SPREAD_S
+        self.after(delay_s, hand_over)
+
+    def _repeat(
+        self,
+        gap_s: float,
+        host: FakeHost,
+        action: Callable[[], None],
+    ) -> None:
+        def act() -> None:
+            if not host.is_dead:
+                # A frozen process does not catch up on the rounds it missed.
+                if self.now >= host.frozen_until:
+                    action()
+                self.after(gap_s, act)
+
+        self.after(self.chance.random() * gap_s, act)
+
+
+def find_excess(
+    history: list[Admitted],
+    workspace: str,
+    rate: float,
+    burst: float,
+) -> float:
+    """Return by how many tokens the worst window exceeds rate and burst.
+
+    Returns
+    -------
+    float
+        0 or less if every window keeps to the bound.
+    """
+    excess = -math.inf
+    filled: float = 0
+    before: float = 0
+    for admitted in sorted(history, key=lambda one: one.at):
+        if admitted.workspace != workspace:
+            continue
+        filled = max(0, filled - rate * (admitted.at - before))
+        filled += admitted.tokens
+        before = admitted.at
+        excess = max(excess, filled - burst)
+    return excess
