--- /dev/null
+++ b/ebonywell/control.py
@@ -0,0 +1,278 @@
+"""What the operators' commands do, and the outcomes that they report."""
+
+import secrets
+import time
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from urllib.parse import urlencode
+
+import anyio
+import msgspec
+
+from . import catfile, changes, differences, opmessages
+from .batches import (
+    Batch,
+    ChangeReport,
+    ChangeState,
+    report_line,
+    worst_code,
+)
+from .catalogue import key_digest
+from .exceptions import OperatorError, OutcomeUnknownError
+from .exitcodes import ExitCode, exit_code
+from .opclient import OperatorClient
+from .outcomes import Outcome, catalogue_lines, event_line
+from .timeline import EventFilter
+
+KEY_BYTES = 32
+KEY_ID_BYTES = 6
+
+
+class Operator:
+    """Does what one command asks, through a client.
+
+    Attributes
+    ----------
+    client : OperatorClient
+    """
+
+    def __init__(self, client: OperatorClient) -> None:
+        self.client = client
+
+    async def show_catalogue(self) -> Outcome:
+        """Return the catalogue in force."""
+        view = await self._fetch_catalogue()
+        return Outcome(ExitCode.ok, view, catalogue_lines(view))
+
+    async def diff(self, path: Path, prune: bool) -> Outcome:
+        """Return what `apply` would change."""
+        wanted = catfile.read_file(path)
+        view = await self._fetch_catalogue()
+        found = differences.find_changes(wanted, view, prune)
+        planned = [differences.describe(change) for change in found]
+        kept = _extras(wanted, view, prune)
+        lines = planned or ['nothing to change']
+        return Outcome(
+            ExitCode.ok,
+            {'changes': planned, 'not_in_file': kept},
+            [*lines, *_kept_lines(kept)],
+        )
+
+    async def apply(self, path: Path, prune: bool) -> Outcome:
+        """Send the differences between a file and the catalogue."""
+        wanted = catfile.read_file(path)
+        view = await self._fetch_catalogue()
+        found = differences.find_changes(wanted, view, prune)
+        batch = Batch(self.client)
+        await batch.send(found)
+        kept = _extras(wanted, view, prune)
+        lines = [report_line(report) for report in batch.reports]
+        return Outcome(
+            worst_code(batch.reports),
+            {'changes': batch.reports, 'not_in_file': kept},
+            [*(lines or ['nothing to change']), *_kept_lines(kept)],
+        )
+
+    async def remove(self, kind: str, names: Sequence[str]) -> Outcome:
+        """Remove an entry or a workspace, or end an approval."""
+        view = await self._fetch_catalogue()
+        revision = differences.revision_of(view, kind, *names)
+        change = _removal(kind, names, revision)
+        accepted = await self.client.change(change)
+        report = ChangeReport(
+            differences.describe(change),
+            ChangeState.accepted,
+            accepted,
+        )
+        return Outcome(ExitCode.ok, report, [report_line(report)])
+
+    async def issue_key(self, workspace: str) -> Outcome:
+        """Make a key, send its digest, and return the key once.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            With the id, so that the key can be withdrawn.
+        """
+        key = secrets.token_urlsafe(KEY_BYTES)
+        key_id = secrets.token_hex(KEY_ID_BYTES)
+        issued = changes.KeyIssued(key_id, key_digest(key), workspace)
+        try:
+            await self.client.change(issued)
+        except OutcomeUnknownError as error:
+            raise OutcomeUnknownError(
+                f'{error}; withdraw key {key_id} and issue another',
+            ) from error
+        body = {'key_id': key_id, 'workspace': workspace, 'key': key}
+        lines = [f'key_id     {key_id}', f'workspace  {workspace}']
+        return Outcome(ExitCode.ok, body, [*lines, f'key        {key}'])
+
+    async def withdraw_key(self, key_id: str) -> Outcome:
+        """Withdraw a key at all given processes at once."""
+        outcomes = await self.client.change_at_all(
+            changes.KeyWithdrawn(key_id),
+        )
+        lines: list[str] = []
+        told: dict[str, object] = {}
+        accepted = False
+        errors: list[Exception] = []
+        for url, outcome in outcomes.items():
+            if isinstance(outcome, int):
+                accepted = True
+                lines.append(f'accepted  {url}  revision {outcome}')
+                told[url] = {'revision': outcome}
+            else:
+                errors.append(outcome)
+                lines.append(f'failed    {outcome}')
+                told[url] = {'error': str(outcome)}
+        code = ExitCode.ok if accepted else max(map(exit_code, errors))
+        return Outcome(code, {'key_id': key_id, 'hosts': told}, lines)
+
+    async def list_keys(self) -> Outcome:
+        """Return all keys' ids, workspaces and states."""
+        path = f'{opmessages.PREFIX}/keys'
+        view = await self.client.fetch(path, opmessages.KeysView)
+        lines = [
+            f'{key.key_id}  {key.workspace}  {_key_state(key)}'
+            for key in view.keys
+        ]
+        return Outcome(ExitCode.ok, view, lines)
+
+    async def status(self) -> Outcome:
+        """Return how every process is that can be reached or is listed."""
+        await self._find_hosts()
+        views: list[opmessages.StatusView] = []
+        missing: dict[str, str] = {}
+        path = f'{opmessages.PREFIX}/status'
+
+        async def collect(url: str) -> None:
+            try:
+                view = await self.client.fetch_from(
+                    url,
+                    path,
+                    opmessages.StatusView,
+                )
+            except OperatorError as error:
+                missing[url] = str(error)
+            else:
+                views.append(view)
+
+        async with anyio.create_task_group() as group:
+            for each in self.client.urls:
+                group.start_soon(collect, each)
+        views.sort(key=lambda view: view.host)
+        lines = [
+            *(_status_line(view) for view in views),
+            *(f'missing  {reason}' for reason in missing.values()),
+        ]
+        return Outcome(
+            _code_of_missing(len(views), len(missing)),
+            {'hosts': views, 'missing': missing},
+            lines,
+        )
+
+    async def timeline(self, wanted: EventFilter, past_s: float) -> Outcome:
+        """Return the events of all processes in one order.
+
+        Parameters
+        ----------
+        wanted : EventFilter
+            Its ``since`` is replaced.
+        past_s : float
+            How far to look back, in seconds; 0 for all that is kept.
+        """
+        await self._find_hosts()
+        query = msgspec.to_builtins(wanted)
+        query['since'] = time.time() - past_s if past_s else 0
+        events, missing = await self.client.fetch_timeline(urlencode(query))
+        reasons = {url: str(error) for url, error in missing.items()}
+        found = len(self.client.urls) - len(missing)
+        lines = [event_line(event) for event in events]
+        return Outcome(
+            _code_of_missing(found, len(missing)),
+            {'events': events, 'missing': reasons},
+            lines,
+            [f'missing  {reason}' for reason in reasons.values()],
+        )
+
+    async def _fetch_catalogue(self) -> opmessages.CatalogueView:
+        path = f'{opmessages.PREFIX}/catalogue'
+        return await self.client.fetch(path, opmessages.CatalogueView)
+
+    async def _find_hosts(self) -> None:
+        try:
+            await self.client.find_hosts()
+        except OperatorError:
+            # The given addresses are asked all the same, and each one that
+            # does not answer is reported.
+            return
+
+
+def check_file(path: Path) -> Outcome:
+    """Return what a catalogue file holds, without asking any process.
+
+    Raises
+    ------
+    CatalogueFileError
+        With every fault of the file.
+    """
+    wanted = catfile.read_file(path)
+    models = catfile.count_models(wanted)
+    counts = {
+        'models': models,
+        'services': len(wanted.entries) - models,
+        'workspaces': len(wanted.workspaces),
+        'approvals': len(wanted.approvals),
+    }
+    listed = ', '.join(f'{count} {name}' for name, count in counts.items())
+    return Outcome(ExitCode.ok, counts, [f'{path}: {listed}, no faults'])
+
+
+def _removal(
+    kind: str,
+    names: Sequence[str],
+    revision: int,
+) -> changes.CatalogueRecord:
+    if kind == 'entry':
+        return changes.EntryRemoved(names[0], revision)
+    if kind == 'workspace':
+        return changes.WorkspaceRemoved(names[0], revision)
+    return changes.ApprovalSet(
+        workspace=names[0],
+        entry=names[1],
+        granted=False,
+        replaces=revision,
+    )
+
+
+def _extras(
+    wanted: catfile.WantedCatalogue,
+    view: opmessages.CatalogueView,
+    prune: bool,
+) -> list[str]:
+    if prune:
+        return []
+    extras = differences.find_extras(wanted, view)
+    return [differences.describe(extra) for extra in extras]
+
+
+def _kept_lines(kept: Iterable[str]) -> list[str]:
+    return [f'not in the file, kept: {extra}' for extra in kept]
+
+
+def _code_of_missing(found: int, missing: int) -> ExitCode:
+    if not found:
+        return ExitCode.not_reachable
+    return ExitCode.failed if missing else ExitCode.ok
+
+
+def _key_state(key: opmessages.KeyView) -> str:
+    return 'withdrawn' if key.withdrawn else 'in force'
+
+
+def _status_line(view: opmessages.StatusView) -> str:
+    return (
+        f'{view.host}  applied {view.applied}  '
+        f'log answered {view.log_age_s:.1f} s ago  '
+        f'unreadable {view.unreadable}'
+    )
--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -1,13 +1,14 @@
 """Assembles an entry process from its services and runs it."""
 
 import signal
-import time
+from collections import Counter
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
 
 from . import changes, logs
-from .answers import Refusal, refuse
+from .answers import refuse
 from .calls import Calls
 from .checkpointer import Checkpointer
 from .config import Settings
@@ -18,12 +19,13 @@
 from .messages import Call
 from .metrics import Metrics
 from .operations import Operations
+from .planner import Planner
 from .records import Record
 from .replica import Replica
 from .targets import Target, Targets
 from .timeline import Timeline
-from .types import HostId, RunState, new_incarnation
-from .web import Web
+from .types import HostId, new_incarnation
+from .web import Web, stopping_refusal
 
 _STATUS_UNAVAILABLE = 503
 _RETRY_AFTER_S = 1.0
@@ -37,6 +39,7 @@
     kernel : Kernel
     replica : Replica
     targets : Targets
+    planner : Planner
     calls : Calls
     web : Web
     """
@@ -52,8 +55,6 @@
             LogClient(settings.log_url),
             self.host,
             self.log,
-            anyio.current_time,
-            time.time,
         )
         self.targets = Targets(settings.host_list_url, self.log)
         self.fleet = Fleet(
@@ -93,9 +94,16 @@
                 *self.fleet.routes(),
             ],
         )
+        self.planner = Planner(
+            self.replica,
+            self.targets,
+            self.demand,
+            self.log,
+        )
         self.replica.watchers.append(self._cut_withdrawn)
         self.kernel.add('targets', self.targets)
         self.fleet.add_to(self.kernel)
+        self.kernel.add('planner', self.planner)
         self.kernel.add('checkpointer', self.checkpointer)
         self.kernel.add('calls', self.calls)
         self.kernel.add('web', self.web)
@@ -105,6 +113,14 @@
         """Raise RefusedError while this process must not take calls."""
         self.fleet.check_fresh()
 
+    def demand(self) -> Mapping[str, float]:
+        """Return the requests of this process that run now, by model."""
+        return Counter(
+            opened.call.entry.name
+            for opened in self.calls.open.values()
+            if opened.call.is_model
+        )
+
     def rank(self) -> int:
         """Return this host's place among the live entry hosts, from 0."""
         names = sorted(
@@ -165,7 +181,7 @@
                 self.log('signal', number=int(number))
                 if stopping.is_set():
                     self.web.server.should_exit = True
-                    self.calls.cut(lambda _: True, _stopping_refusal())
+                    self.calls.cut(lambda _: True, stopping_refusal())
                 stopping.set()
 
     def _cut_withdrawn(self, _: int, record: Record, counted: bool) -> None:
@@ -186,16 +202,6 @@
     )
 
 
-def _stopping_refusal() -> Refusal:
-    return Refusal(
-        'host_stopping',
-        _STATUS_UNAVAILABLE,
-        'This host stops now.',
-        RunState.not_run,
-        _RETRY_AFTER_S,
-    )
-
-
 def run(settings: Settings, backend_options: dict[str, Any]) -> None:
     """Run an entry process to its end."""
     logs.start_logging()
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -2,13 +2,19 @@
 
 import msgspec
 
-from . import changes
+from . import changes, leases, orders
 from .checkpoint import CheckpointPart
 from .exceptions import RecordError
 from .registry import RegistryRecord
 from .types import new_id
 
-Body = changes.CatalogueRecord | CheckpointPart | RegistryRecord
+Body = (
+    changes.CatalogueRecord
+    | leases.LeaseRecord
+    | orders.OrderRecord
+    | RegistryRecord
+    | CheckpointPart
+)
 
 
 class Record(msgspec.Struct, frozen=True):
