--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -25,6 +25,7 @@
 from .targets import Target, Targets
 from .timeline import Timeline
 from .types import HostId, new_incarnation
+from .usage import Usage
 from .web import Web, stopping_refusal
 
 _STATUS_UNAVAILABLE = 503
@@ -47,9 +48,12 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.host = HostId(settings.host_id, new_incarnation())
-        self.log = logs.bind(logs.write_event, host=settings.host_id)
+        self.timeline = Timeline(
+            str(self.host),
+            logs.bind(logs.write_event, host=settings.host_id),
+        )
+        self.log = self.timeline.record
         self.kernel = Kernel()
-        self.timeline = Timeline(str(self.host))
         self.metrics = Metrics()
         self.replica = Replica(
             LogClient(settings.log_url),
@@ -94,15 +98,22 @@
                 *self.fleet.routes(),
             ],
         )
+        self.usage = Usage(
+            self.replica,
+            self.fleet.peers,
+            self.demand,
+            self.log,
+        )
         self.planner = Planner(
             self.replica,
             self.targets,
-            self.demand,
+            self.usage.observe,
             self.log,
         )
         self.replica.watchers.append(self._cut_withdrawn)
         self.kernel.add('targets', self.targets)
         self.fleet.add_to(self.kernel)
+        self.kernel.add('usage', self.usage)
         self.kernel.add('planner', self.planner)
         self.kernel.add('checkpointer', self.checkpointer)
         self.kernel.add('calls', self.calls)
--- /dev/null
+++ b/ebonywell/usage.py
@@ -0,0 +1,113 @@
+"""How many calls of each model run on all hosts, told to the planner."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import anyio
+import msgspec
+
+from . import wire
+from .logs import Logger
+from .peers import Peers
+from .replica import Replica
+from .types import HostId
+
+TELL_GAP_S = 1.0
+# A host that is not heard for a while has no calls, or tells another planner.
+FORGET_S = 5.0
+NOTE_KIND = 'usage'
+
+Count = Callable[[], Mapping[str, float]]
+
+
+class UsageNote(msgspec.Struct, frozen=True):
+    """What a host tells the planner.
+
+    Attributes
+    ----------
+    running : dict of str to float
+        Calls that run or wait there, by model.
+    """
+
+    running: dict[str, float]
+
+
+@dataclass(slots=True)
+class _Told:
+    running: dict[str, float]
+    told_at: float
+
+
+class Usage:
+    """The service named ``usage``.
+
+    Only the holder of the planner's lease is told, so that the messages of a
+    fleet grow with its hosts and not with their square.
+
+    Attributes
+    ----------
+    count : callable
+        Returns the calls of this process that run or wait, by model.
+    told : dict of str to _Told
+        What the other hosts told, by host name.
+    malformed : int
+        How many notes could not be read.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        peers: Peers,
+        count: Count,
+        log: Logger,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.replica = replica
+        self.peers = peers
+        self.count = count
+        self.log = log
+        self.clock = clock
+        self.told: dict[str, _Told] = {}
+        self.malformed = 0
+        peers.add_handler(wire.Note, self._take_note)
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Tell the planner every so often until cancelled."""
+        ready()
+        while True:
+            await anyio.sleep(TELL_GAP_S)
+            self._tell()
+
+    async def stop(self) -> None:
+        """Do nothing: what was told is forgotten by itself."""
+
+    def observe(self) -> Mapping[str, float]:
+        """Return the calls that run or wait on all hosts, by model."""
+        total = Counter(self.count())
+        now = self.clock()
+        for name, told in list(self.told.items()):
+            if now - told.told_at > FORGET_S:
+                self.told.pop(name)
+            else:
+                total.update(told.running)
+        return total
+
+    def _tell(self) -> None:
+        holder, _, _ = self.replica.state.lease.holder.partition('/')
+        if not holder or holder == self.replica.host.name:
+            return
+        running = dict(self.count())
+        content = msgspec.json.encode(UsageNote(running))
+        self.peers.send(holder, wire.Note(NOTE_KIND, content))
+
+    def _take_note(self, sender: HostId, message: wire.Note) -> None:
+        if message.kind != NOTE_KIND:
+            return
+        try:
+            note = msgspec.json.decode(message.content, type=UsageNote)
+        except msgspec.MsgspecError as error:
+            self.malformed += 1
+            self.log('usage_malformed', peer=sender.name, reason=str(error))
+            return
+        self.told[sender.name] = _Told(note.running, self.clock())
