--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
-from . import changes
+from . import changes, onceonly, suspects
 from .exceptions import RecordError
 from .types import new_id
 
-Body = changes.CatalogueRecord
+Body = changes.CatalogueRecord | onceonly.OnceRecord | suspects.SuspectRecord
 
 
 class Record(msgspec.Struct, frozen=True):
--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -11,7 +11,20 @@
 from .catalogue import Catalogue
 from .catalogue import apply as apply_change
 from .exceptions import RecordError
+from .logtime import LogTime, advance
+from .onceonly import CallAbandoned, CallClaimed, CallFinished, OnceOnly
+from .onceonly import apply as apply_once_only
+from .onceonly import expire as expire_calls
 from .records import Record
+from .suspects import (
+    RequestCleared,
+    RequestSuspected,
+    Suspects,
+    TrialEnded,
+    TrialStarted,
+)
+from .suspects import apply as apply_suspects
+from .suspects import expire as expire_suspects
 
 
 @dataclass(slots=True)
@@ -29,6 +42,9 @@
     applied: int = -1
     written_at: float = 0
     catalogue: Catalogue = field(default_factory=Catalogue)
+    time: LogTime = field(default_factory=LogTime)
+    once_only: OnceOnly = field(default_factory=OnceOnly)
+    suspects: Suspects = field(default_factory=Suspects)
 
 
 def _apply_catalogue(state: State, offset: int, record: Record) -> bool:
@@ -36,6 +52,16 @@
     return apply_change(state.catalogue, offset, body)
 
 
+def _apply_once_only(state: State, _: int, record: Record) -> bool:
+    body: Any = record.body
+    return apply_once_only(state.once_only, body)
+
+
+def _apply_suspects(state: State, _: int, record: Record) -> bool:
+    body: Any = record.body
+    return apply_suspects(state.suspects, body)
+
+
 _Apply = Callable[[State, int, Record], bool]
 _APPLIES: Mapping[type[Any], _Apply] = MappingProxyType(
     {
@@ -46,6 +72,13 @@
         changes.ApprovalSet: _apply_catalogue,
         changes.KeyIssued: _apply_catalogue,
         changes.KeyWithdrawn: _apply_catalogue,
+        CallClaimed: _apply_once_only,
+        CallFinished: _apply_once_only,
+        CallAbandoned: _apply_once_only,
+        RequestSuspected: _apply_suspects,
+        RequestCleared: _apply_suspects,
+        TrialStarted: _apply_suspects,
+        TrialEnded: _apply_suspects,
     }
 )
 
@@ -75,9 +108,16 @@
         raise RecordError(f'offset {offset} has been applied already')
     state.applied = offset
     state.written_at = max(state.written_at, record.written_at)
+    _pass_time(state, offset, record)
     return _APPLIES[type(record.body)](state, offset, record)
 
 
+def _pass_time(state: State, offset: int, record: Record) -> None:
+    advance(state.time, offset, record.writer, record.written_at)
+    expire_calls(state.once_only, state.time.elapsed_s)
+    expire_suspects(state.suspects, state.time.elapsed_s)
+
+
 def encode(state: State) -> bytes:
     """Return the state as bytes for a checkpoint or a peer."""
     return msgspec.msgpack.encode(state)
--- /dev/null
+++ b/ebonywell/suspects.py
@@ -0,0 +1,236 @@
+"""Requests that were in flight on crashed targets, and who is refused."""
+
+import enum
+from dataclasses import dataclass, field
+
+import msgspec
+
+CRASHES_TO_QUARANTINE = 2
+RECORD_LIFE_S = 86400.0
+TRIAL_LIFE_S = 900.0
+MAX_SUSPECTS = 20_000
+
+
+class RequestSuspected(msgspec.Struct, frozen=True, tag='request_suspected'):
+    """A request was in flight on a target that crashed.
+
+    Attributes
+    ----------
+    digest : str
+        Of the request; the same for every repeat.
+    target : str
+    incarnation : str
+        The target's, so that one crash counts once.
+    """
+
+    digest: str
+    target: str
+    incarnation: str
+
+
+class RequestCleared(msgspec.Struct, frozen=True, tag='request_cleared'):
+    """A suspect ran to its end on a target that stayed up."""
+
+    digest: str
+
+
+class TrialStarted(msgspec.Struct, frozen=True, tag='trial_started'):
+    """A host is about to run a suspect, the only one on its target.
+
+    Attributes
+    ----------
+    digest : str
+    target : str
+    host : str
+        Name and incarnation.
+    trial_id : str
+        Tells this trial from every other one.
+    """
+
+    digest: str
+    target: str
+    host: str
+    trial_id: str
+
+
+class TrialEnded(msgspec.Struct, frozen=True, tag='trial_ended'):
+    """The trial is over, or its host has gone; the target is free again."""
+
+    digest: str
+    trial_id: str
+
+
+SuspectRecord = RequestSuspected | RequestCleared | TrialStarted | TrialEnded
+
+
+@dataclass(slots=True)
+class Trial:
+    """A suspect that runs, by the log."""
+
+    target: str
+    host: str
+    trial_id: str
+    started_s: float
+
+
+@dataclass(slots=True)
+class Suspect:
+    """What is known of a suspect.
+
+    Attributes
+    ----------
+    crashes : list of str
+        ``target/incarnation`` of each crash that it was in flight on.
+    since_s : float
+        When it was first suspected, by the log's time.
+    trial : Trial or None
+    """
+
+    since_s: float
+    crashes: list[str] = field(default_factory=list)
+    trial: Trial | None = None
+
+
+@dataclass(slots=True)
+class Suspects:
+    """The table of suspects, by digest, the oldest first.
+
+    Attributes
+    ----------
+    by_digest : dict of str to Suspect
+    trials : dict of str to str
+        The digest on trial, by target.
+    now_s : float
+        The log's time, in seconds.
+    """
+
+    by_digest: dict[str, Suspect] = field(default_factory=dict)
+    trials: dict[str, str] = field(default_factory=dict)
+    now_s: float = 0
+
+
+class Standing(enum.StrEnum):
+    """How a request stands."""
+
+    clear = 'clear'
+    suspect = 'suspect'
+    on_trial = 'on_trial'
+    quarantined = 'quarantined'
+
+
+def standing(table: Suspects, digest: str) -> Standing:
+    """Return how a request stands before it is sent."""
+    suspect = table.by_digest.get(digest)
+    if suspect is None:
+        return Standing.clear
+    if len(suspect.crashes) >= CRASHES_TO_QUARANTINE:
+        return Standing.quarantined
+    return Standing.on_trial if suspect.trial else Standing.suspect
+
+
+def is_crash(incarnation: str, seen: str | None) -> bool:
+    """Return whether a broken exchange came of a crash of its target.
+
+    Parameters
+    ----------
+    incarnation : str
+        The target's when the request was sent.
+    seen : str or None
+        The one that it reports after the break, None if it does not answer.
+    """
+    return seen != incarnation
+
+
+def apply(table: Suspects, record: SuspectRecord) -> bool:
+    """Apply a record where it counts."""
+    match record:
+        case RequestSuspected():
+            return _suspect(table, record)
+        case RequestCleared():
+            return _clear(table, record.digest)
+        case TrialStarted():
+            return _start(table, record)
+        case TrialEnded():
+            return _end(table, record)
+
+
+def expire(table: Suspects, now_s: float) -> None:
+    """Drop old suspects, and trials whose host never ended them.
+
+    Parameters
+    ----------
+    table : Suspects
+        Changed in place.
+    now_s : float
+        `LogTime.elapsed_s`, a function of the records alone.
+    """
+    table.now_s = now_s
+    while table.by_digest:
+        digest, suspect = next(iter(table.by_digest.items()))
+        if suspect.since_s + RECORD_LIFE_S >= now_s:
+            break
+        _drop(table, digest)
+    for target, digest in list(table.trials.items()):
+        trial = table.by_digest[digest].trial
+        if trial is None or trial.started_s + TRIAL_LIFE_S < now_s:
+            table.by_digest[digest].trial = None
+            table.trials.pop(target)
+
+
+def _suspect(table: Suspects, record: RequestSuspected) -> bool:
+    suspect = table.by_digest.get(record.digest)
+    if suspect is None:
+        if len(table.by_digest) >= MAX_SUSPECTS:
+            _drop(table, next(iter(table.by_digest)))
+        suspect = Suspect(table.now_s)
+        table.by_digest[record.digest] = suspect
+    crash = f'{record.target}/{record.incarnation}'
+    if crash in suspect.crashes or _is_quarantined(suspect):
+        return False
+    suspect.crashes.append(crash)
+    return True
+
+
+def _is_quarantined(suspect: Suspect) -> bool:
+    return len(suspect.crashes) >= CRASHES_TO_QUARANTINE
+
+
+def _clear(table: Suspects, digest: str) -> bool:
+    suspect = table.by_digest.get(digest)
+    if suspect is None or _is_quarantined(suspect):
+        return False
+    _drop(table, digest)
+    return True
+
+
+def _start(table: Suspects, record: TrialStarted) -> bool:
+    suspect = table.by_digest.get(record.digest)
+    if suspect is None or _is_quarantined(suspect):
+        return False
+    if suspect.trial is not None or record.target in table.trials:
+        return False
+    suspect.trial = Trial(
+        record.target,
+        record.host,
+        record.trial_id,
+        table.now_s,
+    )
+    table.trials[record.target] = record.digest
+    return True
+
+
+def _end(table: Suspects, record: TrialEnded) -> bool:
+    suspect = table.by_digest.get(record.digest)
+    if suspect is None or suspect.trial is None:
+        return False
+    if suspect.trial.trial_id != record.trial_id:
+        return False
+    table.trials.pop(suspect.trial.target)
+    suspect.trial = None
+    return True
+
+
+def _drop(table: Suspects, digest: str) -> None:
+    suspect = table.by_digest.pop(digest)
+    if suspect.trial is not None:
+        table.trials.pop(suspect.trial.target)
