--- /dev/null
+++ b/ebonywell/admission.py
@@ -0,0 +1,243 @@
+"""Gives calls their slots on targets, fairly and within their deadlines."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+
+from .answers import RefusedError, refuse
+from .fairqueue import FairQueue, Waiting
+from .logs import Logger
+from .messages import Call
+from .placing import Placer
+from .targets import Target
+from .types import ServiceClass
+
+PUMP_GAP_S = 0.05
+ANSWER_MARGIN_S = 0.05
+SPEED_SMOOTHING = 0.05
+LEAST_HELD_S = 0.001
+MAX_RETRY_AFTER_S = 60.0
+_RETRY_AFTER_S = 1.0
+_STATUS_BUSY = 429
+_STATUS_UNAVAILABLE = 503
+
+
+@dataclass(slots=True, eq=False)
+class WaitingCall(Waiting):
+    """A call that waits, and what tells it that it may run.
+
+    Attributes
+    ----------
+    call : Call
+    avoided : frozenset of str
+        Targets that it must not run on.
+    is_alone : bool
+        Whether it must be the only suspect on its target.
+    granted : anyio.Event
+    target : Target or None
+        Set when granted.
+    """
+
+    call: Call
+    avoided: frozenset[str]
+    is_alone: bool
+    granted: anyio.Event = field(default_factory=anyio.Event)
+    target: Target | None = None
+
+
+class Admission:
+    """The calls that wait and run in this process.
+
+    Attributes
+    ----------
+    placer : Placer
+    weight_of : callable
+        A workspace's share.
+    busy_targets : callable
+        The targets that run a suspect now.
+    speeds : dict of str to float
+        Tokens a second that one slot served, by entry.
+    """
+
+    def __init__(
+        self,
+        placer: Placer,
+        weight_of: Callable[[str], float],
+        busy_targets: Callable[[], frozenset[str]],
+        clock: Callable[[], float],
+        log: Logger,
+    ) -> None:
+        self.placer = placer
+        self.weight_of = weight_of
+        self.busy_targets = busy_targets
+        self.clock = clock
+        self.log = log
+        self.queue: FairQueue[WaitingCall] = FairQueue()
+        self.speeds: dict[str, float] = {}
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Place waiting calls as targets' reports change, until cancelled."""
+        ready()
+        while True:
+            await anyio.sleep(PUMP_GAP_S)
+            self.placer.forget()
+            self.pump()
+
+    async def stop(self) -> None:
+        """Do nothing: the calls themselves are waited for by their owner."""
+
+    @asynccontextmanager
+    async def slot(
+        self,
+        call: Call,
+        avoided: frozenset[str],
+        *,
+        is_alone: bool = False,
+    ) -> AsyncIterator[Target]:
+        """Wait for a target and hold a slot on it.
+
+        Parameters
+        ----------
+        call : Call
+        avoided : frozenset of str
+            Targets that have been tried.
+        is_alone : bool
+            Whether to wait for a target that runs no suspect.
+
+        Raises
+        ------
+        RefusedError
+            If no target serves the entry, the queue is full, or the deadline
+            cannot be met.
+        """
+        waiting = self._make_waiting(call, avoided, is_alone=is_alone)
+        self._check_served(waiting)
+        if not self._start(waiting):
+            await self._wait(waiting)
+        target = waiting.target
+        if target is None:
+            raise self._late_refusal(waiting)
+        started_at = self.clock()
+        try:
+            yield target
+        finally:
+            self._release(waiting, target, started_at)
+
+    def pump(self) -> None:
+        """Give slots to as many waiting calls as there is room for."""
+        blocked: set[str] = set()
+
+        def place(waiting: WaitingCall) -> bool:
+            return self._place(waiting, blocked)
+
+        while self.queue.pop(place) is not None:
+            continue
+
+    def estimate_wait_s(self, waiting: WaitingCall) -> float:
+        """Return how long a call would wait; 0 if that is not known."""
+        speed = self.speeds.get(waiting.entry)
+        ahead = self.queue.work_ahead(waiting)
+        if speed is None or not ahead:
+            return 0
+        slots = max(1, self.placer.capacity(waiting.call))
+        return ahead / (speed * slots)
+
+    def _make_waiting(
+        self,
+        call: Call,
+        avoided: frozenset[str],
+        *,
+        is_alone: bool,
+    ) -> WaitingCall:
+        return WaitingCall(
+            call.workspace,
+            self.weight_of(call.workspace),
+            call.entry.name,
+            call.entry.service_class == ServiceClass.batch,
+            max(call.tokens, 1),
+            call,
+            avoided,
+            is_alone,
+        )
+
+    def _start(self, waiting: WaitingCall) -> bool:
+        wait_s = self.estimate_wait_s(waiting)
+        left_s = waiting.call.deadline - self.clock()
+        if wait_s > left_s:
+            raise self._late_refusal(waiting)
+        if not self.queue.push(waiting):
+            raise refuse(
+                'queue_full',
+                _STATUS_BUSY,
+                'Too many calls wait already.',
+                _bounded(wait_s),
+            )
+        self.pump()
+        return waiting.granted.is_set()
+
+    async def _wait(self, waiting: WaitingCall) -> None:
+        late_at = waiting.call.deadline - ANSWER_MARGIN_S
+        try:
+            with anyio.move_on_after(max(0, late_at - self.clock())):
+                await waiting.granted.wait()
+        except BaseException:
+            if waiting.target is not None:
+                waiting.target.in_flight -= 1
+                self.pump()
+            raise
+        finally:
+            if not waiting.granted.is_set():
+                self.queue.drop(waiting)
+
+    def _place(self, waiting: WaitingCall, blocked: set[str]) -> bool:
+        if waiting.entry in blocked:
+            return False
+        avoided = waiting.avoided
+        if waiting.is_alone:
+            avoided |= self.busy_targets()
+        target = self.placer.pick(waiting.call, avoided)
+        if target is None:
+            if not avoided:
+                blocked.add(waiting.entry)
+            return False
+        waiting.target = target
+        waiting.granted.set()
+        return True
+
+    def _release(
+        self,
+        waiting: WaitingCall,
+        target: Target,
+        started_at: float,
+    ) -> None:
+        target.in_flight -= 1
+        held_s = max(self.clock() - started_at, LEAST_HELD_S)
+        speed = waiting.cost / held_s
+        usual = self.speeds.get(waiting.entry, speed)
+        self.speeds[waiting.entry] = usual + SPEED_SMOOTHING * (speed - usual)
+        self.pump()
+
+    def _check_served(self, waiting: WaitingCall) -> None:
+        if not self.placer.serving(waiting.call, waiting.avoided):
+            raise refuse(
+                'no_target',
+                _STATUS_UNAVAILABLE,
+                f'No target serves {waiting.entry} now.',
+                _RETRY_AFTER_S,
+            )
+
+    def _late_refusal(self, waiting: WaitingCall) -> RefusedError:
+        wait_s = self.estimate_wait_s(waiting)
+        self.log('call_late', entry=waiting.entry, wait_s=wait_s)
+        return refuse(
+            'overloaded',
+            _STATUS_UNAVAILABLE,
+            'The call cannot be run before its deadline.',
+            _bounded(wait_s),
+        )
+
+
+def _bounded(wait_s: float) -> float:
+    return min(MAX_RETRY_AFTER_S, max(_RETRY_AFTER_S, wait_s))
--- a/ebonywell/calls.py
+++ b/ebonywell/calls.py
@@ -1,85 +1,31 @@
 """Runs one call: admits it, picks a target, relays the answer."""
 
-import math
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import replace
 
 import anyio
 import msgspec
 
-from .answers import Refusal, RefusedError, refuse, unknown
+from .answers import Refusal, RefusedError, refuse
 from .catalogue import Catalogue, is_approved
-from .dispatch import Dispatcher, Exchange, Outgoing
 from .edge import is_repeatable
-from .exceptions import (
-    TargetBrokenError,
-    TargetRefusedError,
-    TargetUnreachableError,
-)
+from .held import ClaimedRun, HeldAnswer
 from .logs import Logger
 from .messages import Call
-from .reply import Headers, Reply
-from .targets import Target
-from .types import RunState, ServiceClass
+from .oncecalls import OnceCalls, OnceRequest
+from .onceonly import Outcome
+from .reply import Reply
+from .tries import OpenCall, Tries
+from .types import RunState
 
-MAX_TRIES = 3
-_MIB = 1024 * 1024
-MAX_ANSWER_BYTES = 8 * _MIB
 STOP_POLL_S = 0.05
-_STATUS_OK = 200
+QUEUED_CLAIMS = 10_000
 _STATUS_BAD = 400
-_STATUS_BAD_GATEWAY = 502
-_STATUS_UNAVAILABLE = 503
 _STATUS_TIMEOUT = 504
 _STATUS_UNAUTHORIZED = 401
-_END_OF_EVENTS = b'data: [DONE]'
-_RETRY_AFTER_S = 1.0
-_INTERACTIVE_PRIORITY = b'0'
-_BATCH_PRIORITY = b'10'
-_HOP_HEADERS = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'transfer-encoding',
-        b'content-length',
-        b'date',
-        b'server',
-        b'x-request-id',
-        b'x-not-run',
-    )
-)
 
 Settle = Callable[[int], None]
 Reserve = Callable[[Call], Settle]
-Choose = Callable[[Call, frozenset[str]], Target]
-
-
-@dataclass(slots=True)
-class OpenCall:
-    """A call that has not ended.
-
-    Attributes
-    ----------
-    call : Call
-    scope : anyio.CancelScope
-        Cancelled to cut the call.
-    cut : Refusal or None
-        Why it was cut.
-    is_handed : bool
-        Whether bytes of it may have reached a target.
-    used_tokens : int
-        Those of the answer so far, with the prompt's.
-    target : str
-        The last target that it was sent to.
-    """
-
-    call: Call
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-    cut: Refusal | None = None
-    is_handed: bool = False
-    used_tokens: int = 0
-    target: str = ''
 
 
 class Calls:
@@ -92,32 +38,41 @@
     reserve : callable
         Takes a call's tokens from its workspace's limit or raises; returns
         what settles them.
-    choose : callable
-        Picks a target, given those tried already, or raises.
+    tries : Tries
+    once : OnceCalls
+    claimed : dict of str to OpenCall
+        Calls that may not be repeated and that run now, by request id.
     """
 
     def __init__(
         self,
-        dispatcher: Dispatcher,
-        choose: Choose,
+        tries: Tries,
+        once: OnceCalls,
         reserve: Reserve,
         log: Logger,
     ) -> None:
-        self.dispatcher = dispatcher
-        self.choose = choose
+        self.tries = tries
+        self.once = once
         self.reserve = reserve
         self.log = log
         self.open: dict[str, OpenCall] = {}
+        self.claimed: dict[str, OpenCall] = {}
+        sender, receiver = anyio.create_memory_object_stream[ClaimedRun](
+            QUEUED_CLAIMS,
+        )
+        self.claimed_in = sender
+        self.claimed_out = receiver
 
     async def run(self, ready: Callable[[], None]) -> None:
         """Own the connections to targets until cancelled."""
-        async with self.dispatcher:
+        async with self.tries.dispatcher, anyio.create_task_group() as group:
             ready()
-            await anyio.sleep_forever()
+            async for claimed in self.claimed_out:
+                group.start_soon(self._run_claimed, claimed)
 
     async def stop(self) -> None:
         """Wait until every open call has ended."""
-        while self.open:
+        while self.open or self.claimed:
             await anyio.sleep(STOP_POLL_S)
 
     async def answer(self, call: Call, reply: Reply) -> None:
@@ -150,6 +105,13 @@
                 count += 1
         return count
 
+    def abort(self, refusal: Refusal) -> None:
+        """Cut all calls, also those that outlive their callers."""
+        self.cut(lambda _: True, refusal)
+        for opened in self.claimed.values():
+            opened.cut = refusal
+            opened.scope.cancel()
+
     def cut_unapproved(self, catalogue: Catalogue) -> int:
         """Cut the open calls that the catalogue no longer allows."""
         return self.cut(
@@ -180,71 +142,52 @@
             settle(opened.used_tokens)
 
     async def _run(self, opened: OpenCall, reply: Reply) -> None:
-        tried: frozenset[str] = frozenset()
-        _check_may_run(opened.call)
-        for _ in range(MAX_TRIES):
-            target = self.choose(opened.call, tried)
-            tried |= {target.name}
-            if await self._try(opened, target, reply):
-                return
-        raise _tries_refusal(opened)
-
-    async def _try(
-        self,
-        opened: OpenCall,
-        target: Target,
-        reply: Reply,
-    ) -> bool:
-        try:
-            await self._attempt(opened, target, reply)
-        except (TargetUnreachableError, TargetRefusedError) as not_run:
-            self._log_try(opened, target, not_run)
-            return False
-        except TargetBrokenError as broken:
-            self._log_try(opened, target, broken)
-            if reply.is_started or not is_repeatable(opened.call):
-                raise _broken_refusal() from broken
-            return False
-        return True
-
-    def _log_try(
-        self,
-        opened: OpenCall,
-        target: Target,
-        error: Exception,
-    ) -> None:
-        self.log(
-            'try_failed',
-            request=opened.call.request_id,
-            target=target.name,
-            reason=str(error),
+        call = opened.call
+        _check_may_run(call)
+        if is_repeatable(call):
+            await self.tries.run(opened, reply)
+            return
+        claimed = await self.once.claim(
+            OnceRequest(
+                call.workspace,
+                call.entry.name,
+                call.idempotency_key,
+                call.digest,
+            )
         )
-
-    async def _attempt(
-        self,
-        opened: OpenCall,
-        target: Target,
-        reply: Reply,
-    ) -> None:
-        opened.target = target.name
-        was_handed = opened.is_handed
-        used_before = opened.used_tokens
+        if isinstance(claimed, Outcome):
+            await _replay(claimed, reply)
+            return
+        # The call goes on when its caller leaves, so that a repeat gets its
+        # answer. Whoever cuts it does not know from here on whether it ran.
         opened.is_handed = True
-        # All is charged until the target has said how much it was.
-        opened.used_tokens = opened.call.tokens
-        outgoing = _outgoing(opened.call)
-        address = target.listed.address
+        opened.used_tokens = call.tokens
+        held = HeldAnswer()
+        self.claimed_in.send_nowait(ClaimedRun(claimed, call, held))
+        await held.done.wait()
+        opened.used_tokens = held.used_tokens
+        await held.pass_on(reply)
+
+    async def _run_claimed(self, run: ClaimedRun) -> None:
+        opened = OpenCall(replace(run.call, is_streamed=False))
+        self.claimed[run.call.request_id] = opened
+        opened.scope.deadline = run.call.deadline
         try:
-            with _counted(target):
-                async with self.dispatcher.exchange(
-                    address,
-                    outgoing,
-                ) as exchange:
-                    await _relay(opened, exchange, reply)
-        except (TargetUnreachableError, TargetRefusedError):
-            opened.is_handed = was_handed
-            opened.used_tokens = used_before
-            raise
+            with run.claim:
+                await self._hold_answer(opened, run)
+        finally:
+            self.claimed.pop(run.call.request_id)
+            run.held.finish(_cut_refusal(opened), opened.used_tokens)
+
+    async def _hold_answer(self, opened: OpenCall, run: ClaimedRun) -> None:
+        try:
+            with opened.scope:
+                await self.tries.run(opened, run.held)
+                run.claim.outcome = run.held.outcome()
+        except RefusedError as refused:
+            run.held.refusal = refused.refusal
+        finally:
+            run.claim.is_handed = opened.is_handed
 
 
 def _check_may_run(call: Call) -> None:
@@ -256,106 +199,12 @@
         )
 
 
-@contextmanager
-def _counted(target: Target) -> Iterator[None]:
-    target.in_flight += 1
-    try:
-        yield
-    finally:
-        target.in_flight -= 1
-
-
-def _outgoing(call: Call) -> Outgoing:
-    left_s = call.deadline - anyio.current_time()
+async def _replay(outcome: Outcome, reply: Reply) -> None:
     headers = [
-        *call.headers,
-        (b'host', b'target'),
-        (b'content-length', str(len(call.body)).encode()),
-        (b'x-request-id', call.request_id.encode()),
+        (b'content-type', outcome.content_type.encode()),
+        (b'idempotent-replayed', b'true'),
     ]
-    if call.is_model:
-        is_batch = call.entry.service_class == ServiceClass.batch
-        priority = _BATCH_PRIORITY if is_batch else _INTERACTIVE_PRIORITY
-        headers.append((b'x-ebonywell-priority', priority))
-    return Outgoing(
-        call.method,
-        call.path,
-        headers,
-        call.body,
-        max(left_s, math.ulp(1)),
-    )
-
-
-async def _relay(opened: OpenCall, exchange: Exchange, reply: Reply) -> None:
-    if exchange.header(b'x-not-run'):
-        raise TargetRefusedError(f'status {exchange.status}, not run')
-    headers = [
-        (name, content)
-        for name, content in exchange.headers
-        if name.lower() not in _HOP_HEADERS
-    ]
-    if opened.call.is_streamed and exchange.status == _STATUS_OK:
-        await _relay_events(opened, exchange, headers, reply)
-    else:
-        await _relay_whole(opened, exchange, headers, reply)
-
-
-async def _relay_events(
-    opened: OpenCall,
-    exchange: Exchange,
-    headers: Headers,
-    reply: Reply,
-) -> None:
-    tail = b''
-    events = 0
-    async for chunk in exchange.chunks():
-        if not reply.is_started:
-            await reply.start_events(exchange.status, headers)
-        events += chunk.count(b'data: ')
-        tail = (tail + chunk)[-2 * len(_END_OF_EVENTS) :]
-        await reply.chunk(chunk)
-    if _END_OF_EVENTS not in tail:
-        raise TargetBrokenError('the stream ended before its end')
-    opened.used_tokens = min(
-        opened.call.prompt_tokens + events,
-        opened.call.tokens,
-    )
-    await reply.end()
-
-
-async def _relay_whole(
-    opened: OpenCall,
-    exchange: Exchange,
-    headers: Headers,
-    reply: Reply,
-) -> None:
-    parts: list[bytes] = []
-    size = 0
-    async for chunk in exchange.chunks():
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise TargetBrokenError('the answer is too large')
-        parts.append(chunk)
-    body = b''.join(parts)
-    opened.used_tokens = _used_tokens(opened.call, body)
-    await reply.whole(exchange.status, headers, body)
-
-
-class _Usage(msgspec.Struct):
-    total_tokens: int
-
-
-class _Answered(msgspec.Struct):
-    usage: _Usage
-
-
-def _used_tokens(call: Call, body: bytes) -> int:
-    if not call.is_model:
-        return call.tokens
-    try:
-        return msgspec.json.decode(body, type=_Answered).usage.total_tokens
-    except msgspec.MsgspecError:
-        return call.tokens
+    await reply.whole(outcome.status, headers, outcome.body)
 
 
 def _is_allowed(catalogue: Catalogue, call: Call) -> bool:
@@ -379,21 +228,3 @@
     reason = opened.cut or late
     state = RunState.unknown if opened.is_handed else RunState.not_run
     return msgspec.structs.replace(reason, run_state=state)
-
-
-def _broken_refusal() -> RefusedError:
-    return unknown(
-        'target_broken',
-        _STATUS_BAD_GATEWAY,
-        'The target broke off; the call may have run.',
-    )
-
-
-def _tries_refusal(opened: OpenCall) -> RefusedError:
-    make = unknown if opened.is_handed else refuse
-    return make(
-        'targets_failing',
-        _STATUS_UNAVAILABLE,
-        'Every target that was tried failed.',
-        _RETRY_AFTER_S,
-    )
--- a/ebonywell/edge.py
+++ b/ebonywell/edge.py
@@ -230,8 +230,6 @@
 
 def is_repeatable(call: messages.Call) -> bool:
     """Return whether a call may run more than once."""
-    if call.is_model:
-        return not call.idempotency_key
     return call.entry.idempotent or call.method in _IDEMPOTENT_METHODS
 
 
--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -7,16 +7,14 @@
 import anyio
 
 from . import changes, logs
-from .answers import Refusal, refuse
-from .calls import Calls
+from .answers import Refusal
 from .config import Settings
-from .dispatch import Dispatcher
 from .kernel import Kernel
 from .logclient import LogClient
-from .messages import Call
 from .records import Record
 from .replica import Replica
-from .targets import Target, Targets
+from .requests import Requests
+from .targets import Targets
 from .types import HostId, RunState, new_incarnation
 from .web import Web
 
@@ -49,12 +47,15 @@
             time.time,
         )
         self.targets = Targets(settings.host_list_url, self.log)
-        self.calls = Calls(
-            Dispatcher(),
-            self.choose,
+        self.requests = Requests(
+            self.replica,
+            self.targets,
+            self.host,
+            settings.zone,
             lambda call: _no_settlement,
             self.log,
         )
+        self.calls = self.requests.calls
         self.web = Web(
             settings,
             self.replica,
@@ -66,7 +67,8 @@
         self.replica.watchers.append(self._cut_withdrawn)
         self.kernel.add('replica', self.replica)
         self.kernel.add('targets', self.targets)
-        self.kernel.add('calls', self.calls)
+        for name, service in self.requests.services():
+            self.kernel.add(name, service)
         self.kernel.add('web', self.web)
 
     def check_serving(self) -> None:
@@ -80,29 +82,6 @@
                 zones.setdefault(host.zone, []).append(host.address)
         return {'zones': zones, 'ttl_s': self.settings.hosts_ttl_s}
 
-    def choose(self, call: Call, tried: frozenset[str]) -> Target:
-        """Return a target for a call.
-
-        Raises
-        ------
-        RefusedError
-            If there is none.
-        """
-        candidates = [
-            target
-            for target in self.targets.table.by_name.values()
-            if target.name not in tried and _serves(target, call)
-        ]
-        name = call.entry.name
-        if not candidates:
-            raise refuse(
-                'no_target',
-                _STATUS_UNAVAILABLE,
-                f'No target serves {name} now.',
-                _RETRY_AFTER_S,
-            )
-        return min(candidates, key=lambda target: target.in_flight)
-
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully.
 
@@ -125,7 +104,7 @@
                 self.log('signal', number=int(number))
                 if stopping.is_set():
                     self.web.server.should_exit = True
-                    self.calls.cut(lambda _: True, _stopping_refusal())
+                    self.calls.abort(_stopping_refusal())
                 stopping.set()
 
     def _cut_withdrawn(self, _: int, record: Record, counted: bool) -> None:
@@ -135,17 +114,6 @@
                 self.log('calls_cut', count=count)
 
 
-def _serves(target: Target, call: Call) -> bool:
-    if target.is_leaving or target.failing or target.report is None:
-        return False
-    if not call.is_model:
-        return target.name in call.entry.targets
-    return any(
-        resident.model == call.entry.name and resident.state == 'ready'
-        for resident in target.report.models
-    )
-
-
 def _stopping_refusal() -> Refusal:
     return Refusal(
         'host_stopping',
--- a/ebonywell/exceptions.py
+++ b/ebonywell/exceptions.py
@@ -56,6 +56,10 @@
 class TargetRefusedError(TargetError):
     """The target said that the request has not run."""
 
+    def __init__(self, status: int) -> None:
+        super().__init__(f'status {status}, not run')
+        self.status = status
+
 
 class OperatorError(EbonywellError):
     """What an operator asked for was not done."""
--- /dev/null
+++ b/ebonywell/oncecalls.py
@@ -0,0 +1,256 @@
+"""Claims calls that may not be repeated, and records how they ended."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Protocol
+
+import anyio
+
+from .answers import Refusal, RefusedError, refuse, unknown
+from .exceptions import LogOutageError
+from .logs import Logger
+from .onceonly import (
+    CallAbandoned,
+    CallClaimed,
+    CallFinished,
+    Outcome,
+    Verdict,
+    call_key,
+    judge,
+)
+from .records import Body, Record
+from .replica import Ticket, Watcher
+from .state import State
+from .types import RunState, new_id
+
+ASK_AGAIN_S = 1.0
+MAX_GIVEN_UP = 10_000
+_STATUS_CONFLICT = 409
+_STATUS_GONE = 410
+_STATUS_BAD_GATEWAY = 502
+_STATUS_UNAVAILABLE = 503
+
+Settle = Callable[[CallFinished | CallAbandoned], None]
+
+
+class Appender(Protocol):
+    """The part of `Replica` that is used here."""
+
+    state: State
+    watchers: list[Watcher]
+
+    async def append(self, body: Body) -> Ticket:
+        """Append a record and wait until it is read back."""
+
+
+@dataclass(slots=True, frozen=True)
+class OnceRequest:
+    """What tells one call that may not be repeated from another."""
+
+    workspace: str
+    entry: str
+    idempotency_key: str
+    digest: str
+
+
+class Claim:
+    """The right to run a call; settled in the log on leaving the context.
+
+    Attributes
+    ----------
+    record : CallClaimed
+    settle : callable
+        Takes the record with which the claim ends.
+    is_handed : bool
+        Whether a byte of the call may have reached a target.
+    outcome : Outcome or None
+        Set once the whole answer is here.
+    """
+
+    def __init__(
+        self,
+        record: CallClaimed,
+        settle: Settle,
+    ) -> None:
+        self.record = record
+        self.settle = settle
+        self.is_handed = False
+        self.outcome: Outcome | None = None
+
+    def __enter__(self) -> 'Claim':
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        names = (self.record.call_key, self.record.claim_id)
+        if self.is_handed:
+            self.settle(CallFinished(*names, self.outcome))
+        else:
+            self.settle(CallAbandoned(*names))
+
+
+class OnceCalls:
+    """The claims of this process.
+
+    Attributes
+    ----------
+    is_alive : callable
+        Whether a claimant, by name and incarnation, is known to be alive.
+    is_current : callable
+        Whether this host knows all claims made before a time by its clock.
+    given_up : dict of str to None
+        Ids of claims whose append went unanswered and that must not run.
+    settle : callable
+        Takes the record with which a claim ends.
+    """
+
+    def __init__(
+        self,
+        replica: Appender,
+        host: str,
+        is_alive: Callable[[str], bool],
+        is_current: Callable[[float], bool],
+        settle: Settle,
+        log: Logger,
+    ) -> None:
+        self.replica = replica
+        self.settle = settle
+        self.host = host
+        self.is_alive = is_alive
+        self.is_current = is_current
+        self.log = log
+        self.given_up: dict[str, None] = {}
+        replica.watchers.append(self.watch)
+
+    async def claim(self, request: OnceRequest) -> Claim | Outcome:
+        """Claim a call, or return how it ended when it ran before.
+
+        Raises
+        ------
+        RefusedError
+            If the call must not run now.
+        """
+        arrived_at = anyio.current_time()
+        known = self._find_outcome(request)
+        if known is not None:
+            return known
+        record = self._make_claim(request)
+        try:
+            ticket = await self.replica.append(record)
+        except LogOutageError as outage:
+            self._give_up(record)
+            raise self._refuse_unlogged(request, arrived_at) from outage
+        except BaseException:
+            # Cancelled: the claim may stand in the log without being run.
+            self._give_up(record)
+            raise
+        if ticket.counted:
+            return Claim(record, self.settle)
+        known = self._find_outcome(request)
+        if known is None:
+            raise _full_refusal()
+        return known
+
+    def watch(self, _: int, record: Record, counted: bool) -> None:
+        """Abandon a claim that was given up and now stands in the log."""
+        body = record.body
+        if not isinstance(body, CallClaimed):
+            return
+        if body.claim_id in self.given_up:
+            self.given_up.pop(body.claim_id)
+            if counted:
+                self.settle(CallAbandoned(body.call_key, body.claim_id))
+
+    def _make_claim(self, request: OnceRequest) -> CallClaimed:
+        return CallClaimed(
+            call_key(request.workspace, request.idempotency_key),
+            new_id(),
+            request.workspace,
+            request.entry,
+            request.digest,
+            self.host,
+        )
+
+    def _find_outcome(self, request: OnceRequest) -> Outcome | None:
+        table = self.replica.state.once_only
+        key = call_key(request.workspace, request.idempotency_key)
+        verdict = judge(table, key, request.digest, self.is_alive)
+        if verdict == Verdict.unclaimed:
+            return None
+        outcome = table.calls[key].outcome
+        if verdict != Verdict.finished or outcome is None:
+            raise _refuse_claimed(verdict)
+        if not outcome.is_kept:
+            raise _unkept_refusal(outcome)
+        return outcome
+
+    def _refuse_unlogged(
+        self,
+        request: OnceRequest,
+        arrived_at: float,
+    ) -> RefusedError:
+        self.log('claim_unanswered', entry=request.entry)
+        # Another host may have run the same call while this one was cut off.
+        make = refuse if self.is_current(arrived_at) else unknown
+        return make(
+            'log_unavailable',
+            _STATUS_UNAVAILABLE,
+            'The call could not be recorded, so this request was not sent.',
+            ASK_AGAIN_S,
+        )
+
+    def _give_up(self, record: CallClaimed) -> None:
+        call = self.replica.state.once_only.calls.get(record.call_key)
+        if call is not None and call.claim_id == record.claim_id:
+            self.settle(CallAbandoned(record.call_key, record.claim_id))
+            return
+        self.given_up[record.claim_id] = None
+        if len(self.given_up) > MAX_GIVEN_UP:
+            self.given_up.pop(next(iter(self.given_up)))
+
+
+def _refuse_claimed(verdict: Verdict) -> RefusedError:
+    if verdict == Verdict.conflict:
+        return refuse(
+            'idempotency_conflict',
+            _STATUS_CONFLICT,
+            'This Idempotency-Key was used with another request.',
+        )
+    if verdict == Verdict.in_progress:
+        return unknown(
+            'call_in_progress',
+            _STATUS_CONFLICT,
+            'A call with this Idempotency-Key runs now.',
+            ASK_AGAIN_S,
+        )
+    return unknown(
+        'outcome_unknown',
+        _STATUS_BAD_GATEWAY,
+        'An earlier call with this Idempotency-Key may have run.',
+    )
+
+
+def _unkept_refusal(outcome: Outcome) -> RefusedError:
+    return RefusedError(
+        Refusal(
+            'answer_not_kept',
+            _STATUS_GONE,
+            f'The call ran with status {outcome.status}; '
+            'its answer is no longer kept.',
+            RunState.ran,
+        )
+    )
+
+
+def _full_refusal() -> RefusedError:
+    return refuse(
+        'claim_lost',
+        _STATUS_UNAVAILABLE,
+        'The call could not be claimed and was not sent.',
+        ASK_AGAIN_S,
+    )
--- /dev/null
+++ b/ebonywell/placing.py
@@ -0,0 +1,221 @@
+"""Picks a target with room for a call, from what is known of all of them."""
+
+import enum
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from .ejection import Ejector
+from .messages import Call
+from .routing import (
+    Candidate,
+    Choose,
+    Sight,
+    choose_by_prefix,
+    choose_of_two,
+    estimate_loads,
+    prefer,
+    prefix_key,
+)
+from .targets import Target, TargetTable
+
+USUAL_LIMIT = 64
+LEAST_LIMIT = 1.0
+LIMIT_CUT = 0.8
+MAX_LIMIT = 1024
+
+
+class Ending(enum.StrEnum):
+    """How an exchange with a target ended."""
+
+    answered = 'answered'
+    broken = 'broken'
+    unreachable = 'unreachable'
+    leaving = 'leaving'
+    busy = 'busy'
+    not_loaded = 'not_loaded'
+
+
+@dataclass(slots=True)
+class Limit:
+    """How many calls this process may run on a target at once.
+
+    Cut while the target reports that calls queue there, so that calls wait
+    here, where they are served fairly; raised by one with each other report.
+    """
+
+    calls: float
+    reported_at: float = -1
+    in_flight_then: int = 0
+
+
+class Placer:
+    """What this process learned of the targets by sending them calls.
+
+    Attributes
+    ----------
+    table : TargetTable
+    zone : str
+        This host's availability zone.
+    limits : dict of str to Limit
+        By target.
+    left_at : dict of str to float
+        When a target said that it leaves, by the process's clock.
+    """
+
+    def __init__(
+        self,
+        table: TargetTable,
+        zone: str,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.table = table
+        self.zone = zone
+        self.clock = clock
+        self.rng = rng
+        self.ejector = Ejector()
+        self.limits: dict[str, Limit] = {}
+        self.left_at: dict[str, float] = {}
+
+    def observe(self, target: Target, ending: Ending) -> None:
+        """Learn from the end of an exchange."""
+        now = self.clock()
+        match ending:
+            case Ending.leaving:
+                self.left_at[target.name] = now
+            case Ending.busy:
+                self._cut_limit(self._limit(target))
+            case Ending.not_loaded:
+                return
+            case _:
+                is_good = ending == Ending.answered
+                self.ejector.observe(target.name, now, is_good=is_good)
+
+    def serving(self, call: Call, avoided: frozenset[str]) -> list[Target]:
+        """Return the targets that could run a call, full or not.
+
+        Those whose report is missing are taken only if there are no others.
+        """
+        able = [
+            target
+            for target in self.table.by_name.values()
+            if target.name not in avoided
+            and _has_what_it_needs(target, call)
+            and not self._is_leaving(target)
+        ]
+        heard = [target for target in able if not target.failing]
+        usable = heard or able
+        names = frozenset(target.name for target in usable)
+        ejected = self.ejector.ejected(names, self.clock())
+        return [one for one in usable if one.name not in ejected]
+
+    def capacity(self, call: Call) -> float:
+        """Return how many such calls this process may run at once."""
+        return sum(
+            self._limit(target).calls
+            for target in self.serving(call, frozenset())
+        )
+
+    def pick(self, call: Call, avoided: frozenset[str]) -> Target | None:
+        """Return the best target with room and count the call on it."""
+        serving = self.serving(call, avoided)
+        candidates = list(self._candidates(call, serving))
+        if not candidates:
+            return None
+        prefix = prefix_key(call.body) if call.is_model else b''
+        choose: Choose = choose_by_prefix if prefix else choose_of_two
+        chosen = choose(prefer(candidates), prefix, self.rng)
+        target = self.table.by_name[chosen.name]
+        target.in_flight += 1
+        return target
+
+    def forget(self) -> None:
+        """Drop what is known of targets that are gone."""
+        names = frozenset(self.table.by_name)
+        self.ejector.forget(names)
+        for gone in set(self.limits) - names:
+            self.limits.pop(gone)
+        for left in set(self.left_at) - names:
+            self.left_at.pop(left)
+
+    def _candidates(
+        self,
+        call: Call,
+        serving: list[Target],
+    ) -> Iterator[Candidate]:
+        now = self.clock()
+        loads = estimate_loads([self._sight(one, now) for one in serving])
+        for target, load in zip(serving, loads, strict=True):
+            share = self.ejector.share(target.name, now)
+            room = max(LEAST_LIMIT, self._limit(target).calls * share)
+            if target.in_flight < room:
+                yield Candidate(
+                    target.name,
+                    load,
+                    share,
+                    is_near=target.listed.zone == self.zone,
+                    has_adapter=_has_adapter(target, call),
+                )
+
+    def _sight(self, target: Target, now: float) -> Sight:
+        report = target.report
+        if report is None or target.failing:
+            return Sight(target.in_flight)
+        return Sight(
+            target.in_flight,
+            self._limit(target).in_flight_then,
+            report.running + report.queue_depth,
+            now - target.reported_at,
+        )
+
+    def _is_leaving(self, target: Target) -> bool:
+        if target.is_leaving:
+            return True
+        said_at = self.left_at.get(target.name)
+        return said_at is not None and target.reported_at <= said_at
+
+    def _limit(self, target: Target) -> Limit:
+        limit = self.limits.get(target.name)
+        if limit is None:
+            limit = Limit(_most(target))
+            self.limits[target.name] = limit
+        if (
+            target.report is not None
+            and limit.reported_at != target.reported_at
+        ):
+            limit.reported_at = target.reported_at
+            limit.in_flight_then = target.in_flight
+            if target.report.queue_depth > 0:
+                self._cut_limit(limit)
+            else:
+                limit.calls = min(limit.calls + 1, _most(target))
+        return limit
+
+    def _cut_limit(self, limit: Limit) -> None:
+        limit.calls = max(LEAST_LIMIT, limit.calls * LIMIT_CUT)
+
+
+def _most(target: Target) -> int:
+    reported = target.report.max_running if target.report else 0
+    return min(reported, MAX_LIMIT) if reported > 0 else USUAL_LIMIT
+
+
+def _has_what_it_needs(target: Target, call: Call) -> bool:
+    if not call.is_model:
+        return target.name in call.entry.targets
+    if target.report is None:
+        return False
+    return any(
+        resident.model == call.entry.name and resident.state == 'ready'
+        for resident in target.report.models
+    )
+
+
+def _has_adapter(target: Target, call: Call) -> bool:
+    if not call.adapter or target.report is None:
+        return True
+    return any(
+        resident.model == call.entry.name and call.adapter in resident.adapters
+        for resident in target.report.models
+    )
--- /dev/null
+++ b/ebonywell/quarantine.py
@@ -0,0 +1,178 @@
+"""Keeps requests that crash targets from taking down more than two."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from .answers import RefusedError, refuse, unknown
+from .exceptions import LogOutageError
+from .logs import Logger
+from .oncecalls import Appender
+from .suspects import (
+    RequestCleared,
+    RequestSuspected,
+    Standing,
+    SuspectRecord,
+    TrialEnded,
+    TrialStarted,
+    is_crash,
+    standing,
+)
+from .targets import Target
+from .types import new_id
+
+TRIAL_POLL_S = 0.05
+_STATUS_UNPROCESSABLE = 422
+_STATUS_UNAVAILABLE = 503
+_RETRY_AFTER_S = 1.0
+
+Probe = Callable[[Target], Awaitable[str | None]]
+
+
+class Quarantine:
+    """What this process does about requests in flight on crashed targets.
+
+    Attributes
+    ----------
+    settle : callable
+        Takes a record that must get into the log.
+    is_alive : callable
+        Whether a host, by name and incarnation, is known to be alive.
+    probe : callable
+        Asks a target for its incarnation; None if it does not answer.
+    unlogged : dict of str to None
+        Digests of suspects that the log could not take yet; this host runs
+        none of them.
+    """
+
+    def __init__(
+        self,
+        replica: Appender,
+        host: str,
+        settle: Callable[[SuspectRecord], None],
+        is_alive: Callable[[str], bool],
+        probe: Probe,
+        log: Logger,
+    ) -> None:
+        self.replica = replica
+        self.host = host
+        self.settle = settle
+        self.is_alive = is_alive
+        self.probe = probe
+        self.log = log
+        self.unlogged: dict[str, None] = {}
+
+    def busy_targets(self) -> frozenset[str]:
+        """Return the targets that run a suspect now."""
+        return frozenset(self.replica.state.suspects.trials)
+
+    async def wait_turn(self, digest: str) -> bool:
+        """Wait while the request is on trial; say whether it needs a trial.
+
+        Raises
+        ------
+        RefusedError
+            If the request is quarantined, or its crash is not recorded yet.
+        """
+        while True:
+            found = standing(self.replica.state.suspects, digest)
+            if found == Standing.quarantined:
+                raise _quarantined_refusal()
+            if digest in self.unlogged:
+                self._forget_logged(digest, found)
+            if found != Standing.on_trial:
+                return found == Standing.suspect
+            self._end_orphan(digest)
+            await anyio.sleep(TRIAL_POLL_S)
+
+    async def start_trial(self, digest: str, target: str) -> str:
+        """Reserve a target for a suspect.
+
+        Returns
+        -------
+        str
+            The trial's id; empty if another trial was first.
+
+        Raises
+        ------
+        RefusedError
+            If the log cannot record the trial.
+        """
+        trial_id = new_id()
+        record = TrialStarted(digest, target, self.host, trial_id)
+        try:
+            ticket = await self.replica.append(record)
+        except BaseException as error:
+            self.settle(TrialEnded(digest, trial_id))
+            if isinstance(error, LogOutageError):
+                raise _unlogged_refusal() from error
+            raise
+        return trial_id if ticket.counted else ''
+
+    def end_trial(self, digest: str, trial_id: str, *, is_clear: bool) -> None:
+        """Free the trial's target; clear the suspect if it ran to its end."""
+        if is_clear:
+            self.settle(RequestCleared(digest))
+        self.settle(TrialEnded(digest, trial_id))
+
+    async def report_break(
+        self,
+        digest: str,
+        target: Target,
+        incarnation: str,
+    ) -> bool:
+        """Record a suspect if a broken exchange came of a crash.
+
+        Returns
+        -------
+        bool
+            Whether the target crashed.
+
+        Raises
+        ------
+        RefusedError
+            If the log cannot take the record: nothing may be retried then.
+        """
+        seen = await self.probe(target)
+        if not is_crash(incarnation, seen):
+            return False
+        self.log('target_crashed', target=target.name, digest=digest)
+        record = RequestSuspected(digest, target.name, incarnation)
+        self.unlogged[digest] = None
+        try:
+            await self.replica.append(record)
+        except BaseException as error:
+            self.settle(record)
+            if isinstance(error, LogOutageError):
+                raise _unlogged_refusal() from error
+            raise
+        self.unlogged.pop(digest, None)
+        return True
+
+    def _forget_logged(self, digest: str, found: Standing) -> None:
+        if found == Standing.clear:
+            raise _unlogged_refusal()
+        self.unlogged.pop(digest)
+
+    def _end_orphan(self, digest: str) -> None:
+        table = self.replica.state.suspects
+        trial = table.by_digest[digest].trial
+        if trial is not None and not self.is_alive(trial.host):
+            self.settle(TrialEnded(digest, trial.trial_id))
+
+
+def _quarantined_refusal() -> RefusedError:
+    return refuse(
+        'request_quarantined',
+        _STATUS_UNPROCESSABLE,
+        'This request crashed two targets and is refused for good.',
+    )
+
+
+def _unlogged_refusal() -> RefusedError:
+    return unknown(
+        'log_unavailable',
+        _STATUS_UNAVAILABLE,
+        'A target crashed under this request, which is not tried again now.',
+        _RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/ebonywell/relay.py
@@ -0,0 +1,148 @@
+"""Passes the answer of a target on to the caller."""
+
+import math
+from typing import Protocol
+
+import anyio
+import msgspec
+
+from .dispatch import Exchange, Outgoing
+from .exceptions import TargetBrokenError, TargetRefusedError
+from .messages import Call
+from .reply import Headers
+from .types import ServiceClass
+
+MAX_ANSWER_BYTES = 8_388_608
+_STATUS_OK = 200
+_END_OF_EVENTS = b'data: [DONE]'
+_INTERACTIVE_PRIORITY = b'0'
+_BATCH_PRIORITY = b'10'
+_HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'transfer-encoding',
+        b'content-length',
+        b'date',
+        b'server',
+        b'x-request-id',
+        b'x-not-run',
+    )
+)
+
+
+class Receiver(Protocol):
+    """What takes an answer, such as `Reply`."""
+
+    is_started: bool
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Take a whole answer."""
+
+    async def start_events(self, status: int, headers: Headers) -> None:
+        """Take the start of a stream of events."""
+
+    async def chunk(self, part: bytes) -> None:
+        """Take a part of a stream."""
+
+    async def end(self) -> None:
+        """Take the end of a stream."""
+
+
+def make_outgoing(call: Call) -> Outgoing:
+    """Return a call as a target gets it."""
+    left_s = call.deadline - anyio.current_time()
+    headers = [
+        *call.headers,
+        (b'host', b'target'),
+        (b'content-length', str(len(call.body)).encode()),
+        (b'x-request-id', call.request_id.encode()),
+    ]
+    if call.is_model:
+        is_batch = call.entry.service_class == ServiceClass.batch
+        priority = _BATCH_PRIORITY if is_batch else _INTERACTIVE_PRIORITY
+        headers.append((b'x-ebonywell-priority', priority))
+    return Outgoing(
+        call.method,
+        call.path,
+        headers,
+        call.body,
+        max(left_s, math.ulp(1)),
+    )
+
+
+async def relay(call: Call, exchange: Exchange, receiver: Receiver) -> int:
+    """Pass an answer on and return how many tokens it used.
+
+    Raises
+    ------
+    TargetRefusedError
+        If the target says that the call has not run.
+    TargetBrokenError
+        If the answer ends before its end.
+    """
+    if exchange.header(b'x-not-run'):
+        raise TargetRefusedError(exchange.status)
+    headers = [
+        (name, content)
+        for name, content in exchange.headers
+        if name.lower() not in _HOP_HEADERS
+    ]
+    if call.is_streamed and exchange.status == _STATUS_OK:
+        return await _relay_events(call, exchange, headers, receiver)
+    return await _relay_whole(call, exchange, headers, receiver)
+
+
+async def _relay_events(
+    call: Call,
+    exchange: Exchange,
+    headers: Headers,
+    receiver: Receiver,
+) -> int:
+    tail = b''
+    events = 0
+    async for chunk in exchange.chunks():
+        if not receiver.is_started:
+            await receiver.start_events(exchange.status, headers)
+        events += chunk.count(b'data: ')
+        tail = (tail + chunk)[-2 * len(_END_OF_EVENTS) :]
+        await receiver.chunk(chunk)
+    if _END_OF_EVENTS not in tail:
+        raise TargetBrokenError('the stream ended before its end')
+    await receiver.end()
+    return min(call.prompt_tokens + events, call.tokens)
+
+
+async def _relay_whole(
+    call: Call,
+    exchange: Exchange,
+    headers: Headers,
+    receiver: Receiver,
+) -> int:
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in exchange.chunks():
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            raise TargetBrokenError('the answer is too large')
+        parts.append(chunk)
+    body = b''.join(parts)
+    await receiver.whole(exchange.status, headers, body)
+    return _used_tokens(call, body)
+
+
+class _Usage(msgspec.Struct):
+    total_tokens: int
+
+
+class _Answered(msgspec.Struct):
+    usage: _Usage
+
+
+def _used_tokens(call: Call, body: bytes) -> int:
+    if not call.is_model:
+        return call.tokens
+    try:
+        return msgspec.json.decode(body, type=_Answered).usage.total_tokens
+    except msgspec.MsgspecError:
+        return call.tokens
--- /dev/null
+++ b/ebonywell/requests.py
@@ -0,0 +1,111 @@
+"""Assembles the services through which calls run."""
+
+import random
+from collections.abc import Iterator
+
+import anyio
+
+from .admission import Admission
+from .calls import Calls, Reserve
+from .dispatch import Dispatcher
+from .kernel import Service
+from .logs import Logger
+from .oncecalls import OnceCalls
+from .placing import Placer
+from .quarantine import Quarantine
+from .replica import Replica
+from .settling import Settler
+from .targets import Targets
+from .tries import Tries
+from .types import HostId
+
+LEAST_WEIGHT = 0.001
+
+
+class Requests:
+    """The services of one process through which calls run.
+
+    Attributes
+    ----------
+    settler : Settler
+    placer : Placer
+    admission : Admission
+    quarantine : Quarantine
+    once : OnceCalls
+    calls : Calls
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        targets: Targets,
+        host: HostId,
+        zone: str,
+        reserve: Reserve,
+        log: Logger,
+    ) -> None:
+        self.replica = replica
+        self.targets = targets
+        self.host = host
+        rng = random.Random()
+        self.settler = Settler(replica.append)
+        self.placer = Placer(targets.table, zone, anyio.current_time, rng)
+        self.quarantine = Quarantine(
+            replica,
+            str(host),
+            self.settler.put,
+            self.is_alive,
+            targets.probe,
+            log,
+        )
+        self.admission = Admission(
+            self.placer,
+            self.weight_of,
+            self.quarantine.busy_targets,
+            anyio.current_time,
+            log,
+        )
+        self.once = OnceCalls(
+            replica,
+            str(host),
+            self.is_alive,
+            self.is_current,
+            self.settler.put,
+            log,
+        )
+        tries = Tries(
+            Dispatcher(),
+            self.admission.slot,
+            self.placer.observe,
+            self.quarantine,
+            log,
+            rng,
+        )
+        self.calls = Calls(tries, self.once, reserve, log)
+
+    def services(self) -> Iterator[tuple[str, Service]]:
+        """Yield the services by name, in the order in which they start."""
+        yield 'settler', self.settler
+        yield 'admission', self.admission
+        yield 'calls', self.calls
+
+    def weight_of(self, workspace: str) -> float:
+        """Return a workspace's share when workspaces wait."""
+        known = self.replica.state.catalogue.workspaces.get(workspace)
+        return 1 if known is None else max(known.weight, LEAST_WEIGHT)
+
+    def is_alive(self, life: str) -> bool:
+        """Return whether a host, by name and incarnation, is known to live."""
+        if life == str(self.host):
+            return True
+        name = life.partition('/')[0]
+        if name == self.host.name:
+            return False
+        return any(
+            listed.name == name and listed.role == 'entry'
+            for listed in self.targets.listed
+        )
+
+    def is_current(self, since: float) -> bool:
+        """Return whether all claims made before a time are known here."""
+        return True
--- /dev/null
+++ b/ebonywell/retries.py
@@ -0,0 +1,132 @@
+"""When a failed call may be tried again, and how many retries in all."""
+
+import enum
+import random
+from dataclasses import dataclass
+
+RETRY_SHARE = 0.2
+FREE_RETRIES = 2.0
+MAX_SAVED_RETRIES = 10.0
+MAX_TRIES = 4
+FIRST_BACKOFF_S = 0.02
+MAX_BACKOFF_S = 1.0
+
+
+class Failure(enum.StrEnum):
+    """How a try failed."""
+
+    not_run = 'not_run'
+    broken = 'broken'
+
+
+class GiveUp(enum.StrEnum):
+    """Why a call is not tried again."""
+
+    may_have_run = 'may_have_run'
+    answer_begun = 'answer_begun'
+    too_many_tries = 'too_many_tries'
+    deadline = 'deadline'
+    budget = 'budget'
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Keeps retries to a share of the requests, save for the first few.
+
+    In any history retries are at most ``max(FREE_RETRIES, RETRY_SHARE * n)``
+    for `n` requests; no more than `MAX_SAVED_RETRIES` are saved up.
+
+    Attributes
+    ----------
+    balance : float
+        How many retries may be made now.
+    unpaid : float
+        Requests that add nothing yet, since their retries were free.
+    """
+
+    balance: float = FREE_RETRIES
+    unpaid: float = FREE_RETRIES / RETRY_SHARE
+
+    def count_request(self) -> None:
+        """Add what one more request allows."""
+        if self.unpaid >= 1:
+            self.unpaid -= 1
+            return
+        saved = self.balance + RETRY_SHARE
+        self.balance = min(saved, MAX_SAVED_RETRIES)
+
+    def spend(self) -> bool:
+        """Take one retry, and say whether there was one."""
+        if self.balance < 1:
+            return False
+        self.balance -= 1
+        return True
+
+
+@dataclass(slots=True, frozen=True)
+class FailedTry:
+    """A try that failed, and the call that it belongs to.
+
+    Attributes
+    ----------
+    failure : Failure
+    tries : int
+        Made so far, this one included.
+    is_repeatable : bool
+    is_started : bool
+        Whether the caller has been sent anything.
+    deadline : float
+        In seconds by the process's clock.
+    """
+
+    failure: Failure
+    tries: int
+    is_repeatable: bool
+    is_started: bool
+    deadline: float
+
+
+def decide(
+    failed: FailedTry,
+    budget: RetryBudget,
+    now: float,
+    rng: random.Random,
+) -> float | GiveUp:
+    """Return how long to wait before the next try, or why there is none.
+
+    Parameters
+    ----------
+    failed : FailedTry
+    budget : RetryBudget
+        Charged if the call is to be tried again.
+    now : float
+        In seconds by the process's clock.
+    rng : random.Random
+        Spreads the retries of calls that failed together.
+
+    Returns
+    -------
+    float or GiveUp
+        A pause in seconds.
+    """
+    final = _find_final(failed)
+    if final is not None:
+        return final
+    pause_s = backoff_s(failed.tries, rng)
+    if now + pause_s >= failed.deadline:
+        return GiveUp.deadline
+    return pause_s if budget.spend() else GiveUp.budget
+
+
+def backoff_s(tries: int, rng: random.Random) -> float:
+    """Return a random pause whose bound doubles with each try."""
+    bound_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (tries - 1))
+    return rng.uniform(0, bound_s)
+
+
+def _find_final(failed: FailedTry) -> GiveUp | None:
+    if failed.is_started:
+        return GiveUp.answer_begun
+    if failed.failure == Failure.broken and not failed.is_repeatable:
+        return GiveUp.may_have_run
+    return GiveUp.too_many_tries if failed.tries >= MAX_TRIES else None
--- /dev/null
+++ b/ebonywell/routing.py
@@ -0,0 +1,177 @@
+"""Chooses among the replicas that could run a call."""
+
+import random
+import statistics
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+PREFIX_BYTES = 256
+AFFINITY_BOUND = 1.25
+PREFERENCE_SLACK = 2.0
+REPORT_LIFE_S = 3.0
+MAX_PLAUSIBLE_LOAD = 4096
+
+
+@dataclass(slots=True, frozen=True)
+class Candidate:
+    """A replica as the choice sees it.
+
+    Attributes
+    ----------
+    name : str
+    load : float
+        Calls that run or wait on it, by `estimate_loads`.
+    share : float
+        The part of its usual calls that it gets, above 0 and at most 1.
+    is_near : bool
+        Whether it is in this host's availability zone.
+    has_adapter : bool
+        Whether the adapter that the call needs is there.
+    """
+
+    name: str
+    load: float
+    share: float = 1.0
+    is_near: bool = True
+    has_adapter: bool = True
+
+    @property
+    def weighted_load(self) -> float:
+        """The load, with one more call, by the share that it should get."""
+        return (self.load + 1) / self.share
+
+
+@dataclass(slots=True, frozen=True)
+class Sight:
+    """What is known of a replica's load.
+
+    Attributes
+    ----------
+    own : int
+        Calls of this process that run on it now; exact.
+    own_then : int
+        The same when the report came.
+    reported : int or None
+        Running and queued by its report, None without one.
+    age_s : float
+        The report's age, in seconds.
+    """
+
+    own: int
+    own_then: int = 0
+    reported: int | None = None
+    age_s: float = 0
+
+
+Choose = Callable[
+    [Sequence[Candidate], bytes, random.Random],
+    Candidate,
+]
+
+
+def estimate_loads(sights: Sequence[Sight]) -> list[float]:
+    """Return each replica's load: own calls, and others' by the reports.
+
+    A missing, old or impossible report is replaced by the median of the
+    others, and one that shows less than this process's own calls adds
+    nothing: a lying report draws no more calls than an idle replica would.
+    """
+    known = [_others(one, 0) for one in sights if _is_believed(one)]
+    usual = statistics.median(known) if known else 0
+    return [sight.own + _others(sight, usual) for sight in sights]
+
+
+def _is_believed(sight: Sight) -> bool:
+    if sight.reported is None or sight.age_s > REPORT_LIFE_S:
+        return False
+    return 0 <= sight.reported <= MAX_PLAUSIBLE_LOAD
+
+
+def _others(sight: Sight, usual: float) -> float:
+    if sight.reported is None or not _is_believed(sight):
+        return usual
+    return max(0, sight.reported - sight.own_then)
+
+
+def prefix_key(prompt: bytes) -> bytes:
+    """Return the key of a prompt's prefix, as engines name it."""
+    return xxhash.xxh64_hexdigest(prompt[:PREFIX_BYTES]).encode()
+
+
+def choose_random(
+    candidates: Sequence[Candidate],
+    prefix: bytes,
+    rng: random.Random,
+) -> Candidate:
+    """Return any candidate."""
+    return rng.choice(candidates)
+
+
+def choose_least(
+    candidates: Sequence[Candidate],
+    prefix: bytes,
+    rng: random.Random,
+) -> Candidate:
+    """Return a candidate with the least load."""
+    least = min(one.weighted_load for one in candidates)
+    ties = [one for one in candidates if one.weighted_load <= least]
+    return rng.choice(ties)
+
+
+def choose_of_two(
+    candidates: Sequence[Candidate],
+    prefix: bytes,
+    rng: random.Random,
+) -> Candidate:
+    """Return the less loaded of two random candidates."""
+    pair = rng.sample(candidates, min(2, len(candidates)))
+    return min(pair, key=lambda one: one.weighted_load)
+
+
+def choose_by_prefix(
+    candidates: Sequence[Candidate],
+    prefix: bytes,
+    rng: random.Random,
+) -> Candidate:
+    """Return the replica that caches the prefix, unless it is loaded.
+
+    Rendezvous hashing orders the replicas for each prefix alike on every
+    host. The first within `AFFINITY_BOUND` of the mean load is taken, so that
+    a popular prefix spills over to the next one.
+    """
+    if not prefix:
+        return choose_of_two(candidates, prefix, rng)
+    mean = statistics.fmean(one.weighted_load for one in candidates)
+    ranked = sorted(
+        candidates,
+        key=lambda one: xxhash.xxh64_intdigest(prefix + one.name.encode()),
+    )
+    for candidate in ranked:
+        if candidate.weighted_load <= AFFINITY_BOUND * mean:
+            return candidate
+    return choose_of_two(candidates, prefix, rng)
+
+
+def prefer(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+    """Return the candidates left by the preferences that load allows.
+
+    Those with the adapter go first, then those in the same availability
+    zone, as long as the best of them has hardly more load than the best.
+    """
+    left = _prefer_where(candidates, lambda one: one.has_adapter)
+    return _prefer_where(left, lambda one: one.is_near)
+
+
+def _prefer_where(
+    candidates: Sequence[Candidate],
+    is_preferred: Callable[[Candidate], bool],
+) -> Sequence[Candidate]:
+    preferred = [one for one in candidates if is_preferred(one)]
+    if not preferred:
+        return candidates
+    least = min(one.weighted_load for one in candidates)
+    best = min(one.weighted_load for one in preferred)
+    is_near_least = best <= PREFERENCE_SLACK + least * AFFINITY_BOUND
+    return preferred if is_near_least else candidates
--- /dev/null
+++ b/ebonywell/settling.py
@@ -0,0 +1,70 @@
+"""Appends records in the background until the log has them."""
+
+import collections
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from .exceptions import LogOutageError
+from .records import Body
+
+RETRY_PAUSE_S = 1.0
+STOP_POLL_S = 0.05
+STOP_TIMEOUT_S = 4.0
+
+Append = Callable[[Body], Awaitable[Any]]
+
+
+class Settler:
+    """Records that must get into the log, however long that takes.
+
+    Only for records of which a second copy changes nothing.
+
+    Attributes
+    ----------
+    append : callable
+        Appends a record and waits until it is read back, or raises
+        LogOutageError.
+    waiting : deque of record
+    running : int
+        How many are being appended.
+    """
+
+    def __init__(self, append: Append) -> None:
+        self.append = append
+        self.waiting: collections.deque[Body] = collections.deque()
+        self.running = 0
+        self.arrived = anyio.Event()
+
+    def put(self, record: Body) -> None:
+        """Take a record; it is appended even if the caller is cancelled."""
+        self.waiting.append(record)
+        self.arrived.set()
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Append until cancelled."""
+        ready()
+        async with anyio.create_task_group() as group:
+            while True:
+                while self.waiting:
+                    self.running += 1
+                    group.start_soon(self._append, self.waiting.popleft())
+                self.arrived = anyio.Event()
+                await self.arrived.wait()
+
+    async def stop(self) -> None:
+        """Wait until all records are in the log, but not for ever."""
+        with anyio.move_on_after(STOP_TIMEOUT_S):
+            while self.waiting or self.running:
+                await anyio.sleep(STOP_POLL_S)
+
+    async def _append(self, record: Body) -> None:
+        while True:
+            try:
+                await self.append(record)
+            except LogOutageError:
+                await anyio.sleep(RETRY_PAUSE_S)
+            else:
+                break
+        self.running -= 1
--- a/ebonywell/suspects.py
+++ b/ebonywell/suspects.py
@@ -188,6 +188,8 @@
     if crash in suspect.crashes or _is_quarantined(suspect):
         return False
     suspect.crashes.append(crash)
+    if _is_quarantined(suspect):
+        _free(table, suspect)
     return True
 
 
@@ -225,12 +227,15 @@
         return False
     if suspect.trial.trial_id != record.trial_id:
         return False
-    table.trials.pop(suspect.trial.target)
-    suspect.trial = None
+    _free(table, suspect)
     return True
 
 
 def _drop(table: Suspects, digest: str) -> None:
-    suspect = table.by_digest.pop(digest)
+    _free(table, table.by_digest.pop(digest))
+
+
+def _free(table: Suspects, suspect: Suspect) -> None:
     if suspect.trial is not None:
         table.trials.pop(suspect.trial.target)
+        suspect.trial = None
--- a/ebonywell/targets.py
+++ b/ebonywell/targets.py
@@ -147,6 +147,28 @@
     async def stop(self) -> None:
         """Do nothing: polling needs no last step."""
 
+    async def probe(self, target: Target) -> str | None:
+        """Return a target's incarnation, None if it does not answer."""
+        await self.poll_target(target)
+        if target.failing or target.report is None:
+            return None
+        return target.report.incarnation
+
+    async def poll_target(self, target: Target) -> None:
+        """Ask one target for its report now."""
+        address = target.listed.address
+        try:
+            content = await self._get(f'http://{address}/report')
+            report = _decode(content, Report)
+        except TargetError as error:
+            if not target.failing:
+                self.log('target_silent', target=target.name, reason=str(error))
+            target.failing = True
+            return
+        target.report = report
+        target.reported_at = self.clock()
+        target.failing = False
+
     async def _poll(self) -> None:
         try:
             self.listed = (await self._get_hosts()).hosts
@@ -156,26 +178,12 @@
         update_listed(self.table, self.listed)
         async with anyio.create_task_group() as group:
             for target in self.table.by_name.values():
-                group.start_soon(self._poll_target, target)
+                group.start_soon(self.poll_target, target)
 
     async def _get_hosts(self) -> HostList:
         content = await self._get(f'{self.host_list_url}/hosts')
         return _decode(content, HostList)
 
-    async def _poll_target(self, target: Target) -> None:
-        address = target.listed.address
-        try:
-            content = await self._get(f'http://{address}/report')
-            report = _decode(content, Report)
-        except TargetError as error:
-            if not target.failing:
-                self.log('target_silent', target=target.name, reason=str(error))
-            target.failing = True
-            return
-        target.report = report
-        target.reported_at = self.clock()
-        target.failing = False
-
     async def _get(self, url: str) -> bytes:
         try:
             response = await self.pool.request(
