--- a/ebonywell/admission.py
+++ b/ebonywell/admission.py
@@ -132,8 +132,9 @@
         def place(waiting: WaitingCall) -> bool:
             return self._place(waiting, blocked)
 
-        while self.queue.pop(place) is not None:
-            continue
+        placed = self.queue.pop(place)
+        while placed is not None:
+            placed = self.queue.pop(place)
 
     def estimate_wait_s(self, waiting: WaitingCall) -> float:
         """Return how long a call would wait; 0 if that is not known."""
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -3,10 +3,16 @@
 import msgspec
 
 from . import changes, onceonly, suspects
+from .checkpoint import CheckpointPart
 from .exceptions import RecordError
 from .types import new_id
 
-Body = changes.CatalogueRecord | onceonly.OnceRecord | suspects.SuspectRecord
+Body = (
+    changes.CatalogueRecord
+    | CheckpointPart
+    | onceonly.OnceRecord
+    | suspects.SuspectRecord
+)
 
 
 class Record(msgspec.Struct, frozen=True):
@@ -34,7 +40,7 @@
     return Record(new_id(), writer, written_at, body)
 
 
-def from_json(parsed: object) -> Record:
+def parse_record(parsed: object) -> Record:
     """Return the record that a piece of parsed JSON stands for.
 
     Raises
--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -10,6 +10,7 @@
 from . import changes
 from .catalogue import Catalogue
 from .catalogue import apply as apply_change
+from .checkpoint import CheckpointPart
 from .exceptions import RecordError
 from .logtime import LogTime, advance
 from .onceonly import CallAbandoned, CallClaimed, CallFinished, OnceOnly
@@ -62,6 +63,10 @@
     return apply_suspects(state.suspects, body)
 
 
+def _apply_nothing(state: State, offset: int, record: Record) -> bool:
+    return True
+
+
 _Apply = Callable[[State, int, Record], bool]
 _APPLIES: Mapping[type[Any], _Apply] = MappingProxyType(
     {
@@ -79,11 +84,12 @@
         RequestCleared: _apply_suspects,
         TrialStarted: _apply_suspects,
         TrialEnded: _apply_suspects,
+        CheckpointPart: _apply_nothing,
     }
 )
 
 
-def apply(state: State, offset: int, record: Record) -> bool:
+def apply_record(state: State, offset: int, record: Record) -> bool:
     """Apply the record that follows the state, and say whether it counted.
 
     Parameters
@@ -118,13 +124,13 @@
     expire_suspects(state.suspects, state.time.elapsed_s)
 
 
-def encode(state: State) -> bytes:
+def encode_state(state: State) -> bytes:
     """Return the state as bytes for a checkpoint or a peer."""
     return msgspec.msgpack.encode(state)
 
 
-def decode(encoded: bytes) -> State:
-    """Return the state that `encode` wrote.
+def decode_state(encoded: bytes) -> State:
+    """Return the state that `encode_state` wrote.
 
     Raises
     ------
