--- a/ebonywell/ejection.py
+++ b/ebonywell/ejection.py
@@ -82,4 +82,4 @@
 
 
 def _ejection_s(ejections: int) -> float:
-    return min(MAX_EJECTION_S, FIRST_EJECTION_S * 2 ** (ejections - 1))
+    return min(MAX_EJECTION_S, math.ldexp(FIRST_EJECTION_S, ejections - 1))
--- a/ebonywell/oncecalls.py
+++ b/ebonywell/oncecalls.py
@@ -8,6 +8,7 @@
 import anyio
 
 from .answers import Refusal, RefusedError, refuse, unknown
+from .appender import Ticket
 from .exceptions import LogOutageError
 from .logs import Logger
 from .onceonly import (
@@ -20,7 +21,7 @@
     judge,
 )
 from .records import Body, Record
-from .replica import Ticket, Watcher
+from .replica import Watcher
 from .state import State
 from .types import RunState, new_id
 
@@ -144,7 +145,11 @@
             ticket = await self.replica.append(record)
         except LogOutageError as outage:
             self._give_up(record)
-            raise self._refuse_unlogged(request, arrived_at) from outage
+            # Another host's claim may have been read in the meantime.
+            known = self._find_outcome(request)
+            if known is None:
+                raise self._refuse_unlogged(request, arrived_at) from outage
+            return known
         except BaseException:
             # Cancelled: the claim may stand in the log without being run.
             self._give_up(record)
