--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -2,24 +2,27 @@
 
 import signal
 import time
+from collections import Counter
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
 
 from . import changes, logs
-from .answers import Refusal
+from .checkpointer import Checkpointer
 from .config import Settings
 from .kernel import Kernel
 from .logclient import LogClient
+from .metrics import Metrics
+from .operations import Operations
+from .planner import Planner
 from .records import Record
 from .replica import Replica
 from .requests import Requests
 from .targets import Targets
-from .types import HostId, RunState, new_incarnation
-from .web import Web
-
-_STATUS_UNAVAILABLE = 503
-_RETRY_AFTER_S = 1.0
+from .timeline import Timeline
+from .types import HostId, new_incarnation
+from .web import Web, stopping_refusal
 
 
 class Entry:
@@ -30,6 +33,8 @@
     kernel : Kernel
     replica : Replica
     targets : Targets
+    planner : Planner
+    requests : Requests
     calls : Calls
     web : Web
     """
@@ -39,6 +44,8 @@
         self.host = HostId(settings.host_id, new_incarnation())
         self.log = logs.bind(logs.write_event, host=settings.host_id)
         self.kernel = Kernel()
+        self.timeline = Timeline(str(self.host))
+        self.metrics = Metrics()
         self.replica = Replica(
             LogClient(settings.log_url),
             self.host,
@@ -56,6 +63,18 @@
             self.log,
         )
         self.calls = self.requests.calls
+        self.checkpointer = Checkpointer(
+            self.replica,
+            settings.log_retention_s,
+            self.rank,
+            self.log,
+        )
+        self.operations = Operations(
+            self.replica,
+            settings.operator_token,
+            self.timeline,
+            self.metrics,
+        )
         self.web = Web(
             settings,
             self.replica,
@@ -63,10 +82,19 @@
             self.check_serving,
             self.hosts,
             self.log,
+            self.operations.routes(),
+        )
+        self.planner = Planner(
+            self.replica,
+            self.targets,
+            self.demand,
+            self.log,
         )
         self.replica.watchers.append(self._cut_withdrawn)
         self.kernel.add('replica', self.replica)
         self.kernel.add('targets', self.targets)
+        self.kernel.add('planner', self.planner)
+        self.kernel.add('checkpointer', self.checkpointer)
         for name, service in self.requests.services():
             self.kernel.add(name, service)
         self.kernel.add('web', self.web)
@@ -74,6 +102,24 @@
     def check_serving(self) -> None:
         """Raise RefusedError while this process must not take calls."""
 
+    def demand(self) -> Mapping[str, float]:
+        """Return the requests of this process that run now, by model."""
+        return Counter(
+            opened.call.entry.name
+            for opened in self.calls.open.values()
+            if opened.call.is_model
+        )
+
+    def rank(self) -> int:
+        """Return this host's place among the live entry hosts, from 0."""
+        names = sorted(
+            host.name
+            for host in self.targets.listed
+            if host.role == 'entry' and host.state == 'live'
+        )
+        name = self.settings.host_id
+        return names.index(name) if name in names else len(names)
+
     def hosts(self) -> Any:
         """Return what ``GET /v1/hosts`` answers."""
         zones: dict[str, list[str]] = {}
@@ -104,7 +150,7 @@
                 self.log('signal', number=int(number))
                 if stopping.is_set():
                     self.web.server.should_exit = True
-                    self.calls.abort(_stopping_refusal())
+                    self.calls.abort(stopping_refusal())
                 stopping.set()
 
     def _cut_withdrawn(self, _: int, record: Record, counted: bool) -> None:
@@ -114,22 +160,13 @@
                 self.log('calls_cut', count=count)
 
 
-def _stopping_refusal() -> Refusal:
-    return Refusal(
-        'host_stopping',
-        _STATUS_UNAVAILABLE,
-        'This host stops now.',
-        RunState.not_run,
-        _RETRY_AFTER_S,
-    )
-
-
 def _no_settlement(used_tokens: int) -> None:
     """Settle nothing."""
 
 
 def run(settings: Settings, backend_options: dict[str, Any]) -> None:
     """Run an entry process to its end."""
+    logs.start_logging()
     anyio.run(_run, settings, backend_options=backend_options)
 
 
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -2,16 +2,18 @@
 
 import msgspec
 
-from . import changes, onceonly, suspects
+from . import changes, leases, onceonly, orders, suspects
 from .checkpoint import CheckpointPart
 from .exceptions import RecordError
 from .types import new_id
 
 Body = (
     changes.CatalogueRecord
-    | CheckpointPart
     | onceonly.OnceRecord
     | suspects.SuspectRecord
+    | leases.LeaseRecord
+    | orders.OrderRecord
+    | CheckpointPart
 )
 
 
--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -7,12 +7,22 @@
 
 import msgspec
 
-from . import changes
+from . import changes, orders
 from .catalogue import Catalogue
 from .catalogue import apply as apply_change
 from .checkpoint import CheckpointPart
 from .exceptions import RecordError
+from .leases import (
+    Lease,
+    LeaseClaimed,
+    LeaseReleased,
+    LeaseRenewed,
+    is_held,
+)
+from .leases import apply as apply_lease
 from .logtime import LogTime, advance
+from .memory import Memory
+from .memory import apply as apply_orders
 from .onceonly import CallAbandoned, CallClaimed, CallFinished, OnceOnly
 from .onceonly import apply as apply_once_only
 from .onceonly import expire as expire_calls
@@ -46,6 +56,8 @@
     time: LogTime = field(default_factory=LogTime)
     once_only: OnceOnly = field(default_factory=OnceOnly)
     suspects: Suspects = field(default_factory=Suspects)
+    lease: Lease = field(default_factory=Lease)
+    memory: Memory = field(default_factory=dict)
 
 
 def _apply_catalogue(state: State, offset: int, record: Record) -> bool:
@@ -63,6 +75,17 @@
     return apply_suspects(state.suspects, body)
 
 
+def _apply_lease(state: State, offset: int, record: Record) -> bool:
+    body: Any = record.body
+    return apply_lease(state.lease, offset, body)
+
+
+def _apply_orders(state: State, _: int, record: Record) -> bool:
+    body: Any = record.body
+    holds = is_held(state.lease, body.fencing)
+    return apply_orders(state.memory, holds, state.catalogue.entries, body)
+
+
 def _apply_nothing(state: State, offset: int, record: Record) -> bool:
     return True
 
@@ -84,6 +107,13 @@
         RequestCleared: _apply_suspects,
         TrialStarted: _apply_suspects,
         TrialEnded: _apply_suspects,
+        LeaseClaimed: _apply_lease,
+        LeaseRenewed: _apply_lease,
+        LeaseReleased: _apply_lease,
+        orders.TargetSeen: _apply_orders,
+        orders.TargetGone: _apply_orders,
+        orders.OrdersIntended: _apply_orders,
+        orders.OrdersSettled: _apply_orders,
         CheckpointPart: _apply_nothing,
     }
 )
--- a/lab/engine_orders.py
+++ b/lab/engine_orders.py
@@ -13,12 +13,12 @@
 from .standin_common import answer, failure
 from .standin_target import TargetState
 
-ADAPTER_LOAD_S = 0.01
 _NOT_FOUND = 404
 _CONFLICT = 409
 _NO_MEMORY = 507
 _OK = 200
 _TIMEOUT_S = 600.0
+_POLL_S = 0.01
 
 
 class Order(msgspec.Struct):
@@ -74,10 +74,11 @@
         order = msgspec.json.decode(await request.body(), type=Order)
         if self.target.faults.take('drop_orders'):
             await anyio.sleep_forever()
+        delay_s = self.target.faults.field('delay_orders', 'seconds', 0)
         if self.target.faults.take('delay_orders'):
-            await anyio.sleep(
-                self.target.faults.field('delay_orders', 'seconds', 1),
-            )
+            await anyio.sleep(delay_s)
+        if self.target.faults.take('double_orders'):
+            self._accept(order)
         return self._accept(order)
 
     async def get(self, request: Request) -> Response:
@@ -108,8 +109,15 @@
                 return False
             self.memory.models[order.model] = Resident(order.bytes)
         if order.action == 'load_adapter' and resident is not None:
-            if order.adapter not in resident.adapters:
-                return self.memory.has_room(order.bytes)
+            return self._reserve_adapter(resident, order)
+        return True
+
+    def _reserve_adapter(self, resident: Resident, order: Order) -> bool:
+        if order.adapter in {*resident.adapters, *resident.arriving}:
+            return True
+        if not self.memory.has_room(order.bytes):
+            return False
+        resident.arriving[order.adapter] = order.bytes
         return True
 
     async def _carry_out(self, order: Order) -> None:
@@ -124,16 +132,22 @@
         self.states[order.order_id] = 'done' if is_done else 'failed'
 
     async def _load(self, order: Order) -> bool:
-        resident = self.memory.models[order.model]
-        if resident.state == 'ready':
-            return True
-        if not await self._fetch(order.model, order.bytes):
-            self.memory.models.pop(order.model, None)
+        resident = self.memory.models.get(order.model)
+        if resident is None:
             return False
-        resident.state = 'ready'
-        return True
+        if resident.state != 'loading':
+            return resident.state == 'ready'
+        path = f'/weights/{order.model}?bytes={order.bytes}'
+        if not await self._fetch(path):
+            # Another order for the same model may have loaded it meanwhile.
+            if resident.state == 'loading' and self._holds(order, resident):
+                self.memory.models.pop(order.model)
+            return False
+        if resident.state == 'loading':
+            resident.state = 'ready'
+        return resident.state == 'ready'
 
-    async def _fetch(self, model: str, size: int) -> bool:
+    async def _fetch(self, path: str) -> bool:
         if not self.weights_url:
             return True
         timeout = {'read': _TIMEOUT_S, 'connect': 1.0}
@@ -141,22 +155,47 @@
             async with httpcore.AsyncConnectionPool() as pool:
                 response = await pool.request(
                     'GET',
-                    f'{self.weights_url}/weights/{model}?bytes={size}',
+                    f'{self.weights_url}{path}',
                     extensions={'timeout': timeout},
                 )
-        except (httpcore.NetworkError, httpcore.TimeoutException):
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
             return False
         return response.status == _OK
 
     async def _unload(self, order: Order) -> bool:
-        return self.memory.models.pop(order.model, None) is not None
+        resident = self.memory.models.get(order.model)
+        if resident is None:
+            return False
+        while resident.state == 'loading' and self._holds(order, resident):
+            await anyio.sleep(_POLL_S)
+        resident.state = 'unloading'
+        # The memory is free only when the last request on it has ended.
+        while resident.running:
+            await anyio.sleep(_POLL_S)
+        is_held = self._holds(order, resident)
+        if is_held:
+            self.memory.models.pop(order.model)
+        return is_held
+
+    def _holds(self, order: Order, resident: Resident) -> bool:
+        return self.memory.models.get(order.model) is resident
 
     async def _load_adapter(self, order: Order) -> bool:
         resident = self.memory.models.get(order.model)
-        if resident is None or not self.memory.has_room(order.bytes):
+        if resident is None:
+            return False
+        if order.adapter in resident.adapters:
+            return True
+        path = f'/adapters/{order.adapter}?bytes={order.bytes}'
+        is_fetched = await self._fetch(path)
+        size = resident.arriving.pop(order.adapter, None)
+        if not is_fetched or size is None:
             return False
-        resident.adapters[order.adapter] = order.bytes
-        await anyio.sleep(ADAPTER_LOAD_S)
+        resident.adapters[order.adapter] = size
         return True
 
     async def _unload_adapter(self, order: Order) -> bool:
