--- a/ebonywell/calls.py
+++ b/ebonywell/calls.py
@@ -1,6 +1,6 @@
 """Runs one call: admits it, picks a target, relays the answer."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 import anyio
@@ -25,7 +25,7 @@
 _STATUS_UNAUTHORIZED = 401
 
 Settle = Callable[[int], None]
-Reserve = Callable[[Call], Settle]
+Reserve = Callable[[Call], Awaitable[Settle]]
 
 
 class Calls:
@@ -125,7 +125,7 @@
 
     async def _admit(self, opened: OpenCall, reply: Reply) -> None:
         try:
-            settle = self.reserve(opened.call)
+            settle = await self.reserve(opened.call)
         except RefusedError as refused:
             await reply.refuse(refused.refusal)
             return
--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -1,7 +1,6 @@
 """Assembles an entry process from its services and runs it."""
 
 import signal
-import time
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any
@@ -11,6 +10,7 @@
 from . import changes, logs
 from .checkpointer import Checkpointer
 from .config import Settings
+from .fleet import Announcer, Fleet
 from .kernel import Kernel
 from .logclient import LogClient
 from .metrics import Metrics
@@ -50,16 +50,21 @@
             LogClient(settings.log_url),
             self.host,
             self.log,
-            anyio.current_time,
-            time.time,
         )
         self.targets = Targets(settings.host_list_url, self.log)
+        self.fleet = Fleet(
+            settings,
+            self.host,
+            self.replica,
+            lambda: self.targets.listed,
+            self.log,
+        )
         self.requests = Requests(
             self.replica,
             self.targets,
-            self.host,
+            self.fleet,
+            str(self.host),
             settings.zone,
-            lambda call: _no_settlement,
             self.log,
         )
         self.calls = self.requests.calls
@@ -82,7 +87,10 @@
             self.check_serving,
             self.hosts,
             self.log,
-            self.operations.routes(),
+            [
+                *self.operations.routes(),
+                *self.fleet.routes(),
+            ],
         )
         self.planner = Planner(
             self.replica,
@@ -91,16 +99,18 @@
             self.log,
         )
         self.replica.watchers.append(self._cut_withdrawn)
-        self.kernel.add('replica', self.replica)
         self.kernel.add('targets', self.targets)
+        self.fleet.add_to(self.kernel)
         self.kernel.add('planner', self.planner)
         self.kernel.add('checkpointer', self.checkpointer)
         for name, service in self.requests.services():
             self.kernel.add(name, service)
         self.kernel.add('web', self.web)
+        self.kernel.add('announcer', Announcer(self.fleet.membership))
 
     def check_serving(self) -> None:
         """Raise RefusedError while this process must not take calls."""
+        self.fleet.check_fresh()
 
     def demand(self) -> Mapping[str, float]:
         """Return the requests of this process that run now, by model."""
@@ -122,10 +132,7 @@
 
     def hosts(self) -> Any:
         """Return what ``GET /v1/hosts`` answers."""
-        zones: dict[str, list[str]] = {}
-        for host in self.targets.listed:
-            if host.role == 'entry' and host.state == 'live':
-                zones.setdefault(host.zone, []).append(host.address)
+        zones = self.fleet.membership.hosts()
         return {'zones': zones, 'ttl_s': self.settings.hosts_ttl_s}
 
     async def run(self) -> None:
@@ -160,10 +167,6 @@
                 self.log('calls_cut', count=count)
 
 
-def _no_settlement(used_tokens: int) -> None:
-    """Settle nothing."""
-
-
 def run(settings: Settings, backend_options: dict[str, Any]) -> None:
     """Run an entry process to its end."""
     logs.start_logging()
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -5,6 +5,7 @@
 from . import changes, leases, onceonly, orders, suspects
 from .checkpoint import CheckpointPart
 from .exceptions import RecordError
+from .registry import RegistryRecord
 from .types import new_id
 
 Body = (
@@ -13,6 +14,7 @@
     | suspects.SuspectRecord
     | leases.LeaseRecord
     | orders.OrderRecord
+    | RegistryRecord
     | CheckpointPart
 )
 
--- a/ebonywell/relay.py
+++ b/ebonywell/relay.py
@@ -1,148 +1,102 @@
-"""Passes the answer of a target on to the caller."""
+"""Passes the log's records on to hosts that cannot read the log."""
 
-import math
-from typing import Protocol
+from collections.abc import Callable
 
 import anyio
 import msgspec
 
-from .dispatch import Exchange, Outgoing
-from .exceptions import TargetBrokenError, TargetRefusedError
-from .messages import Call
-from .reply import Headers
-from .types import ServiceClass
+from . import wire
+from .exceptions import RecordError
+from .logs import Logger
+from .peers import Peers
+from .replica import Replica
+from .state import decode_state, encode_state
+from .types import HostId
 
-MAX_ANSWER_BYTES = 8_388_608
-_STATUS_OK = 200
-_END_OF_EVENTS = b'data: [DONE]'
-_INTERACTIVE_PRIORITY = b'0'
-_BATCH_PRIORITY = b'10'
-_HOP_HEADERS = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'transfer-encoding',
-        b'content-length',
-        b'date',
-        b'server',
-        b'x-request-id',
-        b'x-not-run',
-    )
-)
+READ_LATE_S = 2.0
+FETCH_GAP_S = 0.1
+RECORDS_A_MESSAGE = 500
 
 
-class Receiver(Protocol):
-    """What takes an answer, such as `Reply`."""
+class Relay:
+    """Fetches records from peers, and answers such fetches.
 
-    is_started: bool
-
-    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
-        """Take a whole answer."""
-
-    async def start_events(self, status: int, headers: Headers) -> None:
-        """Take the start of a stream of events."""
-
-    async def chunk(self, part: bytes) -> None:
-        """Take a part of a stream."""
-
-    async def end(self) -> None:
-        """Take the end of a stream."""
-
-
-def make_outgoing(call: Call) -> Outgoing:
-    """Return a call as a target gets it."""
-    left_s = call.deadline - anyio.current_time()
-    headers = [
-        *call.headers,
-        (b'host', b'target'),
-        (b'content-length', str(len(call.body)).encode()),
-        (b'x-request-id', call.request_id.encode()),
-    ]
-    if call.is_model:
-        is_batch = call.entry.service_class == ServiceClass.batch
-        priority = _BATCH_PRIORITY if is_batch else _INTERACTIVE_PRIORITY
-        headers.append((b'x-ebonywell-priority', priority))
-    return Outgoing(
-        call.method,
-        call.path,
-        headers,
-        call.body,
-        max(left_s, math.ulp(1)),
-    )
-
-
-async def relay(call: Call, exchange: Exchange, receiver: Receiver) -> int:
-    """Pass an answer on and return how many tokens it used.
-
-    Raises
-    ------
-    TargetRefusedError
-        If the target says that the call has not run.
-    TargetBrokenError
-        If the answer ends before its end.
+    Attributes
+    ----------
+    replica : Replica
+    peers : Peers
+    fetched_at : float
+        When records were last asked for, in seconds.
     """
-    if exchange.header(b'x-not-run'):
-        raise TargetRefusedError(exchange.status)
-    headers = [
-        (name, content)
-        for name, content in exchange.headers
-        if name.lower() not in _HOP_HEADERS
-    ]
-    if call.is_streamed and exchange.status == _STATUS_OK:
-        return await _relay_events(call, exchange, headers, receiver)
-    return await _relay_whole(call, exchange, headers, receiver)
-
-
-async def _relay_events(
-    call: Call,
-    exchange: Exchange,
-    headers: Headers,
-    receiver: Receiver,
-) -> int:
-    tail = b''
-    events = 0
-    async for chunk in exchange.chunks():
-        if not receiver.is_started:
-            await receiver.start_events(exchange.status, headers)
-        events += chunk.count(b'data: ')
-        tail = (tail + chunk)[-2 * len(_END_OF_EVENTS) :]
-        await receiver.chunk(chunk)
-    if _END_OF_EVENTS not in tail:
-        raise TargetBrokenError('the stream ended before its end')
-    await receiver.end()
-    return min(call.prompt_tokens + events, call.tokens)
-
-
-async def _relay_whole(
-    call: Call,
-    exchange: Exchange,
-    headers: Headers,
-    receiver: Receiver,
-) -> int:
-    parts: list[bytes] = []
-    size = 0
-    async for chunk in exchange.chunks():
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise TargetBrokenError('the answer is too large')
-        parts.append(chunk)
-    body = b''.join(parts)
-    await receiver.whole(exchange.status, headers, body)
-    return _used_tokens(call, body)
-
-
-class _Usage(msgspec.Struct):
-    total_tokens: int
-
-
-class _Answered(msgspec.Struct):
-    usage: _Usage
-
 
-def _used_tokens(call: Call, body: bytes) -> int:
-    if not call.is_model:
-        return call.tokens
-    try:
-        return msgspec.json.decode(body, type=_Answered).usage.total_tokens
-    except msgspec.MsgspecError:
-        return call.tokens
+    def __init__(
+        self,
+        replica: Replica,
+        peers: Peers,
+        log: Logger,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.replica = replica
+        self.peers = peers
+        self.log = log
+        self.clock = clock
+        self.fetched_at: float = 0
+        peers.add_handler(wire.Heartbeat, self._compare)
+        peers.add_handler(wire.Fetch, self._answer)
+        peers.add_handler(wire.LogRecords, self._take_records)
+        peers.add_handler(wire.StateCopy, self._take_state)
+
+    def _compare(self, sender: HostId, beat: wire.Heartbeat) -> None:
+        now = self.clock()
+        applied = self.replica.state.applied
+        is_late = now - self.replica.read_at > READ_LATE_S
+        is_due = now - self.fetched_at >= FETCH_GAP_S
+        if is_late and is_due and beat.applied > applied:
+            self.fetched_at = now
+            self.peers.send(sender.name, wire.Fetch(applied + 1))
+
+    def _answer(self, sender: HostId, fetch: wire.Fetch) -> None:
+        tail = self.replica.tail
+        if fetch.offset > self.replica.state.applied:
+            return
+        if not tail or tail[0].offset > fetch.offset:
+            content = encode_state(self.replica.state)
+            self.peers.send(sender.name, wire.StateCopy(content))
+            return
+        wanted = [one for one in tail if one.offset >= fetch.offset]
+        records = tuple(
+            wire.LogRecord(one.offset, msgspec.json.encode(one.record))
+            for one in wanted[:RECORDS_A_MESSAGE]
+        )
+        self.peers.send(sender.name, wire.LogRecords(records))
+
+    def _take_records(self, sender: HostId, message: wire.LogRecords) -> None:
+        before = self.replica.state.applied
+        for record in message.records:
+            # Another reply or the log itself may have been quicker.
+            if record.offset == self.replica.state.applied + 1:
+                parsed = msgspec.json.decode(record.content)
+                self.replica.take(record.offset, parsed)
+        self._note_gain(sender, before)
+
+    def _take_state(self, sender: HostId, message: wire.StateCopy) -> None:
+        before = self.replica.state.applied
+        try:
+            copied = decode_state(message.content)
+        except RecordError as error:
+            self.log('state_unreadable', peer=sender, reason=str(error))
+            return
+        self.replica.adopt(copied)
+        self._note_gain(sender, before)
+
+    def _note_gain(self, sender: HostId, before: int) -> None:
+        applied = self.replica.state.applied
+        if applied <= before:
+            return
+        self.log('records_relayed', peer=sender, first=before + 1, last=applied)
+        peer = self.peers.known.get(sender.name)
+        if peer is not None and applied >= peer.heartbeat.applied:
+            self.replica.is_complete = True
+        else:
+            self.peers.send(sender.name, wire.Fetch(applied + 1))
+        self.replica.notify()
--- a/ebonywell/requests.py
+++ b/ebonywell/requests.py
@@ -6,9 +6,11 @@
 import anyio
 
 from .admission import Admission
-from .calls import Calls, Reserve
+from .calls import Calls
 from .dispatch import Dispatcher
+from .fleet import Fleet
 from .kernel import Service
+from .lives import is_alive, knows_all
 from .logs import Logger
 from .oncecalls import OnceCalls
 from .placing import Placer
@@ -17,7 +19,6 @@
 from .settling import Settler
 from .targets import Targets
 from .tries import Tries
-from .types import HostId
 
 LEAST_WEIGHT = 0.001
 
@@ -39,20 +40,21 @@
         self,
         replica: Replica,
         targets: Targets,
-        host: HostId,
+        fleet: Fleet,
+        life: str,
         zone: str,
-        reserve: Reserve,
         log: Logger,
     ) -> None:
         self.replica = replica
         self.targets = targets
-        self.host = host
+        self.fleet = fleet
+        self.life = life
         rng = random.Random()
         self.settler = Settler(replica.append)
         self.placer = Placer(targets.table, zone, anyio.current_time, rng)
         self.quarantine = Quarantine(
             replica,
-            str(host),
+            life,
             self.settler.put,
             self.is_alive,
             targets.probe,
@@ -67,7 +69,7 @@
         )
         self.once = OnceCalls(
             replica,
-            str(host),
+            life,
             self.is_alive,
             self.is_current,
             self.settler.put,
@@ -81,7 +83,7 @@
             log,
             rng,
         )
-        self.calls = Calls(tries, self.once, reserve, log)
+        self.calls = Calls(tries, self.once, fleet.reserve, log)
 
     def services(self) -> Iterator[tuple[str, Service]]:
         """Yield the services by name, in the order in which they start."""
@@ -96,16 +98,16 @@
 
     def is_alive(self, life: str) -> bool:
         """Return whether a host, by name and incarnation, is known to live."""
-        if life == str(self.host):
-            return True
-        name = life.partition('/')[0]
-        if name == self.host.name:
-            return False
-        return any(
-            listed.name == name and listed.role == 'entry'
-            for listed in self.targets.listed
-        )
+        fresh = self.fleet.membership.fresh
+        return is_alive(fresh, self.life, life, anyio.current_time())
 
     def is_current(self, since: float) -> bool:
         """Return whether all claims made before a time are known here."""
-        return True
+        state = self.replica.state
+        return knows_all(
+            self.fleet.membership.fresh,
+            self.life,
+            state.registry.members.values(),
+            state.applied,
+            since,
+        )
--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -27,6 +27,14 @@
 from .onceonly import apply as apply_once_only
 from .onceonly import expire as expire_calls
 from .records import Record
+from .registry import (
+    EpochSettled,
+    HostExpelled,
+    HostLeft,
+    HostRegistered,
+    Registry,
+)
+from .registry import apply as apply_membership
 from .suspects import (
     RequestCleared,
     RequestSuspected,
@@ -56,6 +64,7 @@
     time: LogTime = field(default_factory=LogTime)
     once_only: OnceOnly = field(default_factory=OnceOnly)
     suspects: Suspects = field(default_factory=Suspects)
+    registry: Registry = field(default_factory=Registry)
     lease: Lease = field(default_factory=Lease)
     memory: Memory = field(default_factory=dict)
 
@@ -75,6 +84,11 @@
     return apply_suspects(state.suspects, body)
 
 
+def _apply_registry(state: State, offset: int, record: Record) -> bool:
+    body: Any = record.body
+    return apply_membership(state.registry, offset, body)
+
+
 def _apply_lease(state: State, offset: int, record: Record) -> bool:
     body: Any = record.body
     return apply_lease(state.lease, offset, body)
@@ -115,6 +129,10 @@
         orders.OrdersIntended: _apply_orders,
         orders.OrdersSettled: _apply_orders,
         CheckpointPart: _apply_nothing,
+        HostRegistered: _apply_registry,
+        HostLeft: _apply_registry,
+        HostExpelled: _apply_registry,
+        EpochSettled: _apply_registry,
     }
 )
 
--- a/ebonywell/tries.py
+++ b/ebonywell/tries.py
@@ -17,11 +17,11 @@
     TargetRefusedError,
     TargetUnreachableError,
 )
+from .forwarding import Receiver, make_outgoing, relay
 from .logs import Logger
 from .messages import Call
 from .placing import Ending
 from .quarantine import Quarantine
-from .relay import Receiver, make_outgoing, relay
 from .retries import FailedTry, Failure, GiveUp, RetryBudget, decide
 from .targets import Target
 
--- a/tests/onceworld.py
+++ b/tests/onceworld.py
@@ -247,7 +247,7 @@
         self.calls = Calls(
             tries,
             self.once,
-            lambda call: lambda used: None,
+            _reserve,
             logs.discard_event,
         )
 
@@ -327,6 +327,10 @@
     yield Target(ListedHost('t1', 'service', '127.0.0.1:1'))
 
 
+async def _reserve(call):
+    return lambda used: None
+
+
 async def _same_incarnation(target):
     return ''
 
