--- a/ebonywell/outstanding.py
+++ b/ebonywell/outstanding.py
@@ -58,7 +58,6 @@
 def next_step(
     incarnation: str,
     intended_under: int,
-    own_fencing: int,
     evidence: Evidence,
 ) -> NextStep:
     """Decide about an order that the log holds as unsettled.
@@ -68,17 +67,16 @@
     incarnation : str
         The life of the target that the order is meant for.
     intended_under : int
-        The fencing number under which the order was intended.
-    own_fencing : int
-        The fencing number of the caller, who holds the lease.
+        The fencing number under which the order was intended. Every copy of
+        it carries this number, whoever sends it.
     evidence : Evidence
 
     Returns
     -------
     NextStep
-        An order that the engine does not know is sent again under the
-        caller's own number; with the same id it is still one order. It is
-        given up only on a target that refuses any late copy of it.
+        An order that the engine does not know is sent again; with the same
+        id it is still one order. It is given up only on a target that refuses
+        any late copy of it.
     """
     if evidence.incarnation != incarnation:
         return _WAIT
@@ -89,9 +87,5 @@
             return NextStep(Step.settle, Outcome.done)
         case OrderState.failed:
             return NextStep(Step.settle, Outcome.failed)
-    is_fenced = (
-        evidence.checks_fencing
-        and intended_under < own_fencing
-        and evidence.fencing >= own_fencing
-    )
+    is_fenced = evidence.checks_fencing and evidence.fencing > intended_under
     return NextStep(Step.settle, Outcome.fenced) if is_fenced else _SEND
--- a/ebonywell/visits.py
+++ b/ebonywell/visits.py
@@ -11,7 +11,7 @@
 from .exceptions import TargetError
 from .memory import Pending
 from .misc import split_address
-from .orders import Order, Settlement
+from .orders import Settlement
 from .outstanding import Evidence, OrderState, Step, next_step
 from .targets import Report
 
@@ -144,7 +144,7 @@
             report.fencing,
             await _ask_state(ask, order.order_id),
         )
-        step = next_step(order.incarnation, pending.fencing, fencing, evidence)
+        step = next_step(order.incarnation, pending.fencing, evidence)
         if step.outcome is not None:
             result.settlements.append(
                 Settlement(order.target, order.order_id, step.outcome),
@@ -152,7 +152,7 @@
         elif step.step is Step.send:
             # An order that the engine refuses stays unsettled: a late copy
             # of it might still be taken.
-            await ask('POST', '/orders', _encode(order, fencing))
+            await ask('POST', '/orders', _encode(pending))
             result.sent += 1
     return result
 
@@ -164,11 +164,12 @@
     return _decode(answer, OrderAnswer).state
 
 
-def _encode(order: Order, fencing: int) -> bytes:
+def _encode(pending: Pending) -> bytes:
+    order = pending.order
     return msgspec.json.encode(
         SentOrder(
             order.order_id,
-            fencing,
+            pending.fencing,
             order.action.value,
             order.model,
             order.bytes,
--- /dev/null
+++ b/lab/search_model.py
@@ -0,0 +1,343 @@
+"""Two planners, one target and a network that delivers orders as it likes.
+
+Each step is one that the real parts take between two points at which a process
+may freeze. Tables, evidence and filters are the product's own code; what is
+modelled is only who acts next, what arrives, and what the target holds.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from ebonywell import records, state
+from ebonywell.leases import LeaseClaimed
+from ebonywell.memory import Pending, is_allowed, reserved
+from ebonywell.orders import (
+    Action,
+    Order,
+    OrdersIntended,
+    OrdersSettled,
+    Settlement,
+)
+from ebonywell.outstanding import (
+    Evidence,
+    NextStep,
+    OrderState,
+    Step,
+    next_step,
+)
+from ebonywell.sightings import seen
+from ebonywell.targets import Report, ResidentModel
+
+TARGET = 't'
+SIZE = 2
+MODELS = ('a', 'b', 'c')
+PLANNERS = ('p', 'q')
+
+Judge = Callable[[str, int, Evidence], NextStep]
+
+
+@dataclass(slots=True, frozen=True)
+class Rules:
+    """What the search may vary.
+
+    Attributes
+    ----------
+    checks_fencing : bool
+        Whether the target refuses old fencing numbers.
+    judge : callable
+        Decides about an order without an outcome.
+    is_bound : bool
+        Whether an order reaches only the life of the target that it is for.
+    waits_for_log : bool
+        Whether an intent is read back before its order is sent.
+    is_renumbered : bool
+        Whether a successor sends its predecessor's orders under its own
+        fencing number.
+    max_claims, max_orders, max_lives : int
+        Bounds of the search.
+    """
+
+    checks_fencing: bool
+    judge: Judge = next_step
+    is_bound: bool = True
+    waits_for_log: bool = True
+    is_renumbered: bool = False
+    max_claims: int = 3
+    max_orders: int = 3
+    max_lives: int = 2
+
+
+class Sent(NamedTuple):
+    """An order on the network; it may arrive never, late or many times."""
+
+    order: Order
+    fencing: int
+    life: int
+
+
+class Fate(NamedTuple):
+    """What has become of an order that the engine has taken."""
+
+    order: Order
+    outcome: OrderState = OrderState.pending
+
+
+class Engine(NamedTuple):
+    """The target. It takes what it is told, so that a fault shows."""
+
+    life: int = 1
+    fencing: int = 0
+    models: frozenset[str] = frozenset()
+    fates: tuple[Fate, ...] = ()
+
+    def outcome(self, order_id: str) -> OrderState:
+        """Return what the engine says of an order's id."""
+        for fate in self.fates:
+            if fate.order.order_id == order_id:
+                return fate.outcome
+        return OrderState.unknown
+
+
+class Planner(NamedTuple):
+    """What a planner holds between two steps, if it is frozen there.
+
+    Attributes
+    ----------
+    record : Body or None
+        About to be appended.
+    sending : Sent or None
+        About to be handed to the network.
+    asking : (Pending, int, Engine) or None
+        An order whose outcome it is about to ask, its fencing number, and
+        the engine as the report showed it.
+    """
+
+    record: records.Body | None = None
+    sending: Sent | None = None
+    asking: tuple[Pending, int, Engine] | None = None
+
+
+class World(NamedTuple):
+    """All that a step depends on."""
+
+    table: bytes
+    engine: Engine
+    planners: tuple[Planner, ...] = (Planner(), Planner())
+    network: frozenset[Sent] = frozenset()
+    claims: int = 0
+    orders: int = 0
+
+
+def start() -> World:
+    """Return the world once the first planner knows the target."""
+    engine = Engine(models=frozenset('a'))
+    world = World(state.encode_state(state.State()), engine)
+    rules = Rules(checks_fencing=False)
+    for what in ('p claims', 'p appends', 'p sees', 'p appends'):
+        world = dict(steps(world, rules))[what]
+    return world
+
+
+def steps(world: World, rules: Rules) -> Iterator[tuple[str, World]]:
+    """Iterate over what may happen next, with what then is."""
+    table = state.decode_state(world.table)
+    for index, name in enumerate(PLANNERS):
+        for what, planner, after in _act(world, rules, table, index):
+            planners = list(after.planners)
+            planners[index] = planner
+            yield f'{name} {what}', after._replace(planners=tuple(planners))
+    for sent in world.network:
+        if is_taken(world.engine, sent, rules):
+            engine = _take(world.engine, sent)
+            what = f'arrives {sent.order.order_id}'
+            yield what, world._replace(engine=engine)
+    yield from _engine_steps(world, rules)
+
+
+def _act(
+    world: World,
+    rules: Rules,
+    table: state.State,
+    index: int,
+) -> Iterator[tuple[str, Planner, World]]:
+    planner = world.planners[index]
+    if planner.record is not None:
+        yield _append(world, rules, planner.record)
+    elif planner.sending is not None:
+        network = world.network | {planner.sending}
+        yield 'sends', Planner(), world._replace(network=network)
+    elif planner.asking is not None:
+        yield 'asks', _ask(world, rules, *planner.asking), world
+    elif table.lease.holder == PLANNERS[index]:
+        yield from _lead(world, rules, table)
+    elif world.claims < rules.max_claims:
+        claim = LeaseClaimed(PLANNERS[index], table.lease.fencing)
+        after = world._replace(claims=world.claims + 1)
+        yield 'claims', Planner(record=claim), after
+
+
+def _append(
+    world: World,
+    rules: Rules,
+    body: records.Body,
+) -> tuple[str, Planner, World]:
+    table = state.decode_state(world.table)
+    record = records.Record('', '', 0, body)
+    state.apply_record(table, table.applied + 1, record)
+    after = world._replace(table=state.encode_state(table))
+    if not rules.waits_for_log and isinstance(body, OrdersIntended):
+        sent = Sent(body.orders[0], body.fencing, int(world.engine.life))
+        return 'appends', Planner(sending=sent), after
+    return 'appends', Planner(), after
+
+
+def _lead(
+    world: World,
+    rules: Rules,
+    table: state.State,
+) -> Iterator[tuple[str, Planner, World]]:
+    fencing = table.lease.fencing
+    sighting = seen(table.memory, {}, fencing, _report(world.engine, rules))
+    if sighting is not None:
+        yield 'sees', Planner(record=sighting), world
+    if TARGET not in table.memory:
+        return
+    target = table.memory[TARGET]
+    for pending in target.unsettled.values():
+        visit = (pending, fencing, world.engine)
+        yield 'visits', Planner(asking=visit), world
+    if world.orders < rules.max_orders:
+        after = world._replace(orders=world.orders + 1)
+        for action in (Action.load, Action.unload):
+            for model in MODELS:
+                order = Order(
+                    str(world.orders),
+                    TARGET,
+                    target.incarnation,
+                    action,
+                    model,
+                    int(action is Action.load),
+                )
+                if is_allowed(table.memory, (), order):
+                    intent = OrdersIntended(fencing, (order,))
+                    planner = Planner(record=intent)
+                    yield f'wants {action} {model}', planner, after
+
+
+def _report(engine: Engine, rules: Rules) -> Report:
+    return Report(
+        TARGET,
+        str(engine.life),
+        memory_bytes=SIZE,
+        used_bytes=len(engine.models),
+        checks_fencing=rules.checks_fencing,
+        fencing=engine.fencing,
+        models=tuple(
+            ResidentModel(model, 1, 'ready') for model in engine.models
+        ),
+    )
+
+
+def _ask(
+    world: World,
+    rules: Rules,
+    pending: Pending,
+    fencing: int,
+    reported: Engine,
+) -> Planner:
+    if reported.life != world.engine.life:
+        # The connection ended with the process.
+        return Planner()
+    order = pending.order
+    evidence = Evidence(
+        str(reported.life),
+        rules.checks_fencing,
+        reported.fencing,
+        world.engine.outcome(order.order_id),
+    )
+    judged = rules.judge(order.incarnation, pending.fencing, evidence)
+    if judged.outcome is not None:
+        ended = Settlement(TARGET, order.order_id, judged.outcome)
+        return Planner(record=OrdersSettled(fencing, (ended,)))
+    if judged.step is Step.send:
+        number = fencing if rules.is_renumbered else pending.fencing
+        return Planner(sending=Sent(order, number, reported.life))
+    return Planner()
+
+
+def is_taken(engine: Engine, sent: Sent, rules: Rules) -> bool:
+    """Return whether an order that arrives now would take effect."""
+    if rules.is_bound and sent.life != engine.life:
+        return False
+    if rules.checks_fencing and sent.fencing < engine.fencing:
+        return False
+    return engine.outcome(sent.order.order_id) is OrderState.unknown
+
+
+def _take(engine: Engine, sent: Sent) -> Engine:
+    models = engine.models
+    if sent.order.action is Action.load:
+        models |= {sent.order.model}
+    return engine._replace(
+        fencing=max(engine.fencing, sent.fencing),
+        models=models,
+        fates=(*engine.fates, Fate(sent.order)),
+    )
+
+
+def _engine_steps(world: World, rules: Rules) -> Iterator[tuple[str, World]]:
+    engine = world.engine
+    if engine.life < rules.max_lives:
+        yield 'restarts', world._replace(engine=Engine(engine.life + 1))
+    for index, fate in enumerate(engine.fates):
+        if fate.outcome is OrderState.pending:
+            for outcome in (OrderState.done, OrderState.failed):
+                ended = _end(engine, index, outcome)
+                what = f'{outcome} {fate.order.order_id}'
+                yield what, world._replace(engine=ended)
+
+
+def _end(engine: Engine, index: int, outcome: OrderState) -> Engine:
+    order = engine.fates[index].order
+    fates = list(engine.fates)
+    fates[index] = Fate(order, outcome)
+    is_kept = (order.action is Action.load) == (outcome is OrderState.done)
+    models = engine.models if is_kept else engine.models - {order.model}
+    return engine._replace(models=models, fates=tuple(fates))
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """A world that must not be, and what is wrong with it."""
+
+    reason: str
+    world: World
+
+
+def check(world: World, rules: Rules) -> Fault | None:
+    """Return what is wrong with a world, if anything.
+
+    The memory in use, and all that orders on the network or in a frozen
+    planner's hands may still take, must fit the target. The log must know of
+    all that the target of that life has in use.
+    """
+    engine = world.engine
+    in_hand = {
+        planner.sending
+        for planner in world.planners
+        if planner.sending is not None
+    }
+    late = {
+        sent.order.model
+        for sent in world.network | in_hand
+        if sent.order.action is Action.load and is_taken(engine, sent, rules)
+    }
+    if len(engine.models | late) > SIZE:
+        return Fault('the target may be overcommitted', world)
+    target = state.decode_state(world.table).memory.get(TARGET)
+    is_same = target is not None and target.incarnation == str(engine.life)
+    if is_same and target is not None:
+        if reserved(target) < len(engine.models | late):
+            return Fault('the log has reserved too little', world)
+    return None
