--- /dev/null
+++ b/ebonywell/membership.py
@@ -0,0 +1,231 @@
+"""Which entry hosts there are, and whether this one may be out of date."""
+
+import math
+from collections.abc import Callable
+
+import anyio
+
+from . import freshness, wire
+from .decider import EXPEL_AFTER_S, Decider
+from .exceptions import LogOutageError
+from .hostlist import ROLE, HostLine
+from .logs import Logger
+from .peers import Address, Peers
+from .records import Body
+from .registry import HostExpelled, HostLeft, HostRegistered, Registry
+from .replica import Replica
+from .targets import ListedHost
+from .types import HostId, HostState
+
+TICK_S = 0.25
+APPEND_GAP_S = 1.0
+POLL_AFTER_S = 1.0
+
+Listed = Callable[[], tuple[ListedHost, ...]]
+
+
+class Membership:
+    """Keeps one host's membership in the fleet.
+
+    Attributes
+    ----------
+    line : HostLine
+        This host's line in the host list.
+    fresh : Freshness
+    acks : dict of str to int
+        The largest applied offset heard of each life.
+    is_leaving : bool
+    is_open : bool
+        Whether callers may be sent here.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        line: HostLine,
+        replica: Replica,
+        peers: Peers,
+        listed: Listed,
+        log: Logger,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.host = host
+        self.line = line
+        self.replica = replica
+        self.peers = peers
+        self.listed = listed
+        self.log = log
+        self.clock = clock
+        self.fresh = freshness.Freshness()
+        self.acks: dict[str, int] = {}
+        self.is_leaving = False
+        self.is_open = False
+        self.decider = Decider(str(host), clock)
+        peers.heartbeat = self.make_heartbeat
+        peers.listed = self._peer_addresses
+        peers.add_handler(wire.Heartbeat, self._note_heartbeat)
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Keep the host list and the registry until cancelled."""
+        async with self.line, anyio.create_task_group() as group:
+            ready()
+            while not self.is_open:
+                await anyio.sleep(TICK_S)
+            group.start_soon(self.line.publish, self.peers.address)
+            while True:
+                await self._keep_registry()
+                await anyio.sleep(TICK_S)
+
+    async def stop(self) -> None:
+        """Leave the registry and the host list; this host admits no more."""
+        self.is_open = False
+        name, incarnation = self.host.name, self.host.incarnation
+        await self._append(HostLeft(name, incarnation))
+        await self.line.remove()
+
+    def announce(self) -> None:
+        """Let callers be sent here, now that the process can serve them."""
+        self.is_open = True
+        self.peers.beat()
+
+    async def leave(self) -> None:
+        """Have this host no longer named to callers; it still serves."""
+        self.is_leaving = True
+        self.peers.beat()
+        await self.line.mark_leaving()
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether this host may be out of date and must refuse.
+
+        Parameters
+        ----------
+        now : float
+            By the clock of this process.
+        """
+        applied = self.replica.state.applied
+        freshness.note_read(self.fresh, self.replica.read_at)
+        if now - self.fresh.fresh_at < POLL_AFTER_S:
+            return freshness.is_stale(self.fresh, now)
+        freshness.take_evidence(self.fresh, applied)
+        members = self._registry().members.values()
+        freshness.poll_majority(
+            self.fresh,
+            str(self.host),
+            members,
+            applied,
+            now,
+        )
+        return freshness.is_stale(self.fresh, now)
+
+    def hosts(self) -> dict[str, list[str]]:
+        """Return the addresses for callers by availability zone."""
+        now = self.clock()
+        zones: dict[str, list[str]] = {}
+        if self.is_open and not self.is_leaving:
+            zones[self.line.host.zone] = [self.line.host.address]
+        heard = [
+            peer.heartbeat
+            for peer in self.peers.known.values()
+            if now - peer.heard_at < EXPEL_AFTER_S
+        ]
+        for beat in heard:
+            if not beat.leaving:
+                zones.setdefault(beat.zone, []).append(beat.address)
+        if not heard:
+            # Cut off from its peers, a host knows only the host list.
+            for line in self._listed_peers():
+                if line.state == HostState.live:
+                    zones.setdefault(line.zone, []).append(line.address)
+        return {zone: sorted(zones[zone]) for zone in sorted(zones)}
+
+    def make_heartbeat(self, name: str) -> wire.Heartbeat:
+        """Return the heartbeat for a peer."""
+        now = self.clock()
+        self.is_stale(now)
+        known = self.peers.known.get(name)
+        return wire.Heartbeat(
+            zone=self.line.host.zone,
+            address=self.line.host.address,
+            peer_address=self.peers.address,
+            leaving=not self.is_open or self.is_leaving,
+            applied=self.replica.state.applied,
+            sent_at=now,
+            echo=known.heartbeat.sent_at if known else -math.inf,
+            echo_of=known.host.incarnation if known else '',
+            fresh_age=now - self.fresh.fresh_at,
+            log_age=now - self.fresh.log_at,
+        )
+
+    async def confirm_ended(self, name: str) -> bool:
+        """Remove a host whose process an operator knows to have ended.
+
+        Returns
+        -------
+        bool
+            False if no such host is registered or the log is down.
+        """
+        life = self._registry().members.get(name, '')
+        incarnation = life.partition('/')[2]
+        record = HostExpelled(name, incarnation, confirmed=True)
+        return bool(life) and await self._append(record)
+
+    def due_record(self, now: float) -> Body | None:
+        """Return the record of the registry that this host must write now."""
+        table = self._registry()
+        name, incarnation = self.host.name, self.host.incarnation
+        if table.members.get(name) != str(self.host):
+            address = self.peers.address
+            return HostRegistered(name, incarnation, address)
+        if self.is_stale(now):
+            return None
+        return self.decider.decide(table, self.acks, now)
+
+    def _registry(self) -> Registry:
+        return self.replica.state.registry
+
+    def _listed_peers(self) -> list[ListedHost]:
+        return [
+            line
+            for line in self.listed()
+            if line.role == ROLE and line.name != self.host.name
+        ]
+
+    def _peer_addresses(self) -> list[Address]:
+        return [
+            Address(line.name, line.peer_address)
+            for line in self._listed_peers()
+        ]
+
+    def _note_heartbeat(self, sender: HostId, beat: wire.Heartbeat) -> None:
+        now = self.clock()
+        life = str(sender)
+        self.acks[life] = max(self.acks.get(life, -1), beat.applied)
+        self.decider.note_heard(life)
+        if beat.echo_of == self.host.incarnation and beat.echo <= now:
+            touch = freshness.Touch(
+                beat.echo,
+                beat.echo - max(0, beat.fresh_age),
+                beat.echo - max(0, beat.log_age),
+                beat.applied,
+            )
+            applied = self.replica.state.applied
+            freshness.note_touch(self.fresh, life, touch, applied)
+
+    async def _keep_registry(self) -> None:
+        now = self.clock()
+        freshness.forget(self.fresh, now)
+        if not self.replica.is_complete or self.is_leaving:
+            return
+        self.acks[str(self.host)] = self.replica.state.applied
+        record = self.due_record(now)
+        if record is not None:
+            self.log('registry_change', record=type(record).__name__)
+            if not await self._append(record):
+                await anyio.sleep(APPEND_GAP_S)
+
+    async def _append(self, record: Body) -> bool:
+        try:
+            return (await self.replica.append(record)).counted
+        except LogOutageError as outage:
+            self.log('registry_unwritable', reason=str(outage.args[0]))
+            return False
