--- a/ebonywell/messages.py
+++ b/ebonywell/messages.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from .answers import refuse
+from .answers import RefusedError, refuse
 from .changes import Entry
 from .misc import request_digest
 from .types import EntryKind
@@ -99,11 +99,7 @@
     except msgspec.ValidationError as fault:
         raise refuse('bad_request', _STATUS_BAD, f'{fault}') from fault
     except (msgspec.DecodeError, RecursionError) as fault:
-        raise refuse(
-            'bad_json',
-            _STATUS_BAD,
-            f'The body is not JSON: {fault}',
-        ) from fault
+        raise _not_json(fault) from fault
     if not chat.messages:
         raise refuse('bad_request', _STATUS_BAD, 'There are no messages.')
     if (chat.max_tokens or 1) < 1 or (chat.max_completion_tokens or 1) < 1:
@@ -127,13 +123,30 @@
 
 
 def limited_body(body: bytes, max_tokens: int) -> bytes:
-    """Return a chat request whose answer cannot exceed what was reserved."""
-    fields = msgspec.json.decode(body, type=dict[str, Any])
+    """Return a chat request whose answer cannot exceed what was reserved.
+
+    Raises
+    ------
+    RefusedError
+        If a field that `read_chat` did not look at cannot be read.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=dict[str, Any])
+    except msgspec.DecodeError as fault:
+        raise _not_json(fault) from fault
     fields.pop('max_completion_tokens', None)
     fields['max_tokens'] = max_tokens
     return msgspec.json.encode(fields)
 
 
+def _not_json(fault: Exception) -> RefusedError:
+    return refuse(
+        'bad_json',
+        _STATUS_BAD,
+        f'The body is not JSON: {fault}',
+    )
+
+
 def call_digest(entry: str, method: str, path: str, body: bytes) -> str:
     """Return a digest by which a repeat of a request is known."""
     return request_digest(
--- a/ebonywell/operations.py
+++ b/ebonywell/operations.py
@@ -10,8 +10,9 @@
 from starlette.routing import Route
 
 from . import catalogue, changes, checks, opmessages, opviews
-from .exceptions import LogOutageError
+from .exceptions import LogOutageError, RecordError
 from .metrics import CONTENT_TYPE, Metrics
+from .records import check_numbers
 from .replica import Replica
 from .timeline import EventFilter, Timeline
 from .types import RunState
@@ -96,7 +97,7 @@
             )
         try:
             change = read_change(content)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecordError) as error:
             return self._refuse_change(f'This is no change: {error}.')
         faults = checks.find_faults(change)
         if faults:
@@ -246,11 +247,14 @@
     ------
     msgspec.MsgspecError
         If it holds none, or fields that no change has.
+    RecordError
+        If it holds numbers that no record can.
     """
     change: changes.CatalogueRecord = msgspec.json.decode(
         content,
         type=changes.CatalogueRecord,
     )
+    check_numbers(change)
     given = msgspec.json.decode(content)
     # The tag is a field of the encoded form only.
     places = checks.unknown_fields(given, checks.to_plain(change))
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -46,12 +46,29 @@
     Raises
     ------
     RecordError
-        If it is no record that this version knows.
+        If it is no record that this version knows, or none that a checkpoint
+        could hold.
     """
     try:
-        return msgspec.convert(parsed, Record)
+        record = msgspec.convert(parsed, Record)
     except msgspec.ValidationError as error:
         raise RecordError(str(error)) from error
+    check_numbers(record)
+    return record
+
+
+def check_numbers(record: msgspec.Struct) -> None:
+    """Check that a checkpoint can hold all numbers of a record.
+
+    Raises
+    ------
+    RecordError
+        If a whole number needs more than 64 bits.
+    """
+    try:
+        msgspec.msgpack.encode(record)
+    except OverflowError as error:
+        raise RecordError(str(error)) from error
 
 
 def to_json(record: Record) -> object:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -19,6 +19,7 @@
 
 QUOTE = changes.Entry('quote', EntryKind.model, bytes=10)
 COUNTER = changes.Workspace('counter', rate=10, burst=20)
+HUGE = 1 << 64
 DIGEST = catalogue.key_digest('secret')
 
 
@@ -194,6 +195,7 @@
         {'type': 'workspace_set', 'workspace': {'name': 'a'}},
         {'type': 'key_withdrawn', 'key_id': 'k1', 'colour': 'red'},
         {'type': 'no_such_change'},
+        {'type': 'entry_removed', 'name': 'a', 'replaces': HUGE},
     ],
 )
 def test_a_bad_change_never_reaches_the_log(record):
