--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -1,7 +1,6 @@
 """Assembles an entry process from its services and runs it."""
 
 import signal
-import time
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any
@@ -14,6 +13,7 @@
 from .checkpointer import Checkpointer
 from .config import Settings
 from .dispatch import Dispatcher
+from .fleet import Announcer, Fleet
 from .kernel import Kernel
 from .logclient import LogClient
 from .messages import Call
@@ -55,14 +55,19 @@
             LogClient(settings.log_url),
             self.host,
             self.log,
-            anyio.current_time,
-            time.time,
         )
         self.targets = Targets(settings.host_list_url, self.log)
+        self.fleet = Fleet(
+            settings,
+            self.host,
+            self.replica,
+            lambda: self.targets.listed,
+            self.log,
+        )
         self.calls = Calls(
             Dispatcher(),
             self.choose,
-            lambda call: _no_settlement,
+            self.fleet.reserve,
             self.log,
         )
         self.checkpointer = Checkpointer(
@@ -84,7 +89,10 @@
             self.check_serving,
             self.hosts,
             self.log,
-            self.operations.routes(),
+            [
+                *self.operations.routes(),
+                *self.fleet.routes(),
+            ],
         )
         self.planner = Planner(
             self.replica,
@@ -93,15 +101,17 @@
             self.log,
         )
         self.replica.watchers.append(self._cut_withdrawn)
-        self.kernel.add('replica', self.replica)
         self.kernel.add('targets', self.targets)
+        self.fleet.add_to(self.kernel)
         self.kernel.add('planner', self.planner)
         self.kernel.add('checkpointer', self.checkpointer)
         self.kernel.add('calls', self.calls)
         self.kernel.add('web', self.web)
+        self.kernel.add('announcer', Announcer(self.fleet.membership))
 
     def check_serving(self) -> None:
         """Raise RefusedError while this process must not take calls."""
+        self.fleet.check_fresh()
 
     def demand(self) -> Mapping[str, float]:
         """Return the requests of this process that run now, by model."""
@@ -123,10 +133,7 @@
 
     def hosts(self) -> Any:
         """Return what ``GET /v1/hosts`` answers."""
-        zones: dict[str, list[str]] = {}
-        for host in self.targets.listed:
-            if host.role == 'entry' and host.state == 'live':
-                zones.setdefault(host.zone, []).append(host.address)
+        zones = self.fleet.membership.hosts()
         return {'zones': zones, 'ttl_s': self.settings.hosts_ttl_s}
 
     def choose(self, call: Call, tried: frozenset[str]) -> Target:
@@ -195,10 +202,6 @@
     )
 
 
-def _no_settlement(used_tokens: int) -> None:
-    """Settle nothing."""
-
-
 def run(settings: Settings, backend_options: dict[str, Any]) -> None:
     """Run an entry process to its end."""
     logs.start_logging()
--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -5,12 +5,14 @@
 from . import changes, leases, orders
 from .checkpoint import CheckpointPart
 from .exceptions import RecordError
+from .registry import RegistryRecord
 from .types import new_id
 
 Body = (
     changes.CatalogueRecord
     | leases.LeaseRecord
     | orders.OrderRecord
+    | RegistryRecord
     | CheckpointPart
 )
 
