--- a/lab/search_model.py
+++ b/lab/search_model.py
@@ -147,12 +147,16 @@
             planners = list(after.planners)
             planners[index] = planner
             yield f'{name} {what}', after._replace(planners=tuple(planners))
+    yield from _arrivals(world, rules)
+    yield from _engine_steps(world, rules)
+
+
+def _arrivals(world: World, rules: Rules) -> Iterator[tuple[str, World]]:
     for sent in world.network:
         if is_taken(world.engine, sent, rules):
             engine = _take(world.engine, sent)
             what = f'arrives {sent.order.order_id}'
             yield what, world._replace(engine=engine)
-    yield from _engine_steps(world, rules)
 
 
 def _act(
@@ -162,13 +166,8 @@
     index: int,
 ) -> Iterator[tuple[str, Planner, World]]:
     planner = world.planners[index]
-    if planner.record is not None:
-        yield _append(world, rules, planner.record)
-    elif planner.sending is not None:
-        network = world.network | {planner.sending}
-        yield 'sends', Planner(), world._replace(network=network)
-    elif planner.asking is not None:
-        yield 'asks', _ask(world, rules, *planner.asking), world
+    if planner != Planner():
+        yield _go_on(world, rules, planner)
     elif table.lease.holder == PLANNERS[index]:
         yield from _lead(world, rules, table)
     elif world.claims < rules.max_claims:
@@ -177,6 +176,21 @@
         yield 'claims', Planner(record=claim), after
 
 
+def _go_on(
+    world: World,
+    rules: Rules,
+    planner: Planner,
+) -> tuple[str, Planner, World]:
+    """Do what the planner was about to do when it froze."""
+    if planner.record is not None:
+        return _append(world, rules, planner.record)
+    if planner.sending is not None:
+        network = world.network | {planner.sending}
+        return 'sends', Planner(), world._replace(network=network)
+    assert planner.asking is not None
+    return 'asks', _ask(world, rules, *planner.asking), world
+
+
 def _append(
     world: World,
     rules: Rules,
