--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -8,28 +8,22 @@
 import anyio
 
 from . import changes, logs
-from .answers import refuse
-from .calls import Calls
 from .checkpointer import Checkpointer
 from .config import Settings
-from .dispatch import Dispatcher
 from .fleet import Announcer, Fleet
 from .kernel import Kernel
 from .logclient import LogClient
-from .messages import Call
 from .metrics import Metrics
 from .operations import Operations
 from .planner import Planner
 from .records import Record
 from .replica import Replica
-from .targets import Target, Targets
+from .requests import Requests
+from .targets import Targets
 from .timeline import Timeline
 from .types import HostId, new_incarnation
 from .web import Web, stopping_refusal
 
-_STATUS_UNAVAILABLE = 503
-_RETRY_AFTER_S = 1.0
-
 
 class Entry:
     """One entry process.
@@ -40,6 +34,7 @@
     replica : Replica
     targets : Targets
     planner : Planner
+    requests : Requests
     calls : Calls
     web : Web
     """
@@ -64,12 +59,15 @@
             lambda: self.targets.listed,
             self.log,
         )
-        self.calls = Calls(
-            Dispatcher(),
-            self.choose,
-            self.fleet.reserve,
+        self.requests = Requests(
+            self.replica,
+            self.targets,
+            self.fleet,
+            str(self.host),
+            settings.zone,
             self.log,
         )
+        self.calls = self.requests.calls
         self.checkpointer = Checkpointer(
             self.replica,
             settings.log_retention_s,
@@ -105,7 +103,8 @@
         self.fleet.add_to(self.kernel)
         self.kernel.add('planner', self.planner)
         self.kernel.add('checkpointer', self.checkpointer)
-        self.kernel.add('calls', self.calls)
+        for name, service in self.requests.services():
+            self.kernel.add(name, service)
         self.kernel.add('web', self.web)
         self.kernel.add('announcer', Announcer(self.fleet.membership))
 
@@ -136,29 +135,6 @@
         zones = self.fleet.membership.hosts()
         return {'zones': zones, 'ttl_s': self.settings.hosts_ttl_s}
 
-    def choose(self, call: Call, tried: frozenset[str]) -> Target:
-        """Return a target for a call.
-
-        Raises
-        ------
-        RefusedError
-            If there is none.
-        """
-        candidates = [
-            target
-            for target in self.targets.table.by_name.values()
-            if target.name not in tried and _serves(target, call)
-        ]
-        name = call.entry.name
-        if not candidates:
-            raise refuse(
-                'no_target',
-                _STATUS_UNAVAILABLE,
-                f'No target serves {name} now.',
-                _RETRY_AFTER_S,
-            )
-        return min(candidates, key=lambda target: target.in_flight)
-
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully.
 
@@ -181,7 +157,7 @@
                 self.log('signal', number=int(number))
                 if stopping.is_set():
                     self.web.server.should_exit = True
-                    self.calls.cut(lambda _: True, stopping_refusal())
+                    self.calls.abort(stopping_refusal())
                 stopping.set()
 
     def _cut_withdrawn(self, _: int, record: Record, counted: bool) -> None:
@@ -191,17 +167,6 @@
                 self.log('calls_cut', count=count)
 
 
-def _serves(target: Target, call: Call) -> bool:
-    if target.is_leaving or target.failing or target.report is None:
-        return False
-    if not call.is_model:
-        return target.name in call.entry.targets
-    return any(
-        resident.model == call.entry.name and resident.state == 'ready'
-        for resident in target.report.models
-    )
-
-
 def run(settings: Settings, backend_options: dict[str, Any]) -> None:
     """Run an entry process to its end."""
     logs.start_logging()
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -150,7 +150,7 @@
         self.server.should_exit = True
         with anyio.move_on_after(self.settings.grace_s):
             await self.finished.wait()
-        self.calls.cut(lambda _: True, stopping_refusal())
+        self.calls.abort(stopping_refusal())
         await self.finished.wait()
 
     def answer_headers(self) -> list[tuple[bytes, bytes]]:
