--- a/ebonywell/cmdline.py
+++ b/ebonywell/cmdline.py
@@ -31,7 +31,7 @@
     EBONYWELL_, such as EBONYWELL_LOG_URL.
     """
     config.check(settings)
-    entry.run(settings, {})
+    entry.run(settings)
 
 
 def main() -> None:
