--- a/ebonywell/calls.py
+++ b/ebonywell/calls.py
@@ -103,6 +103,8 @@
                 opened.cut = refusal
                 opened.scope.cancel()
                 count += 1
+        if count:
+            self.log('calls_cut', code=refusal.code, count=count)
         return count
 
     def abort(self, refusal: Refusal) -> None:
--- a/ebonywell/replica.py
+++ b/ebonywell/replica.py
@@ -71,7 +71,7 @@
         self.checkpoint_at = -math.inf
         self.assembly = Assembly()
         self.watchers: list[Watcher] = []
-        self.adopters: list[Callable[[], None]] = []
+        self.adopters: list[Callable[[], object]] = []
         self.unreadable = 0
         self.is_complete = False
         self.changed = anyio.Event()
