--- a/Makefile
+++ b/Makefile
@@ -41,8 +41,8 @@
 
 dist: $(STAMP) ## build the single executable file dist/ebonywell
 	mkdir -p dist
-	$(RUN) -m shiv -q --compressed -c ebonywell -o dist/ebonywell --no-deps .  2>/dev/null || \
-	$(RUN) -m shiv --compressed -c ebonywell -o dist/ebonywell .
+	$(RUN) -m shiv --compressed -c ebonywell -p '/usr/bin/env python3' \
+		-o dist/ebonywell --quiet --constraint requirements/lock.txt .
 
 clean: ## remove what builds and runs left
 	rm -rf build dist var *.egg-info .mypy_cache .ruff_cache .pytest_cache
