--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,189 @@
+"""Whole sessions against real processes, compared with golden files.
+
+Set EBONYWELL_WRITE_GOLDEN=1 to write the files anew; read the difference
+before it is committed.
+"""
+
+import os
+from pathlib import Path
+
+import pytest
+from anyio.from_thread import start_blocking_portal
+
+from lab.deployment import Deployment
+from lab.shape import Shape
+
+from .transcripts import Transcript
+
+GOLDEN = Path(__file__).with_name('golden')
+CHAT = '/v1/chat/completions'
+ORDER = {'coil': 'DX51D', 'pieces': 40}
+CUT = '/v1/services/orders/cut'
+STOCK = '/v1/services/stock/coils/DX51D'
+SHAPE = Shape(
+    entries=1,
+    engines=('engine-1',),
+    services=('orders-1', 'stock-1', 'notices-1'),
+    entry_flags=('--max-body-bytes=4000',),
+)
+
+
+def chat(prompt='Price of a coil?', model='quote', **fields):
+    """Make the body of a chat request."""
+    message = {'role': 'user', 'content': prompt}
+    return {'model': model, 'messages': [message], 'max_tokens': 3} | fields
+
+
+class Running:
+    """A deployment, the keys of its workspaces and their ids."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.keys = {}
+        self.key_ids = {}
+
+    async def fill(self):
+        await self.deployment.fill()
+        for workspace in ('counter', 'stranger'):
+            await self.issue(workspace, workspace)
+
+    async def issue(self, name, workspace):
+        issued = await self.deployment.operator.issue_key(workspace)
+        self.keys[name] = issued.key
+        self.key_ids[name] = issued.key_id
+
+    async def withdraw(self, name):
+        await self.deployment.operator.withdraw_key(self.key_ids[name])
+
+
+@pytest.fixture(scope='module')
+def portal():
+    """Run one event loop for all sessions."""
+    with start_blocking_portal() as opened:
+        yield opened
+
+
+@pytest.fixture(scope='module')
+def running(portal):
+    """Start the processes once for all sessions."""
+    context = portal.wrap_async_context_manager(Deployment(SHAPE))
+    with context as deployment:
+        filled = Running(deployment)
+        portal.call(filled.fill)
+        yield filled
+
+
+@pytest.fixture
+def check(portal, running):
+    """Run a session and compare its transcript with its golden file."""
+
+    def check_session(name, story):
+        transcript = Transcript(running.deployment, running.keys)
+        portal.call(story, transcript, running)
+        path = GOLDEN / f'{name}.txt'
+        if os.environ.get('EBONYWELL_WRITE_GOLDEN'):
+            path.write_text(transcript.text())
+        assert transcript.text() == path.read_text()
+
+    return check_session
+
+
+# Sessions of several steps
+
+
+async def answer_whole(session, running):
+    await session.ask('counter', 'GET', '/v1/models')
+    await session.ask('counter', 'POST', CHAT, chat())
+
+
+async def answer_streamed(session, running):
+    await session.ask('counter', 'POST', CHAT, chat(stream=True))
+
+
+async def plain_services(session, running):
+    await session.ask('counter', 'GET', f'{STOCK}?unit=kg')
+    await session.ask('', 'GET', '/v1/services/notices/today')
+
+
+async def withdrawn_mid_stream(session, running):
+    await running.issue('clerk', 'counter')
+    session.keys['clerk'] = running.keys['clerk']
+    slow = {'seconds': 0.1}
+    await running.deployment.set_fault('engine-1', 'slow', **slow)
+
+    async def withdraw():
+        session.note('the key is withdrawn now')
+        await running.withdraw('clerk')
+
+    body = chat(stream=True, max_tokens=200)
+    try:
+        await session.ask('clerk', 'POST', CHAT, body, withdraw)
+    finally:
+        await running.deployment.clear_faults('engine-1')
+    await session.ask('clerk', 'POST', CHAT, body)
+
+
+async def stream_cut_by_engine(session, running):
+    fault = {'after': 2, 'count': 1}
+    await running.deployment.set_fault('engine-1', 'cut_stream', **fault)
+    session.note('the engine cuts this stream after two words')
+    await session.ask('counter', 'POST', CHAT, chat(stream=True))
+
+
+@pytest.mark.parametrize(
+    'story',
+    [
+        answer_whole,
+        answer_streamed,
+        plain_services,
+        withdrawn_mid_stream,
+        stream_cut_by_engine,
+    ],
+    ids=lambda story: story.__name__,
+)
+def test_session(check, story):
+    check(story.__name__, story)
+
+
+# Refusals of one request; nothing of it reaches a target
+
+REFUSED = {
+    'key_missing': ('', 'POST', CHAT, chat(model='quote')),
+    'key_unknown': ('unknown', 'GET', STOCK, None),
+    'not_approved': ('stranger', 'POST', CHAT, chat()),
+    'entry_unknown_model': ('counter', 'POST', CHAT, chat(model='rumour')),
+    'entry_unknown_adapter': ('counter', 'POST', CHAT, chat(model='quote:no')),
+    'entry_unknown_service': ('counter', 'GET', '/v1/services/no/x', None),
+    'bad_json': ('counter', 'POST', CHAT, b'{"model": "quote"'),
+    'bad_request_fields': ('counter', 'POST', CHAT, {'model': 7}),
+    'bad_request_messages': ('counter', 'POST', CHAT, chat(messages=[])),
+    'bad_request_max_tokens': ('counter', 'POST', CHAT, chat(max_tokens=0)),
+    'body_too_large': ('counter', 'POST', CHAT, b'x' * 5000),
+    'idempotency_key_missing': ('counter', 'POST', CUT, ORDER),
+}
+
+
+@pytest.mark.parametrize('name', REFUSED)
+def test_refusal_reaches_no_target(check, portal, running, name):
+    async def story(session, running):
+        session.keys['unknown'] = 'no-such-key'
+        await session.ask(*REFUSED[name])
+
+    before = portal.call(count_journals, running.deployment)
+    check(f'refused_{name}', story)
+    assert portal.call(count_journals, running.deployment) == before
+
+
+async def count_journals(deployment):
+    journals = [
+        await deployment.read_journal(name) for name in deployment.targets
+    ]
+    return [len(journal) for journal in journals]
+
+
+def test_no_target_saw_a_key(portal, running):
+    """Stand last, so that all sessions have been seen by the targets."""
+    for name in running.deployment.targets:
+        journal = portal.call(running.deployment.read_journal, name)
+        for key in running.keys.values():
+            assert key not in str(journal)
