--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -23,6 +23,14 @@
 from .memory import Memory
 from .memory import apply as apply_orders
 from .records import Record
+from .registry import (
+    EpochSettled,
+    HostExpelled,
+    HostLeft,
+    HostRegistered,
+    Registry,
+)
+from .registry import apply as apply_membership
 
 
 @dataclass(slots=True)
@@ -40,6 +48,7 @@
     applied: int = -1
     written_at: float = 0
     catalogue: Catalogue = field(default_factory=Catalogue)
+    registry: Registry = field(default_factory=Registry)
     lease: Lease = field(default_factory=Lease)
     memory: Memory = field(default_factory=dict)
 
@@ -49,6 +58,11 @@
     return apply_change(state.catalogue, offset, body)
 
 
+def _apply_registry(state: State, offset: int, record: Record) -> bool:
+    body: Any = record.body
+    return apply_membership(state.registry, offset, body)
+
+
 def _apply_lease(state: State, offset: int, record: Record) -> bool:
     body: Any = record.body
     return apply_lease(state.lease, offset, body)
@@ -82,6 +96,10 @@
         orders.OrdersIntended: _apply_orders,
         orders.OrdersSettled: _apply_orders,
         CheckpointPart: _apply_nothing,
+        HostRegistered: _apply_registry,
+        HostLeft: _apply_registry,
+        HostExpelled: _apply_registry,
+        EpochSettled: _apply_registry,
     }
 )
 
