An order's outcome is recorded before its caller is answered

The demo was red: an order repeated at once, at the same host, was told call_in_progress (409), since the outcome was still on its way into the log. Ruled out: a lost record (it was read back 50 ms later).

--- a/ebonywell/calls.py
+++ b/ebonywell/calls.py
@@ -20,6 +20,7 @@
 
 STOP_POLL_S = 0.05
 QUEUED_CLAIMS = 10_000
+RECORD_WAIT_S = 0.5
 _STATUS_BAD = 400
 _STATUS_TIMEOUT = 504
 _STATUS_UNAUTHORIZED = 401
@@ -175,6 +176,10 @@
         try:
             with run.claim:
                 await self._hold_answer(opened, run)
+            # A repeat at another host then finds the answer, unless the log
+            # is slow: the caller is not made to wait long for that.
+            with anyio.move_on_after(RECORD_WAIT_S):
+                await run.claim.recorded.wait()
         finally:
             self.claimed.pop(run.call.request_id)
             run.held.finish(_cut_refusal(opened), opened.used_tokens)
--- a/ebonywell/oncecalls.py
+++ b/ebonywell/oncecalls.py
@@ -32,7 +32,7 @@
 _STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
 
-Settle = Callable[[CallFinished | CallAbandoned], None]
+Settle = Callable[[CallFinished | CallAbandoned], anyio.Event]
 
 
 class Appender(Protocol):
@@ -67,6 +67,8 @@
         Whether a byte of the call may have reached a target.
     outcome : Outcome or None
         Set once the whole answer is here.
+    recorded : anyio.Event
+        Set once the log has the record with which the claim ended.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.settle = settle
         self.is_handed = False
         self.outcome: Outcome | None = None
+        self.recorded = anyio.Event()
 
     def __enter__(self) -> 'Claim':
         return self
@@ -90,9 +93,9 @@
     ) -> None:
         names = (self.record.call_key, self.record.claim_id)
         if self.is_handed:
-            self.settle(CallFinished(*names, self.outcome))
+            self.recorded = self.settle(CallFinished(*names, self.outcome))
         else:
-            self.settle(CallAbandoned(*names))
+            self.recorded = self.settle(CallAbandoned(*names))
 
 
 class OnceCalls:
--- a/ebonywell/quarantine.py
+++ b/ebonywell/quarantine.py
@@ -49,7 +49,7 @@
         self,
         replica: Appender,
         host: str,
-        settle: Callable[[SuspectRecord], None],
+        settle: Callable[[SuspectRecord], object],
         is_alive: Callable[[str], bool],
         probe: Probe,
         log: Logger,
--- a/ebonywell/settling.py
+++ b/ebonywell/settling.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -16,6 +17,12 @@
 Append = Callable[[Body], Awaitable[Any]]
 
 
+@dataclass(slots=True, eq=False)
+class _Settling:
+    record: Body
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+
 class Settler:
     """Records that must get into the log, however long that takes.
 
@@ -26,21 +33,30 @@
     append : callable
         Appends a record and waits until it is read back, or raises
         LogOutageError.
-    waiting : deque of record
+    waiting : deque
+        Records that nothing has been done about yet.
     running : int
         How many are being appended.
     """
 
     def __init__(self, append: Append) -> None:
         self.append = append
-        self.waiting: collections.deque[Body] = collections.deque()
+        self.waiting: collections.deque[_Settling] = collections.deque()
         self.running = 0
         self.arrived = anyio.Event()
 
-    def put(self, record: Body) -> None:
-        """Take a record; it is appended even if the caller is cancelled."""
-        self.waiting.append(record)
+    def put(self, record: Body) -> anyio.Event:
+        """Take a record; it is appended even if the caller is cancelled.
+
+        Returns
+        -------
+        anyio.Event
+            Set once the record has been read back.
+        """
+        settling = _Settling(record)
+        self.waiting.append(settling)
         self.arrived.set()
+        return settling.done
 
     async def run(self, ready: Callable[[], None]) -> None:
         """Append until cancelled."""
@@ -59,12 +75,13 @@
             while self.waiting or self.running:
                 await anyio.sleep(STOP_POLL_S)
 
-    async def _append(self, record: Body) -> None:
+    async def _append(self, settling: _Settling) -> None:
         while True:
             try:
-                await self.append(record)
+                await self.append(settling.record)
             except LogOutageError:
                 await anyio.sleep(RETRY_PAUSE_S)
             else:
                 break
         self.running -= 1
+        settling.done.set()
