--- a/ebonywell/messages.py
+++ b/ebonywell/messages.py
@@ -102,7 +102,8 @@
         raise _not_json(fault) from fault
     if not chat.messages:
         raise refuse('bad_request', _STATUS_BAD, 'There are no messages.')
-    if (chat.max_tokens or 1) < 1 or (chat.max_completion_tokens or 1) < 1:
+    asked = (chat.max_tokens, chat.max_completion_tokens)
+    if any(limit is not None and limit < 1 for limit in asked):
         raise refuse('bad_request', _STATUS_BAD, 'max_tokens is less than 1.')
     return chat
 
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import traceback
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any
 
@@ -9,13 +10,21 @@
 import msgspec
 import uvicorn
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 from starlette.routing import BaseRoute, Route
 from starlette.types import Receive, Scope, Send
 
 from . import edge
-from .answers import RETRY_SOON_S, Refusal, RefusedError, refuse
+from .answers import (
+    RETRY_SOON_S,
+    Refusal,
+    RefusedError,
+    encode_refusal,
+    refusal_headers,
+    refuse,
+)
 from .calls import Calls
 from .catalogue import is_approved
 from .config import Settings
@@ -30,6 +39,8 @@
 START_POLL_S = 0.01
 BACKLOG = 2048
 _STATUS_UNAVAILABLE = 503
+_STATUS_NOT_FOUND = 404
+_STATUS_INTERNAL = 500
 _STATUS_OK = 200
 _METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 
@@ -80,7 +91,7 @@
         except ClientDisconnect:
             self.web.log('caller_left', request=reply.request_id)
         else:
-            await self._run(call, reply, receive)
+            await self._run_guarded(call, reply, receive)
 
     async def _read_call(self, request_id: str) -> Call:
         self.web.check_serving()
@@ -92,6 +103,17 @@
             self.web.settings.deadline_s,
         )
 
+    async def _run_guarded(
+        self, call: Call, reply: Reply, receive: Receive
+    ) -> None:
+        try:
+            await self._run(call, reply, receive)
+        except Exception as error:
+            # A fault of this program ends one call, not the process.
+            trace = ''.join(traceback.format_exception(error))
+            self.web.log('call_failed', request=reply.request_id, trace=trace)
+            await reply.refuse(_internal_refusal())
+
     async def _run(self, call: Call, reply: Reply, receive: Receive) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(_watch_caller, receive, group.cancel_scope)
@@ -111,6 +133,9 @@
     leave : callable
         Called first on a planned stop; returns when callers no longer come.
     is_leaving : bool
+    app : Starlette
+    read_service : callable
+        Makes a call of a plain service from a request.
     """
 
     def __init__(
@@ -130,8 +155,12 @@
         self.hosts = hosts
         self.log = log
         self.is_leaving = False
-        app = Starlette(routes=[*self._routes(), *routes])
-        self.server = _Server(_server_config(app))
+        self.read_service: ReadCall = edge.read_service_call
+        self.app = Starlette(
+            routes=[*self._routes(), *routes],
+            exception_handlers={HTTPException: answer_http_error},
+        )
+        self.server = _Server(_server_config(self.app))
         self.finished = anyio.Event()
 
     async def run(self, ready: Callable[[], None]) -> None:
@@ -198,7 +227,7 @@
         return CallAnswer(request, self, edge.read_chat_call)
 
     async def _call_service(self, request: Request) -> Response:
-        return CallAnswer(request, self, edge.read_service_call)
+        return CallAnswer(request, self, self.read_service)
 
     async def _get_health(self, request: Request) -> Response:
         return json_answer({'healthy': True})
@@ -226,6 +255,28 @@
     )
 
 
+async def answer_http_error(request: Request, error: Exception) -> Response:
+    """Answer a path or method that there is none of."""
+    status = getattr(error, 'status_code', _STATUS_NOT_FOUND)
+    is_path = status == _STATUS_NOT_FOUND
+    path = request.url.path
+    refused = refuse(
+        'path_unknown' if is_path else 'method_unknown',
+        status,
+        f'{request.method} {path} is not served here.',
+    )
+    return refusal_answer(refused)
+
+
+def _internal_refusal() -> Refusal:
+    return Refusal(
+        'internal_error',
+        _STATUS_INTERNAL,
+        'A fault of this program ended the call; it may have run.',
+        RunState.unknown,
+    )
+
+
 def json_answer(body: Any, status: int = _STATUS_OK) -> Response:
     """Return a JSON response."""
     return Response(
@@ -238,10 +289,11 @@
 def refusal_answer(refused: RefusedError) -> Response:
     """Return the response for a refusal of a call that reaches no target."""
     reason = refused.refusal
-    return json_answer(
-        {'error': {'code': reason.code, 'message': reason.message}},
-        reason.status,
-    )
+    request_id = new_id()
+    answer = Response(encode_refusal(reason, request_id), reason.status)
+    answer.raw_headers.extend(refusal_headers(reason))
+    answer.headers['x-request-id'] = request_id
+    return answer
 
 
 def bind(address: str) -> socket.socket:
