--- /dev/null
+++ b/ebonywell/server.py
@@ -0,0 +1,60 @@
+"""The HTTP server of an entry process: its socket and how it serves."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+from starlette.applications import Starlette
+
+from .exceptions import SettingsError
+from .misc import split_address
+
+BACKLOG = 2048
+
+
+class Server(uvicorn.Server):
+    """uvicorn's server without handlers of its own for signals."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the process's signals to the entry process."""
+        yield
+
+
+def bind(address: str) -> socket.socket:
+    """Return a listening socket.
+
+    Raises
+    ------
+    SettingsError
+        If the address cannot be used.
+    """
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    # asyncio turns Nagle's algorithm off only where the protocol is named;
+    # with it on, every answer in two writes waits for a delayed ACK.
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        bound.bind((host, port))
+    except OSError as error:
+        bound.close()
+        raise SettingsError(f'--listen {address}: {error}') from error
+    bound.listen(BACKLOG)
+    return bound
+
+
+def server_config(app: Starlette) -> uvicorn.Config:
+    """Return how an application is served."""
+    return uvicorn.Config(
+        app,
+        loop='asyncio',
+        http='httptools',
+        ws='none',
+        lifespan='off',
+        access_log=False,
+        log_config=None,
+        log_level='error',
+        server_header=False,
+    )
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -1,14 +1,12 @@
 """The HTTP edge of an entry process."""
 
-import contextlib
 import socket
 import traceback
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import anyio
 import msgspec
-import uvicorn
 from starlette.applications import Starlette
 from starlette.exceptions import HTTPException
 from starlette.requests import ClientDisconnect, Request
@@ -28,16 +26,14 @@
 from .calls import Calls
 from .catalogue import is_approved
 from .config import Settings
-from .exceptions import SettingsError
 from .logs import Logger
 from .messages import Call
-from .misc import split_address
 from .replica import Replica
 from .reply import Reply
+from .server import Server, bind, server_config
 from .types import EntryKind, RunState, new_id
 
 START_POLL_S = 0.01
-BACKLOG = 2048
 _STATUS_UNAVAILABLE = 503
 _STATUS_NOT_FOUND = 404
 _STATUS_INTERNAL = 500
@@ -48,15 +44,6 @@
 CheckServing = Callable[[], None]
 
 
-class _Server(uvicorn.Server):
-    """uvicorn's server without handlers of its own for signals."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Leave the process's signals to the entry process."""
-        yield
-
-
 class CallAnswer(Response):
     """Reads, checks and runs one call, and sends its answer.
 
@@ -160,7 +147,7 @@
             routes=[*self._routes(), *routes],
             exception_handlers={HTTPException: answer_http_error},
         )
-        self.server = _Server(_server_config(self.app))
+        self.server = Server(server_config(self.app))
         self.finished = anyio.Event()
 
     async def run(self, ready: Callable[[], None]) -> None:
@@ -296,43 +283,6 @@
     return answer
 
 
-def bind(address: str) -> socket.socket:
-    """Return a listening socket.
-
-    Raises
-    ------
-    SettingsError
-        If the address cannot be used.
-    """
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    # asyncio turns Nagle's algorithm off only where the protocol is named;
-    # with it on, every answer in two writes waits for a delayed ACK.
-    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        bound.bind((host, port))
-    except OSError as error:
-        bound.close()
-        raise SettingsError(f'--listen {address}: {error}') from error
-    bound.listen(BACKLOG)
-    return bound
-
-
-def _server_config(app: Starlette) -> uvicorn.Config:
-    return uvicorn.Config(
-        app,
-        loop='asyncio',
-        http='httptools',
-        ws='none',
-        lifespan='off',
-        access_log=False,
-        log_config=None,
-        log_level='error',
-        server_header=False,
-    )
-
-
 async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
     while True:
         message = await receive()
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from ebonywell import web
+from ebonywell import server, web
 from ebonywell.config import Settings
 from ebonywell.exceptions import SettingsError
 from ebonywell.logs import discard_event
@@ -16,15 +16,15 @@
 
 def test_the_listening_socket_names_its_protocol():
     """Without it asyncio leaves Nagle's algorithm on, at 40 ms an answer."""
-    with web.bind('127.0.0.1:0') as bound:
+    with server.bind('127.0.0.1:0') as bound:
         assert bound.proto == socket.IPPROTO_TCP
 
 
 def test_an_address_in_use_is_a_settings_error():
-    with web.bind('127.0.0.1:0') as bound:
+    with server.bind('127.0.0.1:0') as bound:
         number, port = bound.getsockname()
         with pytest.raises(SettingsError, match='--listen'):
-            web.bind(f'{number}:{port}')
+            server.bind(f'{number}:{port}')
 
 
 class FailingCalls:
