--- a/ebonywell/targets.py
+++ b/ebonywell/targets.py
@@ -13,7 +13,7 @@
 from .logs import Logger
 from .types import HostState
 
-POLL_GAP_S = 0.5
+POLL_GAP_S = 1.0
 POLL_TIMEOUT_S = 1.0
 _STATUS_OK = 200
 _Answer = TypeVar('_Answer')
