--- /dev/null
+++ b/ebonywell/hostlist.py
@@ -0,0 +1,147 @@
+"""Keeps this process's own line in the platform's host list."""
+
+from types import TracebackType
+from typing import Self
+
+import anyio
+import httpcore
+import msgspec
+
+from .exceptions import PeerError
+from .logs import Logger
+from .targets import ListedHost
+from .types import HostState
+
+TIMEOUT_S = 1.0
+_STATUS_OK = 200
+_STATUS_ERROR = 300
+
+
+ROLE = 'entry'
+PUT_RETRY_S = 1.0
+
+
+class HostListClient:
+    """A connection pool to the host list, closed on leaving the context.
+
+    Attributes
+    ----------
+    url : str
+    pool : httpcore.AsyncConnectionPool
+    """
+
+    def __init__(self, url: str) -> None:
+        self.url = url
+        self.pool = httpcore.AsyncConnectionPool(max_connections=1)
+
+    async def __aenter__(self) -> Self:
+        await self.pool.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.pool.__aexit__(kind, error, trace)
+
+    async def put(self, host: ListedHost) -> None:
+        """Add or change a host's line.
+
+        Raises
+        ------
+        PeerError
+            If the host list did not take it.
+        """
+        await self._ask('PUT', host.name, msgspec.json.encode(host))
+
+    async def delete(self, name: str) -> None:
+        """Remove a host's line.
+
+        Raises
+        ------
+        PeerError
+            If the host list did not take it.
+        """
+        await self._ask('DELETE', name, b'')
+
+    async def _ask(self, method: str, name: str, content: bytes) -> None:
+        timeout = dict.fromkeys(
+            ('connect', 'read', 'write', 'pool'),
+            TIMEOUT_S,
+        )
+        url = f'{self.url}/hosts/{name}'
+        try:
+            response = await self.pool.request(
+                method,
+                url,
+                content=content,
+                extensions={'timeout': timeout},
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError) as broken:
+            raise PeerError(f'{method} {url}: {broken!r}') from broken
+        except httpcore.TimeoutException as late:
+            raise PeerError(f'{method} {url}: {late!r}') from late
+        if not _STATUS_OK <= response.status < _STATUS_ERROR:
+            raise PeerError(f'{method} {url}: status {response.status}')
+
+
+class HostLine:
+    """A process's own line in the host list, with the client that it owns.
+
+    Attributes
+    ----------
+    host : ListedHost
+    client : HostListClient
+    """
+
+    def __init__(
+        self,
+        host: ListedHost,
+        client: HostListClient,
+        log: Logger,
+    ) -> None:
+        self.host = host
+        self.client = client
+        self.log = log
+
+    async def __aenter__(self) -> Self:
+        await self.client.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.client.__aexit__(kind, error, trace)
+
+    async def publish(self, peer_address: str) -> None:
+        """Put the line into the list, however often that has to be tried."""
+        self.host = msgspec.structs.replace(
+            self.host, peer_address=peer_address
+        )
+        while not await self._put():
+            await anyio.sleep(PUT_RETRY_S)
+
+    async def mark_leaving(self) -> None:
+        """Say in the list that this host leaves, if the list answers."""
+        self.host = msgspec.structs.replace(self.host, state=HostState.leaving)
+        await self._put()
+
+    async def remove(self) -> None:
+        """Take the line out of the list, if the list answers."""
+        try:
+            await self.client.delete(self.host.name)
+        except PeerError as error:
+            self.log('host_list_unwritable', reason=str(error))
+
+    async def _put(self) -> bool:
+        try:
+            await self.client.put(self.host)
+        except PeerError as error:
+            self.log('host_list_unwritable', reason=str(error))
+            return False
+        return True
