Answer requests that no route takes as JSON

tests/test_sessions.py was seen failing: GET /v2/anything and a wrong method got starlette's plain text, and refusals of GET /v1/models named neither the run state nor a request id. Every error is JSON with a code, a sentence and the run state now, in ebonywell/responses.py.

--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import anyio
-import msgspec
 import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import ClientDisconnect, Request
@@ -25,12 +24,12 @@
 from .misc import split_address
 from .replica import Replica
 from .reply import Reply
+from .responses import EXCEPTION_HANDLERS, json_answer, refusal_answer
 from .types import EntryKind, RunState, new_id
 
 START_POLL_S = 0.01
 BACKLOG = 2048
 _STATUS_UNAVAILABLE = 503
-_STATUS_OK = 200
 _METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 
 ReadCall = Callable[..., Awaitable[Call]]
@@ -130,7 +129,10 @@
         self.hosts = hosts
         self.log = log
         self.is_leaving = False
-        app = Starlette(routes=[*self._routes(), *routes])
+        app = Starlette(
+            routes=[*self._routes(), *routes],
+            exception_handlers=EXCEPTION_HANDLERS,
+        )
         self.server = _Server(_server_config(app))
         self.finished = anyio.Event()
 
@@ -226,24 +228,6 @@
     )
 
 
-def json_answer(body: Any, status: int = _STATUS_OK) -> Response:
-    """Return a JSON response."""
-    return Response(
-        msgspec.json.encode(body),
-        status,
-        media_type='application/json',
-    )
-
-
-def refusal_answer(refused: RefusedError) -> Response:
-    """Return the response for a refusal of a call that reaches no target."""
-    reason = refused.refusal
-    return json_answer(
-        {'error': {'code': reason.code, 'message': reason.message}},
-        reason.status,
-    )
-
-
 def bind(address: str) -> socket.socket:
     """Return a listening socket.
 
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lab.client import bearer
+from lab.client import Answer, bearer
 
 GOLDEN = Path(__file__).with_name('golden')
 UPDATE = 'EBONYWELL_UPDATE_GOLDEN'
@@ -39,7 +39,7 @@
         headers=(),
         meanwhile=None,
     ):
-        """Send a request, write down both sides, and return the status.
+        """Send a request, write down both sides, and return the answer.
 
         `meanwhile` is awaited once the answer's first part is there; the
         parts after that one differ from run to run, so that only the first
@@ -65,7 +65,7 @@
             events = [event for event in text.split('\n\n') if event.strip()]
             text = f'{events[0]}\n...\n{events[-1]}\n'
         self._write_answer(stream, text)
-        return stream.status
+        return Answer(stream.status, stream.headers, b''.join(parts))
 
     def check(self, name):
         """Compare the session with the golden file of that name."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -86,6 +86,7 @@
     'idempotency_key_missing': ('POST', CUT, {'coil': 7}, 'counter'),
     'route_unknown': ('GET', '/v2/anything', None, 'counter'),
     'method_unknown': ('GET', CHAT, None, 'counter'),
+    'models_key_missing': ('GET', '/v1/models'),
 }
 
 
@@ -97,7 +98,9 @@
                 leak = chat(f'my key is {session.keys["counter"]}')
                 request = ('POST', CHAT, leak, 'counter')
             session.lines.append(f'# {name}')
-            assert await session.say(*request) >= 400
+            answer = await session.say(*request)
+            assert answer.status >= 400
+            assert answer.json()['error']['run_state'] == 'not_run', name
         assert await count_received(running.deployment) == received
 
     running.run(story)
