--- a/ebonywell/records.py
+++ b/ebonywell/records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from . import changes, leases, orders
+from . import changes, leases, onceonly, orders, suspects
 from .checkpoint import CheckpointPart
 from .exceptions import RecordError
 from .registry import RegistryRecord
@@ -10,6 +10,8 @@
 
 Body = (
     changes.CatalogueRecord
+    | onceonly.OnceRecord
+    | suspects.SuspectRecord
     | leases.LeaseRecord
     | orders.OrderRecord
     | RegistryRecord
