--- a/ebonywell/messages.py
+++ b/ebonywell/messages.py
@@ -102,15 +102,24 @@
         raise _not_json(fault) from fault
     if not chat.messages:
         raise refuse('bad_request', _STATUS_BAD, 'There are no messages.')
-    if (chat.max_tokens or 1) < 1 or (chat.max_completion_tokens or 1) < 1:
+    asked = (chat.max_tokens, chat.max_completion_tokens)
+    if any(count is not None and count < 1 for count in asked):
         raise refuse('bad_request', _STATUS_BAD, 'max_tokens is less than 1.')
     return chat
 
 
 def output_limit(chat: ChatRequest, entry: Entry) -> int:
     """Return the most tokens that the answer may have."""
-    asked = chat.max_completion_tokens or chat.max_tokens
-    return min(asked or entry.max_output_tokens, entry.max_output_tokens)
+    asked = _asked_tokens(chat)
+    if asked is None:
+        return entry.max_output_tokens
+    return min(asked, entry.max_output_tokens)
+
+
+def _asked_tokens(chat: ChatRequest) -> int | None:
+    if chat.max_completion_tokens is None:
+        return chat.max_tokens
+    return chat.max_completion_tokens
 
 
 def prompt_tokens(chat: ChatRequest) -> int:
