--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -221,7 +221,7 @@
     'no_target': ('counter', 'GET', '/v1/services/absent/x', None),
     'body_too_large': ('counter', 'POST', CHAT, b'x' * 5000),
     'models_key_missing': ('', 'GET', '/v1/models'),
-    'route_unknown': ('counter', 'GET', '/v2/anything'),
+    'path_unknown': ('counter', 'GET', '/v2/anything'),
     'method_unknown': ('counter', 'GET', CHAT),
     'idempotency_key_missing': ('counter', 'POST', CUT, ORDER),
 }
