--- a/ebonywell/fairqueue.py
+++ b/ebonywell/fairqueue.py
@@ -60,9 +60,9 @@
 class FairClass(Generic[_Call]):
     """The flows of one class.
 
-    Of two workspaces that wait all the time for the same targets, the
-    services in tokens by weight differ by at most the larger of their
-    largest calls by weight.
+    In any interval in which two workspaces wait all the time for the same
+    targets, their services, in tokens by weight, differ by at most the sum
+    of their largest calls by weight.
 
     Attributes
     ----------
--- a/tests/crashworld.py
+++ b/tests/crashworld.py
@@ -45,6 +45,8 @@
     incarnation: int = 1
     is_up: bool = True
     crashes: int = 0
+    draining: bool = False
+    queue_depth: int = 0
     running: set = field(default_factory=set)
     runs: list = field(default_factory=list)
 
@@ -98,16 +100,16 @@
                 for host in self.hosts:
                     host.poll()
 
+    @property
+    def crashes(self):
+        return sum(one.crashes for one in self.machines.values())
+
     async def _restart(self, machine):
         await anyio.sleep(RESTART_S)
         if not machine.is_up:
             machine.incarnation += 1
             machine.is_up = True
 
-    @property
-    def crashes(self):
-        return sum(one.crashes for one in self.machines.values())
-
 
 class Host:
     """One entry host."""
@@ -171,6 +173,8 @@
                     str(machine.incarnation),
                     running=len(machine.running),
                     max_running=machine.max_running,
+                    draining=machine.draining,
+                    queue_depth=machine.queue_depth,
                 )
 
     async def probe(self, target):
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,79 @@
+"""The choice among replicas, whatever their reports say."""
+
+import collections
+import random
+
+import pytest
+
+from ebonywell.routing import (
+    AFFINITY_BOUND,
+    Candidate,
+    Sight,
+    choose_by_prefix,
+    choose_least,
+    choose_of_two,
+    estimate_loads,
+    prefer,
+    prefix_key,
+)
+
+
+@pytest.fixture
+def rng():
+    return random.Random(1)
+
+
+def _replicas(loads):
+    return [Candidate(f't{index}', load) for index, load in enumerate(loads)]
+
+
+@pytest.mark.parametrize(
+    ('odd', 'expected'),
+    [
+        (Sight(2, 1, 7, 0.5), 8),
+        (Sight(2, 0, None), 6),
+        (Sight(2, 0, 50, age_s=60), 6),
+        (Sight(2, 0, -5), 6),
+        (Sight(2, 0, 10**9), 6),
+        (Sight(8, 8, 0), 8),
+    ],
+)
+def test_odd_reports_neither_draw_nor_repel_calls(odd, expected):
+    """Lagging, missing, old, negative, absurd, and idle though it is not."""
+    usual = [Sight(0, 0, 4), Sight(1, 1, 5), Sight(0, 0, 4)]
+    assert estimate_loads([*usual, odd])[-1] == expected
+
+
+def test_a_prefix_stays_with_its_replica_until_that_is_loaded(rng):
+    prefix = prefix_key(b'quote for galvanised strip')
+    even = _replicas(3 for _ in range(9))
+    home = choose_by_prefix(even, prefix, rng)
+    assert choose_by_prefix(even, prefix, random.Random(2)) is home
+    uneven = _replicas(9 if one is home else 3 for one in even)
+    assert choose_by_prefix(uneven, prefix, rng).load == 3
+
+
+def test_a_popular_prefix_loads_no_replica_beyond_the_bound(rng):
+    loads = collections.Counter({f't{number}': 0 for number in range(10)})
+    for _ in range(500):
+        candidates = [Candidate(name, load) for name, load in loads.items()]
+        loads[choose_by_prefix(candidates, b'same', rng).name] += 1
+        mean = sum(loads.values()) / len(loads)
+        assert max(loads.values()) <= AFFINITY_BOUND * (mean + 1) + 1
+
+
+def test_a_returning_replica_gets_its_share_only(rng):
+    slow = Candidate('slow', 0, share=0.1)
+    usual = Candidate('usual', 3)
+    for choose in (choose_least, choose_of_two):
+        assert choose([slow, usual], b'', rng) is usual
+
+
+def test_adapter_before_zone_before_load_but_not_at_any_price():
+    far = Candidate('far', 2, is_near=False)
+    near = Candidate('near', 3, has_adapter=False)
+    both = Candidate('both', 4)
+    assert list(prefer([far, near, both])) == [both]
+    swamped = Candidate('both', 40)
+    left = prefer([far, near, swamped])
+    assert choose_least(left, b'', random.Random(1)) is far
