--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -118,6 +118,15 @@
     await session.ask('', 'GET', '/v1/services/notices/today')
 
 
+async def order_sent_again(session, running):
+    once = {'idempotency_key': 'order-1'}
+    await session.ask('counter', 'POST', CUT, ORDER, **once)
+    await session.ask('counter', 'POST', CUT, ORDER, **once)
+    session.note('another order under the same key')
+    other = ORDER | {'pieces': 41}
+    await session.ask('counter', 'POST', CUT, other, **once)
+
+
 async def withdrawn_mid_stream(session, running):
     await running.issue('clerk', 'counter')
     session.keys['clerk'] = running.keys['clerk']
@@ -186,6 +195,7 @@
         answer_whole,
         answer_streamed,
         plain_services,
+        order_sent_again,
         withdrawn_mid_stream,
         stream_cut_by_engine,
     ],
@@ -210,6 +220,9 @@
     'bad_request_max_tokens': ('counter', 'POST', CHAT, chat(max_tokens=0)),
     'no_target': ('counter', 'GET', '/v1/services/absent/x', None),
     'body_too_large': ('counter', 'POST', CHAT, b'x' * 5000),
+    'models_key_missing': ('', 'GET', '/v1/models'),
+    'path_unknown': ('counter', 'GET', '/v2/anything'),
+    'method_unknown': ('counter', 'GET', CHAT),
     'idempotency_key_missing': ('counter', 'POST', CUT, ORDER),
 }
 
