--- a/ebonywell/replica.py
+++ b/ebonywell/replica.py
@@ -18,6 +18,8 @@
 
 RETRY_PAUSE_S = 0.2
 TAIL_RECORDS = 5000
+# Shorter failures may be over before an append would be answered.
+OUTAGE_AFTER_S = 1.0
 NO_CHECKPOINT = -1
 
 Watcher = Callable[[int, records.Record, bool], None]
@@ -34,6 +36,9 @@
         The latest records as parsed JSON, for peers cut off from the log.
     read_at : float
         When the latest read that reached the log's end was sent, by `clock`.
+    failing_since : float
+        When the reads that fail now began to fail; infinite while they do
+        not.
     first_offset : int
         The first offset that the log held then.
     checkpoint_offset : int
@@ -66,6 +71,7 @@
         self.state = State()
         self.tail: deque[Stored] = deque(maxlen=TAIL_RECORDS)
         self.read_at = -math.inf
+        self.failing_since = math.inf
         self.first_offset = 0
         self.checkpoint_offset = NO_CHECKPOINT
         self.checkpoint_at = -math.inf
@@ -107,6 +113,8 @@
             If it was not read back in time; the error's `is_sent` tells
             whether it may be in the log all the same.
         """
+        if self.clock() - self.failing_since > OUTAGE_AFTER_S:
+            raise LogOutageError('the log cannot be read', is_sent=False)
         return await self.appender.append(body)
 
     async def wait_past(self, offset: int) -> None:
@@ -177,6 +185,7 @@
             try:
                 await self._follow_page()
             except LogOutageError as outage:
+                self.failing_since = min(self.failing_since, self.clock())
                 self.log('log_unreadable', reason=str(outage))
                 await anyio.sleep(RETRY_PAUSE_S)
             except LogGapError as gap:
@@ -189,6 +198,7 @@
         page = await self.client.read(applied + 1, wait_s)
         if applied != self.state.applied and not page.records:
             return
+        self.failing_since = math.inf
         self.first_offset = page.first_offset
         for stored in page.records:
             self.take(stored.offset, stored.record)
--- a/ebonywell/server.py
+++ b/ebonywell/server.py
@@ -11,6 +11,9 @@
 from .misc import split_address
 
 BACKLOG = 2048
+# Longer than callers keep idle connections, so that a caller's next request
+# does not meet the closing of its connection.
+KEEP_ALIVE_S = 75
 
 
 class Server(uvicorn.Server):
@@ -51,6 +54,7 @@
         app,
         loop='asyncio',
         http='httptools',
+        timeout_keep_alive=KEEP_ALIVE_S,
         ws='none',
         lifespan='off',
         access_log=False,
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -107,6 +107,24 @@
     play(story)
 
 
+def test_in_an_outage_an_append_is_refused_at_once():
+    async def story():
+        log = FakeLog()
+        async with following(log) as replica:
+            log.is_down = True
+            await anyio.sleep(5)
+            began = anyio.current_time()
+            with pytest.raises(LogOutageError) as caught:
+                await replica.append(workspace(1))
+            assert not caught.value.is_sent
+            assert anyio.current_time() == began
+            log.is_down = False
+            await anyio.sleep(2)
+            assert (await replica.append(workspace(1))).counted
+
+    play(story)
+
+
 def test_the_second_of_two_racing_operators_is_told():
     async def story():
         log = FakeLog()
