--- a/ebonywell/edge.py
+++ b/ebonywell/edge.py
@@ -182,6 +182,7 @@
         idempotency_key=request.headers.get('idempotency-key', ''),
         digest=messages.call_digest(chat.model, 'POST', path, body),
         deadline=anyio.current_time() + deadline_s,
+        prefix=messages.prompt_prefix(chat),
     )
     _check_hides_key(call, key)
     return call
--- a/ebonywell/messages.py
+++ b/ebonywell/messages.py
@@ -12,6 +12,7 @@
 
 _CHARACTERS_A_TOKEN = 4
 _STATUS_BAD = 400
+PREFIX_BYTES = 256
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -47,6 +48,8 @@
         The same for every repeat of the same request.
     deadline : float
         By the process's clock, in seconds.
+    prefix : bytes
+        The start of a model's prompt, by which its engine caches it.
     """
 
     request_id: str
@@ -64,6 +67,7 @@
     idempotency_key: str
     digest: str
     deadline: float
+    prefix: bytes = b''
 
     @property
     def is_model(self) -> bool:
@@ -123,6 +127,16 @@
     )
 
 
+def prompt_prefix(chat: ChatRequest) -> bytes:
+    """Return the start of the prompt's text, as engines cache it."""
+    prompt = '\n'.join(_text_of(message) for message in chat.messages)
+    return prompt[:PREFIX_BYTES].encode()[:PREFIX_BYTES]
+
+
+def _text_of(message: _Message) -> str:
+    return message.content if isinstance(message.content, str) else ''
+
+
 def limited_body(body: bytes, max_tokens: int) -> bytes:
     """Return a chat request whose answer cannot exceed what was reserved.
 
--- a/ebonywell/placing.py
+++ b/ebonywell/placing.py
@@ -1,6 +1,7 @@
 """Picks a target with room for a call, from what is known of all of them."""
 
 import enum
+import math
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -23,6 +24,8 @@
 LEAST_LIMIT = 1.0
 LIMIT_CUT = 0.8
 MAX_LIMIT = 1024
+INDEX_LIFE_S = 1.0
+MISS_LIFE_S = 0.1
 
 
 class Ending(enum.StrEnum):
@@ -61,6 +64,10 @@
         By target.
     left_at : dict of str to float
         When a target said that it leaves, by the process's clock.
+    index : dict of str to tuple of str
+        Targets by the models that are ready on them.
+    indexed_at : float
+        When it was made, in seconds by the process's clock.
     """
 
     def __init__(
@@ -77,6 +84,8 @@
         self.ejector = Ejector()
         self.limits: dict[str, Limit] = {}
         self.left_at: dict[str, float] = {}
+        self.index: dict[str, tuple[str, ...]] = {}
+        self.indexed_at = -math.inf
 
     def observe(self, target: Target, ending: Ending) -> None:
         """Learn from the end of an exchange."""
@@ -99,10 +108,8 @@
         """
         able = [
             target
-            for target in self.table.by_name.values()
-            if target.name not in avoided
-            and _has_what_it_needs(target, call)
-            and not self._is_leaving(target)
+            for target in self._able(call)
+            if target.name not in avoided and not self._is_leaving(target)
         ]
         heard = [target for target in able if not target.failing]
         usable = heard or able
@@ -123,7 +130,7 @@
         candidates = list(self._candidates(call, serving))
         if not candidates:
             return None
-        prefix = prefix_key(call.body) if call.is_model else b''
+        prefix = prefix_key(call.prefix) if call.is_model else b''
         choose: Choose = choose_by_prefix if prefix else choose_of_two
         chosen = choose(prefer(candidates), prefix, self.rng)
         target = self.table.by_name[chosen.name]
@@ -139,6 +146,23 @@
         for left in set(self.left_at) - names:
             self.left_at.pop(left)
 
+    def _able(self, call: Call) -> Iterator[Target]:
+        names = call.entry.targets
+        if call.is_model:
+            names = self._resident(call.entry.name)
+        for name in names:
+            target = self.table.by_name.get(name)
+            if target is not None:
+                yield target
+
+    def _resident(self, model: str) -> tuple[str, ...]:
+        age_s = self.clock() - self.indexed_at
+        is_missing = model not in self.index
+        if age_s > INDEX_LIFE_S or (is_missing and age_s > MISS_LIFE_S):
+            self.index = _index_models(self.table)
+            self.indexed_at = self.clock()
+        return self.index.get(model, ())
+
     def _candidates(
         self,
         call: Call,
@@ -201,15 +225,14 @@
     return min(reported, MAX_LIMIT) if reported > 0 else USUAL_LIMIT
 
 
-def _has_what_it_needs(target: Target, call: Call) -> bool:
-    if not call.is_model:
-        return target.name in call.entry.targets
-    if target.report is None:
-        return False
-    return any(
-        resident.model == call.entry.name and resident.state == 'ready'
-        for resident in target.report.models
-    )
+def _index_models(table: TargetTable) -> dict[str, tuple[str, ...]]:
+    index: dict[str, list[str]] = {}
+    for target in table.by_name.values():
+        models = target.report.models if target.report else ()
+        for resident in models:
+            if resident.state == 'ready':
+                index.setdefault(resident.model, []).append(target.name)
+    return {model: tuple(names) for model, names in index.items()}
 
 
 def _has_adapter(target: Target, call: Call) -> bool:
--- a/ebonywell/routing.py
+++ b/ebonywell/routing.py
@@ -7,10 +7,10 @@
 
 import xxhash
 
-PREFIX_BYTES = 256
 AFFINITY_BOUND = 1.25
 PREFERENCE_SLACK = 2.0
 REPORT_LIFE_S = 3.0
+LEAST_TRUST = 0.5
 MAX_PLAUSIBLE_LOAD = 4096
 
 
@@ -75,12 +75,19 @@
     """Return each replica's load: own calls, and others' by the reports.
 
     A missing, old or impossible report is replaced by the median of the
-    others, and one that shows less than this process's own calls adds
-    nothing: a lying report draws no more calls than an idle replica would.
+    others. A report that shows too few calls of other hosts is corrected: for
+    each own call on a replica there are about as many of other hosts as on
+    the replicas altogether, and at least `LEAST_TRUST` of that is assumed.
     """
     known = [_others(one, 0) for one in sights if _is_believed(one)]
     usual = statistics.median(known) if known else 0
-    return [sight.own + _others(sight, usual) for sight in sights]
+    others = [_others(sight, usual) for sight in sights]
+    own = sum(sight.own for sight in sights)
+    expected = LEAST_TRUST * sum(others) / max(own, 1)
+    return [
+        sight.own + max(other, expected * sight.own)
+        for sight, other in zip(sights, others, strict=True)
+    ]
 
 
 def _is_believed(sight: Sight) -> bool:
@@ -95,9 +102,9 @@
     return max(0, sight.reported - sight.own_then)
 
 
-def prefix_key(prompt: bytes) -> bytes:
+def prefix_key(prefix: bytes) -> bytes:
     """Return the key of a prompt's prefix, as engines name it."""
-    return xxhash.xxh64_hexdigest(prompt[:PREFIX_BYTES]).encode()
+    return xxhash.xxh64_hexdigest(prefix).encode()
 
 
 def choose_random(
--- /dev/null
+++ b/lab/requests_bench.py
@@ -0,0 +1,250 @@
+"""Measures the request path: routing, isolation, memory, time a decision."""
+
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import cyclopts
+
+from ebonywell.changes import Entry
+from ebonywell.fairqueue import FairQueue, Waiting
+from ebonywell.messages import Call
+from ebonywell.onceonly import (
+    CallClaimed,
+    CallFinished,
+    OnceOnly,
+    Outcome,
+    call_key,
+)
+from ebonywell.onceonly import apply as apply_once_only
+from ebonywell.placing import Placer
+from ebonywell.suspects import RequestSuspected, Suspects
+from ebonywell.suspects import apply as apply_suspect
+from ebonywell.targets import (
+    ListedHost,
+    Report,
+    ResidentModel,
+    Target,
+    TargetTable,
+)
+from ebonywell.types import EntryKind, new_id
+
+from .requests_routing import CHOICES, REPORTS, RoutingSimulation
+from .requests_trials import TrialCase, play_trials
+
+app = cyclopts.App()
+TABLE_SIZES = (10_000, 50_000)
+TARGET_COUNTS = (10, 100, 10_000)
+MODELS = 1300
+PICKS = 2000
+WORKSPACES = 100
+WAITING = 2000
+_PERCENT = 100
+_MILLI = 1e3
+_MICRO = 1e6
+
+
+@dataclass(slots=True, frozen=True)
+class RequestRow:
+    """One measurement.
+
+    Attributes
+    ----------
+    what : str
+    case : str
+    value : float
+    unit : str
+    """
+
+    what: str
+    case: str
+    value: float
+    unit: str
+
+
+def measure_routing(seed: int) -> list[RequestRow]:
+    """Return latencies and cache hits of each way to choose."""
+    rows: list[RequestRow] = []
+    for reports, report in REPORTS.items():
+        for name, choose in CHOICES.items():
+            case = f'{name}, {reports}'
+            result = RoutingSimulation(choose, report, seed).run()
+            rows.extend(
+                RequestRow(
+                    f'latency p{percent}',
+                    case,
+                    result.percentile(percent) * _MILLI,
+                    'ms',
+                )
+                for percent in (50, 95, 99)
+            )
+            hits = result.hits / len(result.latencies) * _PERCENT
+            rows.append(RequestRow('cache hits', case, hits, '%'))
+    return rows
+
+
+def measure_trials(seed: int) -> list[RequestRow]:
+    """Return what a killer costs by how its retries are isolated."""
+    rows: list[RequestRow] = []
+    for case in TrialCase:
+        outcome = play_trials(case, seed)
+        rows.append(
+            RequestRow('targets lost', case, outcome.crashes, 'a killer')
+        )
+        rows.append(
+            RequestRow(
+                'innocents quarantined', case, outcome.quarantined, 'a killer'
+            )
+        )
+        rows.append(
+            RequestRow('last innocent done', case, outcome.last_done_s, 's')
+        )
+    return rows
+
+
+def measure_tables() -> list[RequestRow]:
+    """Return the memory of the tables that grow with requests."""
+    rows = [
+        RequestRow('memory a claim', str(size), _traced(_fill_calls, size), 'B')
+        for size in TABLE_SIZES
+    ]
+    rows.append(
+        RequestRow(
+            'memory a suspect',
+            str(TABLE_SIZES[0]),
+            _traced(_fill_suspects, TABLE_SIZES[0]),
+            'B',
+        )
+    )
+    return rows
+
+
+def measure_decisions(seed: int) -> list[RequestRow]:
+    """Return the processor time of picking a target and of the queue."""
+    rows = [
+        RequestRow('pick', f'{count} targets', _time_picks(count, seed), 'us')
+        for count in TARGET_COUNTS
+    ]
+    rows.append(
+        RequestRow(
+            'push and pop',
+            f'{WAITING} wait of {WORKSPACES} workspaces',
+            _time_queue(),
+            'us',
+        )
+    )
+    return rows
+
+
+def measure(seed: int = 1) -> list[RequestRow]:
+    """Return all measurements."""
+    return [
+        *measure_routing(seed),
+        *measure_trials(seed),
+        *measure_tables(),
+        *measure_decisions(seed),
+    ]
+
+
+def _traced(fill: Callable[[int], object], size: int) -> float:
+    tracemalloc.start()
+    kept = fill(size)
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return used / size
+
+
+def _fill_calls(size: int) -> OnceOnly:
+    table = OnceOnly()
+    for number in range(size):
+        key = call_key('counter', str(number))
+        claim = new_id()
+        apply_once_only(
+            table,
+            CallClaimed(key, claim, 'w', 'desk', call_key('', key), 'h/1'),
+        )
+        outcome = Outcome(201, 'application/json', b'x' * _PERCENT)
+        apply_once_only(table, CallFinished(key, claim, outcome))
+    return table
+
+
+def _fill_suspects(size: int) -> Suspects:
+    table = Suspects()
+    for number in range(size):
+        digest = call_key('', str(number))
+        apply_suspect(table, RequestSuspected(digest, 't1', new_id()))
+    return table
+
+
+def _time_picks(count: int, seed: int) -> float:
+    rng = random.Random(seed)
+    table = TargetTable()
+    models = min(MODELS, count)
+    for number in range(count):
+        name = f't{number}'
+        target = Target(ListedHost(name, 'engine', '127.0.0.1:1'))
+        resident = ResidentModel(f'm{number % models}', 1, 'ready')
+        target.report = Report(name, '1', max_running=16, models=(resident,))
+        table.by_name[name] = target
+    placer = Placer(table, '', time.monotonic, rng)
+    calls = [_call(f'm{rng.randrange(models)}') for _ in range(PICKS)]
+    started = time.process_time()
+    for call in calls:
+        target_or_none = placer.pick(call, frozenset())
+        if target_or_none is not None:
+            target_or_none.in_flight -= 1
+    return (time.process_time() - started) / PICKS * _MICRO
+
+
+def _call(model: str) -> Call:
+    return Call(
+        request_id='r',
+        workspace='w',
+        key_digest='',
+        entry=Entry(model, EntryKind.model),
+        adapter='',
+        method='POST',
+        path='/',
+        headers=[],
+        body=b'x' * 1000,
+        is_streamed=False,
+        tokens=1,
+        prompt_tokens=1,
+        idempotency_key='',
+        digest='',
+        deadline=0,
+    )
+
+
+def _time_queue() -> float:
+    queue: FairQueue[Waiting] = FairQueue()
+    started = time.process_time()
+    for number in range(WAITING):
+        workspace = f'w{number % WORKSPACES}'
+        queue.push(Waiting(workspace, 1, 'quote', False, 1))
+    for _ in range(WAITING):
+        queue.pop(lambda waiting: True)
+    return (time.process_time() - started) / WAITING * _MICRO
+
+
+@app.default
+def main(*, seed: int = 1) -> None:
+    """Print all measurements.
+
+    Parameters
+    ----------
+    seed
+        Of everything random.
+    """
+    for row in measure(seed):
+        sys.stdout.write(
+            f'{row.what:24} {row.case:36} {row.value:10.1f} {row.unit}\n'
+        )
+
+
+if __name__ == '__main__':
+    app()
--- /dev/null
+++ b/lab/requests_routing.py
@@ -0,0 +1,214 @@
+"""Simulates the choice among replicas, with lagging and odd reports."""
+
+import collections
+import functools
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from types import MappingProxyType
+
+from ebonywell.routing import (
+    Candidate,
+    Choose,
+    Sight,
+    choose_by_prefix,
+    choose_least,
+    choose_of_two,
+    choose_random,
+    estimate_loads,
+)
+
+HOSTS = 8
+REPLICAS = 10
+SLOTS = 16
+CACHED_PREFIXES = 30
+PREFIXES = 200
+REPORT_GAP_S = 0.5
+DECODE_S = 0.8
+PREFILL_S = 0.4
+UTILISATION = 0.7
+SIMULATED_S = 120.0
+WARM_UP_S = 20.0
+
+
+@dataclass(slots=True)
+class RoutingResult:
+    """What one simulation gave.
+
+    Attributes
+    ----------
+    latencies : list of float
+        In seconds, sorted.
+    hits : int
+        Requests whose prefix was cached.
+    """
+
+    latencies: list[float] = field(default_factory=list)
+    hits: int = 0
+
+    def percentile(self, percent: float) -> float:
+        """Return a percentile of the latencies."""
+        index = int(len(self.latencies) * percent / 100)
+        return self.latencies[min(index, len(self.latencies) - 1)]
+
+
+@dataclass(slots=True)
+class _Replica:
+    queue: collections.deque[float] = field(default_factory=collections.deque)
+    running: int = 0
+    reported: int | None = 0
+    cache: collections.OrderedDict[int, None] = field(
+        default_factory=collections.OrderedDict,
+    )
+    own: collections.Counter[int] = field(default_factory=collections.Counter)
+    own_then: collections.Counter[int] = field(
+        default_factory=collections.Counter,
+    )
+
+    def touch(self, prefix: int) -> bool:
+        """Use a prefix and say whether it was cached."""
+        is_cached = prefix in self.cache
+        self.cache[prefix] = None
+        self.cache.move_to_end(prefix)
+        if len(self.cache) > CACHED_PREFIXES:
+            self.cache.popitem(last=False)
+        return is_cached
+
+
+Report = Callable[[int, int], int | None]
+
+
+def _report_true(replica: int, load: int) -> int | None:
+    return load
+
+
+def _report_lie(replica: int, load: int) -> int | None:
+    return 0 if replica == 0 else load
+
+
+def _report_some(replica: int, load: int) -> int | None:
+    return None if replica < REPLICAS // 2 else load
+
+
+REPORTS: MappingProxyType[str, Report] = MappingProxyType(
+    {
+        'lagging': _report_true,
+        'one lies': _report_lie,
+        'half missing': _report_some,
+    }
+)
+CHOICES: MappingProxyType[str, Choose] = MappingProxyType(
+    {
+        'random': choose_random,
+        'least work': choose_least,
+        'two choices': choose_of_two,
+        'prefix with bound': choose_by_prefix,
+    }
+)
+
+
+class RoutingSimulation:
+    """Hosts that send requests to replicas, event by event."""
+
+    def __init__(self, choose: Choose, report: Report, seed: int) -> None:
+        self.choose = choose
+        self.report = report
+        self.rng = random.Random(seed)
+        self.replicas = [_Replica() for _ in range(REPLICAS)]
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.now: float = 0
+        self.result = RoutingResult()
+        self.weights = [1 / (rank + 1) for rank in range(PREFIXES)]
+        usual_s = (DECODE_S + PREFILL_S) * (1 + UTILISATION)
+        self.rate = UTILISATION * REPLICAS * SLOTS / usual_s
+
+    def run(self) -> RoutingResult:
+        """Run to the end and return what came of it."""
+        self._after(0, self._arrive)
+        self._after(0, self._collect_reports)
+        while self.events and self.now < SIMULATED_S:
+            event = heapq.heappop(self.events)
+            self.now = event[0]
+            event[2]()
+        self.result.latencies.sort()
+        return self.result
+
+    def _after(self, delay_s: float, act: Callable[[], None]) -> None:
+        event = (self.now + delay_s, next(self.numbers), act)
+        heapq.heappush(self.events, event)
+
+    def _collect_reports(self) -> None:
+        for index, replica in enumerate(self.replicas):
+            load = replica.running + len(replica.queue)
+            replica.reported = self.report(index, load)
+            replica.own_then = replica.own.copy()
+        self._after(REPORT_GAP_S, self._collect_reports)
+
+    def _arrive(self) -> None:
+        host = self.rng.randrange(HOSTS)
+        prefix = self.rng.choices(range(PREFIXES), self.weights)[0]
+        index = self._choose_for(host, prefix)
+        replica = self.replicas[index]
+        replica.own[host] += 1
+        begin = functools.partial(self._begin, replica, host, prefix, self.now)
+        if replica.running < SLOTS:
+            begin()
+        else:
+            replica.queue.append(0)
+            self._wait(replica, begin)
+        self._after(self.rng.expovariate(self.rate), self._arrive)
+
+    def _wait(self, replica: _Replica, begin: Callable[[], None]) -> None:
+        if replica.running < SLOTS:
+            replica.queue.popleft()
+            begin()
+        else:
+            self._after(
+                0.01,
+                functools.partial(self._wait, replica, begin),
+            )
+
+    def _choose_for(self, host: int, prefix: int) -> int:
+        sights = [
+            Sight(one.own[host], one.own_then[host], one.reported)
+            for one in self.replicas
+        ]
+        candidates = [
+            Candidate(str(index), load)
+            for index, load in enumerate(estimate_loads(sights))
+        ]
+        chosen = self.choose(candidates, str(prefix).encode(), self.rng)
+        return int(chosen.name)
+
+    def _begin(
+        self,
+        replica: _Replica,
+        host: int,
+        prefix: int,
+        arrived_at: float,
+    ) -> None:
+        replica.running += 1
+        is_hit = replica.touch(prefix)
+        work_s = DECODE_S * self.rng.uniform(0.5, 1.5)
+        if not is_hit:
+            work_s += PREFILL_S
+        # A batch that is full runs each of its requests at half the speed.
+        took_s = work_s * (1 + replica.running / SLOTS)
+        end = functools.partial(self._end, replica, host, arrived_at, is_hit)
+        self._after(took_s, end)
+
+    def _end(
+        self,
+        replica: _Replica,
+        host: int,
+        arrived_at: float,
+        is_hit: bool,
+    ) -> None:
+        replica.running -= 1
+        replica.own[host] -= 1
+        if arrived_at > WARM_UP_S:
+            self.result.latencies.append(self.now - arrived_at)
+            self.result.hits += is_hit
