Requests through failures against real processes; a crashed target is left out at once

Seen red first, in turn, by test_a_prompt_that_crashes_engines_takes_two_of_them: the budget of a young process refused innocents (2 free retries; now 20, still at most a fifth of all requests from the 100th on); no_target while the planner loads the model elsewhere (a tried call now waits up to 5 s for a target); too_many_tries on engines that were gone but not yet polled (left out now until their next report). Ruled out: quarantine of innocents (their digests were cleared).

--- a/ebonywell/admission.py
+++ b/ebonywell/admission.py
@@ -15,6 +15,7 @@
 from .types import ServiceClass
 
 PUMP_GAP_S = 0.05
+RELOAD_WAIT_S = 5.0
 ANSWER_MARGIN_S = 0.05
 SPEED_SMOOTHING = 0.05
 LEAST_HELD_S = 0.001
@@ -113,7 +114,7 @@
             cannot be met.
         """
         waiting = self._make_waiting(call, avoided, is_alone=is_alone)
-        self._check_served(waiting)
+        await self._wait_served(waiting)
         if not self._start(waiting):
             await self._wait(waiting)
         target = waiting.target
@@ -195,12 +196,10 @@
     def _place(self, waiting: WaitingCall, blocked: set[str]) -> bool:
         if waiting.entry in blocked:
             return False
-        avoided = waiting.avoided
-        if waiting.is_alone:
-            avoided |= self.busy_targets()
-        target = self.placer.pick(waiting.call, avoided)
+        busy = self.busy_targets() if waiting.is_alone else frozenset()
+        target = self.placer.pick(waiting.call, waiting.avoided, busy)
         if target is None:
-            if not avoided:
+            if not waiting.avoided and not busy:
                 blocked.add(waiting.entry)
             return False
         waiting.target = target
@@ -220,14 +219,22 @@
         self.speeds[waiting.entry] = usual + SPEED_SMOOTHING * (speed - usual)
         self.pump()
 
-    def _check_served(self, waiting: WaitingCall) -> None:
-        if not self.placer.serving(waiting.call, waiting.avoided):
-            raise refuse(
-                'no_target',
-                _STATUS_UNAVAILABLE,
-                f'No target serves {waiting.entry} now.',
-                _RETRY_AFTER_S,
-            )
+    async def _wait_served(self, waiting: WaitingCall) -> None:
+        late_at = waiting.call.deadline - ANSWER_MARGIN_S
+        if waiting.avoided:
+            # It ran on a target that failed; another may be loading.
+            late_at = min(late_at, self.clock() + RELOAD_WAIT_S)
+        else:
+            late_at = self.clock()
+        while not self.placer.serving(waiting.call, frozenset()):
+            if self.clock() >= late_at:
+                raise refuse(
+                    'no_target',
+                    _STATUS_UNAVAILABLE,
+                    f'No target serves {waiting.entry} now.',
+                    _RETRY_AFTER_S,
+                )
+            await anyio.sleep(PUMP_GAP_S)
 
     def _late_refusal(self, waiting: WaitingCall) -> RefusedError:
         wait_s = self.estimate_wait_s(waiting)
--- a/ebonywell/placing.py
+++ b/ebonywell/placing.py
@@ -26,6 +26,7 @@
 MAX_LIMIT = 1024
 INDEX_LIFE_S = 1.0
 MISS_LIFE_S = 0.1
+NOBODY: frozenset[str] = frozenset()
 
 
 class Ending(enum.StrEnum):
@@ -63,7 +64,8 @@
     limits : dict of str to Limit
         By target.
     left_at : dict of str to float
-        When a target said that it leaves, by the process's clock.
+        When a target said that it leaves or could not be reached, by the
+        process's clock; it counts until the next report says otherwise.
     index : dict of str to tuple of str
         Targets by the models that are ready on them.
     indexed_at : float
@@ -93,6 +95,9 @@
         match ending:
             case Ending.leaving:
                 self.left_at[target.name] = now
+            case Ending.unreachable:
+                self.left_at[target.name] = now
+                self.ejector.observe(target.name, now, is_good=False)
             case Ending.busy:
                 self._cut_limit(self._limit(target))
             case Ending.not_loaded:
@@ -104,13 +109,12 @@
     def serving(self, call: Call, avoided: frozenset[str]) -> list[Target]:
         """Return the targets that could run a call, full or not.
 
-        Those whose report is missing are taken only if there are no others.
+        Those to avoid, and those whose report is missing, are taken only if
+        there are no others.
         """
-        able = [
-            target
-            for target in self._able(call)
-            if target.name not in avoided and not self._is_leaving(target)
-        ]
+        staying = [one for one in self._able(call) if not self._is_leaving(one)]
+        other = [one for one in staying if one.name not in avoided]
+        able = other or staying
         heard = [target for target in able if not target.failing]
         usable = heard or able
         names = frozenset(target.name for target in usable)
@@ -124,9 +128,24 @@
             for target in self.serving(call, frozenset())
         )
 
-    def pick(self, call: Call, avoided: frozenset[str]) -> Target | None:
-        """Return the best target with room and count the call on it."""
+    def pick(
+        self,
+        call: Call,
+        avoided: frozenset[str],
+        busy: frozenset[str] = NOBODY,
+    ) -> Target | None:
+        """Return the best target with room and count the call on it.
+
+        Parameters
+        ----------
+        call : Call
+        avoided : frozenset of str
+            Targets that are taken only if there are no others.
+        busy : frozenset of str
+            Targets that are not taken now.
+        """
         serving = self.serving(call, avoided)
+        serving = [one for one in serving if one.name not in busy]
         candidates = list(self._candidates(call, serving))
         if not candidates:
             return None
--- a/ebonywell/quarantine.py
+++ b/ebonywell/quarantine.py
@@ -1,6 +1,7 @@
 """Keeps requests that crash targets from taking down more than two."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import anyio
 
@@ -22,6 +23,7 @@
 from .types import new_id
 
 TRIAL_POLL_S = 0.05
+QUEUED_NOTES = 10_000
 _STATUS_UNPROCESSABLE = 422
 _STATUS_UNAVAILABLE = 503
 _RETRY_AFTER_S = 1.0
@@ -29,6 +31,13 @@
 Probe = Callable[[Target], Awaitable[str | None]]
 
 
+@dataclass(slots=True)
+class _Note:
+    digest: str
+    target: Target
+    incarnation: str
+
+
 class Quarantine:
     """What this process does about requests in flight on crashed targets.
 
@@ -61,6 +70,33 @@
         self.probe = probe
         self.log = log
         self.unlogged: dict[str, None] = {}
+        sender, receiver = anyio.create_memory_object_stream[_Note](
+            QUEUED_NOTES,
+        )
+        self.notes_in = sender
+        self.notes_out = receiver
+
+    async def run(self, ready: Callable[[], None]) -> None:
+        """Record the breaks that nobody waits for, until cancelled."""
+        ready()
+        async with anyio.create_task_group() as group:
+            async for note in self.notes_out:
+                group.start_soon(self._report_note, note)
+
+    async def stop(self) -> None:
+        """Do nothing: what is left unrecorded is only a suspicion."""
+
+    def note_break(
+        self,
+        digest: str,
+        target: Target,
+        incarnation: str,
+    ) -> None:
+        """Take the break of a call that is not tried again."""
+        try:
+            self.notes_in.send_nowait(_Note(digest, target, incarnation))
+        except anyio.WouldBlock:
+            self.log('break_dropped', target=target.name)
 
     def busy_targets(self) -> frozenset[str]:
         """Return the targets that run a suspect now."""
@@ -149,6 +185,12 @@
         self.unlogged.pop(digest, None)
         return True
 
+    async def _report_note(self, note: _Note) -> None:
+        try:
+            await self.report_break(note.digest, note.target, note.incarnation)
+        except RefusedError as refused:
+            self.log('suspect_unlogged', reason=refused.refusal.code)
+
     def _forget_logged(self, digest: str, found: Standing) -> None:
         if found == Standing.clear:
             raise _unlogged_refusal()
--- a/ebonywell/requests.py
+++ b/ebonywell/requests.py
@@ -88,6 +88,7 @@
     def services(self) -> Iterator[tuple[str, Service]]:
         """Yield the services by name, in the order in which they start."""
         yield 'settler', self.settler
+        yield 'quarantine', self.quarantine
         yield 'admission', self.admission
         yield 'calls', self.calls
 
--- a/ebonywell/retries.py
+++ b/ebonywell/retries.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 RETRY_SHARE = 0.2
-FREE_RETRIES = 2.0
+FREE_RETRIES = 20.0
 MAX_SAVED_RETRIES = 50.0
 MAX_TRIES = 4
 FIRST_BACKOFF_S = 0.02
--- a/ebonywell/tries.py
+++ b/ebonywell/tries.py
@@ -187,11 +187,12 @@
         except TargetBrokenError as broken:
             self._log_failure(opened, broken)
             self.observe(target, Ending.broken)
-            await self.quarantine.report_break(
-                opened.call.digest,
-                target,
-                incarnation,
-            )
+            crash = (opened.call.digest, target, incarnation)
+            if receiver.is_started or not is_repeatable(opened.call):
+                # The caller gets its answer now, whatever the log does.
+                self.quarantine.note_break(*crash)
+            elif await self.quarantine.report_break(*crash):
+                self.observe(target, Ending.unreachable)
             return Failure.broken
         self.observe(target, Ending.answered)
         return None
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -93,6 +93,25 @@
     play(story)
 
 
+def test_a_cut_stream_ends_at_once_and_is_a_suspect_all_the_same():
+    async def story(fleet):
+        first, second = fleet.hosts
+        fleet.log.is_down = True
+        before = anyio.current_time()
+        status, run_state, _ = await first.ask(b'killer', is_started=True)
+        assert (status, run_state) == (502, 'unknown')
+        assert anyio.current_time() - before < 1
+        fleet.log.is_down = False
+        await anyio.sleep(10)
+        await second.ask(b'x')
+        assert (
+            standing(second.replica.state.suspects, b'killer'.hex())
+            == Standing.suspect
+        )
+
+    play(story)
+
+
 @pytest.fixture
 def table():
     return Suspects()
