Measure the time that an entry process adds, and its throughput

python -m lab.added_time calls an engine directly and through one entry process in turn, then keeps the entry busy from three processes, and says how much of a core the entry took, so that a rate bounded by something else shows.

--- /dev/null
+++ b/lab/added_time.py
@@ -0,0 +1,301 @@
+"""Measures what one entry process costs: time added, and its throughput."""
+
+import os
+import sys
+import tempfile
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+import cyclopts
+import msgspec
+
+from .added_worker import KEY_VARIABLE, Counts, Work, chat
+from .client import Client, bearer
+from .deployment import Deployment
+from .load import histogram, percentile_ms
+from .shape import ENGINE_MEMORY_BYTES, Shape
+
+MAX_PAIRS = 20_000
+MODELS = ('quote-1', 'quote-2', 'quote-3')
+ENGINES = ('engine-1', 'engine-2', 'engine-3')
+STREAM_TOKENS = 100
+CALLERS = 8
+WARM_UP_PAIRS = 50
+_STATUS_OK = 200
+_MEDIAN = 50
+_NINETY_NINTH = 99
+_STAT_USER, _STAT_SYSTEM = 11, 12
+# A model takes most of an engine, so that each engine gets one of them.
+_MODEL_BYTES = ENGINE_MEMORY_BYTES * 2 // 3
+_PLENTY = 1_000_000_000
+
+app = cyclopts.App(help='Measure what one entry process costs.')
+
+
+class MeasureError(Exception):
+    """A call of the measurement had no whole answer."""
+
+
+class Latency(msgspec.Struct, frozen=True):
+    """Times of one kind of call, in milliseconds."""
+
+    p50_ms: float
+    p99_ms: float
+
+
+class AddedTime(msgspec.Struct, frozen=True):
+    """Pairs of a direct call to the engine and one through the entry.
+
+    Attributes
+    ----------
+    pairs : int
+    direct, through : Latency
+        Whole answers of one token, one call at a time.
+    added : Latency
+        Of the differences within the pairs; those below 0 count as 1 us.
+    """
+
+    pairs: int
+    direct: Latency
+    through: Latency
+    added: Latency
+
+
+class Throughput(msgspec.Struct, frozen=True):
+    """What came back while an address was kept busy.
+
+    Attributes
+    ----------
+    answers_per_s, chunks_per_s : float
+    failures : int
+    entry_cores : float
+        Processor seconds that the entry process took in a second. Close to 1
+        means that it was the entry process which bounded the rate.
+    """
+
+    answers_per_s: float
+    chunks_per_s: float
+    failures: int
+    entry_cores: float
+
+
+class Measured(msgspec.Struct, frozen=True):
+    """All figures of a run.
+
+    Attributes
+    ----------
+    added_time : AddedTime
+    whole, streamed : Throughput
+        Through one entry process: answers of one token, and streams.
+    stream_tokens : int
+    workers, callers : int
+        Processes that call, and callers in each.
+    cpus : int
+    load_before : float
+        The machine's load average over a minute before the run.
+    """
+
+    added_time: AddedTime
+    whole: Throughput
+    streamed: Throughput
+    stream_tokens: int
+    workers: int
+    callers: int
+    cpus: int
+    load_before: float
+
+
+@dataclass(slots=True)
+class Bench:
+    """A deployment of one entry process, filled for measuring."""
+
+    deployment: Deployment
+    key: str
+
+    async def measure_added_time(self, pairs: int) -> AddedTime:
+        """Call the engine directly and through the entry in turn."""
+        direct_s: list[float] = []
+        through_s: list[float] = []
+        direct = await self._find_engine(MODELS[0])
+        through = self.deployment.entries['entry-1'].address
+        # Targets never see a key, so the engine is asked without one.
+        with_key = bearer(self.key)
+        async with Client() as client:
+            for _ in range(min(pairs, MAX_PAIRS) + WARM_UP_PAIRS):
+                direct_s.append(await _time(client, direct, {}))
+                through_s.append(await _time(client, through, with_key))
+        direct_s = direct_s[WARM_UP_PAIRS:]
+        through_s = through_s[WARM_UP_PAIRS:]
+        added_s = [
+            slow - quick
+            for quick, slow in zip(direct_s, through_s, strict=True)
+        ]
+        return AddedTime(
+            pairs=len(added_s),
+            direct=_latency(direct_s),
+            through=_latency(through_s),
+            added=_latency(added_s),
+        )
+
+    async def measure_throughput(
+        self,
+        seconds: float,
+        tokens: int,
+        *,
+        streams: bool,
+    ) -> Throughput:
+        """Keep the entry process busy from a process for each model."""
+        entry = self.deployment.entries['entry-1']
+        counts: list[Counts] = []
+
+        async def run_worker(model: str) -> None:
+            asked = Work(
+                entry.address,
+                model,
+                CALLERS,
+                seconds,
+                tokens,
+                streams,
+            )
+            counts.append(await _run_worker(asked, self.key))
+
+        before_s = _processor_seconds(entry.pid)
+        async with anyio.create_task_group() as group:
+            for model in MODELS:
+                group.start_soon(run_worker, model)
+        took_s = _processor_seconds(entry.pid) - before_s
+        # Workers take some time to start; the entry process is idle then.
+        busy_s = max(one.seconds for one in counts)
+        return Throughput(
+            answers_per_s=sum(one.answers / one.seconds for one in counts),
+            chunks_per_s=sum(one.chunks / one.seconds for one in counts),
+            failures=sum(one.failures for one in counts),
+            entry_cores=took_s / busy_s,
+        )
+
+    async def _find_engine(self, model: str) -> str:
+        for name in ENGINES:
+            engine = self.deployment.targets[name]
+            url = f'{engine.url}/report'
+            report = (await self.deployment.client.ask('GET', url)).json()
+            if any(one['model'] == model for one in report['models']):
+                return engine.address
+        raise MeasureError(f'no engine holds {model}')
+
+
+def catalogue_text(models: Sequence[str]) -> str:
+    """Return a catalogue with one workspace that may call all models."""
+    parts = [
+        f'[[workspace]]\nname = "bench"\nrate = {_PLENTY}\nburst = {_PLENTY}\n',
+    ]
+    for model in models:
+        parts.append(
+            f'[[entry]]\nname = "{model}"\nkind = "model"\n'
+            f'bytes = {_MODEL_BYTES}\nmax_output_tokens = 1024\n',
+        )
+        parts.append(
+            f'[[approval]]\nworkspace = "bench"\nentry = "{model}"\n',
+        )
+    return '\n'.join(parts)
+
+
+async def measure(pairs: int, seconds: float) -> Measured:
+    """Start what is needed, measure, and stop it."""
+    load_before = os.getloadavg()[0]
+    shape = Shape(
+        entries=1,
+        engines=ENGINES,
+        services=(),
+        token_ms=0,
+    )
+    async with Deployment(shape) as deployment:
+        with tempfile.NamedTemporaryFile('w', suffix='.toml') as catalogue:
+            catalogue.write(catalogue_text(MODELS))
+            catalogue.flush()
+            await deployment.fill(Path(catalogue.name))
+        issued = await deployment.operator.issue_key('bench')
+        bench = Bench(deployment, issued.key)
+        return Measured(
+            added_time=await bench.measure_added_time(pairs),
+            whole=await bench.measure_throughput(seconds, 1, streams=False),
+            streamed=await bench.measure_throughput(
+                seconds,
+                STREAM_TOKENS,
+                streams=True,
+            ),
+            stream_tokens=STREAM_TOKENS,
+            workers=len(MODELS),
+            callers=CALLERS,
+            cpus=os.cpu_count() or 0,
+            load_before=load_before,
+        )
+
+
+async def _time(
+    client: Client,
+    address: str,
+    headers: Mapping[str, str],
+) -> float:
+    body = chat(MODELS[0], 'one token', Work(address, MODELS[0]))
+    url = f'http://{address}/v1/chat/completions'
+    begun = anyio.current_time()
+    answer = await client.ask('POST', url, headers, body)
+    took_s = anyio.current_time() - begun
+    if answer.status != _STATUS_OK:
+        raise MeasureError(f'{address}: {answer.body!r}')
+    return took_s
+
+
+def _latency(durations_s: Sequence[float]) -> Latency:
+    counted = histogram(durations_s)
+    return Latency(
+        percentile_ms(counted, _MEDIAN),
+        percentile_ms(counted, _NINETY_NINTH),
+    )
+
+
+async def _run_worker(asked: Work, key: str) -> Counts:
+    line = msgspec.json.encode(asked).decode()
+    done = await anyio.run_process(
+        [sys.executable, '-m', 'lab.added_worker', line],
+        env={**os.environ, KEY_VARIABLE: key},
+    )
+    return msgspec.json.decode(done.stdout, type=Counts)
+
+
+def _processor_seconds(pid: int) -> float:
+    # The fields after the command's name, which may hold spaces.
+    stat = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    ticks = int(stat[_STAT_USER]) + int(stat[_STAT_SYSTEM])
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+@app.default
+def main(
+    *,
+    pairs: int = 2000,
+    seconds: float = 8,
+    output: Path | None = None,
+) -> None:
+    """Measure and print the figures as JSON.
+
+    Parameters
+    ----------
+    pairs
+        Pairs of calls for the time added, at most 20000.
+    seconds
+        How long each throughput is measured, at most 60.
+    output
+        Where to write the figures too.
+    """
+    measured = anyio.run(measure, pairs, seconds)
+    text = msgspec.json.format(msgspec.json.encode(measured)).decode()
+    sys.stdout.write(f'{text}\n')
+    if output is not None:
+        output.write_text(f'{text}\n')
+
+
+if __name__ == '__main__':
+    app()
--- /dev/null
+++ b/lab/added_worker.py
@@ -0,0 +1,131 @@
+"""Keeps one address busy for some seconds and counts what came back."""
+
+import os
+import sys
+
+import anyio
+import cyclopts
+import msgspec
+
+from .client import Client, ClientError, bearer
+
+KEY_VARIABLE = 'EBONYWELL_MEASURE_KEY'
+MAX_SECONDS = 60.0
+MAX_CALLERS = 64
+_STATUS_OK = 200
+_EVENT = b'data: '
+_END_OF_EVENTS = b'data: [DONE]'
+
+app = cyclopts.App(help='Keep one address busy and count what came back.')
+
+
+class Counts(msgspec.Struct):
+    """What came back.
+
+    Attributes
+    ----------
+    answers : int
+        Whole ones.
+    chunks : int
+        Events with words, of whole streamed answers.
+    failures : int
+        Calls without a whole answer.
+    seconds : float
+    """
+
+    answers: int = 0
+    chunks: int = 0
+    failures: int = 0
+    seconds: float = 0
+
+
+class Work(msgspec.Struct, frozen=True):
+    """What to ask for.
+
+    Attributes
+    ----------
+    address : str
+    model : str
+    callers : int
+        Each makes a call as soon as its last one has ended.
+    seconds : float
+    tokens : int
+    streams : bool
+    """
+
+    address: str
+    model: str
+    callers: int = 8
+    seconds: float = 5
+    tokens: int = 1
+    streams: bool = False
+
+
+async def work(asked: Work, key: str) -> Counts:
+    """Make calls until the time is over and return what came back."""
+    counts = Counts()
+    begun = anyio.current_time()
+    ends_at = begun + min(asked.seconds, MAX_SECONDS)
+    async with Client() as client, anyio.create_task_group() as group:
+        for number in range(min(asked.callers, MAX_CALLERS)):
+            body = chat(asked.model, f'caller {number}', asked)
+            group.start_soon(
+                _call_until, client, asked, key, body, ends_at, counts
+            )
+    counts.seconds = anyio.current_time() - begun
+    return counts
+
+
+def chat(model: str, prompt: str, asked: Work) -> bytes:
+    """Return the body of a chat request."""
+    return msgspec.json.encode(
+        {
+            'model': model,
+            'messages': [{'role': 'user', 'content': prompt}],
+            'max_tokens': asked.tokens,
+            'stream': asked.streams,
+        },
+    )
+
+
+async def _call_until(
+    client: Client,
+    asked: Work,
+    key: str,
+    body: bytes,
+    ends_at: float,
+    counts: Counts,
+) -> None:
+    url = f'http://{asked.address}/v1/chat/completions'
+    headers = bearer(key) if key else {}
+    while anyio.current_time() < ends_at:
+        try:
+            answer = await client.ask('POST', url, headers, body)
+        except ClientError:
+            counts.failures += 1
+            continue
+        is_whole = not asked.streams or _END_OF_EVENTS in answer.body
+        if answer.status == _STATUS_OK and is_whole:
+            counts.answers += 1
+            counts.chunks += max(0, answer.body.count(_EVENT) - 1)
+        else:
+            counts.failures += 1
+
+
+@app.default
+def main(asked: str) -> None:
+    """Work and print the counts as JSON.
+
+    Parameters
+    ----------
+    asked
+        What to ask for, as JSON.
+    """
+    wanted = msgspec.json.decode(asked, type=Work)
+    counts = anyio.run(work, wanted, os.environ.get(KEY_VARIABLE, ''))
+    line = msgspec.json.encode(counts).decode()
+    sys.stdout.write(f'{line}\n')
+
+
+if __name__ == '__main__':
+    app()
