Added time: streams whose chunks come one by one

Engines without a pause between tokens let chunks pile up, and the entry process passed them on in bulk: that rate says little of a real engine's.

--- a/lab/added_time.py
+++ b/lab/added_time.py
@@ -21,7 +21,9 @@
 MODELS = ('quote-1', 'quote-2', 'quote-3')
 ENGINES = ('engine-1', 'engine-2', 'engine-3')
 STREAM_TOKENS = 100
-CALLERS = 8
+# As many as the engines run at once.
+CALLERS = 16
+PACE_S = 0.005
 WARM_UP_PAIRS = 50
 _STATUS_OK = 200
 _MEDIAN = 50
@@ -87,8 +89,12 @@
     Attributes
     ----------
     added_time : AddedTime
-    whole, streamed : Throughput
-        Through one entry process: answers of one token, and streams.
+    whole, streamed, paced : Throughput
+        Through one entry process: answers of one token, streams whose chunks
+        come without a pause and are passed on several at a time, and streams
+        whose chunks come one by one.
+    pace_s : float
+        The time between two chunks of a paced stream.
     stream_tokens : int
     workers, callers : int
         Processes that call, and callers in each.
@@ -100,6 +106,8 @@
     added_time: AddedTime
     whole: Throughput
     streamed: Throughput
+    paced: Throughput
+    pace_s: float
     stream_tokens: int
     workers: int
     callers: int
@@ -175,6 +183,16 @@
             entry_cores=took_s / busy_s,
         )
 
+    async def measure_paced(self, seconds: float) -> Throughput:
+        """Keep the entry process busy with chunks that come one by one."""
+        for name in ENGINES:
+            await self.deployment.set_fault(name, 'slow', seconds=PACE_S)
+        return await self.measure_throughput(
+            seconds,
+            STREAM_TOKENS,
+            streams=True,
+        )
+
     async def _find_engine(self, model: str) -> str:
         for name in ENGINES:
             engine = self.deployment.targets[name]
@@ -225,6 +243,8 @@
                 STREAM_TOKENS,
                 streams=True,
             ),
+            paced=await bench.measure_paced(seconds),
+            pace_s=PACE_S,
             stream_tokens=STREAM_TOKENS,
             workers=len(MODELS),
             callers=CALLERS,
