--- /dev/null
+++ b/lab/capacity_links.py
@@ -0,0 +1,239 @@
+"""Measures what links to peers and polls of targets cost one host."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import anyio
+import msgspec
+
+from ebonywell import logs, wire
+from ebonywell.peers import Address, Peers
+from ebonywell.targets import (
+    POLL_GAP_S,
+    ListedHost,
+    Report,
+    ResidentModel,
+    Target,
+    Targets,
+)
+from ebonywell.types import HostId
+
+from .slopes import Row, least_seconds
+
+PEER_COUNTS = (4, 8, 16)
+TARGET_COUNTS = (4, 8, 16, 32)
+RUN_S = 6.0
+SETTLE_S = 1.5
+ENCODED = 2000
+MODELS_A_TARGET = 4
+LENGTH_BYTES = 4
+_REQUEST_BYTES = 65536
+
+
+def sample_heartbeat() -> wire.Heartbeat:
+    """Return a heartbeat as hosts send it."""
+    return wire.Heartbeat(
+        zone='zone-a',
+        address='10.0.0.1:8080',
+        peer_address='10.0.0.1:7000',
+        leaving=False,
+        applied=123_456_789,
+        sent_at=12345.678,
+        echo=12345.123,
+        echo_of='0123456789ab',
+        fresh_age=0.1,
+        log_age=0.1,
+    )
+
+
+def measure_codec() -> list[Row]:
+    """Return the CPU time to write and to read a heartbeat."""
+    beat = sample_heartbeat()
+    frame = wire.encode(beat)
+    content = frame[LENGTH_BYTES:]
+    rows = [Row('heartbeat, one frame', 1, len(frame), 'bytes')]
+    for count in (ENCODED, 2 * ENCODED, 4 * ENCODED):
+        written = least_seconds(partial(_repeat, count, wire.encode, beat))
+        rows.append(Row('heartbeats written', count, written, 's'))
+        read = least_seconds(partial(_repeat, count, wire.decode, content))
+        rows.append(Row('heartbeats read', count, read, 's'))
+    return rows
+
+
+def _repeat(
+    count: int,
+    job: Callable[[Any], object],
+    argument: object,
+) -> None:
+    for _ in range(count):
+        job(argument)
+
+
+async def measure_peers() -> list[Row]:
+    """Return CPU and bytes a second of one host, by its number of peers."""
+    rows: list[Row] = []
+    for count in PEER_COUNTS:
+        rows.extend(await _measure_mesh(count + 1))
+    return rows
+
+
+async def _measure_mesh(hosts: int) -> list[Row]:
+    fleet = [_make_peers(number) for number in range(hosts)]
+    async with anyio.create_task_group() as group:
+        for member in fleet:
+            await group.start(_run_peers, member)
+        listed = [Address(one.host.name, one.address) for one in fleet]
+        for each in fleet:
+            _introduce(each, listed)
+        await anyio.sleep(SETTLE_S)
+        sent_before = _sent_bytes(fleet)
+        began = time.process_time()
+        await anyio.sleep(RUN_S)
+        spent = time.process_time() - began
+        sent = _sent_bytes(fleet) - sent_before
+        group.cancel_scope.cancel()
+    host_seconds = RUN_S * hosts
+    peers = hosts - 1
+    return [
+        Row('peers: core of one host', peers, spent / host_seconds, 'cores'),
+        Row('peers: sent by one host', peers, sent / host_seconds, 'bytes/s'),
+    ]
+
+
+def _make_peers(number: int) -> Peers:
+    return Peers(
+        HostId(f'entry-{number}', 'a'),
+        '127.0.0.1:0',
+        'secret',
+        logs.discard_event,
+    )
+
+
+def _introduce(peers: Peers, listed: list[Address]) -> None:
+    beat = msgspec.structs.replace(
+        sample_heartbeat(),
+        peer_address=peers.address,
+    )
+    peers.listed = lambda: listed
+    peers.heartbeat = lambda _: beat
+
+
+def _sent_bytes(fleet: list[Peers]) -> int:
+    return sum(one.traffic.bytes_sent for one in fleet)
+
+
+async def _run_peers(
+    peers: Peers,
+    *,
+    task_status: anyio.abc.TaskStatus[None],
+) -> None:
+    await peers.run(task_status.started)
+
+
+@dataclass(slots=True)
+class _Reporter:
+    """Answers every request with one report, in a thread of its own."""
+
+    answer: bytes
+    listener: socket.socket = field(
+        default_factory=lambda: socket.create_server(('127.0.0.1', 0)),
+    )
+    moved_bytes: int = 0
+
+    @property
+    def address(self) -> str:
+        """The ip:port that it listens on."""
+        host, port = self.listener.getsockname()
+        return f'{host}:{port}'
+
+    def serve(self) -> None:
+        """Accept until the listener is closed."""
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._answer,
+                args=(connection,),
+                daemon=True,
+            ).start()
+
+    def _answer(self, connection: socket.socket) -> None:
+        with connection:
+            while request := connection.recv(_REQUEST_BYTES):
+                connection.sendall(self.answer)
+                self.moved_bytes += len(request) + len(self.answer)
+
+
+def sample_report() -> Report:
+    """Return a report as an engine with four models gives it."""
+    adapters = tuple(f'adapter-{number}' for number in range(4))
+    models = tuple(
+        ResidentModel(f'model-{number}', 1 << 30, 'ready', adapters)
+        for number in range(MODELS_A_TARGET)
+    )
+    return Report('engine-1', '0123456789ab', models=models)
+
+
+def _http_answer() -> bytes:
+    body = msgspec.json.encode(sample_report())
+    head = (
+        'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
+        f'content-length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+async def measure_polls() -> list[Row]:
+    """Return CPU and bytes a second, by the number of targets polled."""
+    rows: list[Row] = []
+    for count in TARGET_COUNTS:
+        reporter = _Reporter(_http_answer())
+        thread = threading.Thread(target=reporter.serve, daemon=True)
+        thread.start()
+        rows.extend(await _poll(reporter, count))
+        reporter.listener.close()
+    return rows
+
+
+async def _poll(reporter: _Reporter, count: int) -> list[Row]:
+    targets = Targets('http://127.0.0.1:1', logs.discard_event)
+    for number in range(count):
+        listed = ListedHost(f'engine-{number}', 'engine', reporter.address)
+        targets.table.by_name[listed.name] = Target(listed)
+    rounds = int(RUN_S / POLL_GAP_S)
+    async with targets.pool:
+        await _poll_once(targets)
+        moved_before = reporter.moved_bytes
+        began = time.thread_time()
+        for _ in range(rounds):
+            await _poll_once(targets)
+            await anyio.sleep(POLL_GAP_S / 4)
+        spent = time.thread_time() - began
+        moved = reporter.moved_bytes - moved_before
+    paced_s = rounds * POLL_GAP_S
+    return [
+        Row('polls: core of one host', count, spent / paced_s, 'cores'),
+        Row('polls: moved by one host', count, moved / paced_s, 'bytes/s'),
+    ]
+
+
+async def _poll_once(targets: Targets) -> None:
+    async with anyio.create_task_group() as group:
+        for target in targets.table.by_name.values():
+            group.start_soon(targets.poll_target, target)
+
+
+async def measure_links() -> list[Row]:
+    """Return all rows of links and polls."""
+    return [
+        *measure_codec(),
+        *await measure_peers(),
+        *await measure_polls(),
+    ]
--- /dev/null
+++ b/lab/capacity_placement.py
@@ -0,0 +1,88 @@
+"""Measures how long the placement and the routing decide."""
+
+import random
+from functools import partial
+
+from ebonywell.layout import Copy, Layout, Need, Site
+from ebonywell.moves import Pace
+from ebonywell.placement import decide
+from ebonywell.routing import (
+    Candidate,
+    Choose,
+    choose_by_prefix,
+    choose_of_two,
+)
+
+from .slopes import Row, least_seconds
+
+SITE_COUNTS = (100, 400, 1600)
+SITES_A_MODEL = 8
+SLOTS = 16
+MEMORY_BYTES = 80
+MODEL_BYTES = 20
+COPIES_A_SITE = 3
+CANDIDATE_COUNTS = (8, 32, 128, 512)
+CHOICES = 200
+REPEATS = 3
+
+
+def make_layout(sites: int, seed: int = 1) -> Layout:
+    """Return a layout at the letter's ratio of models to replicas."""
+    rng = random.Random(seed)
+    models = max(sites // SITES_A_MODEL, 4)
+    needs = [
+        Need(f'model-{number}', MODEL_BYTES, (), rng.uniform(0, 2 * SLOTS))
+        for number in range(models)
+    ]
+    made = []
+    for number in range(sites):
+        site = Site(
+            f'engine-{number}',
+            f'zone-{number % 20}',
+            MEMORY_BYTES,
+            MEMORY_BYTES - COPIES_A_SITE * MODEL_BYTES,
+            SLOTS,
+        )
+        for model in rng.sample(range(models), COPIES_A_SITE):
+            site.copies[f'model-{model}'] = Copy(ready=True)
+        made.append(site)
+    return Layout(made, needs)
+
+
+def measure_placement() -> list[Row]:
+    """Return the CPU time of one decision, by the number of replicas."""
+    rows = []
+    for count in SITE_COUNTS:
+        layouts = [make_layout(count) for _ in range(REPEATS)]
+        spent = least_seconds(partial(_decide, layouts), REPEATS)
+        rows.append(Row('placement: one decision', count, spent, 's'))
+    return rows
+
+
+def _decide(layouts: list[Layout]) -> None:
+    decide(layouts.pop(), Pace(), 0)
+
+
+def measure_routing() -> list[Row]:
+    """Return the CPU time of one choice, by the number of candidates."""
+    rows = []
+    rng = random.Random(1)
+    for count in CANDIDATE_COUNTS:
+        candidates = [
+            Candidate(f'engine-{number}', rng.randrange(SLOTS))
+            for number in range(count)
+        ]
+        for choose in (choose_by_prefix, choose_of_two):
+            spent = least_seconds(partial(_choose, choose, candidates, rng))
+            name = f'routing: {choose.__name__}'
+            rows.append(Row(name, count, spent / CHOICES, 's'))
+    return rows
+
+
+def _choose(
+    choose: Choose,
+    candidates: list[Candidate],
+    rng: random.Random,
+) -> None:
+    for _ in range(CHOICES):
+        choose(candidates, b'prefix', rng)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -21,11 +21,13 @@
     replica,
     state,
     targets,
+    wire,
 )
 from ebonywell.answers import RefusedError
 from ebonywell.exceptions import (
     LogOutageError,
     OperatorError,
+    PeerError,
     RecordError,
     SettingsError,
     TargetError,
@@ -89,6 +91,7 @@
     ),
     (lambda content: targets._decode(content, targets.HostList), TargetError),
     (lambda content: targets._decode(content, targets.Report), TargetError),
+    (wire.decode, PeerError),
     (lambda content: opclient._decode('', content, int), OperatorError),
     (
         lambda content: misc.split_address(content.decode('latin-1')),
