--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -27,15 +27,20 @@
     ]
 
 
+def summarise(rows: list[Row]) -> str:
+    """Return the lines through what was measured at several sizes."""
+    names = [row.what for row in rows]
+    several = [row for row in rows if names.count(row.what) >= FIT_SIZES]
+    return format_slopes(fit_all(several))
+
+
 @app.default
 def main() -> None:
     """Print all measurements, and the lines through them."""
     rows = measure()
     print(format_rows(rows))
     print()
-    names = [row.what for row in rows]
-    several = [row for row in rows if names.count(row.what) >= FIT_SIZES]
-    print(format_slopes(fit_all(several)))
+    print(summarise(rows))
 
 
 if __name__ == '__main__':
--- a/lab/capacity_state.py
+++ b/lab/capacity_state.py
@@ -166,7 +166,7 @@
             's',
         ),
         Row(
-            f'encode: {name}',
+            f'decode and encode: {name}',
             size,
             least_seconds(lambda: encode_state(decode_state(encoded))),
             's',
--- /dev/null
+++ b/lab/figures.py
@@ -0,0 +1,118 @@
+"""Turns what measuring scripts return into named figures, and compares."""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+STEADY_RATIO = 1.25
+Table = list[dict[str, Any]]
+
+
+@dataclass(slots=True)
+class Comparison:
+    """A figure now and in an earlier result.
+
+    Attributes
+    ----------
+    name : str
+    earlier : float
+    now : float
+    """
+
+    name: str
+    earlier: float
+    now: float
+
+    @property
+    def ratio(self) -> float:
+        """Now by earlier; infinite if the earlier figure was 0."""
+        if self.earlier == self.now:
+            return 1
+        return self.now / self.earlier if self.earlier else math.inf
+
+    @property
+    def is_steady(self) -> bool:
+        """Whether both are about the same."""
+        return 1 / STEADY_RATIO <= self.ratio <= STEADY_RATIO
+
+
+def tabulate(rows: Sequence[object]) -> Table:
+    """Return dataclasses, structs or dicts as a list of plain dicts."""
+    table: Table = msgspec.to_builtins(list(rows))
+    return table
+
+
+def name_figures(table: Table) -> dict[str, float]:
+    """Return every number of a table under a name of its own.
+
+    A row's words make its name, and its size if it has one; each of its
+    other numbers is a figure.
+    """
+    figures: dict[str, float] = {}
+    for row in table:
+        words = [
+            str(cell)
+            for column, cell in row.items()
+            if column != 'unit' and (_is_word(cell) or column == 'size')
+        ]
+        name = ' '.join(words)
+        for column, cell in row.items():
+            if column != 'size' and _is_number(cell):
+                figures[f'{name} {column}'] = float(cell)
+    return figures
+
+
+def compare(
+    earlier: Mapping[str, float],
+    now: Mapping[str, float],
+) -> list[Comparison]:
+    """Return the figures that stand in both results."""
+    return [
+        Comparison(name, earlier[name], figure)
+        for name, figure in now.items()
+        if name in earlier
+    ]
+
+
+def format_table(table: Table) -> str:
+    """Return a table as aligned text."""
+    if not table:
+        return '(no rows)'
+    columns = list(table[0])
+    cells = [[_show(row.get(column)) for column in columns] for row in table]
+    widths = [
+        max(map(len, column)) for column in zip(columns, *cells, strict=True)
+    ]
+    return '\n'.join(_align(line, widths) for line in (columns, *cells))
+
+
+def _align(line: Sequence[str], widths: Sequence[int]) -> str:
+    pairs = zip(line, widths, strict=True)
+    return '  '.join(cell.ljust(width) for cell, width in pairs).rstrip()
+
+
+def format_comparisons(found: Sequence[Comparison]) -> str:
+    """Return the comparisons that are not steady, and how many are."""
+    changed = [one for one in found if not one.is_steady]
+    lines = [
+        f'{one.ratio:8.2f}  {one.earlier:.4g} -> {one.now:.4g}  {one.name}'
+        for one in sorted(changed, key=lambda one: -one.ratio)
+    ]
+    steady = len(found) - len(changed)
+    lines.insert(0, f'{steady} of {len(found)} figures steady')
+    return '\n'.join(lines)
+
+
+def _is_word(cell: object) -> bool:
+    return isinstance(cell, str | bool)
+
+
+def _is_number(cell: object) -> bool:
+    return isinstance(cell, int | float) and not isinstance(cell, bool)
+
+
+def _show(cell: object) -> str:
+    return f'{cell:.4g}' if isinstance(cell, float) else str(cell)
--- /dev/null
+++ b/lab/plots.py
@@ -0,0 +1,178 @@
+"""Draws what the measuring scripts found."""
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import matplotlib as mpl
+import numpy as np
+from matplotlib import pyplot as plt
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from .figures import Table
+
+mpl.use('Agg')
+
+INK = '#22313f'
+GRID = '#d9dee3'
+COLOURS = ('#1f6f8b', '#d1603d', '#5b8c5a', '#8d6a9f', '#c9a227', '#3c3c3c')
+PANEL_INCHES = (5.2, 3.6)
+BAR_INCHES = 0.32
+MAX_COLUMNS = 3
+DPI = 130
+FINE = 400
+STEEP_POWER = 1.2
+FULL_HOSTS = 920
+FULL_TARGETS = 10_000
+CORE_BUDGET = 0.015
+BYTES_BUDGET = 27_000
+Panel = tuple[str, str, float, int]
+
+_BUDGET_PANELS: tuple[Panel, ...] = (
+    ('peers: core of one host', 'peers', CORE_BUDGET, FULL_HOSTS),
+    ('peers: sent by one host', 'peers', BYTES_BUDGET, FULL_HOSTS),
+    ('polls: core of one host', 'targets', CORE_BUDGET, FULL_TARGETS),
+    ('polls: moved by one host', 'targets', BYTES_BUDGET, FULL_TARGETS),
+    ('idle process by hosts: core', 'hosts', CORE_BUDGET, FULL_HOSTS),
+    ('idle process by targets: core', 'targets', CORE_BUDGET, FULL_TARGETS),
+)
+
+
+def draw_budgets(table: Table, path: Path) -> None:
+    """Draw what one host spends against its budget, to the full size."""
+    figure, axes = plt.subplots(2, 3, figsize=(15, 8), layout='constrained')
+    # Each column holds one source of cost.
+    for axis, panel in zip(axes.T.flat, _BUDGET_PANELS, strict=True):
+        _draw_budget(axis, table, panel)
+    figure.suptitle(
+        'Control cost of one entry process, and where it meets the budget',
+        color=INK,
+        fontsize=14,
+    )
+    _save(figure, path)
+
+
+def _draw_budget(axis: Axes, table: Table, panel: Panel) -> None:
+    what, things, budget, full = panel
+    rows = [row for row in table if row['what'] == what]
+    _style(axis, what)
+    if not rows:
+        return
+    sizes = [float(row['size']) for row in rows]
+    values = [float(row['value']) for row in rows]
+    reach = np.geomspace(sizes[0], full, FINE)
+    curve = _extend(sizes, values, reach)
+    axis.plot(reach, curve, color=COLOURS[0], lw=1.4, label='through them')
+    axis.plot(sizes, values, 'o', color=COLOURS[0], label='measured')
+    axis.axhline(budget, color=COLOURS[1], lw=1.4, ls='--', label='budget')
+    axis.axvline(full, color=GRID, lw=6, zorder=0)
+    axis.set(xscale='log', yscale='log', xlabel=things, ylabel=rows[0]['unit'])
+    axis.set_ylim(min(budget, values[0]) / 2)
+    axis.legend(frameon=False, fontsize=8, loc='upper left')
+    met = reach[curve >= budget]
+    if len(met):
+        axis.annotate(
+            _describe_meeting(met[0], sizes[0], things),
+            (met[0], budget),
+            xytext=(8, -14),
+            textcoords='offset points',
+            color=COLOURS[1],
+            fontsize=9,
+        )
+
+
+def _extend(
+    sizes: list[float],
+    values: list[float],
+    reach: Any,
+) -> Any:
+    """Return a line, or a power of the size where that grows faster."""
+    power, factor = np.polyfit(np.log(sizes), np.log(values), 1)
+    if power > STEEP_POWER:
+        return np.exp(factor) * np.power(reach, power)
+    per_one, at_zero = np.polyfit(sizes, values, 1)
+    return at_zero + per_one * reach
+
+
+def _describe_meeting(met: float, smallest: float, things: str) -> str:
+    if met <= smallest:
+        return 'above the budget from the smallest size on'
+    return f'met at about {met:.0f} {things}'
+
+
+def draw_kinds(table: Table, path: Path) -> None:
+    """Draw the memory and the checkpoint bytes of one more of each kind."""
+    figure, axes = plt.subplots(1, 2, figsize=(13, 4.6), layout='constrained')
+    for axis, prefix in zip(axes, ('memory: ', 'checkpoint: '), strict=True):
+        slopes = {
+            what.removeprefix(prefix): _slope(table, what)
+            for what in dict.fromkeys(row['what'] for row in table)
+            if what.startswith(prefix)
+        }
+        _bars(axis, list(slopes), list(slopes.values()))
+        _style(axis, f'{prefix}bytes for one more')
+    _save(figure, path)
+
+
+def _slope(table: Table, what: str) -> float:
+    rows = [row for row in table if row['what'] == what]
+    sizes = [row['size'] for row in rows]
+    per_one, _ = np.polyfit(sizes, [row['value'] for row in rows], 1)
+    return float(per_one)
+
+
+def draw_columns(table: Table, path: Path) -> None:
+    """Draw a panel of bars for each column of numbers of any table."""
+    columns = [
+        name
+        for name, cell in table[0].items()
+        if isinstance(cell, int | float) and not isinstance(cell, bool)
+    ]
+    labels = [_label(row) for row in table]
+    across = min(len(columns), MAX_COLUMNS)
+    down = -(-len(columns) // across)
+    height = max(2.4, BAR_INCHES * len(labels) + 1)
+    figure, axes = plt.subplots(
+        down,
+        across,
+        figsize=(PANEL_INCHES[0] * across, height * down),
+        layout='constrained',
+        squeeze=False,
+    )
+    for axis, column in zip(axes.flat, columns, strict=False):
+        _bars(axis, labels, [float(row.get(column) or 0) for row in table])
+        _style(axis, column.replace('_', ' '))
+    for unused in axes.flat[len(columns) :]:
+        unused.set_visible(False)
+    figure.suptitle(path.stem.replace('_', ' '), color=INK, fontsize=14)
+    _save(figure, path)
+
+
+def _label(row: dict[str, object]) -> str:
+    words = [str(cell) for cell in row.values() if isinstance(cell, str)]
+    return ', '.join(words)
+
+
+def _bars(axis: Axes, labels: Sequence[str], values: Sequence[float]) -> None:
+    places = np.arange(len(labels))
+    names = list(dict.fromkeys(labels))
+    colours = [COLOURS[names.index(name) % len(COLOURS)] for name in labels]
+    bars = axis.barh(places, values, color=colours, height=0.7)
+    axis.bar_label(bars, fmt='%.4g', padding=3, fontsize=8, color=INK)
+    axis.set_yticks(places, labels, fontsize=8)
+    axis.invert_yaxis()
+    axis.margins(x=0.15)
+
+
+def _style(axis: Axes, title: str) -> None:
+    axis.set_title(title, loc='left', color=INK, fontsize=10)
+    axis.grid(visible=True, color=GRID, lw=0.6)
+    axis.set_axisbelow(True)
+    axis.spines[['top', 'right']].set_visible(False)
+    axis.tick_params(colors=INK, labelsize=8)
+
+
+def _save(figure: Figure, path: Path) -> None:
+    figure.savefig(path, dpi=DPI)
+    plt.close(figure)
