Runs of separate processes through faults, checked

lab.faults kills, freezes and cuts off entry processes, takes the platform's log and host list down, breaks targets off and lets operators race, under an open load; lab.history checks what callers, journals and logs saw.

--- /dev/null
+++ b/lab/faults.py
@@ -0,0 +1,313 @@
+"""Takes a deployment through faults under load and checks its history."""
+
+import random
+import signal
+import sys
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import anyio
+import cyclopts
+
+from .client import Answer, bearer
+from .commands import Operator
+from .history import (
+    History,
+    Leaving,
+    PlannedStop,
+    Race,
+    Withdrawal,
+    find_faults,
+)
+from .processes import Member, wait
+from .shape import Shape
+from .trial import WORKSPACE, Trial, now, run_trial
+
+# Longer than a lease and than the time after which a host counts as stale.
+FREEZE_S = 6.0
+OUTAGE_S = 3.0
+CUT_S = 3.0
+DRAIN_S = 6.0
+SETTLE_S = 1.0
+SLOW_S = 0.3
+IN_FORCE_S = 6.0
+OPERATORS = 3
+STOP_TIMEOUT_S = 30.0
+RACED = 'stranger'
+_STATUS_OK = 200
+_OPERATOR_PATH = '/operator/v1'
+
+app = cyclopts.App(help='Run a deployment through faults and check it.')
+Action = Callable[[Trial, random.Random], Awaitable[None]]
+
+
+async def kill_entry(trial: Trial, chance: random.Random) -> None:
+    """Kill an entry process and start it again."""
+    member = _any_entry(trial, chance)
+    member.send_signal(signal.SIGKILL)
+    await member.process.wait()
+    await anyio.sleep(SETTLE_S)
+    await trial.deployment.start_entry(member.name)
+
+
+async def freeze_entry(trial: Trial, chance: random.Random) -> None:
+    """Freeze an entry process, withdraw the key in use, let it go on."""
+    member = _any_entry(trial, chance)
+    others = [one for one in trial.deployment.entries.values() if one != member]
+    member.send_signal(signal.SIGSTOP)
+    try:
+        await _withdraw(trial, others)
+        await anyio.sleep(FREEZE_S)
+    finally:
+        member.send_signal(signal.SIGCONT)
+
+
+async def withdraw_key(trial: Trial, chance: random.Random) -> None:
+    """Withdraw the key that callers use; they go on with another."""
+    await _withdraw(trial, trial.deployment.entries.values())
+
+
+async def stop_log(trial: Trial, chance: random.Random) -> None:
+    """Let the log service be down for a while."""
+    await _hold(trial, 'log', OUTAGE_S, 'outage')
+
+
+async def start_in_outage(trial: Trial, chance: random.Random) -> None:
+    """Kill an entry process and start it again while the log is down."""
+    member = _any_entry(trial, chance)
+    await trial.deployment.set_fault('log', 'outage')
+    try:
+        member.send_signal(signal.SIGKILL)
+        await member.process.wait()
+        await trial.deployment.start_entry(member.name)
+    finally:
+        await trial.deployment.clear_faults('log')
+
+
+async def slow_log(trial: Trial, chance: random.Random) -> None:
+    """Let the log service be slow for a while."""
+    await _hold(trial, 'log', OUTAGE_S, 'slow', seconds=SLOW_S)
+
+
+async def lose_replies(trial: Trial, chance: random.Random) -> None:
+    """Let appends take effect without an answer."""
+    await _hold(trial, 'log', OUTAGE_S, 'lose_reply', count=5)
+
+
+async def stop_host_list(trial: Trial, chance: random.Random) -> None:
+    """Let the host list be down for a while."""
+    await _hold(trial, 'hosts', OUTAGE_S, 'outage')
+
+
+async def cut_links(trial: Trial, chance: random.Random) -> None:
+    """Cut an entry process off from its peers for a while."""
+    member = _any_entry(trial, chance)
+    others = [name for name in trial.deployment.entries if name != member.name]
+    kind = chance.choice(('refuse', 'drop'))
+    url = f'{member.url}/debug/links'
+    await trial.deployment.client.ask('POST', url, body={kind: others})
+    await anyio.sleep(CUT_S)
+    await trial.deployment.client.ask('POST', url, body={})
+
+
+async def break_orders(trial: Trial, chance: random.Random) -> None:
+    """Let a target run orders and break off before it answers."""
+    name = chance.choice(('orders-1', 'orders-2'))
+    await _hold(trial, name, OUTAGE_S, 'cut_after_run', count=3)
+
+
+async def cut_streams(trial: Trial, chance: random.Random) -> None:
+    """Let an engine break off in the middle of streams."""
+    name = chance.choice(trial.deployment.shape.engines)
+    await _hold(trial, name, OUTAGE_S, 'cut_stream', after=2, count=3)
+
+
+async def drain_target(trial: Trial, chance: random.Random) -> None:
+    """Let a target say that it leaves."""
+    name = chance.choice(('stock-1', 'stock-2'))
+    began_at = now()
+    await _hold(trial, name, DRAIN_S, 'draining')
+    trial.history.leavings.append(Leaving(name, began_at, now()))
+
+
+async def race_operators(trial: Trial, chance: random.Random) -> None:
+    """Let operators change the same workspace for the same revision."""
+    urls = trial.deployment.entry_urls()
+    shown = (await _operate(trial, urls[0], 'GET', '/catalogue')).json()
+    replaces = shown['revisions'][f'workspace/{RACED}']
+    rates = [float(chance.randint(100, 10_000)) for _ in range(OPERATORS)]
+    accepted: list[float] = []
+
+    async def change(url: str, rate: float) -> None:
+        workspace = {'name': RACED, 'rate': rate, 'burst': 10_000}
+        body = {
+            'type': 'workspace_set',
+            'workspace': workspace,
+            'replaces': replaces,
+        }
+        answer = await _operate(trial, url, 'POST', '/changes', body)
+        if answer.status == _STATUS_OK:
+            accepted.append(rate)
+
+    async with anyio.create_task_group() as group:
+        for index, rate in enumerate(rates):
+            group.start_soon(change, urls[index % len(urls)], rate)
+    await anyio.sleep(IN_FORCE_S)
+    final = [await _read_rate(trial, url) for url in urls]
+    trial.history.races.append(Race(accepted, final))
+
+
+HOST_ACTIONS: tuple[Action, ...] = (
+    kill_entry,
+    freeze_entry,
+    withdraw_key,
+    stop_log,
+    start_in_outage,
+    slow_log,
+    lose_replies,
+    stop_host_list,
+    cut_links,
+    race_operators,
+)
+TARGET_ACTIONS: tuple[Action, ...] = (
+    break_orders,
+    cut_streams,
+    drain_target,
+)
+
+
+async def run_faults(seed: int) -> History:
+    """Run all faults under load: those of hosts beside those of targets."""
+    chance = random.Random(seed)
+    shape = Shape(entry_flags=('--allow-faults', '--deadline-s=10'))
+    async with run_trial(seed, shape) as trial:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_run_in_turn, trial, chance, TARGET_ACTIONS)
+            await _run_in_turn(trial, chance, HOST_ACTIONS)
+        # It is completed on leaving the context.
+        return trial.history
+
+
+async def _run_in_turn(
+    trial: Trial,
+    chance: random.Random,
+    actions: Iterable[Action],
+) -> None:
+    chosen = list(actions)
+    chance.shuffle(chosen)
+    for action in chosen:
+        await action(trial, chance)
+        await anyio.sleep(SETTLE_S)
+
+
+async def run_replacement(seed: int) -> History:
+    """Replace all entry processes one after another by SIGTERM under load."""
+    async with run_trial(seed, Shape()) as trial:
+        for name in list(trial.deployment.entries):
+            await _replace(trial, name)
+        await anyio.sleep(SETTLE_S)
+        # It is completed on leaving the context.
+        return trial.history
+
+
+async def _replace(trial: Trial, name: str) -> None:
+    member = trial.deployment.entries[name]
+    began_at = now()
+    member.send_signal(signal.SIGTERM)
+    exit_code = await wait(member, STOP_TIMEOUT_S)
+    stop = PlannedStop(name, member.address, began_at, now(), exit_code)
+    trial.history.stops.append(stop)
+    await trial.deployment.start_entry(name)
+
+
+def _any_entry(trial: Trial, chance: random.Random) -> Member:
+    return trial.deployment.entries[
+        chance.choice(sorted(trial.deployment.entries))
+    ]
+
+
+async def _hold(
+    trial: Trial,
+    name: str,
+    hold_s: float,
+    fault: str,
+    **fields: Any,
+) -> None:
+    await trial.deployment.set_fault(name, fault, **fields)
+    await anyio.sleep(hold_s)
+    await trial.deployment.clear_faults(name)
+
+
+async def _withdraw(trial: Trial, members: Iterable[Member]) -> None:
+    withdrawn = trial.issued[-1]
+    urls = [member.url for member in members]
+    operator = Operator(lambda: urls, trial.deployment.secrets)
+    await operator.withdraw_key(withdrawn.key_id)
+    trial.history.withdrawals.append(Withdrawal(withdrawn.key_id, now()))
+    await anyio.sleep(SETTLE_S)
+    trial.use_key(await operator.issue_key(WORKSPACE))
+
+
+async def _operate(
+    trial: Trial,
+    url: str,
+    method: str,
+    path: str,
+    body: Any = None,
+) -> Answer:
+    token = trial.deployment.secrets['EBONYWELL_OPERATOR_TOKEN']
+    return await trial.deployment.client.ask(
+        method,
+        f'{url}{_OPERATOR_PATH}{path}',
+        bearer(token),
+        body,
+    )
+
+
+async def _read_rate(trial: Trial, url: str) -> float:
+    shown = (await _operate(trial, url, 'GET', '/catalogue')).json()
+    rates: list[float] = [
+        one['rate'] for one in shown['workspaces'] if one['name'] == RACED
+    ]
+    return rates[0]
+
+
+def describe(history: History) -> str:
+    """Return how many calls ended in which way."""
+    ends = Counter(
+        f'{seen.outcome} {seen.code} {seen.run_state}'.strip()
+        for seen in history.observations
+    )
+    parts = [f'{count} {end}' for end, count in ends.most_common()]
+    parts.append(f'{len(history.received)} received by targets')
+    return ', '.join(parts)
+
+
+@app.default
+def main(*, seed: int = 1, replacement: bool = False) -> None:
+    """Run the faults, or a replacement of all entry processes, and check.
+
+    Exits with 1 if something does not hold, after a line for each such thing.
+
+    Parameters
+    ----------
+    seed
+        Of the load, and of the order of the faults.
+    replacement
+        Replace all entry processes instead.
+    """
+    if replacement:
+        history = anyio.run(run_replacement, seed)
+    else:
+        history = anyio.run(run_faults, seed)
+    faults = find_faults(history)
+    for fault in faults:
+        sys.stdout.write(f'{fault}\n')
+    sys.stdout.write(f'{describe(history)}\n')
+    sys.stdout.write(f'{len(faults)} faults\n')
+    sys.exit(1 if faults else 0)
+
+
+if __name__ == '__main__':
+    app()
--- a/lab/load.py
+++ b/lab/load.py
@@ -1,13 +1,14 @@
 """A bounded load on a running deployment, and what it measured."""
 
 import sys
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
 import anyio
 import cyclopts
 import msgspec
+from anyio.abc import TaskGroup
 from hdrh.histogram import HdrHistogram
 
 from .arrivals import Arrival, CallKind, Mix, plan_arrivals
@@ -19,6 +20,7 @@
 MAX_IN_FLIGHT = 512
 MAX_SECONDS = 300.0
 MAX_RATE = 500.0
+RESEND_GAP_S = 0.5
 _LONGEST_US = 600_000_000
 _DIGITS = 3
 _MEDIAN = 50
@@ -79,54 +81,80 @@
     Attributes
     ----------
     client : Client
-    keys : mapping of str to Issued
-        By workspace.
+    keys : dict of str to Issued
+        By workspace. They may change while the load runs.
     addresses : sequence of str
         The ip:port of each entry process. It may change while the load runs.
     observations : list of Observation
         In the order in which the calls ended.
     name : str
         Put before every marker, so that loads do not share markers.
+    resends : int
+        How often an order that got no answer is sent again, each time to the
+        next address.
     skipped : int
         Calls that were not made because too many were in flight.
     in_flight : int
     """
 
     client: Client
-    keys: Mapping[str, Issued]
+    keys: dict[str, Issued]
     addresses: Sequence[str]
     observations: list[Observation]
     name: str = 'load'
+    resends: int = 0
     skipped: int = 0
     in_flight: int = 0
 
-    async def run(self, arrivals: Iterable[Arrival]) -> None:
-        """Make every call at its time and wait for the last to end."""
+    async def run(
+        self,
+        arrivals: Iterable[Arrival],
+        scope: anyio.CancelScope | None = None,
+    ) -> None:
+        """Make every call at its time and wait for the last to end.
+
+        Parameters
+        ----------
+        arrivals : iterable of Arrival
+        scope : CancelScope or None
+            Cancelled to make no more calls.
+        """
         begun = anyio.current_time()
         async with anyio.create_task_group() as group:
-            for arrival in arrivals:
-                await anyio.sleep_until(begun + arrival.at_s)
-                if self.in_flight < MAX_IN_FLIGHT:
-                    self.in_flight += 1
-                    group.start_soon(self._call, arrival)
-                else:
-                    self.skipped += 1
+            with scope or anyio.CancelScope():
+                for arrival in arrivals:
+                    await anyio.sleep_until(begun + arrival.at_s)
+                    self._begin(group, arrival)
+
+    def _begin(self, group: TaskGroup, arrival: Arrival) -> None:
+        if self.in_flight < MAX_IN_FLIGHT:
+            self.in_flight += 1
+            group.start_soon(self._call, arrival)
+        else:
+            self.skipped += 1
 
     async def _call(self, arrival: Arrival) -> None:
+        try:
+            for attempt in range(1 + self.resends):
+                seen = await call(self.client, self._ask(arrival, attempt))
+                self.observations.append(seen)
+                if not _is_sent_again(seen):
+                    break
+                await anyio.sleep(RESEND_GAP_S)
+        finally:
+            self.in_flight -= 1
+
+    def _ask(self, arrival: Arrival, attempt: int) -> Ask:
         issued = self.keys[arrival.workspace]
-        index = arrival.address_index % len(self.addresses)
-        ask = Ask(
+        index = (arrival.address_index + attempt) % len(self.addresses)
+        return Ask(
             arrival.kind,
             self.addresses[index],
             arrival.workspace,
             issued.key,
-            f'{self.name}-{arrival.number}',
+            f'{self.name}-{arrival.number}-',
             issued.key_id,
         )
-        try:
-            self.observations.append(await call(self.client, ask))
-        finally:
-            self.in_flight -= 1
 
 
 def summarize(observations: Iterable[Observation]) -> list[Row]:
@@ -151,6 +179,11 @@
     return micros * _MICROSECOND_S / _MILLISECOND_S
 
 
+def _is_sent_again(seen: Observation) -> bool:
+    is_answered = seen.outcome == Outcome.answered
+    return seen.kind == CallKind.order and not is_answered
+
+
 def _row(seen: Sequence[Observation]) -> Row:
     answered = [
         one for one in seen if one.outcome == Outcome.answered and one.is_own
--- /dev/null
+++ b/lab/trial.py
@@ -0,0 +1,152 @@
+"""A deployment under load, whose history is recorded."""
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+
+from .arrivals import Mix, plan_arrivals
+from .client import Client, ClientError
+from .commands import Issued
+from .deployment import Deployment
+from .history import History, add_journal
+from .load import SAMPLE_WEIGHTS, Load
+from .shape import Shape
+
+CALLS_A_SECOND = 30.0
+LONGEST_LOAD_S = 120.0
+ADDRESS_GAP_S = 0.5
+ORDER_RESENDS = 3
+QUIET_S = 2.0
+CALLER_TIMEOUT_S = 15.0
+_STATUS_OK = 200
+WORKSPACE = 'counter'
+
+
+@dataclass(slots=True)
+class Trial:
+    """A run of a deployment.
+
+    Attributes
+    ----------
+    deployment : Deployment
+    load : Load
+    history : History
+    issued : list of Issued
+        Every key, the one in use last.
+    """
+
+    deployment: Deployment
+    load: Load
+    history: History = field(default_factory=History)
+    issued: list[Issued] = field(default_factory=list)
+
+    def use_key(self, made: Issued) -> None:
+        """Let callers use a key from now on."""
+        self.issued.append(made)
+        self.load.keys[WORKSPACE] = made
+
+    async def collect(self) -> None:
+        """Take what callers, targets and logs know into the history."""
+        self.history.observations = self.load.observations
+        self.history.keys = [one.key for one in self.issued]
+        for name in self.deployment.targets:
+            journal = await self.deployment.read_journal(name)
+            add_journal(self.history, name, journal)
+        for member in self.deployment.entries.values():
+            self.history.logs[member.name] = member.read_log()
+
+
+@asynccontextmanager
+async def run_trial(seed: int, shape: Shape) -> AsyncIterator[Trial]:
+    """Start a deployment and load it until the context is left.
+
+    The load then ends, the last answers come in, and the history is complete.
+
+    Parameters
+    ----------
+    seed : int
+        Of the arrivals.
+    shape : Shape
+
+    Raises
+    ------
+    ProcessError, CommandError
+        If the deployment does not start.
+    """
+    async with (
+        Deployment(shape) as deployment,
+        Client(CALLER_TIMEOUT_S) as callers,
+    ):
+        await deployment.fill()
+        load = Load(callers, {}, [], [], f'trial-{seed}', ORDER_RESENDS)
+        trial = Trial(deployment, load)
+        trial.use_key(await deployment.operator.issue_key(WORKSPACE))
+        await _refresh(trial)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_keep_addresses, trial)
+            yielded = anyio.CancelScope()
+            group.start_soon(_run_load, trial, seed, yielded)
+            yield trial
+            yielded.cancel()
+            await _drain(trial)
+            group.cancel_scope.cancel()
+        await trial.collect()
+
+
+async def _run_load(
+    trial: Trial,
+    seed: int,
+    scope: anyio.CancelScope,
+) -> None:
+    mix = Mix(WORKSPACE, CALLS_A_SECOND, SAMPLE_WEIGHTS)
+    arrivals = plan_arrivals(
+        seed,
+        [mix],
+        LONGEST_LOAD_S,
+        trial.deployment.shape.entries,
+    )
+    await trial.load.run(arrivals, scope)
+
+
+async def _drain(trial: Trial) -> None:
+    with anyio.move_on_after(CALLER_TIMEOUT_S):
+        while trial.load.in_flight:
+            await anyio.sleep(ADDRESS_GAP_S)
+    # A target that hears late of a call's end writes it down meanwhile.
+    await anyio.sleep(QUIET_S)
+
+
+async def _keep_addresses(trial: Trial) -> None:
+    while True:
+        await anyio.sleep(ADDRESS_GAP_S)
+        await _refresh(trial)
+
+
+async def _refresh(trial: Trial) -> None:
+    """Ask for addresses as callers do: the first process that answers."""
+    known = [f'http://{address}' for address in trial.load.addresses]
+    for url in known or trial.deployment.entry_urls():
+        with anyio.move_on_after(1):
+            addresses = await _ask_addresses(trial, url)
+            if addresses:
+                trial.load.addresses = addresses
+                return
+
+
+async def _ask_addresses(trial: Trial, url: str) -> list[str]:
+    try:
+        answer = await trial.load.client.ask('GET', f'{url}/v1/hosts')
+    except ClientError:
+        return []
+    if answer.status != _STATUS_OK:
+        return []
+    zones: dict[str, list[str]] = answer.json()['zones']
+    return [one for zone in sorted(zones) for one in zones[zone]]
+
+
+def now() -> float:
+    """Return the time as observations and journals give it."""
+    return time.time()
