One HTTP client for the platform, the targets' reports and the operators' commands

The pool, its timeouts and the turning of httpcore's errors stood five times; transport.py holds them once. The host list and the reports are polled side by side, so that a list that hangs does not delay the reports. The test of parsers names the shared parser and its error; it is as strict.

--- a/ebonywell/exceptions.py
+++ b/ebonywell/exceptions.py
@@ -13,6 +13,20 @@
     """A service is missing, doubled or has failed."""
 
 
+class TransportError(EbonywellError):
+    """An HTTP exchange with another process brought no usable answer.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether bytes of the request may have arrived.
+    """
+
+    def __init__(self, message: str, is_sent: bool = True) -> None:
+        super().__init__(message)
+        self.is_sent = is_sent
+
+
 class LogServiceError(EbonywellError):
     """The platform's log service cannot be used now."""
 
--- a/ebonywell/hostlist.py
+++ b/ebonywell/hostlist.py
@@ -4,47 +4,30 @@
 from typing import Self
 
 import anyio
-import httpcore
 import msgspec
 
-from .exceptions import PeerError
+from .exceptions import PeerError, TransportError
 from .logs import Logger
 from .targets import ListedHost
+from .transport import HttpClient, check_status
 from .types import HostState
 
 TIMEOUT_S = 1.0
-_STATUS_OK = 200
-_STATUS_ERROR = 300
-
-
 ROLE = 'entry'
 PUT_RETRY_S = 1.0
 
 
-class HostListClient:
-    """A connection pool to the host list, closed on leaving the context.
+class HostListClient(HttpClient):
+    """A connection to the host list, closed on leaving the context.
 
     Attributes
     ----------
     url : str
-    pool : httpcore.AsyncConnectionPool
     """
 
     def __init__(self, url: str) -> None:
+        super().__init__(max_connections=1)
         self.url = url
-        self.pool = httpcore.AsyncConnectionPool(max_connections=1)
-
-    async def __aenter__(self) -> Self:
-        await self.pool.__aenter__()
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self.pool.__aexit__(kind, error, trace)
 
     async def put(self, host: ListedHost) -> None:
         """Add or change a host's line.
@@ -67,24 +50,12 @@
         await self._ask('DELETE', name, b'')
 
     async def _ask(self, method: str, name: str, content: bytes) -> None:
-        timeout = dict.fromkeys(
-            ('connect', 'read', 'write', 'pool'),
-            TIMEOUT_S,
-        )
         url = f'{self.url}/hosts/{name}'
         try:
-            response = await self.pool.request(
-                method,
-                url,
-                content=content,
-                extensions={'timeout': timeout},
-            )
-        except (httpcore.NetworkError, httpcore.ProtocolError) as broken:
-            raise PeerError(f'{method} {url}: {broken!r}') from broken
-        except httpcore.TimeoutException as late:
-            raise PeerError(f'{method} {url}: {late!r}') from late
-        if not _STATUS_OK <= response.status < _STATUS_ERROR:
-            raise PeerError(f'{method} {url}: status {response.status}')
+            response = await self.ask(method, url, TIMEOUT_S, content)
+            check_status(response, f'{method} {url}')
+        except TransportError as error:
+            raise PeerError(str(error)) from error
 
 
 class HostLine:
--- a/ebonywell/logclient.py
+++ b/ebonywell/logclient.py
@@ -1,19 +1,23 @@
 """A client of the platform's log service."""
 
-from types import TracebackType
-from typing import Self, TypeVar
+from typing import TypeVar
 
-import httpcore
 import msgspec
 
-from .exceptions import LogGapError, LogOutageError, LogRefusedError
+from .exceptions import (
+    LogGapError,
+    LogOutageError,
+    LogRefusedError,
+    TransportError,
+)
+from .transport import STATUS_OK, HttpClient, decode_answer
 
 APPEND_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 3.0
 LONG_POLL_S = 1.0
 READ_LIMIT = 500
+MAX_CONNECTIONS = 4
 _STATUS_EXPIRED = 410
-_STATUS_OK = 200
 _Answer = TypeVar('_Answer')
 
 
@@ -43,31 +47,18 @@
     first_offset: int
 
 
-class LogClient:
-    """One connection pool to the log service, closed on leaving the context.
+class LogClient(HttpClient):
+    """Connections to the log service, closed on leaving the context.
 
     Attributes
     ----------
     url : str
         Without a slash at its end.
-    pool : httpcore.AsyncConnectionPool
     """
 
     def __init__(self, url: str) -> None:
+        super().__init__(max_connections=MAX_CONNECTIONS)
         self.url = url
-        self.pool = httpcore.AsyncConnectionPool(max_connections=4, retries=0)
-
-    async def __aenter__(self) -> Self:
-        await self.pool.__aenter__()
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self.pool.__aexit__(kind, error, trace)
 
     async def append(self, records: list[object]) -> int:
         """Append records, all or none, and return the first one's offset.
@@ -119,32 +110,24 @@
         timeout_s: float,
         content: bytes | None = None,
     ) -> bytes:
-        timeout = {
-            'connect': timeout_s,
-            'read': timeout_s,
-            'write': timeout_s,
-            'pool': timeout_s,
-        }
         try:
-            response = await self.pool.request(
+            response = await self.ask(
                 method,
-                self.url + path,
-                content=content,
-                extensions={'timeout': timeout},
+                f'{self.url}{path}',
+                timeout_s,
+                content,
             )
-        except (httpcore.NetworkError, httpcore.ProtocolError) as broken:
-            raise LogOutageError(f'{method} {path}: {broken!r}') from broken
-        except httpcore.TimeoutException as late:
-            raise LogOutageError(f'{method} {path}: {late!r}') from late
+        except TransportError as broken:
+            raise LogOutageError(str(broken), broken.is_sent) from broken
         if response.status == _STATUS_EXPIRED:
             raise LogGapError(_decode(response.content, Page).first_offset)
-        if response.status != _STATUS_OK:
+        if response.status != STATUS_OK:
             raise LogRefusedError(f'{method} {path}: status {response.status}')
         return response.content
 
 
 def _decode(content: bytes, kind: type[_Answer]) -> _Answer:
     try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError as error:
-        raise LogOutageError(f'unreadable answer: {error}') from error
+        return decode_answer(content, kind)
+    except TransportError as error:
+        raise LogOutageError(str(error)) from error
--- a/ebonywell/opclient.py
+++ b/ebonywell/opclient.py
@@ -1,8 +1,7 @@
 """The operators' client: asks entry processes one by one or all at once."""
 
 from collections.abc import Sequence
-from types import TracebackType
-from typing import Self, TypeVar
+from typing import TypeVar
 
 import anyio
 import httpcore
@@ -16,15 +15,17 @@
     NotReachableError,
     OperatorError,
     OutcomeUnknownError,
+    TransportError,
 )
 from .timeline import Event, merge
+from .transport import STATUS_OK, HttpClient
 from .types import RunState
 
 TIMEOUT_S = 6.0
 CONNECT_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 64
-_STATUS_OK = 200
 _STATUS_CONFLICT = 409
+_SCHEMES = ('http://', 'https://')
 _STATUS_UNAVAILABLE = 503
 _View = TypeVar('_View')
 
@@ -35,7 +36,7 @@
     zones: dict[str, tuple[str, ...]] = {}
 
 
-class OperatorClient:
+class OperatorClient(HttpClient):
     """Connections to entry processes, closed on leaving the context.
 
     Attributes
@@ -43,27 +44,12 @@
     urls : list of str
         Without a slash at the end.
     token : str
-    pool : httpcore.AsyncConnectionPool
     """
 
     def __init__(self, urls: Sequence[str], token: str) -> None:
+        super().__init__(max_connections=MAX_CONNECTIONS)
         self.urls = [url.rstrip('/') for url in urls]
         self.token = token
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS
-        )
-
-    async def __aenter__(self) -> Self:
-        await self.pool.__aenter__()
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self.pool.__aexit__(kind, error, trace)
 
     async def fetch(self, path: str, kind: type[_View]) -> _View:
         """Return an answer of the first process that gives one.
@@ -212,28 +198,23 @@
         path: str,
         content: bytes | None = None,
     ) -> bytes:
-        headers = [('authorization', f'Bearer {self.token}')]
-        timeout = dict.fromkeys(('read', 'write', 'pool'), TIMEOUT_S)
-        timeout['connect'] = CONNECT_TIMEOUT_S
+        if not url.startswith(_SCHEMES):
+            raise OperatorError(f'{url} is not an http URL')
         try:
-            response = await self.pool.request(
+            response = await self.ask(
                 method,
                 url + path,
-                headers=headers,
-                content=content,
-                extensions={'timeout': timeout},
+                TIMEOUT_S,
+                content,
+                (('authorization', f'Bearer {self.token}'),),
+                CONNECT_TIMEOUT_S,
+            )
+        except TransportError as error:
+            failure = (
+                OutcomeUnknownError if error.is_sent else NotReachableError
             )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            raise NotReachableError(f'{url}: {error!r}') from error
-        except httpcore.UnsupportedProtocol as error:
-            raise OperatorError(f'{url} is not an http URL') from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            raise OutcomeUnknownError(f'{url}: {error!r}') from error
-        if response.status != _STATUS_OK:
+            raise failure(str(error)) from error
+        if response.status != STATUS_OK:
             raise _read_failure(url, response)
         return response.content
 
--- a/ebonywell/targets.py
+++ b/ebonywell/targets.py
@@ -2,24 +2,19 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from types import MappingProxyType
 from typing import TypeVar
 
 import anyio
-import httpcore
 import msgspec
 
-from .exceptions import TargetError
+from .exceptions import TargetError, TransportError
 from .logs import Logger
+from .transport import HttpClient, check_status, decode_answer
 from .types import HostState
 
 POLL_GAP_S = 1.0
 POLL_TIMEOUT_S = 1.0
-_STATUS_OK = 200
 _Answer = TypeVar('_Answer')
-_TIMEOUT = MappingProxyType(
-    dict.fromkeys(('connect', 'read', 'write', 'pool'), POLL_TIMEOUT_S),
-)
 
 
 class ListedHost(msgspec.Struct, frozen=True):
@@ -130,14 +125,12 @@
         self.clock = clock
         self.table = TargetTable()
         self.listed: tuple[ListedHost, ...] = ()
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=None,
-            max_keepalive_connections=None,
-        )
+        self.client = HttpClient()
 
     async def run(self, ready: Callable[[], None]) -> None:
         """Poll until cancelled; ready after the first round."""
-        async with self.pool:
+        async with self.client:
+            await self._poll_hosts()
             await self._poll()
             ready()
             while True:
@@ -158,8 +151,7 @@
         """Ask one target for its report now."""
         address = target.listed.address
         try:
-            content = await self._get(f'http://{address}/report')
-            report = _decode(content, Report)
+            report = await self._get(f'http://{address}/report', Report)
         except TargetError as error:
             if not target.failing:
                 self.log('target_silent', target=target.name, reason=str(error))
@@ -170,34 +162,26 @@
         target.failing = False
 
     async def _poll(self) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._poll_hosts)
+            for target in self.table.by_name.values():
+                group.start_soon(self.poll_target, target)
+
+    async def _poll_hosts(self) -> None:
+        url = f'{self.host_list_url}/hosts'
         try:
-            self.listed = (await self._get_hosts()).hosts
+            self.listed = (await self._get(url, HostList)).hosts
         except TargetError as error:
             # The last list stands: a list that is down ejects nobody.
             self.log('host_list_unreadable', reason=str(error))
         update_listed(self.table, self.listed)
-        async with anyio.create_task_group() as group:
-            for target in self.table.by_name.values():
-                group.start_soon(self.poll_target, target)
-
-    async def _get_hosts(self) -> HostList:
-        content = await self._get(f'{self.host_list_url}/hosts')
-        return _decode(content, HostList)
 
-    async def _get(self, url: str) -> bytes:
+    async def _get(self, url: str, kind: type[_Answer]) -> _Answer:
         try:
-            response = await self.pool.request(
-                'GET',
-                url,
-                extensions={'timeout': _TIMEOUT},
-            )
-        except (httpcore.NetworkError, httpcore.ProtocolError) as broken:
-            raise TargetError(f'{url}: {broken!r}') from broken
-        except httpcore.TimeoutException as late:
-            raise TargetError(f'{url}: {late!r}') from late
-        if response.status != _STATUS_OK:
-            raise TargetError(f'{url}: status {response.status}')
-        return response.content
+            response = await self.client.ask('GET', url, POLL_TIMEOUT_S)
+            return decode_answer(check_status(response, url), kind)
+        except TransportError as error:
+            raise TargetError(str(error)) from error
 
 
 def update_listed(
@@ -214,10 +198,3 @@
             table.by_name[name] = Target(host)
         else:
             known.listed = host
-
-
-def _decode(content: bytes, kind: type[_Answer]) -> _Answer:
-    try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError as error:
-        raise TargetError(f'unreadable answer: {error}') from error
--- a/ebonywell/visits.py
+++ b/ebonywell/visits.py
@@ -2,25 +2,26 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from types import MappingProxyType
 from typing import TypeVar
 
 import httpcore
 import msgspec
 
-from .exceptions import TargetError
+from .exceptions import TargetError, TransportError
 from .memory import Pending
 from .misc import split_address
 from .orders import Settlement
 from .outstanding import Evidence, OrderState, Step, next_step
 from .targets import Report
+from .transport import (
+    check_status,
+    decode_answer,
+    timeout_extension,
+    turned_errors,
+)
 
 VISIT_TIMEOUT_S = 1.0
-_STATUS_OK = 200
 _STATUS_NOT_FOUND = 404
-_TIMEOUT = MappingProxyType(
-    dict.fromkeys(('connect', 'read', 'write', 'pool'), VISIT_TIMEOUT_S),
-)
 _Answer = TypeVar('_Answer')
 Ask = Callable[[str, str, bytes], Awaitable[httpcore.Response]]
 
@@ -95,17 +96,12 @@
     host, port = split_address(address)
     origin = httpcore.Origin(b'http', host.encode(), port)
     try:
-        async with httpcore.AsyncHTTPConnection(origin) as connection:
-            ask = _bind(connection, f'http://{address}')
-            return await see_to(ask, fencing, unsettled)
-    except (
-        httpcore.ConnectionNotAvailable,
-        httpcore.NetworkError,
-        httpcore.ProtocolError,
-    ) as broken:
-        raise TargetError(f'{address}: {broken!r}') from broken
-    except httpcore.TimeoutException as late:
-        raise TargetError(f'{address}: {late!r}') from late
+        with turned_errors(address):
+            async with httpcore.AsyncHTTPConnection(origin) as connection:
+                ask = _bind(connection, f'http://{address}')
+                return await see_to(ask, fencing, unsettled)
+    except TransportError as error:
+        raise TargetError(str(error)) from error
 
 
 def _bind(connection: httpcore.AsyncHTTPConnection, url: str) -> Ask:
@@ -114,7 +110,7 @@
             method,
             url + path,
             content=content,
-            extensions={'timeout': _TIMEOUT},
+            extensions=timeout_extension(VISIT_TIMEOUT_S),
         )
 
     return ask
@@ -134,7 +130,7 @@
     -------
     Visit
     """
-    report = _decode(await ask('GET', '/report', b''), Report)
+    report = _read(await ask('GET', '/report', b''), Report)
     result = Visit(fencing, report, [])
     for pending in unsettled:
         order = pending.order
@@ -161,7 +157,7 @@
     answer = await ask('GET', f'/orders/{order_id}', b'')
     if answer.status == _STATUS_NOT_FOUND:
         return OrderState.unknown
-    return _decode(answer, OrderAnswer).state
+    return _read(answer, OrderAnswer).state
 
 
 def _encode(pending: Pending) -> bytes:
@@ -178,10 +174,5 @@
     )
 
 
-def _decode(answer: httpcore.Response, kind: type[_Answer]) -> _Answer:
-    if answer.status != _STATUS_OK:
-        raise TargetError(f'status {answer.status}')
-    try:
-        return msgspec.json.decode(answer.content, type=kind)
-    except msgspec.MsgspecError as error:
-        raise TargetError(f'unreadable answer: {error}') from error
+def _read(answer: httpcore.Response, kind: type[_Answer]) -> _Answer:
+    return decode_answer(check_status(answer, 'visit'), kind)
--- a/lab/capacity_links.py
+++ b/lab/capacity_links.py
@@ -208,7 +208,7 @@
         listed = ListedHost(f'engine-{number}', 'engine', reporter.address)
         targets.table.by_name[listed.name] = Target(listed)
     rounds = int(RUN_S / POLL_GAP_S)
-    async with targets.pool:
+    async with targets.client:
         await _poll_once(targets)
         moved_before = reporter.moved_bytes
         began = time.thread_time()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -21,6 +21,7 @@
     replica,
     state,
     targets,
+    transport,
     wire,
 )
 from ebonywell.answers import RefusedError
@@ -30,7 +31,7 @@
     PeerError,
     RecordError,
     SettingsError,
-    TargetError,
+    TransportError,
 )
 from ebonywell.types import EntryKind, HostId
 
@@ -89,8 +90,14 @@
         lambda content: logclient._decode(content, logclient.Page),
         LogOutageError,
     ),
-    (lambda content: targets._decode(content, targets.HostList), TargetError),
-    (lambda content: targets._decode(content, targets.Report), TargetError),
+    (
+        lambda content: transport.decode_answer(content, targets.HostList),
+        TransportError,
+    ),
+    (
+        lambda content: transport.decode_answer(content, targets.Report),
+        TransportError,
+    ),
     (wire.decode, PeerError),
     (lambda content: opclient._decode('', content, int), OperatorError),
     (
