--- a/lab/faults.py
+++ b/lab/faults.py
@@ -17,6 +17,7 @@
     Leaving,
     PlannedStop,
     Race,
+    Step,
     Withdrawal,
     find_faults,
 )
@@ -197,8 +198,10 @@
     chosen = list(actions)
     chance.shuffle(chosen)
     for action in chosen:
+        began_at = now()
         await action(trial, chance)
         await anyio.sleep(SETTLE_S)
+        trial.history.steps.append(Step(action.__name__, began_at, now()))
 
 
 async def run_replacement(seed: int) -> History:
--- a/lab/history.py
+++ b/lab/history.py
@@ -81,6 +81,21 @@
     exit_code: int
 
 
+class Step(msgspec.Struct):
+    """A fault that was injected.
+
+    Attributes
+    ----------
+    name : str
+    began_at, ended_at : float
+        Seconds since the epoch.
+    """
+
+    name: str
+    began_at: float
+    ended_at: float
+
+
 class Race(msgspec.Struct):
     """Operators who changed the same thing for the same revision.
 
@@ -107,6 +122,7 @@
     leavings : list of Leaving
     stops : list of PlannedStop
     races : list of Race
+    steps : list of Step
     keys : list of str
     logs : dict of str to str
         What each entry process logged, by name.
@@ -118,6 +134,7 @@
     leavings: list[Leaving] = []
     stops: list[PlannedStop] = []
     races: list[Race] = []
+    steps: list[Step] = []
     keys: list[str] = []
     logs: dict[str, str] = {}
 
