--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -13,9 +13,10 @@
 
 from .client import Client, ClientError
 from .commands import Operator
-from .processes import Member, ProcessError, free_address, start, stop
+from .processes import Member, ProcessError, start, stop
 from .shape import (
     SAMPLE_CATALOGUE,
+    EntryAddresses,
     Platform,
     Shape,
     engine_arguments,
@@ -44,6 +45,8 @@
     targets : dict of str to Member
     entries : dict of str to Member
         ``entry-1`` and so on; a member that ended stays until it is replaced.
+    addresses : dict of str to EntryAddresses
+        Of the entry processes; they stay when a process is started again.
     ended : list of Member
         Entry processes that were replaced.
     client : Client
@@ -60,6 +63,7 @@
         self.platform: dict[str, Member] = {}
         self.targets: dict[str, Member] = {}
         self.entries: dict[str, Member] = {}
+        self.addresses: dict[str, EntryAddresses] = {}
         self.ended: list[Member] = []
         self.client = Client()
         self.logs = Path()
@@ -116,13 +120,20 @@
             if member.is_running()
         ]
 
-    async def start_entry(self, name: str) -> Member:
+    async def start_entry(
+        self,
+        name: str,
+        *,
+        is_elsewhere: bool = False,
+    ) -> Member:
         """Start an entry process and wait until it is ready.
 
         Parameters
         ----------
         name : str
             Takes the place of a process of that name that has ended.
+        is_elsewhere : bool
+            Whether it takes new addresses, as a host that was replaced does.
 
         Raises
         ------
@@ -132,14 +143,22 @@
         before = self.entries.get(name)
         if before is not None:
             self.ended.append(before)
-        listen = free_address()
+        if is_elsewhere or name not in self.addresses:
+            self.addresses[name] = EntryAddresses()
+        addresses = self.addresses[name]
         arguments = entry_arguments(
             self.shape,
             self._platform_urls(),
             name,
-            listen,
+            addresses,
+        )
+        member = await start(
+            name,
+            arguments,
+            self.logs,
+            self.secrets,
+            addresses.listen,
         )
-        member = await start(name, arguments, self.logs, self.secrets, listen)
         self.entries[name] = member
         await wait_until(lambda: self._is_ready(member), f'{name} ready')
         return member
--- a/lab/shape.py
+++ b/lab/shape.py
@@ -1,6 +1,6 @@
 """What a deployment is made of, and the arguments of its processes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from .processes import free_address
@@ -53,6 +53,14 @@
         return self.zones[index % len(self.zones)]
 
 
+@dataclass(slots=True, frozen=True)
+class EntryAddresses:
+    """Where an entry process listens, each an ip:port."""
+
+    listen: str = field(default_factory=free_address)
+    peer_listen: str = field(default_factory=free_address)
+
+
 @dataclass(slots=True)
 class Platform:
     """The URLs of the platform's services."""
@@ -66,7 +74,7 @@
     shape: Shape,
     platform: Platform,
     name: str,
-    listen: str,
+    addresses: EntryAddresses,
 ) -> list[str]:
     """Return the arguments of the entry process `name`."""
     number = int(name.rpartition('-')[2])
@@ -75,8 +83,8 @@
         'entry',
         f'--host-id={name}',
         f'--zone={shape.zone(number - 1)}',
-        f'--listen={listen}',
-        f'--peer-listen={free_address()}',
+        f'--listen={addresses.listen}',
+        f'--peer-listen={addresses.peer_listen}',
         f'--log-url={platform.log_url}',
         f'--host-list-url={platform.hosts_url}',
         f'--hosts-ttl-s={shape.hosts_ttl_s}',
