Limits: a host that was expelled and is back holds nothing

Cause: a resumed host read its expulsion and its own new registration in one page, followed only the last epoch and kept its old share. Ruled out: late heartbeats and late log answers, both of which the freshness rule refuses (tests with that guard broken exceed the bound, with it they do not). Now every epoch is followed record by record, and a state taken from a peer forfeits what is held.

--- a/ebonywell/decider.py
+++ b/ebonywell/decider.py
@@ -28,6 +28,8 @@
     Attributes
     ----------
     life : str
+    expel_after_s : float
+        After how long a silence a host is expelled, in seconds.
     heard : dict of str to float
         When each life was last heard, or first looked for, in seconds.
     epoch : int
@@ -44,6 +46,7 @@
     def __init__(self, life: str, clock: Callable[[], float]) -> None:
         self.life = life
         self.clock = clock
+        self.expel_after_s = EXPEL_AFTER_S
         self.heard: dict[str, float] = {}
         self.epoch = -1
         self.began_at = math.inf
@@ -55,6 +58,12 @@
         """Note a heartbeat of a life."""
         self.heard[life] = self.clock()
 
+    def has_majority(self, table: Registry, now: float) -> bool:
+        """Return whether a majority of the members is in touch."""
+        lives = table.members.values()
+        count = sum(self._is_in_touch(life, now) for life in lives)
+        return count >= majority(len(lives))
+
     def decide(
         self,
         table: Registry,
@@ -83,7 +92,7 @@
 
     def _is_in_touch(self, life: str, now: float) -> bool:
         heard_at = self.heard.setdefault(life, now)
-        return life == self.life or now - heard_at < EXPEL_AFTER_S
+        return life == self.life or now - heard_at < self.expel_after_s
 
     def _may_settle(
         self,
--- a/ebonywell/ledger.py
+++ b/ebonywell/ledger.py
@@ -113,6 +113,14 @@
             grow(pending, now)
 
 
+def forfeit(ledger: Ledger, now: float) -> None:
+    """Give up all that is held, because epochs may have been missed."""
+    ledger.grown = False
+    for account in ledger.accounts.values():
+        account.own = 0
+        shrink(account, now)
+
+
 def open_account(
     ledger: Ledger,
     workspace: str,
--- a/ebonywell/limits.py
+++ b/ebonywell/limits.py
@@ -51,6 +51,7 @@
         self.ledger = Ledger(host.name, str(host), self._send)
         self.refused = 0
         replica.watchers.append(self._note_record)
+        replica.adopters.append(self._note_adopted)
         peers.add_handler(wire.Transfers, self._take)
 
     async def run(self, ready: Callable[[], None]) -> None:
@@ -182,11 +183,17 @@
     def _take(self, sender: HostId, message: wire.Transfers) -> None:
         lending.take(self.ledger, sender.name, message, self.follow())
 
+    def _note_adopted(self) -> None:
+        if self.replica.state.registry.epoch != self.ledger.epoch:
+            books.forfeit(self.ledger, self.clock())
+
     def _note_record(self, _: int, record: Record, counted: bool) -> None:
+        # No epoch may be skipped: the share of this host may have been less
+        # in one that a page of records passes over.
+        now = self.follow()
         if not counted or not isinstance(record.body, WorkspaceSet):
             return
         limit = record.body.workspace
-        now = self.follow()
         is_new = limit.name not in self.ledger.accounts
         account = books.open_account(
             self.ledger,
--- a/ebonywell/membership.py
+++ b/ebonywell/membership.py
@@ -10,7 +10,7 @@
 from .exceptions import LogOutageError
 from .hostlist import ROLE, HostLine
 from .logs import Logger
-from .peers import Address, Peers
+from .peers import Peers
 from .records import Body
 from .registry import HostExpelled, HostLeft, HostRegistered, Registry
 from .replica import Replica
@@ -37,6 +37,8 @@
     is_leaving : bool
     is_open : bool
         Whether callers may be sent here.
+    was_member : bool
+        Whether this life has been registered.
     """
 
     def __init__(
@@ -60,9 +62,10 @@
         self.acks: dict[str, int] = {}
         self.is_leaving = False
         self.is_open = False
+        self.was_member = False
         self.decider = Decider(str(host), clock)
         peers.heartbeat = self.make_heartbeat
-        peers.listed = self._peer_addresses
+        peers.listed = self._listed_peers
         peers.add_handler(wire.Heartbeat, self._note_heartbeat)
 
     async def run(self, ready: Callable[[], None]) -> None:
@@ -173,13 +176,31 @@
         """Return the record of the registry that this host must write now."""
         table = self._registry()
         name, incarnation = self.host.name, self.host.incarnation
-        if table.members.get(name) != str(self.host):
-            address = self.peers.address
-            return HostRegistered(name, incarnation, address)
+        present = table.members.get(name)
+        if present == str(self.host):
+            self.was_member = True
+        elif self._may_register(table, present, now):
+            return HostRegistered(name, incarnation, self.peers.address)
+        else:
+            return None
         if self.is_stale(now):
             return None
         return self.decider.decide(table, self.acks, now)
 
+    def _may_register(
+        self,
+        table: Registry,
+        present: str | None,
+        now: float,
+    ) -> bool:
+        if not self.was_member:
+            return True
+        # An expelled life cannot come back before that is settled, nor while
+        # it would be expelled again; one with a successor never can.
+        is_settled = str(self.host) not in table.addresses
+        is_heard = self.decider.has_majority(table, now)
+        return present is None and is_settled and is_heard
+
     def _registry(self) -> Registry:
         return self.replica.state.registry
 
@@ -190,12 +211,6 @@
             if line.role == ROLE and line.name != self.host.name
         ]
 
-    def _peer_addresses(self) -> list[Address]:
-        return [
-            Address(line.name, line.peer_address)
-            for line in self._listed_peers()
-        ]
-
     def _note_heartbeat(self, sender: HostId, beat: wire.Heartbeat) -> None:
         now = self.clock()
         life = str(sender)
--- a/ebonywell/peers.py
+++ b/ebonywell/peers.py
@@ -12,6 +12,7 @@
 from .exceptions import MalformedFrameError, PeerError, SettingsError
 from .logs import Logger
 from .misc import split_address
+from .targets import ListedHost
 from .types import HostId
 
 HEARTBEAT_GAP_S = 0.5
@@ -23,14 +24,6 @@
 Handler = Callable[[HostId, Any], None]
 
 
-@dataclass(slots=True, frozen=True)
-class Address:
-    """Where another entry process listens for its peers."""
-
-    name: str
-    peer_address: str
-
-
 @dataclass(slots=True)
 class Peer:
     """What is known of another entry process.
@@ -99,7 +92,7 @@
     heartbeat : callable
         Returns the heartbeat for a host name.
     listed : callable
-        Returns the addresses of the host list.
+        Returns the other entry hosts of the host list.
     traffic : Traffic
     cuts : Cuts
     address : str
@@ -124,7 +117,7 @@
         self.down: set[str] = set()
         self.handlers: dict[type[wire.Message], list[Handler]] = {}
         self.heartbeat: Callable[[str], wire.Heartbeat] | None = None
-        self.listed: Callable[[], list[Address]] = list
+        self.listed: Callable[[], list[ListedHost]] = list
         self.traffic = Traffic()
         self.cuts = Cuts()
         self.add_handler(wire.Heartbeat, self._note_heartbeat)
--- a/lab/limits_fleet.py
+++ b/lab/limits_fleet.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, cast
 
 import msgspec
@@ -18,8 +19,10 @@
 from ebonywell import lending, logs, registry
 from ebonywell.answers import RefusedError
 from ebonywell.changes import Workspace, WorkspaceSet
+from ebonywell.decider import EXPEL_AFTER_S
 from ebonywell.hostlist import ROLE, HostLine
 from ebonywell.limits import TICK_S, Limits
+from ebonywell.logclient import LONG_POLL_S
 from ebonywell.membership import Membership
 from ebonywell.peers import HEARTBEAT_GAP_S, Peer, Peers
 from ebonywell.records import Body, make_record
@@ -38,6 +41,8 @@
 WAITING_TICK_S = 0.02
 REGISTRY_GAP_S = 0.25
 ZONE = 'az1'
+SHORTEST_S = 0.1
+LONGEST_S = 3.0
 
 
 @dataclass(slots=True)
@@ -115,6 +120,8 @@
     id : HostId
     frozen_until : float
     is_dead, is_leaving, has_log : bool
+    is_cut : bool
+        Whether this life reaches neither the log nor any peer.
     held_back : list of callable
         What waits for a frozen host to resume.
     """
@@ -127,7 +134,10 @@
         self.is_dead = False
         self.is_leaving = False
         self.has_log = True
+        self.is_cut = False
         self.is_reading = False
+        self.read_sent_at: float = 0
+        self.poll = 0
         self.appended_at = -math.inf
         self.held_back: list[Callable[[], None]] = []
         self.peers = FakePeers(self)
@@ -159,6 +169,12 @@
             self.clock,
         )
         self.membership.is_open = True
+        self.membership.decider.expel_after_s = fleet.expel_after_s
+
+    @property
+    def can_reach_log(self) -> bool:
+        """Whether the log can be read and written from here."""
+        return self.fleet.log_is_up and self.has_log and not self.is_cut
 
     def clock(self) -> float:
         """Return the host's own monotonic time."""
@@ -183,19 +199,37 @@
             action()
 
     def read_log(self) -> None:
-        """Ask the log for what is new; the answer may find the host frozen."""
-        fleet = self.fleet
-        if self.is_reading or not fleet.log_is_up or not self.has_log:
+        """Ask the log for what is new, and wait for it as a long poll does."""
+        if self.is_reading or not self.can_reach_log:
             return
-        sent_at = self.clock()
-        start = self.replica.state.applied + 1
-        page = list(enumerate(fleet.records[start:], start))
         self.is_reading = True
-        fleet.after(
-            READ_TRIP_S,
-            lambda: self.when_awake(lambda: self._take_page(page, sent_at)),
+        self.read_sent_at = self.clock()
+        self.poll = next(self.fleet.numbers)
+        has_more = self.replica.state.applied + 1 < len(self.fleet.records)
+        self.fleet.after(
+            READ_TRIP_S if has_more else LONG_POLL_S,
+            partial(self.answer_read, self.poll),
         )
 
+    def answer_read(self, poll: int) -> None:
+        """Let the log answer; the answer may find the host frozen."""
+        if not self.is_reading or poll != self.poll:
+            return
+        self.is_reading = False
+        if self.can_reach_log:
+            start = self.replica.state.applied + 1
+            page = list(enumerate(self.fleet.records[start:], start))
+            sent_at = self.read_sent_at
+            self.when_awake(lambda: self.take_page(page, sent_at))
+
+    def take_page(self, page: list[tuple[int, object]], at: float) -> None:
+        """Apply what the log has answered to a read sent at a time."""
+        for offset, parsed in page:
+            self.replica.take(offset, parsed)
+        self.replica.read_at = at
+        self.replica.is_complete = True
+        self.read_log()
+
     def keep_registry(self) -> None:
         """Write the record that is due, as `Membership.run` does."""
         now = self.clock()
@@ -208,8 +242,8 @@
             self.append(record)
 
     def append(self, record: Body) -> None:
-        """Append a record, unless the log is down for this host."""
-        if self.fleet.log_is_up and self.has_log:
+        """Append a record, unless the log is out of reach."""
+        if self.can_reach_log:
             self.fleet.after(APPEND_TRIP_S, lambda: self.fleet.append(record))
 
     def tick(self) -> None:
@@ -222,11 +256,7 @@
         self.limits.follow()
         lending.hand_over(self.limits.ledger, self.clock())
         self.append(registry.HostLeft(self.id.name, self.id.incarnation))
-        self.fleet.after(1, self.die)
-
-    def die(self) -> None:
-        """End at once."""
-        self.is_dead = True
+        self.fleet.after(1, partial(setattr, self, 'is_dead', True))
 
     def request(self, workspace: str, tokens: int, used: int) -> None:
         """Take a request of a caller."""
@@ -236,13 +266,6 @@
             return
         self.when_awake(lambda: self._admit(workspace, tokens, used, tally))
 
-    def _take_page(self, page: list[tuple[int, object]], at: float) -> None:
-        self.is_reading = False
-        for offset, parsed in page:
-            self.replica.take(offset, parsed)
-        self.replica.read_at = at
-        self.replica.is_complete = True
-
     def _admit(
         self,
         workspace: str,
@@ -303,7 +326,7 @@
             self.limits.settle(taken, used)
 
         fleet.after(
-            fleet.chance.uniform(0.1, 3),
+            fleet.chance.uniform(SHORTEST_S, fleet.longest_s),
             lambda: self.when_awake(settle),
         )
 
@@ -317,6 +340,8 @@
         Seconds since the start.
     hosts : dict of str to FakeHost
         The latest life of each name.
+    lives : list of FakeHost
+        All of them; a frozen life may have a successor.
     records : list of object
         The log.
     cuts : set of frozenset of str
@@ -324,15 +349,23 @@
     history : list of Admitted
     """
 
-    def __init__(self, seed: int, names: list[str]) -> None:
+    def __init__(
+        self,
+        seed: int,
+        names: list[str],
+        expel_after_s: float = EXPEL_AFTER_S,
+    ) -> None:
+        self.expel_after_s = expel_after_s
         self.chance = random.Random(seed)
         self.now: float = 0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
         self.hosts: dict[str, FakeHost] = {}
+        self.lives: list[FakeHost] = []
         self.records: list[object] = []
         self.log_is_up = True
         self.cuts: set[frozenset[str]] = set()
+        self.longest_s = LONGEST_S
         self.loss: float = 0
         self.doubling: float = 0
         self.messages = 0
@@ -360,6 +393,7 @@
         incarnation = str(next(self.numbers))
         host = FakeHost(self, HostId(name, incarnation), address or name)
         self.hosts[name] = host
+        self.lives.append(host)
         self._repeat(HEARTBEAT_GAP_S, host, host.peers.beat)
         self._repeat(READ_GAP_S, host, host.read_log)
         self._repeat(REGISTRY_GAP_S, host, host.keep_registry)
@@ -376,7 +410,7 @@
         made = make_record(record, '', self.now)
         self.records.append(msgspec.to_builtins(made))
         for host in self.hosts.values():
-            host.when_awake(host.read_log)
+            self.after(READ_TRIP_S, partial(host.answer_read, host.poll))
 
     def add_workspace(self, name: str, rate: float, burst: float) -> None:
         """Create a workspace."""
@@ -385,8 +419,10 @@
     def send(self, sender: FakeHost, name: str, message: Message) -> bool:
         """Deliver a message late, twice or not at all."""
         target = self.hosts.get(name)
+        if target is None or sender.is_cut or target.is_cut:
+            return False
         is_cut = frozenset((sender.id.name, name)) in self.cuts
-        if target is None or is_cut or self.chance.random() < self.loss:
+        if is_cut or self.chance.random() < self.loss:
             return False
         if isinstance(message, Transfers):
             self.messages += 1
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,127 @@
+"""Links between entry processes on loopback, and what strangers send."""
+
+import random
+from contextlib import asynccontextmanager
+from functools import partial
+
+import anyio
+import msgspec
+import pytest
+
+from ebonywell import wire
+from ebonywell.exceptions import MalformedFrameError
+from ebonywell.logs import discard_event
+from ebonywell.misc import split_address
+from ebonywell.peers import Peers
+from ebonywell.targets import ListedHost
+from ebonywell.types import HostId
+
+SECRET = 'fleet'
+BEAT = wire.Heartbeat('az', 'a', 'p', False, 5, 1.5, 1, 'x', 0.1, 0.2)
+CASH = wire.Transfers(5, (wire.Transfer('w', 1, 2, 3, True, 4),))
+
+
+def frame(message):
+    return wire.encode(message)[4:]
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        BEAT,
+        CASH,
+        wire.LogRecords((wire.LogRecord(7, b'{}'),)),
+        wire.StateCopy(b'\0' * 9),
+        wire.Note('kind', b''),
+    ],
+)
+def test_every_message_comes_back_as_it_was(message):
+    assert wire.decode(frame(message)) == message
+
+
+def test_damaged_frames_are_refused_and_never_end_the_process():
+    chance = random.Random(1)
+    refused = 0
+    for _ in range(20000):
+        damaged = bytearray(frame(chance.choice((BEAT, CASH))))
+        for _ in range(chance.randint(0, 4)):
+            damaged[chance.randrange(len(damaged))] = chance.randrange(256)
+        length = chance.choice((len(damaged), chance.randrange(len(damaged))))
+        try:
+            wire.decode(bytes(damaged[:length]))
+        except MalformedFrameError:
+            refused += 1
+    assert refused > 5000
+
+
+@asynccontextmanager
+async def running(name, listed, secret=SECRET):
+    peers = Peers(HostId(name, 'i'), '127.0.0.1:0', secret, discard_event)
+    peers.listed = lambda: [one for one in listed if one.name != name]
+    peers.heartbeat = lambda _: msgspec.structs.replace(
+        BEAT,
+        peer_address=peers.address,
+    )
+    started = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(peers.run, started.set)
+        await started.wait()
+        listed.append(
+            ListedHost(name, 'entry', '', peer_address=peers.address),
+        )
+        yield peers
+        group.cancel_scope.cancel()
+
+
+async def until(condition):
+    with anyio.fail_after(5):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+async def hear_each_other():
+    listed = []
+    async with running('a', listed) as one, running('b', listed) as other:
+        got = []
+        other.add_handler(wire.Note, lambda *pair: got.append(pair))
+        await until(lambda: 'b' in one.links and 'a' in other.known)
+        one.broadcast(wire.Note('k', b'1'))
+        await until(lambda: got)
+        assert got == [(one.host, wire.Note('k', b'1'))]
+        other.cuts.drop.add('a')
+        one.broadcast(wire.Note('k', b'2'))
+        one.broadcast(wire.Note('k', b'3'))
+        await anyio.sleep(0.2)
+        assert len(got) == 1
+
+
+async def refuse_strangers():
+    listed = []
+    async with running('a', listed) as one, running('b', listed, '?') as other:
+        await anyio.sleep(1.2)
+        assert not one.known
+        assert not other.known
+
+
+async def survive(content):
+    listed = []
+    async with running('a', listed) as one:
+        stream = await anyio.connect_tcp(*split_address(one.address))
+        async with stream:
+            await stream.send(content)
+            await until(lambda: one.traffic.frames_malformed)
+        async with running('b', listed):
+            await until(lambda: 'b' in one.known)
+
+
+@pytest.mark.parametrize(
+    'story',
+    [
+        hear_each_other,
+        refuse_strangers,
+        partial(survive, b'\xff' * 99),
+        partial(survive, (8).to_bytes(4, 'big') + b'\xff' * 8),
+    ],
+)
+def test_links(story):
+    anyio.run(story)
