--- a/ebonywell/state.py
+++ b/ebonywell/state.py
@@ -20,8 +20,12 @@
     is_held,
 )
 from .leases import apply as apply_lease
+from .logtime import LogTime, advance
 from .memory import Memory
 from .memory import apply as apply_orders
+from .onceonly import CallAbandoned, CallClaimed, CallFinished, OnceOnly
+from .onceonly import apply as apply_once_only
+from .onceonly import expire as expire_calls
 from .records import Record
 from .registry import (
     EpochSettled,
@@ -31,6 +35,15 @@
     Registry,
 )
 from .registry import apply as apply_membership
+from .suspects import (
+    RequestCleared,
+    RequestSuspected,
+    Suspects,
+    TrialEnded,
+    TrialStarted,
+)
+from .suspects import apply as apply_suspects
+from .suspects import expire as expire_suspects
 
 
 @dataclass(slots=True)
@@ -48,6 +61,9 @@
     applied: int = -1
     written_at: float = 0
     catalogue: Catalogue = field(default_factory=Catalogue)
+    time: LogTime = field(default_factory=LogTime)
+    once_only: OnceOnly = field(default_factory=OnceOnly)
+    suspects: Suspects = field(default_factory=Suspects)
     registry: Registry = field(default_factory=Registry)
     lease: Lease = field(default_factory=Lease)
     memory: Memory = field(default_factory=dict)
@@ -58,6 +74,16 @@
     return apply_change(state.catalogue, offset, body)
 
 
+def _apply_once_only(state: State, _: int, record: Record) -> bool:
+    body: Any = record.body
+    return apply_once_only(state.once_only, body)
+
+
+def _apply_suspects(state: State, _: int, record: Record) -> bool:
+    body: Any = record.body
+    return apply_suspects(state.suspects, body)
+
+
 def _apply_registry(state: State, offset: int, record: Record) -> bool:
     body: Any = record.body
     return apply_membership(state.registry, offset, body)
@@ -88,6 +114,13 @@
         changes.ApprovalSet: _apply_catalogue,
         changes.KeyIssued: _apply_catalogue,
         changes.KeyWithdrawn: _apply_catalogue,
+        CallClaimed: _apply_once_only,
+        CallFinished: _apply_once_only,
+        CallAbandoned: _apply_once_only,
+        RequestSuspected: _apply_suspects,
+        RequestCleared: _apply_suspects,
+        TrialStarted: _apply_suspects,
+        TrialEnded: _apply_suspects,
         LeaseClaimed: _apply_lease,
         LeaseRenewed: _apply_lease,
         LeaseReleased: _apply_lease,
@@ -129,9 +162,16 @@
         raise RecordError(f'offset {offset} has been applied already')
     state.applied = offset
     state.written_at = max(state.written_at, record.written_at)
+    _pass_time(state, offset, record)
     return _APPLIES[type(record.body)](state, offset, record)
 
 
+def _pass_time(state: State, offset: int, record: Record) -> None:
+    advance(state.time, offset, record.writer, record.written_at)
+    expire_calls(state.once_only, state.time.elapsed_s)
+    expire_suspects(state.suspects, state.time.elapsed_s)
+
+
 def encode_state(state: State) -> bytes:
     """Return the state as bytes for a checkpoint or a peer."""
     return msgspec.msgpack.encode(state)
