--- a/ebonywell/ledger.py
+++ b/ebonywell/ledger.py
@@ -47,6 +47,8 @@
         The names of the epoch's hosts, sorted.
     accounts : dict of str to Account
         By workspace.
+    home_count : int
+        Among how many hosts a bucket is divided; 1 gives each an owner.
     lends : bool
         False for a static split, which no tokens leave.
     repeated_at : float
@@ -62,12 +64,17 @@
     grown: bool = False
     members: list[str] = field(default_factory=list)
     accounts: dict[str, Account] = field(default_factory=dict)
+    home_count: int = HOMES
     lends: bool = True
     repeated_at: float = 0
     active: set[str] = field(default_factory=set)
 
 
-def homes(workspace: str, members: Collection[str]) -> list[str]:
+def homes(
+    workspace: str,
+    members: Collection[str],
+    count: int = HOMES,
+) -> list[str]:
     """Return the hosts among which a workspace's bucket is divided.
 
     They are few, so that a request finds the tokens in few messages, and
@@ -80,11 +87,11 @@
             f'{workspace}/{name}'.encode(),
         ),
     )
-    return ranked[:HOMES]
+    return ranked[:count]
 
 
 def _divide(ledger: Ledger, account: Account) -> None:
-    chosen = homes(account.workspace, ledger.members)
+    chosen = homes(account.workspace, ledger.members, ledger.home_count)
     is_home = ledger.name in chosen
     account.homes = chosen
     account.own = WHOLE // len(chosen) if is_home else 0
@@ -141,12 +148,27 @@
 
 
 def endow(ledger: Ledger, account: Account) -> None:
-    """Fill a new workspace's account.
+    """Fill a new workspace's account, once its epoch is settled.
+
+    To be called when the record that creates the workspace is applied. All
+    hosts see the same state of the registry there, so either all fill their
+    caps at this record or all at the record that settles the epoch.
+    """
+    account.is_new = not ledger.grown
+    if ledger.grown:
+        account.level = cap_tokens(account)
 
-    To be called by the log's follower when the record that creates the
-    workspace is applied, once in the account's life.
+
+def endow_pending(ledger: Ledger) -> None:
+    """Fill the accounts that waited for the record that settles an epoch.
+
+    A life that is no member holds nothing, and its account counts as filled
+    all the same: this comes once for all hosts.
     """
-    account.level = cap_tokens(account)
+    for account in ledger.accounts.values():
+        if account.is_new:
+            account.is_new = False
+            account.level = cap_tokens(account)
 
 
 def reserve(
--- a/ebonywell/lending.py
+++ b/ebonywell/lending.py
@@ -4,7 +4,7 @@
 """
 
 from . import shares
-from .ledger import HOMES, Ledger
+from .ledger import Ledger
 from .wire import Transfer, Transfers
 
 HORIZON_S = 0.5
@@ -50,7 +50,7 @@
 
 
 def _is_urgent(ledger: Ledger, account: shares.Account) -> bool:
-    home_cap = account.burst / min(HOMES, len(ledger.members) or 1)
+    home_cap = account.burst / max(1, len(account.homes))
     return any(waiter.tokens > home_cap for waiter in account.waiters)
 
 
--- a/ebonywell/limits.py
+++ b/ebonywell/limits.py
@@ -7,18 +7,20 @@
 from . import ledger as books
 from . import lending, wire
 from .answers import RefusedError, refuse
-from .changes import WorkspaceSet
+from .changes import Workspace, WorkspaceSet
 from .ledger import Ledger
 from .logs import Logger
 from .membership import Membership
 from .peers import Peers
 from .records import Record
+from .registry import EpochSettled
 from .replica import Replica
 from .shares import Account, Reservation, Waiter, refund
 from .types import HostId
 
 TICK_S = 0.1
 WAITING_TICK_S = 0.02
+READY_WAIT_S = 5.0
 _STATUS_LIMITED = 429
 _STATUS_STALE = 503
 _STALE_RETRY_S = 1.0
@@ -55,10 +57,18 @@
         peers.add_handler(wire.Transfers, self._take)
 
     async def run(self, ready: Callable[[], None]) -> None:
-        """Move tokens to where they are asked for, until cancelled."""
-        ready()
+        """Move tokens to where they are asked for, until cancelled.
+
+        Ready once this host has its share, or soon after if it gets none
+        because the log is down.
+        """
+        ready_at = self.clock() + READY_WAIT_S
+        is_ready = False
         while True:
             now = self.follow()
+            if not is_ready and (self.ledger.grown or now > ready_at):
+                is_ready = True
+                ready()
             lending.tick(self.ledger, now)
             is_waiting = any(
                 self.ledger.accounts[name].waiters
@@ -191,9 +201,14 @@
         # No epoch may be skipped: the share of this host may have been less
         # in one that a page of records passes over.
         now = self.follow()
-        if not counted or not isinstance(record.body, WorkspaceSet):
+        if not counted:
             return
-        limit = record.body.workspace
+        if isinstance(record.body, EpochSettled):
+            books.endow_pending(self.ledger)
+        elif isinstance(record.body, WorkspaceSet):
+            self._open_new(record.body.workspace, now)
+
+    def _open_new(self, limit: Workspace, now: float) -> None:
         is_new = limit.name not in self.ledger.accounts
         account = books.open_account(
             self.ledger,
--- a/ebonywell/membership.py
+++ b/ebonywell/membership.py
@@ -70,11 +70,8 @@
 
     async def run(self, ready: Callable[[], None]) -> None:
         """Keep the host list and the registry until cancelled."""
-        async with self.line, anyio.create_task_group() as group:
+        async with self.line:
             ready()
-            while not self.is_open:
-                await anyio.sleep(TICK_S)
-            group.start_soon(self.line.publish, self.peers.address)
             while True:
                 await self._keep_registry()
                 await anyio.sleep(TICK_S)
--- a/ebonywell/shares.py
+++ b/ebonywell/shares.py
@@ -107,6 +107,9 @@
         Until then asking is no use, because every peer has just said no.
     asked_at : float
         When the last round of asking began.
+    is_new : bool
+        Whether the workspace was created in an epoch that is not settled,
+        so that no host holds any of its tokens yet.
     """
 
     workspace: str
@@ -129,6 +132,7 @@
     gained: int = 0
     dry_until: float = 0
     asked_at: float = -math.inf
+    is_new: bool = False
 
 
 def cap_tokens(account: Account) -> float:
--- a/lab/limits_fleet.py
+++ b/lab/limits_fleet.py
@@ -67,16 +67,39 @@
 
 @dataclass(slots=True)
 class Tally:
-    """What became of the requests of a workspace."""
+    """What became of the requests of a workspace.
+
+    Attributes
+    ----------
+    admitted, limited, stale, lost : int
+        Run, refused by the limit, refused by a stale host, sent to a host
+        that was gone.
+    waited : int
+        Admitted after waiting for other hosts.
+    wrongful : int
+        Refused although one bucket for the whole fleet had the tokens.
+    waits_s : list of float
+        Of each admitted request, in seconds.
+    """
 
     admitted: int = 0
     limited: int = 0
     stale: int = 0
     waited: int = 0
     lost: int = 0
+    wrongful: int = 0
     waits_s: list[float] = field(default_factory=list)
 
 
+@dataclass(slots=True, frozen=True)
+class _Asked:
+    workspace: str
+    tokens: int
+    used: int
+    is_due: bool
+    tally: Tally
+
+
 class FakePeers:
     """Stands for the links of one host."""
 
@@ -258,49 +281,68 @@
         self.append(registry.HostLeft(self.id.name, self.id.incarnation))
         self.fleet.after(1, partial(setattr, self, 'is_dead', True))
 
-    def request(self, workspace: str, tokens: int, used: int) -> None:
-        """Take a request of a caller."""
-        tally = self.fleet.tallies.setdefault(workspace, Tally())
-        if self.is_dead or self.is_leaving:
-            tally.lost += 1
-            return
-        self.when_awake(lambda: self._admit(workspace, tokens, used, tally))
-
-    def _admit(
+    def request(
         self,
         workspace: str,
         tokens: int,
         used: int,
-        tally: Tally,
+        *,
+        is_due: bool = False,
     ) -> None:
+        """Take a request of a caller.
+
+        Parameters
+        ----------
+        workspace : str
+        tokens, used : int
+            Reserved, and used in the end.
+        is_due : bool
+            Whether one bucket for the whole fleet has the tokens.
+        """
+        tally = self.fleet.tallies.setdefault(workspace, Tally())
+        if self.is_dead or self.is_leaving:
+            tally.lost += 1
+            return
+        asked = _Asked(workspace, tokens, used, is_due, tally)
+        self.when_awake(partial(self._admit, asked))
+
+    def _admit(self, asked: _Asked) -> None:
         now = self.limits.follow()
+        tally = asked.tally
         try:
-            account = self.limits.open_account(workspace, now)
+            account = self.limits.open_account(asked.workspace, now)
         except RefusedError:
             tally.stale += 1
+            tally.wrongful += asked.is_due
             return
-        ledger = self.limits.ledger
-        taken = books.reserve(ledger, account, tokens, now)
+        taken = books.reserve(self.limits.ledger, account, asked.tokens, now)
         if taken is not None:
             tally.waits_s.append(0)
-            self._run(taken, used, tally)
+            self._run(taken, asked)
             return
 
         def finish() -> None:
-            if self.membership.is_stale(self.clock()):
-                tally.stale += 1
-            elif waiter.reservation is None:
-                tally.limited += 1
-            else:
-                tally.waited += 1
-                tally.waits_s.append(self.clock() - now)
-                self._run(waiter.reservation, used, tally)
-
-        waiter = Waiter(tokens, now + lending.WAIT_S, finish)
-        if lending.wait(ledger, account, waiter, now):
+            self._finish(asked, waiter, now)
+
+        waiter = Waiter(asked.tokens, now + lending.WAIT_S, finish)
+        if lending.wait(self.limits.ledger, account, waiter, now):
             self._poll(WAITING_TICK_S, waiter)
         else:
+            finish()
+
+    def _finish(self, asked: _Asked, waiter: Waiter, began_at: float) -> None:
+        tally = asked.tally
+        now = self.clock()
+        if self.membership.is_stale(now):
+            tally.stale += 1
+            tally.wrongful += asked.is_due
+        elif waiter.reservation is None:
             tally.limited += 1
+            tally.wrongful += asked.is_due
+        else:
+            tally.waited += 1
+            tally.waits_s.append(now - began_at)
+            self._run(waiter.reservation, asked)
 
     def _poll(self, gap_s: float, waiter: Waiter) -> None:
         account_waiters = [
@@ -310,8 +352,8 @@
             self.when_awake(self.tick)
             self.fleet.after(gap_s, lambda: self._poll(gap_s, waiter))
 
-    def _run(self, taken: Reservation, used: int, tally: Tally) -> None:
-        tally.admitted += 1
+    def _run(self, taken: Reservation, asked: _Asked) -> None:
+        asked.tally.admitted += 1
         fleet = self.fleet
         entry = Admitted(
             fleet.now,
@@ -322,8 +364,8 @@
         fleet.history.append(entry)
 
         def settle() -> None:
-            entry.tokens = used
-            self.limits.settle(taken, used)
+            entry.tokens = asked.used
+            self.limits.settle(taken, asked.used)
 
         fleet.after(
             fleet.chance.uniform(SHORTEST_S, fleet.longest_s),
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -201,3 +201,15 @@
     assert worst(scenario) <= HARMLESS_TOKENS
     break_guard(monkeypatch)
     assert worst(scenario) > 50
+
+
+@pytest.mark.parametrize('created_at', [0.5, 1.2, 1.4, 2, 3])
+def test_a_new_workspace_starts_with_its_burst_once(created_at):
+    fleet = Fleet(1, NAMES[:3])
+    fleet.after(
+        created_at,
+        partial(fleet.add_workspace, 'w', RATE, BURST),
+    )
+    fleet.run_until(4)
+    held = sum(host.limits.ledger.accounts['w'].level for host in fleet.lives)
+    assert held == pytest.approx(BURST, rel=1e-6)
