--- a/ebonywell/lending.py
+++ b/ebonywell/lending.py
@@ -9,9 +9,12 @@
 
 HORIZON_S = 0.5
 RESERVE_S = 0.1
+BUSY_RATE = 0.1
+KEPT_REQUESTS = 2
 ASK_GAP_S = 0.02
-IDLE_ASK_GAP_S = 0.1
+IDLE_ASK_GAP_S = 0.25
 DRY_S = 0.1
+MAX_DRY_ROUNDS = 4
 WAIT_S = 0.3
 REPEAT_GAP_S = 1.0
 ACTIVE_DEMAND = 0.01
@@ -26,8 +29,9 @@
     if not _peers(ledger, account) or now < account.dry_until:
         return False
     account.waiters.append(waiter)
-    if now - account.asked_at >= ASK_GAP_S:
-        _ask(ledger, account, now)
+    if now - account.asked_at >= _ask_gap(account):
+        is_large = waiter.tokens > account.burst / len(account.homes)
+        _ask(ledger, account, now, is_urgent=is_large)
     return True
 
 
@@ -38,7 +42,7 @@
 
 
 def _peers(ledger: Ledger, account: shares.Account) -> list[str]:
-    if not ledger.grown or not ledger.lends:
+    if not ledger.members or not ledger.lends:
         return []
     known = {*account.homes, *account.received, *account.sent}
     known.discard(ledger.name)
@@ -49,13 +53,11 @@
     return sum(waiter.tokens for waiter in account.waiters)
 
 
-def _is_urgent(ledger: Ledger, account: shares.Account) -> bool:
-    home_cap = account.burst / max(1, len(account.homes))
-    return any(waiter.tokens > home_cap for waiter in account.waiters)
-
-
 def _spare(ledger: Ledger, account: shares.Account, now: float) -> int:
-    kept = _wanted(account) + shares.demand(account, now) * RESERVE_S
+    demand = shares.demand(account, now)
+    kept = _wanted(account) + demand * RESERVE_S
+    if demand > account.typical * BUSY_RATE:
+        kept += account.typical
     return max(0, int(account.level - kept))
 
 
@@ -72,26 +74,33 @@
         counters.cap,
         counters.tokens,
         want,
-        want > 0 and _is_urgent(ledger, account),
+        want > 0 and account.is_urgent,
         _spare(ledger, account, now),
     )
 
 
 def _missing(account: shares.Account, now: float) -> int:
     ahead = shares.demand(account, now) * HORIZON_S
+    ahead = max(ahead, account.typical * KEPT_REQUESTS)
     wanted = min(account.burst, max(_wanted(account), ahead))
     return max(0, int(wanted - account.level) + 1)
 
 
-def _ask(ledger: Ledger, account: shares.Account, now: float) -> None:
+def _ask(
+    ledger: Ledger,
+    account: shares.Account,
+    now: float,
+    *,
+    is_urgent: bool,
+) -> None:
+    """Begin a round: ask each peer for its part, or urgently for all."""
     peers = _peers(ledger, account)
     missing = _missing(account, now)
-    # The first round asks each peer for its part. Where that did not do,
-    # a request still waits, and every peer is asked for all that is missing.
-    is_first = not account.waiters or now - account.asked_at > WAIT_S
     part = int(missing / len(peers) * FIRST_ASK_FACTOR) + 1
-    want = part if is_first else missing
+    want = missing if is_urgent else part
+    account.is_urgent = is_urgent
     account.asked_at = now
+    account.rounds += 1
     account.asked = set(peers)
     account.gained = 0
     for peer in peers:
@@ -105,7 +114,7 @@
     Messages of another epoch count for nothing: what was given in an epoch
     that has ended is lost.
     """
-    if message.epoch != ledger.epoch or not ledger.grown:
+    if message.epoch != ledger.epoch or not ledger.members:
         return
     answers = []
     for transfer in message.items:
@@ -133,7 +142,7 @@
         _lend(ledger, account, peer, transfer, now)
     elif peer in account.asked:
         account.asked.discard(peer)
-        _end_round(account, now)
+        _end_round(ledger, account, now)
     serve(account, now)
 
 
@@ -155,12 +164,23 @@
         shares.give(account, peer, tokens, 0, now)
 
 
-def _end_round(account: shares.Account, now: float) -> None:
-    if account.asked or account.gained:
+def _end_round(ledger: Ledger, account: shares.Account, now: float) -> None:
+    if account.asked or account.gained or not account.waiters:
         return
-    account.dry_until = now + DRY_S
-    shares.mint(account, now)
-    serve(account, now)
+    if account.is_urgent:
+        _give_up(account, now)
+    else:
+        _ask(ledger, account, now, is_urgent=True)
+
+
+def _give_up(account: shares.Account, now: float) -> None:
+    """Refuse the requests that wait, and the next ones for a while.
+
+    The while grows with each failure in a row, so that a workspace far over
+    its rate costs few messages. Tokens are still asked for ahead.
+    """
+    account.dry_until = now + DRY_S * 2**account.dry_rounds
+    account.dry_rounds = min(account.dry_rounds + 1, MAX_DRY_ROUNDS)
     for waiter in account.waiters:
         waiter.notify()
     account.waiters.clear()
@@ -168,13 +188,20 @@
 
 def serve(account: shares.Account, now: float) -> None:
     """Serve the requests that wait, in order, and drop the expired."""
+    if not account.waiters:
+        account.rounds = 0
+        return
     while account.waiters:
         first = account.waiters[0]
         first.reservation = shares.spend(account, first.tokens, now)
-        if first.reservation is None and now < first.expires_at:
+        if first.reservation is None:
+            if now >= first.expires_at:
+                _give_up(account, now)
             return
         account.waiters.pop(0)
         first.notify()
+    account.rounds = 0
+    account.dry_rounds = max(0, account.dry_rounds - 1)
 
 
 def tick(ledger: Ledger, now: float) -> None:
@@ -182,7 +209,7 @@
 
     To be called every `IDLE_ASK_GAP_S` seconds or more often.
     """
-    if not ledger.grown:
+    if not ledger.members:
         return
     is_repeat = now - ledger.repeated_at >= REPEAT_GAP_S
     ledger.repeated_at = now if is_repeat else ledger.repeated_at
@@ -204,10 +231,16 @@
         if account.cap <= account.own:
             ledger.active.discard(account.workspace)
         return
-    gap = ASK_GAP_S if account.waiters else IDLE_ASK_GAP_S
-    is_due = now - account.asked_at >= gap and now >= account.dry_until
+    is_due = now - account.asked_at >= _ask_gap(account)
     if is_due and _missing(account, now) > 1:
-        _ask(ledger, account, now)
+        _ask(ledger, account, now, is_urgent=bool(account.waiters))
+
+
+def _ask_gap(account: shares.Account) -> float:
+    if not account.waiters:
+        return IDLE_ASK_GAP_S
+    gap_s: float = ASK_GAP_S * 2**account.rounds
+    return min(IDLE_ASK_GAP_S, gap_s)
 
 
 def _give_back(
--- a/ebonywell/shares.py
+++ b/ebonywell/shares.py
@@ -15,6 +15,7 @@
 
 WHOLE = 1_000_000_000
 DEMAND_WINDOW_S = 1.0
+TYPICAL_WEIGHT = 0.1
 
 
 @dataclass(slots=True)
@@ -83,6 +84,8 @@
         The hosts among which the epoch divides the bucket.
     own : int
         This host's part of that division, of `WHOLE`.
+    begun_with : int
+        The cap that the host began the epoch with, until it is settled.
     share : int
         The part of the rate that is minted here, of `WHOLE`.
     cap : int
@@ -101,12 +104,20 @@
         In the order of their arrival.
     asked : set of str
         The peers whose answers to the last round of asking are missing.
+    is_urgent : bool
+        Whether that round asks peers for all that they do not need now.
     gained : int
         Tokens that came since that round began.
     dry_until : float
         Until then asking is no use, because every peer has just said no.
     asked_at : float
         When the last round of asking began.
+    typical : float
+        Tokens of a request, smoothed over requests.
+    rounds : int
+        Rounds of asking since the queue was last empty.
+    dry_rounds : int
+        Rounds of asking in a row that brought nothing.
     is_new : bool
         Whether the workspace was created in an epoch that is not settled,
         so that no host holds any of its tokens yet.
@@ -118,6 +129,7 @@
     minted_at: float
     homes: list[str] = field(default_factory=list)
     own: int = 0
+    begun_with: int = 0
     share: int = 0
     cap: int = 0
     level: float = 0
@@ -129,9 +141,13 @@
     demand_at: float = 0
     waiters: list[Waiter] = field(default_factory=list)
     asked: set[str] = field(default_factory=set)
+    is_urgent: bool = False
     gained: int = 0
     dry_until: float = 0
     asked_at: float = -math.inf
+    typical: float = 0
+    rounds: int = 0
+    dry_rounds: int = 0
     is_new: bool = False
 
 
@@ -174,6 +190,7 @@
     mint(account, now)
     account.share = min(account.share, account.own)
     account.cap = min(account.cap, account.own)
+    account.begun_with = account.cap
     account.sent.clear()
     account.received.clear()
     account.spare.clear()
@@ -182,10 +199,15 @@
 
 
 def grow(account: Account, now: float) -> None:
-    """Take the whole share of a settled epoch; it comes without tokens."""
+    """Take the rest of the share of a settled epoch, without tokens.
+
+    Cap may have been lent and borrowed since the epoch began, so what was
+    missing then is added to what is here now.
+    """
     mint(account, now)
     account.share = account.own
-    account.cap = account.own
+    account.cap += account.own - account.begun_with
+    account.begun_with = account.own
 
 
 def spend(account: Account, tokens: int, now: float) -> Reservation | None:
@@ -271,6 +293,7 @@
 
 def note_demand(account: Account, tokens: int, now: float) -> None:
     """Count tokens that were asked for, whether or not they were there."""
+    account.typical += (tokens - account.typical) * TYPICAL_WEIGHT
     account.demand = demand(account, now) + tokens / DEMAND_WINDOW_S
     account.demand_at = now
 
--- a/lab/limits_bench.py
+++ b/lab/limits_bench.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import msgspec
 
@@ -18,6 +19,7 @@
 RATE = 1000.0
 BURST = 4000.0
 MEAN_TOKENS = 200
+SMALL_TOKENS = 40
 STEADY_LOAD = 0.9
 LOSS_LOAD = 0.8
 OVERLOAD = 10.0
@@ -42,6 +44,9 @@
     ----------
     design, scenario : str
     requests : int
+    attained_percent : float
+        Tokens admitted, in parts of what one bucket for the whole fleet
+        would have admitted.
     wrongful_percent : float
         Refused although one bucket for the whole fleet had the tokens.
     waited_percent : float
@@ -56,6 +61,7 @@
     design: str
     scenario: str
     requests: int
+    attained_percent: float
     wrongful_percent: float
     waited_percent: float
     wait_p99_ms: float
@@ -117,18 +123,22 @@
     pick: Pick
     until: float
     chance: random.Random
+    mean_tokens: int = MEAN_TOKENS
     bucket: Bucket = field(default_factory=Bucket)
     requests: int = 0
+    due_tokens: int = 0
 
     def send(self, fleet: Fleet) -> None:
         """Send a request, and the next one later."""
-        tokens = self.chance.randint(MEAN_TOKENS // 2, MEAN_TOKENS * 3 // 2)
+        half = self.mean_tokens // 2
+        tokens = self.chance.randint(half, 3 * half)
         is_due = self.bucket.take(tokens, fleet.now)
         host = fleet.hosts[self.pick(fleet)]
         host.request(self.workspace, tokens, tokens, is_due=is_due)
         self.requests += 1
+        self.due_tokens += tokens if is_due else 0
         if fleet.now < self.until:
-            gap_s = self.chance.expovariate(self.load * RATE / MEAN_TOKENS)
+            gap_s = self.chance.expovariate(self.load * RATE / self.mean_tokens)
             fleet.after(gap_s, lambda: self.send(fleet))
 
 
@@ -185,6 +195,7 @@
         design.name,
         scenario,
         load.requests,
+        round(PERCENT * _admitted(fleet, load.workspace) / load.due_tokens, 1),
         round(PERCENT * tally.wrongful / load.requests, 3),
         round(PERCENT * tally.waited / max(1, tally.admitted), 2),
         round(MS * waits[int(_HIGH * (len(waits) - 1))], 1),
@@ -195,6 +206,12 @@
     )
 
 
+def _admitted(fleet: Fleet, workspace: str) -> int:
+    return sum(
+        one.tokens for one in fleet.history if one.workspace == workspace
+    )
+
+
 def _excess(fleet: Fleet, workspace: str) -> float:
     return find_excess(fleet.history, workspace, RATE, BURST)
 
@@ -203,20 +220,23 @@
     for load in loads:
         load.bucket.at = fleet.now
         load.send(fleet)
-    fleet.run_until(max(load.until for load in loads) + 1)
+    fleet.run_until(max(one.until for one in loads) + 1)
 
 
 def _measure_steady(design: Design, seed: int) -> list[Row]:
     rows = []
-    picks = {
-        'even': pick_any,
-        'one address': pick_one,
-        'moving address': pick_moving,
-    }
-    for scenario, pick in picks.items():
+    cases = (
+        ('even', pick_any, MEAN_TOKENS),
+        ('even, small requests', pick_any, SMALL_TOKENS),
+        ('one address', pick_one, MEAN_TOKENS),
+        ('one address, small requests', pick_one, SMALL_TOKENS),
+        ('moving address', pick_moving, MEAN_TOKENS),
+    )
+    for scenario, pick, mean_tokens in cases:
         fleet = _start(design, seed, ('a',))
         chance = random.Random(seed)
-        load = Load('a', STEADY_LOAD, pick, BEGIN_S + RUN_S, chance)
+        until = BEGIN_S + RUN_S
+        load = Load('a', STEADY_LOAD, pick, until, chance, mean_tokens)
         _run(fleet, [load])
         rows.append(_row(design, scenario, fleet, load))
     return rows
@@ -230,10 +250,8 @@
     }
     for scenario, pick in picks.items():
         fleet = _start(design, seed, ('a',))
-        fleet.after(
-            LOSS_AT_S,
-            lambda: setattr(fleet.hosts[NAMES[0]], 'is_dead', True),
-        )
+        lost = fleet.hosts[NAMES[0]]
+        fleet.after(LOSS_AT_S, partial(setattr, lost, 'is_dead', True))
         chance = random.Random(seed)
         load = Load('a', LOSS_LOAD, pick, BEGIN_S + LOSS_RUN_S, chance)
         _run(fleet, [load])
@@ -243,11 +261,16 @@
 
 def _measure_overload(design: Design, seed: int) -> list[Row]:
     rows = []
-    for scenario, other in (('beside 1x', 1.0), ('beside 10x', OVERLOAD)):
+    cases = (
+        ('beside 1x', 1.0, pick_any),
+        ('beside 10x', OVERLOAD, pick_any),
+        ('beside 10x on one address', OVERLOAD, pick_one),
+    )
+    for scenario, other, pick in cases:
         fleet = _start(design, seed, ('a', 'b'))
         until = BEGIN_S + LOSS_RUN_S
         load = Load('a', STEADY_LOAD, pick_one, until, random.Random(seed))
-        beside = Load('b', other, pick_any, until, random.Random(seed + 1))
+        beside = Load('b', other, pick, until, random.Random(seed + 1))
         _run(fleet, [load, beside])
         rows.append(_row(design, scenario, fleet, load))
         rows.append(_row(design, f'{scenario}: b', fleet, beside))
--- a/lab/limits_fleet.py
+++ b/lab/limits_fleet.py
@@ -212,15 +212,6 @@
         else:
             action()
 
-    def resume(self) -> None:
-        """Do what waited while the host was frozen."""
-        if self.is_dead or self.fleet.now < self.frozen_until:
-            return
-        waiting = list(self.held_back)
-        self.held_back.clear()
-        for action in waiting:
-            action()
-
     def read_log(self) -> None:
         """Ask the log for what is new, and wait for it as a long poll does."""
         if self.is_reading or not self.can_reach_log:
@@ -445,7 +436,7 @@
     def freeze(self, host: FakeHost, seconds: float) -> None:
         """Stop a host's process for a while; its sockets fill meanwhile."""
         host.frozen_until = max(host.frozen_until, self.now + seconds)
-        self.after(seconds, host.resume)
+        self.after(seconds, partial(self._resume, host))
 
     def append(self, record: Body) -> None:
         """Put a record into the log, whose readers are told at once."""
@@ -474,6 +465,13 @@
             self._deliver(sender.id, target, message)
         return True
 
+    def _resume(self, host: FakeHost) -> None:
+        waiting = list(host.held_back)
+        if self.now >= host.frozen_until:
+            host.held_back.clear()
+            for action in waiting:
+                host.when_awake(action)
+
     def _deliver(
         self,
         sender: HostId,
