--- a/lab/capacity_links.py
+++ b/lab/capacity_links.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from ebonywell import logs, wire
-from ebonywell.peers import Address, Peers
+from ebonywell.hostlist import ROLE
+from ebonywell.peers import Peers
 from ebonywell.targets import (
     POLL_GAP_S,
     ListedHost,
@@ -87,7 +88,10 @@
     async with anyio.create_task_group() as group:
         for member in fleet:
             await group.start(_run_peers, member)
-        listed = [Address(one.host.name, one.address) for one in fleet]
+        listed = [
+            ListedHost(one.host.name, ROLE, '', peer_address=one.address)
+            for one in fleet
+        ]
         for each in fleet:
             _introduce(each, listed)
         await anyio.sleep(SETTLE_S)
@@ -114,7 +118,7 @@
     )
 
 
-def _introduce(peers: Peers, listed: list[Address]) -> None:
+def _introduce(peers: Peers, listed: list[ListedHost]) -> None:
     beat = msgspec.structs.replace(
         sample_heartbeat(),
         peer_address=peers.address,
