--- a/ebonywell/fleet.py
+++ b/ebonywell/fleet.py
@@ -120,8 +120,6 @@
         """Let callers be sent here, now that all services run."""
         self.membership.announce()
         ready()
-        address = self.membership.peers.address
-        await self.membership.line.publish(address)
         await anyio.sleep_forever()
 
     async def stop(self) -> None:
--- a/ebonywell/limits.py
+++ b/ebonywell/limits.py
@@ -135,10 +135,18 @@
         Raises
         ------
         RefusedError
-            If this host may be out of date or there is no such workspace.
+            If this host may be out of date, has no share of the limits, or
+            there is no such workspace.
         """
         if self.membership.is_stale(now):
             raise stale_refusal()
+        if not self.ledger.members:
+            raise refuse(
+                'host_not_registered',
+                _STATUS_STALE,
+                'This host has no share of the limits yet.',
+                _STALE_RETRY_S,
+            )
         limit = self.replica.state.catalogue.workspaces.get(workspace)
         if limit is None:
             raise refuse(
--- a/ebonywell/membership.py
+++ b/ebonywell/membership.py
@@ -70,7 +70,9 @@
 
     async def run(self, ready: Callable[[], None]) -> None:
         """Keep the host list and the registry until cancelled."""
-        async with self.line:
+        async with self.line, anyio.create_task_group() as group:
+            # The peers must find this host before it can get its share.
+            group.start_soon(self.line.publish, self.peers.address)
             ready()
             while True:
                 await self._keep_registry()
