Deployment: ports below those of outgoing connections

Cause: test_up failed once under load because an entry process could not bind: a port that had been free was dealt to an outgoing connection. Ruled out: the time limits (60 s; the failure came early). Before: ports from the ephemeral range; after: ports below it, tried before they are handed out.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -1,6 +1,7 @@
 """Starts, signals and stops the separate processes of a deployment."""
 
 import os
+import random
 import signal
 import socket
 import sys
@@ -19,6 +20,7 @@
 KILL_TIMEOUT_S = 5.0
 _LINE_BYTES = 4096
 LOOPBACK = '127.0.0.1'
+PORTS = range(12_000, 32_000)
 
 
 class ProcessError(Exception):
@@ -73,10 +75,19 @@
 
 
 def free_address() -> str:
-    """Return an ip:port of the loopback network that was free just now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f'{LOOPBACK}:{probe.getsockname()[1]}'
+    """Return an ip:port of the loopback network that was free just now.
+
+    The port lies below those from which outgoing connections are dealt, since
+    one of them could take it before the process that it is for.
+    """
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        return f'{LOOPBACK}:{port}'
 
 
 async def start(
