--- a/ebonywell/onceonly.py
+++ b/ebonywell/onceonly.py
@@ -176,9 +176,11 @@
     call = table.calls.get(key)
     if call is None:
         return Verdict.unclaimed
-    if call.request_digest != digest:
-        return Verdict.conflict
     if call.is_settled:
+        # A claim that has not ended may yet be abandoned, and its key used
+        # for another request, so only a settled one is a conflict.
+        if call.request_digest != digest:
+            return Verdict.conflict
         return Verdict.unknown if call.outcome is None else Verdict.finished
     is_young = table.now_s - call.claimed_s <= LONGEST_CALL_S
     if is_young and is_alive(call.host):
--- a/tests/test_oncecalls.py
+++ b/tests/test_oncecalls.py
@@ -2,10 +2,19 @@
 
 import functools
 import itertools
+import math
 import random
 
 import anyio
 import pytest
+from trio.testing import MockClock
+
+from ebonywell import state
+from ebonywell.answers import RefusedError
+from ebonywell.exceptions import LogOutageError
+from ebonywell.logs import discard_event
+from ebonywell.oncecalls import OnceCalls, OnceRequest
+from ebonywell.types import RunState
 
 from .onceworld import NEVER, faults_of, play, start_hosts
 
@@ -115,19 +124,64 @@
             await anyio.sleep(world.rng.choice((0, 0.02, 2)))
 
 
+def _play_crowd(seed):
+    draw = random.Random(seed)
+    return play(
+        _crowd,
+        seed,
+        kill_at=draw.choice((NEVER, draw.randrange(40))),
+        fault_at=draw.randrange(60),
+        fault=draw.choice(FAULTS),
+        outage_at=draw.choice((NEVER, draw.randrange(80))),
+    )
+
+
+@pytest.mark.parametrize('seed', [743])
+def test_a_host_that_lags_calls_nothing_a_conflict_that_may_have_run(seed):
+    assert faults_of(_play_crowd(seed)) == []
+
+
 def test_histories_of_concurrent_callers_under_random_faults():
     ran = 0
     for seed in range(200):
-        draw = random.Random(seed)
-        world = play(
-            _crowd,
-            seed,
-            kill_at=draw.choice((NEVER, draw.randrange(40))),
-            fault_at=draw.randrange(60),
-            fault=draw.choice(FAULTS),
-            outage_at=draw.choice((NEVER, draw.randrange(80))),
-        )
+        world = _play_crowd(seed)
         assert faults_of(world) == [], seed
         ran += len(world.journal)
     # The schedules must not be so harsh that hardly anything runs.
     assert ran > 200
+
+
+class _DownLog:
+    """A replica whose log is known to be down."""
+
+    def __init__(self):
+        self.state = state.State()
+        self.watchers = []
+
+    async def append(self, body):
+        raise LogOutageError('down', is_sent=False)
+
+
+@pytest.mark.parametrize(
+    ('heard_after_s', 'told'),
+    [(0.5, RunState.not_run), (math.inf, RunState.unknown)],
+)
+def test_in_an_outage_the_peers_tell_whether_a_call_has_run(
+    heard_after_s, told
+):
+    async def story():
+        began = anyio.current_time()
+        once = OnceCalls(
+            _DownLog(),
+            'h/1',
+            bool,
+            lambda since: anyio.current_time() - began >= heard_after_s,
+            lambda record: anyio.Event(),
+            discard_event,
+        )
+        with pytest.raises(RefusedError) as caught:
+            await once.claim(OnceRequest('w', 'orders', 'k', 'digest'))
+        assert caught.value.refusal.run_state == told
+
+    clock = MockClock(autojump_threshold=0)
+    anyio.run(story, backend='trio', backend_options={'clock': clock})
