--- a/ebonywell/demand.py
+++ b/ebonywell/demand.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 RISE_S = 2.0
-FALL_S = 60.0
+FALL_S = 15.0
 FORGOTTEN_SLOTS = 0.001
 
 
--- a/ebonywell/layout.py
+++ b/ebonywell/layout.py
@@ -6,8 +6,8 @@
 from .changes import Adapter
 
 SPREAD_ROUNDS = 3
-GOAL_UTILISATION = 0.8
-BUSY_SHARE = 0.25
+GOAL_UTILISATION = 0.9
+BUSY_SHARE = 1.0
 
 
 @dataclass(slots=True)
--- a/ebonywell/placement.py
+++ b/ebonywell/placement.py
@@ -20,7 +20,7 @@
 from .orders import Action
 
 EARMARK_S = 10.0
-MIN_GAIN_SHARE = 0.05
+MIN_GAIN_SHARE = 0.02
 SITES_TRIED = 64
 
 
--- /dev/null
+++ b/lab/placement_bench.py
@@ -0,0 +1,141 @@
+"""Measures the placement beside baselines and an upper bound."""
+
+import sys
+from dataclasses import replace
+
+import cyclopts
+import msgspec
+
+from .placement_demand import (
+    MEJILLONERA,
+    NILECUT,
+    TICK_S,
+    WARM_UP_S,
+    Scale,
+    Shape,
+    make_scenario,
+)
+from .placement_policies import (
+    MakePolicy,
+    bound_policy,
+    ebonywell_policy,
+    lru_miss_policy,
+    lru_policy,
+    static_policy,
+)
+from .placement_sim import Sim
+
+LENGTH_S = 3600.0
+ACCELERATORS_PER_ENGINE = 8
+
+POLICIES: dict[str, MakePolicy] = {
+    'ebonywell': ebonywell_policy,
+    'static': static_policy,
+    'lru': lru_policy,
+    'lru_miss': lru_miss_policy,
+    'bound': bound_policy,
+}
+
+
+class PlacementRow(msgspec.Struct, frozen=True):
+    """One policy at one scale.
+
+    Attributes
+    ----------
+    scale : str
+    shape : Shape
+        How the demand moved.
+    policy : str
+    seed : int
+    has_faults : bool
+    attainment : float
+        The share of the requests that started in time and ended.
+    per_accelerator : float
+        Requests a second that did, for each accelerator.
+    moves : int
+        Loads of models after the warm-up.
+    worst_workspace : float
+        The attainment of the worst-served workspace over the mean.
+    wrongful_refusals : int
+        Requests inside their workspace's rate that were not served in time.
+    unreachable_s : float
+        Sum over models of the time in which no live target served them.
+    """
+
+    scale: str
+    shape: Shape
+    policy: str
+    seed: int
+    has_faults: bool
+    attainment: float
+    per_accelerator: float
+    moves: int
+    worst_workspace: float
+    wrongful_refusals: int
+    unreachable_s: float
+
+
+def measure(seed: int, length_s: float = LENGTH_S) -> list[PlacementRow]:
+    """Return a row for each scale, policy, and with and without faults.
+
+    Parameters
+    ----------
+    seed : int
+    length_s : float
+        Of the demand, in seconds of the virtual clock.
+    """
+    return [
+        _measure_one(
+            replace(scale, shape=shape), seed, length_s, has_faults, policy
+        )
+        for scale in (NILECUT, MEJILLONERA)
+        for shape in Shape
+        for has_faults in (False, True)
+        for policy in POLICIES
+    ]
+
+
+def _measure_one(
+    scale: Scale,
+    seed: int,
+    length_s: float,
+    has_faults: bool,
+    policy: str,
+) -> PlacementRow:
+    scenario = make_scenario(scale, seed, length_s, has_faults)
+    tally = Sim(scenario).run(POLICIES[policy](scenario))
+    served = int(tally.served.sum())
+    missed = int(tally.missed.sum())
+    by_workspace = tally.served / (tally.served + tally.missed)
+    accelerators = scale.engines * ACCELERATORS_PER_ENGINE
+    return PlacementRow(
+        scale.name,
+        scale.shape,
+        policy,
+        seed,
+        has_faults,
+        round(served / (served + missed), 4),
+        round(served / (length_s - WARM_UP_S) / accelerators, 4),
+        tally.moves,
+        round(float(by_workspace.min() / by_workspace.mean()), 4),
+        missed,
+        tally.unreachable_ticks * TICK_S,
+    )
+
+
+def main(*, seed: int = 1, length_s: float = LENGTH_S) -> None:
+    """Print the rows of a seed, one JSON object a line.
+
+    Parameters
+    ----------
+    seed
+        Of demand and faults.
+    length_s
+        Of the demand, in seconds of the virtual clock.
+    """
+    for row in measure(seed, length_s):
+        sys.stdout.write(f'{msgspec.json.encode(row).decode()}\n')
+
+
+if __name__ == '__main__':
+    cyclopts.run(main)
--- /dev/null
+++ b/lab/placement_demand.py
@@ -0,0 +1,203 @@
+"""Seeded demand for the placement's bench: moves tenfold within an hour."""
+
+import enum
+from dataclasses import dataclass
+
+import numpy as np
+from numpy.typing import NDArray
+
+TICK_S = 0.25
+WARM_UP_S = 60.0
+MEAN_UTILISATION = 0.7
+ZIPF_EXPONENT = 1
+KNOT_GAPS_S = (120.0, 900.0)
+QUIET_S = 1800.0
+BURSTS_S = (60.0, 480.0)
+BURST_HEIGHT = 10.0
+DURATIONS_TICKS = (4, 13)
+WORKSPACE_SHARES = (0.4, 0.3, 0.15, 0.1, 0.05)
+FAULT_GAP_S = 300.0
+DOWN_S = 60.0
+_GIB = 1024**3
+_ADAPTER_MIB = 128
+_ADAPTER_BYTES = _ADAPTER_MIB * 1024**2
+
+
+class Shape(enum.StrEnum):
+    """How each model's demand moves tenfold.
+
+    Attributes
+    ----------
+    drift
+        Up and down all the time, between knots some minutes apart.
+    burst
+        Low, then tenfold at once for some minutes.
+    """
+
+    drift = 'drift'
+    burst = 'burst'
+
+
+@dataclass(slots=True, frozen=True)
+class Scale:
+    """One of the deployments of today.
+
+    Attributes
+    ----------
+    name : str
+    engines : int
+    models : int
+    adapters : int
+    loads_per_s : float
+        What the weight store allows.
+    slots : int
+        Requests that an engine runs at once.
+    memory_ratio : float
+        The engines' memory over that of every model once.
+    zones : int
+    shape : Shape
+    """
+
+    name: str
+    engines: int
+    models: int
+    adapters: int
+    loads_per_s: float
+    slots: int = 16
+    memory_ratio: float = 1.5
+    zones: int = 3
+    shape: Shape = Shape.drift
+
+
+NILECUT = Scale('nilecut', 10, 20, 110, 2.5)
+MEJILLONERA = Scale('mejillonera', 10, 30, 95, 2.0)
+
+
+@dataclass(slots=True, frozen=True)
+class Outage:
+    """A target that dies at one tick and is back, empty, at another."""
+
+    engine: int
+    from_tick: int
+    to_tick: int
+
+
+@dataclass(slots=True)
+class Scenario:
+    """Demand and faults of one seed, the same for every policy.
+
+    Attributes
+    ----------
+    scale : Scale
+    ticks : int
+    sizes : list of int
+        Bytes of one copy with its adapters, by model.
+    memory_bytes : int
+        Of one engine.
+    arrivals : array of int, shape (ticks, models, workspaces)
+    durations : array of int, shape (any,)
+        Ticks that requests run, taken in turn.
+    outages : list of Outage
+    """
+
+    scale: Scale
+    ticks: int
+    sizes: list[int]
+    memory_bytes: int
+    arrivals: NDArray[np.int64]
+    durations: NDArray[np.int64]
+    outages: list[Outage]
+
+
+def make_scenario(
+    scale: Scale,
+    seed: int,
+    length_s: float,
+    has_faults: bool,
+) -> Scenario:
+    """Return the scenario of a seed.
+
+    Parameters
+    ----------
+    scale : Scale
+    seed : int
+    length_s : float
+    has_faults : bool
+        Whether targets die now and then.
+    """
+    rng = np.random.default_rng(seed)
+    ticks = int(length_s / TICK_S)
+    levels = _levels(rng, scale, ticks)
+    mix = rng.dirichlet(
+        np.array(WORKSPACE_SHARES) * 10,
+        size=scale.models,
+    )
+    rates = levels[:, :, None] * mix[None, :, :]
+    sizes = _sizes(rng, scale)
+    return Scenario(
+        scale,
+        ticks,
+        sizes,
+        int(scale.memory_ratio * sum(sizes) / scale.engines),
+        rng.poisson(rates),
+        rng.integers(*DURATIONS_TICKS, size=100_003),
+        _outages(rng, scale, ticks) if has_faults else [],
+    )
+
+
+def _levels(
+    rng: np.random.Generator,
+    scale: Scale,
+    ticks: int,
+) -> NDArray[np.float64]:
+    """Return arrivals a tick, shape (ticks, models)."""
+    is_drift = scale.shape is Shape.drift
+    skew = ZIPF_EXPONENT if is_drift else 0
+    base = np.arange(1, scale.models + 1) ** -float(skew)
+    draw = _drift if is_drift else _bursts
+    moves = np.stack([draw(rng, ticks) for _ in range(scale.models)], axis=1)
+    levels = rng.permutation(base)[None, :] * moves
+    mean_ticks = (DURATIONS_TICKS[0] + DURATIONS_TICKS[1] - 1) / 2
+    capacity = scale.engines * scale.slots / mean_ticks
+    return levels * (MEAN_UTILISATION * capacity / levels.sum(axis=1).mean())
+
+
+def _drift(rng: np.random.Generator, ticks: int) -> NDArray[np.float64]:
+    knots = [0.0]
+    while knots[-1] < ticks:
+        knots.append(knots[-1] + rng.uniform(*KNOT_GAPS_S) / TICK_S)
+    heights = rng.uniform(-0.5, 0.5, size=len(knots))
+    return np.asarray(10 ** np.interp(np.arange(ticks), knots, heights))
+
+
+def _bursts(rng: np.random.Generator, ticks: int) -> NDArray[np.float64]:
+    heights = np.ones(ticks)
+    at_s = rng.uniform(0, QUIET_S)
+    while at_s < ticks * TICK_S:
+        until_s = at_s + rng.uniform(*BURSTS_S)
+        heights[int(at_s / TICK_S) : int(until_s / TICK_S)] = BURST_HEIGHT
+        at_s = until_s + rng.exponential(QUIET_S)
+    return heights
+
+
+def _sizes(rng: np.random.Generator, scale: Scale) -> list[int]:
+    adapters = scale.adapters / scale.models * _ADAPTER_BYTES
+    gibs = rng.integers(12, 25, size=scale.models)
+    return [int(gib * _GIB + adapters) for gib in gibs]
+
+
+def _outages(
+    rng: np.random.Generator,
+    scale: Scale,
+    ticks: int,
+) -> list[Outage]:
+    gap = FAULT_GAP_S / TICK_S
+    starts = np.arange(gap, ticks, gap).astype(int)
+    return [
+        Outage(
+            int(rng.integers(scale.engines)),
+            int(start),
+            int(start + DOWN_S / TICK_S),
+        )
+        for start in starts
+    ]
--- /dev/null
+++ b/lab/placement_sim.py
@@ -0,0 +1,265 @@
+"""A small fake of targets and routing, under a virtual clock, for placement."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import numpy as np
+
+from .placement_demand import TICK_S, WARM_UP_S, Scenario
+
+PATIENCE_TICKS = 2
+LOADS_AT_ONCE = 3
+DECISION_TICKS = 2
+
+
+class Run(NamedTuple):
+    """A request that runs."""
+
+    model: int
+    workspace: int
+
+
+@dataclass(slots=True)
+class Box:
+    """A target.
+
+    Attributes
+    ----------
+    name, zone : str
+    size : int
+        Bytes of its memory.
+    slots : int
+    models : dict of int to int
+        The tick from which a model serves; `NEVER` while it loads.
+    used_at : dict of int to int
+        The tick of a model's last request.
+    loaded_at : dict of int to int
+        The tick at which a model's load ended.
+    running : int
+    ends : dict of int to list of Run
+        Requests that run, by the tick at which they end.
+    is_alive : bool
+    """
+
+    name: str
+    zone: str
+    size: int
+    slots: int
+    models: dict[int, int] = field(default_factory=dict)
+    used_at: dict[int, int] = field(default_factory=dict)
+    loaded_at: dict[int, int] = field(default_factory=dict)
+    running: int = 0
+    ends: dict[int, list[Run]] = field(default_factory=dict)
+    is_alive: bool = True
+
+
+NEVER = 1 << 60
+
+
+@dataclass(slots=True)
+class Load:
+    """A load on its way; the weight store carries some at once."""
+
+    box: Box
+    model: int
+    left_s: float
+
+
+@dataclass(slots=True)
+class Tally:
+    """Requests after the warm-up, by workspace, and moves.
+
+    Attributes
+    ----------
+    served, missed : array of int, shape (workspaces,)
+    moves : int
+        Loads of models.
+    unreachable_ticks : int
+        Sum over models of the ticks in which no live target served them.
+    """
+
+    served: np.ndarray[tuple[int], np.dtype[np.int64]]
+    missed: np.ndarray[tuple[int], np.dtype[np.int64]]
+    moves: int = 0
+    unreachable_ticks: int = 0
+
+
+Decide = Callable[['Sim'], None]
+
+
+class Sim:
+    """One run of a scenario under one policy.
+
+    Attributes
+    ----------
+    scenario : Scenario
+    boxes : list of Box
+    loads : list of Load
+    waiting : list of deque of (int, int)
+        Tick of arrival and workspace, by model.
+    running : list of int
+        Requests that run, by model.
+    tick : int
+    tally : Tally
+    """
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario = scenario
+        scale = scenario.scale
+        self.boxes = [
+            Box(
+                f't{number}',
+                f'z{number % scale.zones}',
+                scenario.memory_bytes,
+                scale.slots,
+            )
+            for number in range(scale.engines)
+        ]
+        self.loads: list[Load] = []
+        self.waiting: list[deque[tuple[int, int]]] = [
+            deque() for _ in range(scale.models)
+        ]
+        self.tick = 0
+        workspaces = scenario.arrivals.shape[2]
+        self.tally = Tally(
+            np.zeros(workspaces, np.int64),
+            np.zeros(workspaces, np.int64),
+        )
+        self.next_duration = 0
+        self.running = [0] * scale.models
+        place_evenly(self.boxes, scenario.sizes)
+
+    def free(self, box: Box) -> int:
+        """Return the bytes that nothing in a target takes."""
+        return box.size - sum(self.scenario.sizes[one] for one in box.models)
+
+    def load(self, box: Box, model: int) -> None:
+        """Begin a load.
+
+        Raises
+        ------
+        ValueError
+            If it does not fit.
+        """
+        if self.scenario.sizes[model] > self.free(box):
+            raise ValueError('the target would be overcommitted')
+        box.models[model] = NEVER
+        transfer_s = LOADS_AT_ONCE / self.scenario.scale.loads_per_s
+        self.loads.append(Load(box, model, transfer_s))
+        self.tally.moves += self.is_counting
+
+    def unload(self, box: Box, model: int) -> None:
+        """Unload a model; what runs on it still ends."""
+        box.models.pop(model)
+
+    def ready(self, model: int) -> list[Box]:
+        """Return the live targets that serve a model."""
+        return [
+            box
+            for box in self.boxes
+            if box.is_alive and box.models.get(model, NEVER) <= self.tick
+        ]
+
+    @property
+    def is_counting(self) -> bool:
+        """Whether the warm-up is over."""
+        return self.tick * TICK_S >= WARM_UP_S
+
+    def run(self, decide: Decide) -> Tally:
+        """Run to the end; `decide` is called every `DECISION_TICKS`."""
+        for self.tick in range(self.scenario.ticks):
+            self._fail_and_recover()
+            self._go_on_loading()
+            self._end_requests()
+            for model in range(self.scenario.scale.models):
+                self._arrive(model)
+                self._route(model)
+            if self.tick % DECISION_TICKS == 0:
+                decide(self)
+        return self.tally
+
+    def _fail_and_recover(self) -> None:
+        for outage in self.scenario.outages:
+            box = self.boxes[outage.engine]
+            if self.tick == outage.from_tick:
+                self._kill(box)
+            elif self.tick == outage.to_tick:
+                box.is_alive = True
+
+    def _kill(self, box: Box) -> None:
+        for lost in (run for runs in box.ends.values() for run in runs):
+            self.running[lost.model] -= 1
+            self.tally.served[lost.workspace] -= self.is_counting
+            self.tally.missed[lost.workspace] += self.is_counting
+        box.is_alive = False
+        box.models.clear()
+        box.ends.clear()
+        box.running = 0
+        self.loads = [one for one in self.loads if one.box is not box]
+
+    def _go_on_loading(self) -> None:
+        if not self.loads:
+            return
+        speed = min(1, LOADS_AT_ONCE / len(self.loads))
+        for load in self.loads:
+            load.left_s -= TICK_S * speed
+            if load.left_s <= 0:
+                load.box.models[load.model] = self.tick
+                load.box.loaded_at[load.model] = self.tick
+        self.loads = [load for load in self.loads if load.left_s > 0]
+
+    def _end_requests(self) -> None:
+        for box in self.boxes:
+            for run in box.ends.pop(self.tick, ()):
+                box.running -= 1
+                self.running[run.model] -= 1
+
+    def _arrive(self, model: int) -> None:
+        for workspace, count in enumerate(
+            self.scenario.arrivals[self.tick, model],
+        ):
+            self.waiting[model].extend([(self.tick, workspace)] * int(count))
+
+    def _route(self, model: int) -> None:
+        queue = self.waiting[model]
+        boxes = self.ready(model)
+        self.tally.unreachable_ticks += self.is_counting and not boxes
+        while queue:
+            box = min(boxes, key=lambda one: one.running, default=None)
+            if box is None or box.running >= box.slots:
+                break
+            self._start(box, model, queue.popleft()[1])
+        while queue and self.tick - queue[0][0] >= PATIENCE_TICKS:
+            _, workspace = queue.popleft()
+            self.tally.missed[workspace] += self.is_counting
+
+    def _start(self, box: Box, model: int, workspace: int) -> None:
+        durations = self.scenario.durations
+        self.next_duration = (self.next_duration + 1) % len(durations)
+        end = self.tick + int(durations[self.next_duration])
+        box.ends.setdefault(end, []).append(Run(model, workspace))
+        self.running[model] += 1
+        box.running += 1
+        box.used_at[model] = self.tick
+        self.tally.served[workspace] += self.is_counting
+
+
+def place_evenly(boxes: list[Box], sizes: list[int]) -> None:
+    """Give every model as many copies as any other, while memory lasts."""
+    is_room = True
+    while is_room:
+        is_room = False
+        # Large ones first, so that every model finds room once.
+        for model in sorted(range(len(sizes)), key=lambda one: -sizes[one]):
+            free = {
+                box.name: box.size - sum(sizes[one] for one in box.models)
+                for box in boxes
+                if model not in box.models
+            }
+            best = max(free, key=lambda name: free[name], default='')
+            if best and free[best] >= sizes[model]:
+                box = next(one for one in boxes if one.name == best)
+                box.models[model] = 0
+                is_room = True
