--- a/lab/placement_sim.py
+++ b/lab/placement_sim.py
@@ -248,18 +248,23 @@
 
 def place_evenly(boxes: list[Box], sizes: list[int]) -> None:
     """Give every model as many copies as any other, while memory lasts."""
-    is_room = True
-    while is_room:
-        is_room = False
-        # Large ones first, so that every model finds room once.
-        for model in sorted(range(len(sizes)), key=lambda one: -sizes[one]):
-            free = {
-                box.name: box.size - sum(sizes[one] for one in box.models)
-                for box in boxes
-                if model not in box.models
-            }
-            best = max(free, key=lambda name: free[name], default='')
-            if best and free[best] >= sizes[model]:
-                box = next(one for one in boxes if one.name == best)
-                box.models[model] = 0
-                is_room = True
+    # Large ones first, so that every model finds room once.
+    largest_first = sorted(
+        range(len(sizes)),
+        key=lambda model: -sizes[model],
+    )
+    while any([_place_once(boxes, sizes, model) for model in largest_first]):
+        continue
+
+
+def _place_once(boxes: list[Box], sizes: list[int], model: int) -> bool:
+    free = [
+        (box.size - sum(sizes[one] for one in box.models), index)
+        for index, box in enumerate(boxes)
+        if model not in box.models
+    ]
+    room, index = max(free, default=(0, 0))
+    if room < sizes[model]:
+        return False
+    boxes[index].models[model] = 0
+    return True
