--- a/lab/placement_policies.py
+++ b/lab/placement_policies.py
@@ -69,10 +69,9 @@
     def decide_now(sim: Sim) -> None:
         for box in sim.boxes:
             planned = kept.setdefault(box.name, list(box.models))
-            if box.is_alive:
-                for model in planned:
-                    if model not in box.models:
-                        sim.load(box, model)
+            lost = [model for model in planned if model not in box.models]
+            for model in lost if box.is_alive else ():
+                sim.load(box, model)
 
     return decide_now
 
--- a/lab/placement_sim.py
+++ b/lab/placement_sim.py
@@ -129,7 +129,7 @@
             np.zeros(workspaces, np.int64),
         )
         self.next_duration = 0
-        self.running = [0] * scale.models
+        self.running = [0 for _ in range(scale.models)]
         place_evenly(self.boxes, scenario.sizes)
 
     def free(self, box: Box) -> int:
@@ -170,7 +170,8 @@
 
     def run(self, decide: Decide) -> Tally:
         """Run to the end; `decide` is called every `DECISION_TICKS`."""
-        for self.tick in range(self.scenario.ticks):
+        for tick in range(self.scenario.ticks):
+            self.tick = tick
             self._fail_and_recover()
             self._go_on_loading()
             self._end_requests()
@@ -190,7 +191,8 @@
                 box.is_alive = True
 
     def _kill(self, box: Box) -> None:
-        for lost in (run for runs in box.ends.values() for run in runs):
+        running = [run for runs in box.ends.values() for run in runs]
+        for lost in running:
             self.running[lost.model] -= 1
             self.tally.served[lost.workspace] -= self.is_counting
             self.tally.missed[lost.workspace] += self.is_counting
