--- a/lab/placement_demand.py
+++ b/lab/placement_demand.py
@@ -132,7 +132,7 @@
         np.array(WORKSPACE_SHARES) * 10,
         size=scale.models,
     )
-    rates = levels[:, :, None] * mix[None, :, :]
+    rates = np.einsum('tm,mw->tmw', levels, mix)
     sizes = _sizes(rng, scale)
     return Scenario(
         scale,
@@ -156,28 +156,29 @@
     base = np.arange(1, scale.models + 1) ** -float(skew)
     draw = _drift if is_drift else _bursts
     moves = np.stack([draw(rng, ticks) for _ in range(scale.models)], axis=1)
-    levels = rng.permutation(base)[None, :] * moves
+    levels = moves * rng.permutation(base)
     mean_ticks = (DURATIONS_TICKS[0] + DURATIONS_TICKS[1] - 1) / 2
     capacity = scale.engines * scale.slots / mean_ticks
     return levels * (MEAN_UTILISATION * capacity / levels.sum(axis=1).mean())
 
 
 def _drift(rng: np.random.Generator, ticks: int) -> NDArray[np.float64]:
-    knots = [0.0]
-    while knots[-1] < ticks:
-        knots.append(knots[-1] + rng.uniform(*KNOT_GAPS_S) / TICK_S)
+    gaps = rng.uniform(*KNOT_GAPS_S, size=ticks) / TICK_S
+    knots = np.cumsum(gaps)
+    knots = knots[: int(np.searchsorted(knots, ticks)) + 1]
     heights = rng.uniform(-0.5, 0.5, size=len(knots))
     return np.asarray(10 ** np.interp(np.arange(ticks), knots, heights))
 
 
 def _bursts(rng: np.random.Generator, ticks: int) -> NDArray[np.float64]:
-    heights = np.ones(ticks)
+    seconds = np.arange(ticks) * TICK_S
+    is_burst = np.zeros(ticks, bool)
     at_s = rng.uniform(0, QUIET_S)
     while at_s < ticks * TICK_S:
         until_s = at_s + rng.uniform(*BURSTS_S)
-        heights[int(at_s / TICK_S) : int(until_s / TICK_S)] = BURST_HEIGHT
+        is_burst |= (seconds >= at_s) & (seconds < until_s)
         at_s = until_s + rng.exponential(QUIET_S)
-    return heights
+    return np.where(is_burst, BURST_HEIGHT, 1)
 
 
 def _sizes(rng: np.random.Generator, scale: Scale) -> list[int]:
