--- a/lab/placement_bench.py
+++ b/lab/placement_bench.py
@@ -2,6 +2,7 @@
 
 import sys
 from dataclasses import replace
+from itertools import product
 
 import cyclopts
 import msgspec
@@ -84,14 +85,16 @@
     length_s : float
         Of the demand, in seconds of the virtual clock.
     """
+    cases = product((NILECUT, MEJILLONERA), Shape, (False, True), POLICIES)
     return [
         _measure_one(
-            replace(scale, shape=shape), seed, length_s, has_faults, policy
+            replace(scale, shape=shape),
+            seed,
+            length_s,
+            has_faults,
+            policy,
         )
-        for scale in (NILECUT, MEJILLONERA)
-        for shape in Shape
-        for has_faults in (False, True)
-        for policy in POLICIES
+        for scale, shape, has_faults, policy in cases
     ]
 
 
--- a/lab/placement_cost.py
+++ b/lab/placement_cost.py
@@ -143,8 +143,8 @@
             memory_bytes=size,
             max_running=SLOTS,
             models=tuple(
-                ResidentModel(model, _MODEL_BYTES, 'ready', tuple(names))
-                for model in held
+                ResidentModel(one, _MODEL_BYTES, 'ready', tuple(names))
+                for one in held
             ),
         )
         listed = ListedHost(name, 'engine', '127.0.0.1:1', zone)
