--- a/lab/placement_demand.py
+++ b/lab/placement_demand.py
@@ -159,7 +159,8 @@
     levels = moves * rng.permutation(base)
     mean_ticks = (DURATIONS_TICKS[0] + DURATIONS_TICKS[1] - 1) / 2
     capacity = scale.engines * scale.slots / mean_ticks
-    return levels * (MEAN_UTILISATION * capacity / levels.sum(axis=1).mean())
+    mean = float(levels.sum(axis=1).mean())
+    return np.asarray(levels * (MEAN_UTILISATION * capacity / mean))
 
 
 def _drift(rng: np.random.Generator, ticks: int) -> NDArray[np.float64]:
@@ -178,7 +179,7 @@
         until_s = at_s + rng.uniform(*BURSTS_S)
         is_burst |= (seconds >= at_s) & (seconds < until_s)
         at_s = until_s + rng.exponential(QUIET_S)
-    return np.where(is_burst, BURST_HEIGHT, 1)
+    return np.asarray(np.where(is_burst, BURST_HEIGHT, 1.0))
 
 
 def _sizes(rng: np.random.Generator, scale: Scale) -> list[int]:
