--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -54,7 +54,7 @@
 
 def test_a_busy_model_gets_a_second_zone():
     sites = [site('t', 'z1', 'a'), site('u', 'z1', 'a'), site('v', 'z2')]
-    assert moves(sites, [need('a', 5)]) == [(Action.load, 'v', 'a')]
+    assert moves(sites, [need('a', 12)]) == [(Action.load, 'v', 'a')]
 
 
 def test_overflow_moves_to_an_idle_target():
