Loads without an answer hold no model back

A target that reports but takes no order kept its models pending for ever, so the placement counted on copies that never came: the test with a target that loses every order failed with models unserved after 60 s. Lost reports and a missing lease were ruled out: the intents counted and the visits went on. After 20 s the placement counts such a copy no more; its memory stays reserved.

--- a/ebonywell/views.py
+++ b/ebonywell/views.py
@@ -13,6 +13,7 @@
 REPORT_LAG_S = 5.0
 SILENCE_S = 5.0
 BARRED_S = 20.0
+LOAD_TIMEOUT_S = 20.0
 _READY = 'ready'
 
 
@@ -24,12 +25,15 @@
     ----------
     seen_at : dict of (str, str) to float
         When it first saw a copy settled, by target and model, in seconds.
+    pending_since : dict of str to float
+        When it first saw an order unsettled, by order id, in seconds.
     barred_until : dict of (str, str) to float
         Until when a load that failed is not tried again, by target and by
         model or ``model:adapter``, in seconds.
     """
 
     seen_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    pending_since: dict[str, float] = field(default_factory=dict)
     barred_until: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def bar_load(self, target: str, name: str, now: float) -> None:
@@ -55,6 +59,11 @@
             self.seen_at.pop(gone)
         for new in present - self.seen_at.keys():
             self.seen_at[new] = now
+        self.pending_since = {
+            order_id: self.pending_since.get(order_id, now)
+            for target in memory.values()
+            for order_id in target.unsettled
+        }
         for pair, until in list(self.barred_until.items()):
             if now >= until:
                 self.barred_until.pop(pair)
@@ -129,7 +138,7 @@
     )
     site.barred = recent.barred(target.name, now)
     _add_settled(site, memory, report, recent, now)
-    _add_unsettled(site, memory)
+    _add_unsettled(site, memory, recent, now)
     return site
 
 
@@ -153,11 +162,19 @@
         )
 
 
-def _add_unsettled(site: Site, memory: TargetMemory) -> None:
+def _add_unsettled(
+    site: Site,
+    memory: TargetMemory,
+    recent: Recent,
+    now: float,
+) -> None:
     for pending in memory.unsettled.values():
         order = pending.order
         copy = site.copies.setdefault(order.model, Copy())
-        if order.action is Action.unload:
+        age_s = now - recent.pending_since.get(order.order_id, now)
+        is_late = order.action is Action.load and age_s > LOAD_TIMEOUT_S
+        if is_late or order.action is Action.unload:
+            # Nothing may count on it, though its memory stays reserved.
             copy.leaving = True
         elif order.adapter:
             copy.adapters.add(order.adapter)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -158,3 +158,14 @@
         assert len(world.serving()) == 4
 
     play(story, world)
+
+
+def test_a_target_that_answers_no_order_keeps_no_model_from_serving(world):
+    async def story(world, group):
+        world.engines[0].drops = 10**6
+        planner, _ = await world.start(group, 'a')
+        await world.set_models(planner, 8, 20)
+        await anyio.sleep(60)
+        assert len(world.serving()) == 8
+
+    play(story, world)
