--- a/ebonywell/tenure.py
+++ b/ebonywell/tenure.py
@@ -31,12 +31,18 @@
         When that record was seen, or the log could last not be read.
     tried_at : float
         When this host last wrote about the lease.
+    lease_s : float
+        How long a holder may be silent.
+    renew_s : float
+        How often a holder writes.
     """
 
     stagger_s: float = 0
     renewed: int = NO_FENCING
     seen_at: float = 0
     tried_at: float = 0
+    lease_s: float = LEASE_S
+    renew_s: float = RENEW_S
 
 
 def lease_step(
@@ -65,14 +71,14 @@
         watch.renewed = lease.renewed
         watch.seen_at = now
     if lease.holder == host:
-        if now - watch.tried_at < RENEW_S:
+        if now - watch.tried_at < watch.renew_s:
             return LeaseStep.idle
         watch.tried_at = now
         return LeaseStep.renew
-    patience = LEASE_S if lease.holder else 0
+    patience = watch.lease_s if lease.holder else 0
     if not is_log_fresh or now - watch.seen_at < patience + watch.stagger_s:
         return LeaseStep.idle
-    if now - watch.tried_at < RENEW_S:
+    if now - watch.tried_at < watch.renew_s:
         return LeaseStep.idle
     watch.tried_at = now
     return LeaseStep.claim
--- /dev/null
+++ b/lab/lease_bench.py
@@ -0,0 +1,151 @@
+"""Measures how long the planner's lease stands empty, and what it costs."""
+
+import heapq
+import math
+import random
+import sys
+from itertools import product
+
+import cyclopts
+import msgspec
+
+from ebonywell.leases import (
+    Lease,
+    LeaseClaimed,
+    LeaseRecord,
+    LeaseRenewed,
+    apply,
+)
+from ebonywell.tenure import LeaseStep, Watch, lease_step
+
+HOSTS = 8
+LENGTH_S = 3600.0
+TICK_S = 0.5
+APPEND_S = (0.005, 0.1)
+DEATH_GAP_S = 60.0
+TERMS = ((4.0, 1.0), (8.0, 2.0), (16.0, 4.0))
+STAGGERS_S = (0, 1)
+
+
+class LeaseRow(msgspec.Struct, frozen=True):
+    """One choice of times.
+
+    Attributes
+    ----------
+    lease_s, renew_s, stagger_s : float
+    empty_s : float
+        The mean time from a holder's death to the next claim that counts.
+    claims : float
+        Claims a handover, those that lost a race among them.
+    appends_per_s : float
+    """
+
+    lease_s: float
+    renew_s: float
+    stagger_s: float
+    empty_s: float
+    claims: float
+    appends_per_s: float
+
+
+def measure(seed: int) -> list[LeaseRow]:
+    """Return a row for each choice; a holder dies every minute.
+
+    Parameters
+    ----------
+    seed : int
+    """
+    return [
+        _Hosts(random.Random(seed), *terms, stagger_s).run()
+        for terms, stagger_s in product(TERMS, STAGGERS_S)
+    ]
+
+
+class _Hosts:
+    """Hosts that look at the lease every tick, over a log with delays."""
+
+    def __init__(
+        self,
+        rng: random.Random,
+        lease_s: float,
+        renew_s: float,
+        stagger_s: float,
+    ) -> None:
+        self.rng = rng
+        self.row = LeaseRow(lease_s, renew_s, stagger_s, 0, 0, 0)
+        self.lease = Lease()
+        self.watches = [
+            Watch(rng.uniform(0, stagger_s), lease_s=lease_s, renew_s=renew_s)
+            for _ in range(HOSTS)
+        ]
+        self.under_way: list[tuple[float, int, LeaseRecord]] = []
+        self.died_at = math.inf
+        self.empty_s: list[float] = []
+        self.deaths = 0
+        self.claims = 0
+        self.appends = 0
+
+    def run(self) -> LeaseRow:
+        """Run to the end and return the measured row."""
+        ticks = [(self.rng.uniform(0, TICK_S), host) for host in range(HOSTS)]
+        heapq.heapify(ticks)
+        while ticks[0][0] < LENGTH_S:
+            now, host = ticks[0]
+            heapq.heapreplace(ticks, (now + TICK_S, host))
+            self._receive(now)
+            self._let_die(now)
+            self._act(now, host)
+        return msgspec.structs.replace(
+            self.row,
+            empty_s=round(sum(self.empty_s) / len(self.empty_s), 2),
+            claims=round(self.claims / (len(self.empty_s) + 1), 2),
+            appends_per_s=round(self.appends / LENGTH_S, 2),
+        )
+
+    def _receive(self, now: float) -> None:
+        while self.under_way and self.under_way[0][0] <= now:
+            _, _, record = heapq.heappop(self.under_way)
+            self.appends += 1
+            counted = apply(self.lease, self.appends, record)
+            is_claim = counted and isinstance(record, LeaseClaimed)
+            if is_claim and self.died_at < now:
+                self.empty_s.append(now - self.died_at)
+                self.died_at = math.inf
+
+    def _let_die(self, now: float) -> None:
+        is_due = now >= (self.deaths + 1) * DEATH_GAP_S
+        if is_due and self.died_at > now:
+            # Every process gets another name, so that no holder is left.
+            self.died_at = now
+            self.deaths += 1
+
+    def _act(self, now: float, host: int) -> None:
+        name = f'{host}/{self.deaths}'
+        watch = self.watches[host]
+        step = lease_step(self.lease, watch, name, now, is_log_fresh=True)
+        if step is LeaseStep.claim:
+            self.claims += 1
+            self._append(now, LeaseClaimed(name, self.lease.fencing))
+        elif step is LeaseStep.renew:
+            self._append(now, LeaseRenewed(self.lease.fencing))
+
+    def _append(self, now: float, record: LeaseRecord) -> None:
+        arrives_at = now + self.rng.uniform(*APPEND_S)
+        number = self.rng.getrandbits(60)
+        heapq.heappush(self.under_way, (arrives_at, number, record))
+
+
+def main(*, seed: int = 1) -> None:
+    """Print a row for each choice, one JSON object a line.
+
+    Parameters
+    ----------
+    seed
+        Of the delays and the hosts' staggers.
+    """
+    for row in measure(seed):
+        sys.stdout.write(f'{msgspec.json.encode(row).decode()}\n')
+
+
+if __name__ == '__main__':
+    cyclopts.run(main)
--- a/lab/placement_demand.py
+++ b/lab/placement_demand.py
@@ -56,6 +56,8 @@
         The engines' memory over that of every model once.
     zones : int
     shape : Shape
+    sized_for : int
+        The number of engines that demand and memory are worked out for.
     """
 
     name: str
@@ -67,6 +69,7 @@
     memory_ratio: float = 1.5
     zones: int = 3
     shape: Shape = Shape.drift
+    sized_for: int = 10
 
 
 NILECUT = Scale('nilecut', 10, 20, 110, 2.5)
@@ -138,7 +141,7 @@
         scale,
         ticks,
         sizes,
-        int(scale.memory_ratio * sum(sizes) / scale.engines),
+        int(scale.memory_ratio * sum(sizes) / scale.sized_for),
         rng.poisson(rates),
         rng.integers(*DURATIONS_TICKS, size=100_003),
         _outages(rng, scale, ticks) if has_faults else [],
@@ -158,7 +161,7 @@
     moves = np.stack([draw(rng, ticks) for _ in range(scale.models)], axis=1)
     levels = moves * rng.permutation(base)
     mean_ticks = (DURATIONS_TICKS[0] + DURATIONS_TICKS[1] - 1) / 2
-    capacity = scale.engines * scale.slots / mean_ticks
+    capacity = scale.sized_for * scale.slots / mean_ticks
     mean = float(levels.sum(axis=1).mean())
     return np.asarray(levels * (MEAN_UTILISATION * capacity / mean))
 
--- /dev/null
+++ b/lab/placement_need.py
@@ -0,0 +1,110 @@
+"""Measures how many targets each placement policy needs for one attainment."""
+
+import sys
+from dataclasses import replace
+from itertools import product
+
+import cyclopts
+import msgspec
+
+from .placement_bench import LENGTH_S, POLICIES
+from .placement_demand import (
+    MEJILLONERA,
+    NILECUT,
+    Scale,
+    Shape,
+    make_scenario,
+)
+from .placement_sim import Sim
+
+GOAL_ATTAINMENT = 0.95
+LEAST_ENGINES = 6
+MOST_ENGINES = 40
+
+
+class NeedRow(msgspec.Struct, frozen=True):
+    """The fewest targets with which a policy reaches the goal.
+
+    Attributes
+    ----------
+    scale : str
+    shape : Shape
+    policy : str
+    seed : int
+    engines : int
+        `MOST_ENGINES` if it does not reach it with fewer.
+    """
+
+    scale: str
+    shape: Shape
+    policy: str
+    seed: int
+    engines: int
+
+
+def measure(seed: int, length_s: float = LENGTH_S) -> list[NeedRow]:
+    """Return a row for each scale, shape of demand, and policy.
+
+    Parameters
+    ----------
+    seed : int
+    length_s : float
+        Of the demand, in seconds of the virtual clock.
+    """
+    return [
+        NeedRow(
+            scale.name,
+            shape,
+            policy,
+            seed,
+            _fewest(replace(scale, shape=shape), seed, length_s, policy),
+        )
+        for scale, shape, policy in product(
+            (NILECUT, MEJILLONERA),
+            Shape,
+            POLICIES,
+        )
+    ]
+
+
+def _fewest(scale: Scale, seed: int, length_s: float, policy: str) -> int:
+    low = LEAST_ENGINES
+    high = MOST_ENGINES
+    while low < high:
+        middle = (low + high) // 2
+        tried = replace(scale, engines=middle)
+        if _attainment(tried, seed, length_s, policy) >= GOAL_ATTAINMENT:
+            high = middle
+        else:
+            low = middle + 1
+    return low
+
+
+def _attainment(
+    scale: Scale,
+    seed: int,
+    length_s: float,
+    policy: str,
+) -> float:
+    scenario = make_scenario(scale, seed, length_s, has_faults=False)
+    tally = Sim(scenario).run(POLICIES[policy](scenario))
+    served = int(tally.served.sum())
+    return served / (served + int(tally.missed.sum()))
+
+
+def main(*, seed: int = 1, length_s: float = LENGTH_S) -> None:
+    """Print the rows of a seed, one JSON object a line.
+
+    Parameters
+    ----------
+    seed
+        Of the demand.
+    length_s
+        Of the demand, in seconds of the virtual clock.
+    """
+    for row in measure(seed, length_s):
+        sys.stdout.write(f'{msgspec.json.encode(row).decode()}\n')
+
+
+if __name__ == '__main__':
+    cyclopts.run(main)
--- a/lab/planner_search.py
+++ b/lab/planner_search.py
@@ -154,6 +154,9 @@
     claims: int = 3,
     orders: int = 3,
     lives: int = 2,
+    unbound: bool = False,
+    unlogged: bool = False,
+    renumbered: bool = False,
 ) -> None:
     """Search both kinds of targets and print what was covered.
 
@@ -175,10 +178,19 @@
         The most orders.
     lives
         The most lives of the target.
+    unbound
+        A break: orders reach a later life of the target.
+    unlogged
+        A break: orders go out before their intent counts.
+    renumbered
+        A break: a successor sends old orders under its own number.
     """
     for checks_fencing in (True, False):
         rules = Rules(
             checks_fencing,
+            is_bound=not unbound,
+            waits_for_log=not unlogged,
+            is_renumbered=renumbered,
             max_claims=claims,
             max_orders=orders,
             max_lives=lives,
