Placement moves a sole copy away where its target is wanted

In bursts most requests missed came long after the burst began: the emptiest targets held sole copies only, so no relief was found. One sole copy at a time is now loaded elsewhere first.

--- a/ebonywell/moves.py
+++ b/ebonywell/moves.py
@@ -40,6 +40,8 @@
         Loads that may start now under the weight store's rate.
     refilled_at : float or None
         In seconds.
+    shift_after : float
+        When a sole copy may be moved next, in seconds.
     loads_per_s : float
     loads_at_once : int
     """
@@ -47,6 +49,7 @@
     earmarks: dict[str, Earmark] = field(default_factory=dict)
     tokens: float = LOADS_AT_ONCE
     refilled_at: float | None = None
+    shift_after: float = 0
     loads_per_s: float = LOADS_PER_S
     loads_at_once: int = LOADS_AT_ONCE
 
--- a/ebonywell/placement.py
+++ b/ebonywell/placement.py
@@ -8,20 +8,14 @@
 from collections.abc import Iterator
 
 from .adapters import drop_adapters, load_adapters
-from .eviction import (
-    Eviction,
-    MayEvict,
-    idle_for,
-    is_redundant,
-    plan_eviction,
-)
+from .eviction import Eviction, idle_for, is_redundant
 from .layout import Layout, Site
 from .moves import Decision, Earmark, Move, Pace, Turn
 from .orders import Action
+from .relief import find_cheapest, find_relief, find_shift
 
 EARMARK_S = 10.0
-MIN_GAIN_SHARE = 0.02
-SITES_TRIED = 64
+SHIFT_GAP_S = 3.0
 
 
 def decide(layout: Layout, pace: Pace, now: float) -> Decision:
@@ -49,6 +43,7 @@
     _reach_all(turn)
     _widen_busy(turn)
     _relieve(turn)
+    _shift(turn)
     _add_spares(turn)
     load_adapters(turn)
     return turn.decision
@@ -113,7 +108,7 @@
         if turn.budget <= 0:
             return
         sites = layout.candidates(need.model)
-        best = _cheapest(layout, sites, need.model, is_redundant)
+        best = find_cheapest(layout, sites, need.model, is_redundant)
         if best is None:
             turn.decision.unplaced.append(need.model)
         else:
@@ -131,7 +126,7 @@
                 for site in turn.layout.candidates(need)
                 if site.zone not in zones
             ]
-            best = _cheapest(
+            best = find_cheapest(
                 turn.layout,
                 sites,
                 need,
@@ -155,38 +150,23 @@
 
 def _relief(turn: Turn, model: str, pressure: float) -> bool:
     """Add the copy that takes most of a model's overflow, if it pays."""
-    if pressure <= 0:
+    may_evict = idle_for(turn.now)
+    eviction = find_relief(turn.layout, model, pressure, may_evict)
+    if eviction is None:
         return False
-    best: Eviction | None = None
-    best_gain: float = 0
-    for site in _emptiest(turn.layout, model):
-        least = MIN_GAIN_SHARE * site.slots
-        reach = min(pressure, site.headroom)
-        if reach < max(least, best_gain):
-            break
-        footprint = turn.layout.needs[model].footprint
-        eviction = plan_eviction(
-            turn.layout,
-            site,
-            footprint,
-            idle_for(turn.now),
-        )
-        if eviction is not None and reach - eviction.cost >= max(
-            least,
-            best_gain,
-        ):
-            best, best_gain = eviction, reach - eviction.cost
-    if best is None:
-        return False
-    _place(turn, best, model)
+    _place(turn, eviction, model)
     turn.layout.respread(model)
     return True
 
 
-def _emptiest(layout: Layout, model: str) -> list[Site]:
-    sites = layout.candidates(model)
-    sites.sort(key=lambda site: -site.headroom)
-    return sites[:SITES_TRIED]
+def _shift(turn: Turn) -> None:
+    """Begin to move a sole copy away, so that its target can take more."""
+    if turn.budget <= 0 or turn.now < turn.pace.shift_after:
+        return
+    shift = find_shift(turn.layout, idle_for(turn.now))
+    if shift is not None:
+        turn.pace.shift_after = turn.now + SHIFT_GAP_S
+        _place(turn, shift.eviction, shift.model)
 
 
 def _add_spares(turn: Turn) -> None:
@@ -216,23 +196,6 @@
     return (need.model for need in needs)
 
 
-def _cheapest(
-    layout: Layout,
-    sites: list[Site],
-    model: str,
-    may_evict: MayEvict,
-) -> Eviction | None:
-    footprint = layout.needs[model].footprint
-    evictions = (
-        plan_eviction(layout, site, footprint, may_evict) for site in sites
-    )
-    return min(
-        (eviction for eviction in evictions if eviction is not None),
-        key=lambda one: (bool(one.models), one.cost, -one.site.headroom),
-        default=None,
-    )
-
-
 def _place(turn: Turn, eviction: Eviction, model: str) -> None:
     if not eviction.models:
         _load(turn, eviction.site, model)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -130,3 +130,19 @@
         elif move.action is Action.load:
             free[move.target] -= move.bytes
             assert free[move.target] >= 0
+
+
+def test_a_sole_copy_moves_away_where_its_target_is_wanted():
+    held = {'t': {*'abg'}, 'u': {*'cde'}, 'v': {*'bgf'}}
+    needs = [need('a', 20), need('f', 12), *map(need, 'bcdeg')]
+    pace = Pace()
+    for now in range(100, 120, 2):
+        sites = [site(name, 'z1', sorted(held[name])) for name in held]
+        for action, target, model in moves(sites, needs, pace, now):
+            if action is Action.load:
+                held[target].add(model)
+            else:
+                held[target].remove(model)
+        assert set('abcdefg') <= set().union(*held.values())
+        assert all(len(models) <= 3 for models in held.values())
+    assert 'a' in held['u']
