--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -133,7 +133,7 @@
 
 
 def test_a_sole_copy_moves_away_where_its_target_is_wanted():
-    held = {'t': {*'abg'}, 'u': {*'cde'}, 'v': {*'bgf'}}
+    held = {'t': set('abg'), 'u': set('cde'), 'v': set('bgf')}
     needs = [need('a', 20), need('f', 12), *map(need, 'bcdeg')]
     pace = Pace()
     for now in range(100, 120, 2):
