A relayed record that is no JSON closes its connection and no more

Seen failing first: test_a_relayed_record_that_is_no_json_is_a_malformed_frame got msgspec's DecodeError, which would have left the connection's task and ended the process. Ruled out: damaged frames, which wire.decode refuses. Now it is a MalformedFrameError, which is counted and logged.

--- a/ebonywell/relay.py
+++ b/ebonywell/relay.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from . import wire
-from .exceptions import RecordError
+from .exceptions import MalformedFrameError, RecordError
 from .logs import Logger
 from .peers import Peers
 from .replica import Replica
@@ -75,8 +75,7 @@
         for record in message.records:
             # Another reply or the log itself may have been quicker.
             if record.offset == self.replica.state.applied + 1:
-                parsed = msgspec.json.decode(record.content)
-                self.replica.take(record.offset, parsed)
+                self.replica.take(record.offset, _parse(record))
         self._note_gain(sender, before)
 
     def _take_state(self, sender: HostId, message: wire.StateCopy) -> None:
@@ -100,3 +99,10 @@
         else:
             self.peers.send(sender.name, wire.Fetch(applied + 1))
         self.replica.notify()
+
+
+def _parse(record: wire.LogRecord) -> object:
+    try:
+        return msgspec.json.decode(record.content)
+    except msgspec.MsgspecError as error:
+        raise MalformedFrameError(f'record: {error}') from error
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from ebonywell import changes
+from ebonywell import changes, wire
+from ebonywell.exceptions import MalformedFrameError
 from lab.limits_fleet import Fleet
 
 NAMES = ['h0', 'h1', 'h2', 'h3', 'h4']
@@ -125,3 +126,10 @@
     fleet.cuts.clear()
     fleet.run_until(70)
     assert 'h0' in fleet.hosts['h1'].replica.state.registry.members
+
+
+def test_a_relayed_record_that_is_no_json_is_a_malformed_frame(fleet):
+    host = fleet.hosts['h0']
+    broken = wire.LogRecord(host.replica.state.applied + 1, b'{')
+    with pytest.raises(MalformedFrameError):
+        host.peers.handle_message(host.id, wire.LogRecords((broken,)))
