--- a/ebonywell/assembly.py
+++ b/ebonywell/assembly.py
@@ -13,6 +13,7 @@
 from .checkpointer import Checkpointer
 from .config import Settings
 from .fleet import Announcer, Fleet
+from .gauges import add_sources, note_calls
 from .kernel import Kernel
 from .logclient import LogClient
 from .logs import Logger, bind, write_event
@@ -62,6 +63,7 @@
     fleet = _add_fleet(kernel, settings, host, replica)
     _add_control(kernel, settings)
     _add_requests(kernel, settings, fleet)
+    _add_metrics(kernel)
     _add_edge(kernel, settings, fleet)
     return kernel
 
@@ -139,6 +141,20 @@
     )
 
 
+def _add_metrics(kernel: Kernel) -> None:
+    timeline = kernel.find(TIMELINE, Timeline)
+    metrics = kernel.find(METRICS, Metrics)
+    calls = kernel.find(CALLS, Calls)
+    calls.note_ended = note_calls(timeline, metrics)
+    add_sources(
+        metrics,
+        timeline,
+        kernel.find(REPLICA, Replica),
+        kernel.find(PEERS, Peers),
+        calls,
+    )
+
+
 def _add_edge(kernel: Kernel, settings: Settings, fleet: Fleet) -> None:
     replica = kernel.find(REPLICA, Replica)
     operations = Operations(
--- a/ebonywell/calls.py
+++ b/ebonywell/calls.py
@@ -27,6 +27,7 @@
 
 Settle = Callable[[int], None]
 Reserve = Callable[[Call], Awaitable[Settle]]
+NoteEnded = Callable[[OpenCall, Reply, float], None]
 
 
 class Calls:
@@ -41,6 +42,9 @@
         what settles them.
     tries : Tries
     once : OnceCalls
+    note_ended : callable
+        Called with each call that has ended, its reply, and how long it
+        took, in seconds.
     claimed : dict of str to OpenCall
         Calls that may not be repeated and that run now, by request id.
     """
@@ -56,6 +60,7 @@
         self.once = once
         self.reserve = reserve
         self.log = log
+        self.note_ended: NoteEnded = _note_nothing
         self.open: dict[str, OpenCall] = {}
         self.claimed: dict[str, OpenCall] = {}
         sender, receiver = anyio.create_memory_object_stream[ClaimedRun](
@@ -79,6 +84,7 @@
     async def answer(self, call: Call, reply: Reply) -> None:
         """Run a call to its end and send the caller its answer."""
         opened = OpenCall(call)
+        began = anyio.current_time()
         self.open[call.request_id] = opened
         opened.scope.deadline = call.deadline
         try:
@@ -88,6 +94,7 @@
                 await reply.refuse(_cut_refusal(opened))
         finally:
             self.open.pop(call.request_id, None)
+            self.note_ended(opened, reply, anyio.current_time() - began)
 
     def cut(self, is_cut: Callable[[Call], bool], refusal: Refusal) -> int:
         """Cut the open calls that a test picks, and say how many.
@@ -197,6 +204,10 @@
             run.claim.is_handed = opened.is_handed
 
 
+def _note_nothing(opened: OpenCall, reply: Reply, seconds: float) -> None:
+    """Note nothing of a call that has ended."""
+
+
 def _check_may_run(call: Call) -> None:
     if not is_repeatable(call) and not call.idempotency_key:
         raise refuse(
--- a/ebonywell/reply.py
+++ b/ebonywell/reply.py
@@ -19,6 +19,8 @@
         ASGI's.
     request_id : str
         Sent with every answer.
+    status : int
+        The HTTP status sent; 0 before.
     is_started : bool
         Whether the caller has been sent anything.
     is_events : bool
@@ -30,6 +32,7 @@
     def __init__(self, send: Send, request_id: str, headers: Headers) -> None:
         self.send = send
         self.request_id = request_id
+        self.status = 0
         self.is_started = False
         self.is_events = False
         self.headers = [*headers, (b'x-request-id', request_id.encode())]
@@ -78,6 +81,7 @@
 
     async def _start(self, status: int, headers: Headers) -> None:
         self.is_started = True
+        self.status = status
         await self.send(
             {
                 'type': 'http.response.start',
--- a/ebonywell/timeline.py
+++ b/ebonywell/timeline.py
@@ -1,7 +1,7 @@
 """The time line: a bounded record of the latest events of one process."""
 
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 
 import anyio
@@ -84,6 +84,8 @@
         Bounded: the oldest go first.
     recorded : int
         How many events there have been, kept or not.
+    counts : Counter of str
+        How many there have been of each name.
     latest_at : float
         The time of the latest event, in seconds since the epoch.
     """
@@ -100,6 +102,7 @@
         self.wall_clock = wall_clock
         self.events: deque[Event] = deque(maxlen=capacity)
         self.recorded = 0
+        self.counts: Counter[str] = Counter()
         self.latest_at: float = 0
 
     async def run(self, ready: Callable[[], None]) -> None:
@@ -133,6 +136,7 @@
         """
         named = {'request': request, 'workspace': workspace, 'target': target}
         self.recorded += 1
+        self.counts[event] += 1
         self.latest_at = max(self.latest_at, self.wall_clock())
         self.events.append(
             Event(
--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -7,7 +7,11 @@
 import cyclopts
 
 from .capacity_links import measure_links
-from .capacity_placement import measure_placement, measure_routing
+from .capacity_placement import (
+    measure_picks,
+    measure_placement,
+    measure_routing,
+)
 from .capacity_process import measure_processes
 from .capacity_state import measure_state
 from .slopes import Row, fit_all, format_rows, format_slopes
@@ -22,6 +26,7 @@
         *measure_state(),
         *measure_placement(),
         *measure_routing(),
+        *measure_picks(),
         *anyio.run(measure_links),
         *anyio.run(measure_processes),
     ]
--- a/lab/capacity_placement.py
+++ b/lab/capacity_placement.py
@@ -3,15 +3,26 @@
 import random
 from functools import partial
 
+from ebonywell.changes import Entry
 from ebonywell.layout import Copy, Layout, Need, Site
+from ebonywell.messages import Call
 from ebonywell.moves import Pace
 from ebonywell.placement import decide
+from ebonywell.placing import Placer
 from ebonywell.routing import (
     Candidate,
     Choose,
     choose_by_prefix,
     choose_of_two,
 )
+from ebonywell.targets import (
+    ListedHost,
+    Report,
+    ResidentModel,
+    Target,
+    TargetTable,
+)
+from ebonywell.types import EntryKind
 
 from .slopes import Row, least_seconds
 
@@ -24,6 +35,7 @@
 CANDIDATE_COUNTS = (8, 32, 128, 512)
 CHOICES = 200
 REPEATS = 3
+PICKS = 20
 
 
 def make_layout(sites: int, seed: int = 1) -> Layout:
@@ -86,3 +98,54 @@
 ) -> None:
     for _ in range(CHOICES):
         choose(candidates, b'prefix', rng)
+
+
+def measure_picks() -> list[Row]:
+    """Return the CPU time to pick a target, by the number of targets."""
+    rows = []
+    for count in SITE_COUNTS:
+        placer = Placer(_make_targets(count), 'zone-0', float, random.Random(1))
+        call = _make_call()
+        spent = least_seconds(partial(_pick, placer, call))
+        rows.append(Row('routing: one pick', count, spent / PICKS, 's'))
+    return rows
+
+
+def _make_targets(count: int) -> TargetTable:
+    table = TargetTable()
+    models = max(count // SITES_A_MODEL, 1)
+    for number in range(count):
+        name = f'engine-{number}'
+        resident = ResidentModel(f'model-{number % models}', 1, 'ready')
+        table.by_name[name] = Target(
+            ListedHost(name, 'engine', '', f'zone-{number % 20}'),
+            Report(name, 'a', max_running=PICKS * 10, models=(resident,)),
+        )
+    return table
+
+
+def _make_call() -> Call:
+    entry = Entry('model-0', EntryKind.model)
+    return Call(
+        request_id='r',
+        workspace='w',
+        key_digest='',
+        entry=entry,
+        adapter='',
+        method='POST',
+        path='/',
+        headers=[],
+        body=b'{}',
+        is_streamed=False,
+        prompt_tokens=1,
+        tokens=1,
+        idempotency_key='',
+        digest='',
+        deadline=1,
+    )
+
+
+def _pick(placer: Placer, call: Call) -> None:
+    for _ in range(PICKS):
+        if placer.pick(call, frozenset()) is None:
+            raise LookupError('no target picked')
--- a/lab/measure.py
+++ b/lab/measure.py
@@ -33,6 +33,7 @@
     'placement_bench',
     'requests_bench',
     'state_bench',
+    'configuration_bench',
     'capacity',
 )
 SCRIPT_TIMEOUT_S = 180.0
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,60 @@
+"""The pages say what the code does: settings, error codes, events, terms."""
+
+import configparser
+import re
+from pathlib import Path
+
+import pytest
+
+from lab import pages
+
+DOCS = Path('docs')
+
+
+@pytest.fixture
+def operators():
+    """Read the operators' page."""
+    return pages.OPERATORS.read_text()
+
+
+def test_the_settings_table_is_that_of_the_code(operators):
+    assert pages.with_settings(operators) == operators
+
+
+def test_every_event_is_explained(operators):
+    events = pages.event_names()
+    assert {'call_refused', 'log_gap', 'order_intended'} <= events
+    missing = {name for name in events if f'`{name}`' not in operators}
+    assert missing == set()
+
+
+@pytest.mark.parametrize('page', ['OPERATORS.md', 'CALLERS.md'])
+def test_every_error_code_is_explained(page):
+    codes = pages.error_codes()
+    assert {'key_withdrawn', 'targets_failing', 'method_unknown'} <= codes
+    if page == 'CALLERS.md':
+        codes -= {'operator_token', 'bad_change', 'bad_query', 'conflict'}
+        codes -= {'log_outage', 'too_large'}
+    text = (DOCS / page).read_text()
+    missing = {code for code in codes if f'`{code}`' not in text}
+    assert missing == set()
+
+
+def test_every_rule_that_is_left_out_has_its_reason():
+    setup = configparser.ConfigParser()
+    setup.read('setup.cfg')
+    left_out = set(re.findall(r'(?:WPS|C)\d{3}', setup['flake8']['ignore']))
+    left_out |= set(
+        re.findall(r'(?:WPS|C)\d{3}', setup['flake8']['per-file-ignores']),
+    )
+    style = (DOCS / 'STYLE.md').read_text()
+    assert left_out
+    missing = {rule for rule in left_out if rule not in style}
+    assert missing == set()
+
+
+def test_links_between_pages_lead_somewhere():
+    written = [Path('README.md'), *DOCS.rglob('*.md')]
+    for page in written:
+        for link in re.findall(r'\]\((?!http)([^)#]+)', page.read_text()):
+            assert (page.parent / link).exists(), f'{page}: {link}'
