A host that was frozen passes no answer on before it is up to date

Cause: an entry process stopped by SIGSTOP for 6 s with a call in flight found the target's answer in its socket when it resumed, and passed it on before it had read the log, in which the caller's key had been withdrawn 7.8 s earlier. Ruled out: new calls (they are checked on arrival) and the cutting of open calls (it follows the log, which had not been read yet).

Each part of an answer is now sent only while the host is up to date; the caller is told host_out_of_date with run_state unknown.

--- a/ebonywell/reply.py
+++ b/ebonywell/reply.py
@@ -3,7 +3,14 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
-from .answers import Refusal, encode_event, encode_refusal, refusal_headers
+from .answers import (
+    Refusal,
+    RefusedError,
+    encode_event,
+    encode_refusal,
+    refusal_headers,
+    unknown,
+)
 from .types import RunState
 
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
@@ -27,6 +34,10 @@
         Whether the answer is a stream of events.
     headers : list of (bytes, bytes)
         Added to every answer.
+    check : callable
+        Raises RefusedError while the host may be out of date. A host that was
+        frozen may find an answer in its sockets whose caller's key has been
+        withdrawn meanwhile, so it is asked before each part is sent.
     """
 
     def __init__(self, send: Send, request_id: str, headers: Headers) -> None:
@@ -36,20 +47,40 @@
         self.is_started = False
         self.is_events = False
         self.headers = [*headers, (b'x-request-id', request_id.encode())]
+        self.check: Callable[[], None] = _check_nothing
 
     async def whole(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer."""
-        length = (b'content-length', str(len(body)).encode())
-        await self._start(status, [*headers, length])
-        await self._send_body(body, has_more=False)
+        """Send a whole answer.
+
+        Raises
+        ------
+        RefusedError
+            If the host may be out of date; nothing has been sent then.
+        """
+        self._check_current()
+        await self._send_whole(status, headers, body)
 
     async def start_events(self, status: int, headers: Headers) -> None:
-        """Begin an answer that is a stream of events."""
+        """Begin an answer that is a stream of events.
+
+        Raises
+        ------
+        RefusedError
+            As for a whole answer.
+        """
+        self._check_current()
         self.is_events = True
         await self._start(status, headers)
 
     async def chunk(self, part: bytes) -> None:
-        """Send a part of a streamed answer."""
+        """Send a part of a streamed answer.
+
+        Raises
+        ------
+        RefusedError
+            If the host may be out of date; the part has not been sent then.
+        """
+        self._check_current()
         await self._send_body(part, has_more=True)
 
     async def end(self) -> None:
@@ -63,7 +94,7 @@
         left without its end, so that the caller's library reports it as cut.
         """
         if not self.is_started:
-            await self.whole(
+            await self._send_whole(
                 refusal.status,
                 refusal_headers(refusal),
                 encode_refusal(refusal, self.request_id),
@@ -76,9 +107,31 @@
                 RunState.ran,
                 refusal.retry_after_s,
             )
-            await self.chunk(encode_event(cut, self.request_id))
+            event = encode_event(cut, self.request_id)
+            await self._send_body(event, has_more=True)
             await self.end()
 
+    def _check_current(self) -> None:
+        try:
+            self.check()
+        except RefusedError as refused:
+            raise unknown(
+                refused.refusal.code,
+                refused.refusal.status,
+                'This host lost touch while the call ran.',
+                refused.refusal.retry_after_s,
+            ) from refused
+
+    async def _send_whole(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        length = (b'content-length', str(len(body)).encode())
+        await self._start(status, [*headers, length])
+        await self._send_body(body, has_more=False)
+
     async def _start(self, status: int, headers: Headers) -> None:
         self.is_started = True
         self.status = status
@@ -98,3 +151,7 @@
                 'more_body': has_more,
             }
         )
+
+
+def _check_nothing() -> None:
+    """Take the host to be up to date."""
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -66,6 +66,7 @@
     ) -> None:
         """Answer as ASGI asks."""
         reply = Reply(send, new_id(), self.web.answer_headers())
+        reply.check = self.web.check_serving
         try:
             call = await self._read_call(reply.request_id)
         except RefusedError as refused:
