--- a/lab/measure.py
+++ b/lab/measure.py
@@ -182,6 +182,8 @@
     if result.script == 'capacity':
         plots.draw_budgets(result.rows, OUTPUT / 'capacity_budgets.png')
         plots.draw_kinds(result.rows, OUTPUT / 'capacity_kinds.png')
+    elif result.rows and 'what' in result.rows[0]:
+        plots.draw_things(result.rows, OUTPUT / f'{result.script}.png')
     elif result.rows:
         plots.draw_columns(result.rows, OUTPUT / f'{result.script}.png')
 
--- a/lab/plots.py
+++ b/lab/plots.py
@@ -149,6 +149,40 @@
     _save(figure, path)
 
 
+def draw_things(table: Table, path: Path) -> None:
+    """Draw a panel of bars for each thing measured in a table of rows."""
+    names = list(dict.fromkeys(str(row['what']) for row in table))
+    across = min(len(names), MAX_COLUMNS)
+    down = -(-len(names) // across)
+    figure, axes = plt.subplots(
+        down,
+        across,
+        figsize=(PANEL_INCHES[0] * across, PANEL_INCHES[1] * down),
+        layout='constrained',
+        squeeze=False,
+    )
+    for axis, name in zip(axes.flat, names, strict=False):
+        rows = [row for row in table if row['what'] == name]
+        _bars(
+            axis,
+            [_label_case(row) for row in rows],
+            [float(row['value']) for row in rows],
+        )
+        unit = rows[0].get('unit', '')
+        _style(axis, f'{name} {unit}')
+    for unused in axes.flat[len(names) :]:
+        unused.set_visible(False)
+    figure.suptitle(path.stem.replace('_', ' '), color=INK, fontsize=14)
+    _save(figure, path)
+
+
+def _label_case(row: dict[str, object]) -> str:
+    hidden = {'what', 'value', 'unit'}
+    return ', '.join(
+        str(cell) for name, cell in row.items() if name not in hidden
+    )
+
+
 def _label(row: dict[str, object]) -> str:
     words = [str(cell) for cell in row.values() if isinstance(cell, str)]
     return ', '.join(words)
