--- a/lab/faults.py
+++ b/lab/faults.py
@@ -32,6 +32,8 @@
 CUT_S = 3.0
 DRAIN_S = 6.0
 SETTLE_S = 1.0
+# What a host that was lost may take to be left out of the limits.
+RECOVERY_S = 15.0
 SLOW_S = 0.3
 IN_FORCE_S = 6.0
 OPERATORS = 3
@@ -211,6 +213,24 @@
         trial.history.steps.append(Step(action.__name__, began_at, now()))
 
 
+async def run_double_loss(seed: int) -> History:
+    """Lose a host for good just as an expelled one comes back."""
+    async with run_trial(seed, Shape()) as trial:
+        lost, frozen, _ = trial.deployment.entries.values()
+        frozen.send_signal(signal.SIGSTOP)
+        await anyio.sleep(FREEZE_S)
+        frozen.send_signal(signal.SIGCONT)
+        lost.send_signal(signal.SIGKILL)
+        await lost.process.wait()
+        await trial.deployment.start_entry(lost.name, is_elsewhere=True)
+        await anyio.sleep(RECOVERY_S)
+        step = Step('recovered', now(), now() + SETTLE_S)
+        await anyio.sleep(SETTLE_S)
+        trial.history.steps.append(step)
+        # It is completed on leaving the context.
+        return trial.history
+
+
 async def run_replacement(seed: int) -> History:
     """Replace all entry processes one after another by SIGTERM under load."""
     async with run_trial(seed, Shape()) as trial:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -159,3 +159,15 @@
     history = anyio.run(faults.run_replacement, 1)
     assert find_faults(history) == []
     assert len(history.stops) == 3
+
+
+def test_a_host_is_lost_as_an_expelled_one_comes_back():
+    history = anyio.run(faults.run_double_loss, 1)
+    assert find_faults(history) == []
+    recovered = history.steps[-1].began_at
+    codes = {
+        seen.code
+        for seen in history.observations
+        if seen.started_at > recovered
+    }
+    assert 'workspace_limit' not in codes, faults.describe(history)
