--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -170,4 +170,4 @@
         for seen in history.observations
         if seen.started_at > recovered
     }
-    assert 'workspace_limit' not in codes, faults.describe(history)
+    assert codes == {''}, faults.describe(history)
