--- a/ebonywell/onceonly.py
+++ b/ebonywell/onceonly.py
@@ -14,6 +14,8 @@
 LONGEST_CALL_S = 900.0
 EXPIRY_GAP_S = 60.0
 MAX_CALLS = 100_000
+# Hex digits of a digest: 128 bits, which nobody finds twice.
+KEPT_DIGITS = 32
 MAX_BODY_BYTES = 65_536
 MAX_KEPT_BYTES = 16_777_216
 
@@ -96,7 +98,9 @@
     Attributes
     ----------
     claim_id : str
+        Empty once settled.
     request_digest : str
+        Its first `KEPT_DIGITS` digits.
     host : str
         The claimant's name and incarnation.
     claimed_s : float
@@ -152,7 +156,8 @@
 
 def call_key(workspace: str, idempotency_key: str) -> str:
     """Return the key by which a call and its repeats are known."""
-    return request_digest(workspace.encode(), idempotency_key.encode())
+    digest = request_digest(workspace.encode(), idempotency_key.encode())
+    return digest[:KEPT_DIGITS]
 
 
 def judge(
@@ -176,7 +181,7 @@
     call = table.calls.get(key)
     if call is None:
         return Verdict.unclaimed
-    if call.request_digest != digest:
+    if call.request_digest != digest[:KEPT_DIGITS]:
         return Verdict.conflict
     if call.is_settled:
         return Verdict.unknown if call.outcome is None else Verdict.finished
@@ -238,7 +243,7 @@
         return False
     table.calls[record.call_key] = ClaimedCall(
         record.claim_id,
-        record.request_digest,
+        record.request_digest[:KEPT_DIGITS],
         sys.intern(record.host),
         table.now_s,
     )
@@ -250,6 +255,7 @@
     if call is None or not _is_open(call, record.claim_id):
         return False
     call.is_settled = True
+    call.claim_id = ''
     call.outcome = record.outcome
     if record.outcome is not None and record.outcome.body:
         table.kept[record.call_key] = len(record.outcome.body)
--- a/lab/requests_bench.py
+++ b/lab/requests_bench.py
@@ -42,6 +42,8 @@
 PICKS = 2000
 WORKSPACES = 100
 WAITING = 2000
+LARGE = 480
+SMALL = 20
 _PERCENT = 100
 _MILLI = 1e3
 _MICRO = 1e6
@@ -105,6 +107,43 @@
     return rows
 
 
+def measure_fairness() -> list[RequestRow]:
+    """Return when a small workspace is served beside a large one."""
+    rows = []
+    for case, is_fair in (('in order of arrival', False), ('fair', True)):
+        queue: FairQueue[Waiting] = FairQueue()
+        order: list[str] = []
+        for workspace, count in (('large', LARGE), ('small', SMALL)):
+            for _ in range(count):
+                flow = workspace if is_fair else 'all'
+                queue.push(Waiting(flow, 1, workspace, False, 1))
+        for _ in range(LARGE + SMALL):
+            served = queue.pop(lambda waiting: True)
+            if served is not None:
+                order.append(served.entry)
+        places = [
+            place for place, name in enumerate(order, 1) if name == 'small'
+        ]
+        rows.append(
+            RequestRow('last small call served', case, max(places), 'th')
+        )
+    return rows
+
+
+def measure_batch() -> list[RequestRow]:
+    """Return what batch calls get while interactive ones always wait."""
+    queue: FairQueue[Waiting] = FairQueue()
+    for _ in range(LARGE):
+        queue.push(Waiting('a', 1, 'quote', False, 1))
+        queue.push(Waiting('b', 1, 'night', True, 1))
+    served = [queue.pop(lambda waiting: True) for _ in range(LARGE)]
+    batch = sum(one is not None and one.is_batch for one in served)
+    share = batch / LARGE * _PERCENT
+    return [
+        RequestRow('batch part of service', 'beside interactive', share, '%')
+    ]
+
+
 def measure_tables() -> list[RequestRow]:
     """Return the memory of the tables that grow with requests."""
     rows = [
@@ -144,6 +183,8 @@
     return [
         *measure_routing(seed),
         *measure_trials(seed),
+        *measure_fairness(),
+        *measure_batch(),
         *measure_tables(),
         *measure_decisions(seed),
     ]
