An order refused in a known outage is not_run, as the other hosts confirm

Since appends fail at once in an outage, the other hosts had no time to say that they knew of no claim, and the refusal said unknown. Seen red first (test_without_the_log_an_order_is_not_run_and_lookups_go_on, second order); green after waiting up to 1.5 s for the heartbeats. Ruled out: a host behind the log (all three had the same offset).

--- a/ebonywell/oncecalls.py
+++ b/ebonywell/oncecalls.py
@@ -26,6 +26,9 @@
 from .types import RunState, new_id
 
 ASK_AGAIN_S = 1.0
+# Two heartbeats there and back, and some for a busy machine.
+CURRENT_WAIT_S = 1.5
+CURRENT_POLL_S = 0.05
 MAX_GIVEN_UP = 10_000
 _STATUS_CONFLICT = 409
 _STATUS_GONE = 410
@@ -148,10 +151,11 @@
             ticket = await self.replica.append(record)
         except LogOutageError as outage:
             self._give_up(record)
+            is_current = await self._become_current(arrived_at)
             # Another host's claim may have been read in the meantime.
             known = self._find_outcome(request)
             if known is None:
-                raise self._refuse_unlogged(request, arrived_at) from outage
+                raise self._refuse_unlogged(request, is_current) from outage
             return known
         except BaseException:
             # Cancelled: the claim may stand in the log without being run.
@@ -197,14 +201,22 @@
             raise _unkept_refusal(outcome)
         return outcome
 
+    async def _become_current(self, since: float) -> bool:
+        late_at = anyio.current_time() + CURRENT_WAIT_S
+        while not self.is_current(since):
+            if anyio.current_time() >= late_at:
+                return False
+            await anyio.sleep(CURRENT_POLL_S)
+        return True
+
     def _refuse_unlogged(
         self,
         request: OnceRequest,
-        arrived_at: float,
+        is_current: bool,
     ) -> RefusedError:
         self.log('claim_unanswered', entry=request.entry)
         # Another host may have run the same call while this one was cut off.
-        make = refuse if self.is_current(arrived_at) else unknown
+        make = refuse if is_current else unknown
         return make(
             'log_unavailable',
             _STATUS_UNAVAILABLE,
--- a/tests/test_requests_processes.py
+++ b/tests/test_requests_processes.py
@@ -110,6 +110,9 @@
         assert (status, error['run_state']) == (503, 'not_run')
         assert error['retry_after_s'] > 0
         assert (await site.chat('price?'))[0] == 200
+        # Now the hosts know of the outage, and refuse without an append.
+        status, error, _ = await site.order('later', 1)
+        assert (status, error['run_state']) == (503, 'not_run')
         assert await site.runs('down') == 0
         await site.deployment.clear_faults('log')
         await anyio.sleep(3)
