--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -4,9 +4,11 @@
 before it is committed.
 """
 
+import functools
 import os
 from pathlib import Path
 
+import anyio
 import pytest
 from anyio.from_thread import start_blocking_portal
 
@@ -87,14 +89,16 @@
 
 
 @pytest.fixture
-def check(portal, running):
+def check(request, portal, running):
     """Run a session and compare its transcript with its golden file."""
 
     def check_session(name, story):
         transcript = Transcript(running.deployment, running.keys)
         portal.call(story, transcript, running)
         path = GOLDEN / f'{name}.txt'
-        if os.environ.get('EBONYWELL_WRITE_GOLDEN'):
+        # What a known red test sees now is wrong; its file says what is right.
+        is_red = request.node.get_closest_marker('xfail') is not None
+        if os.environ.get('EBONYWELL_WRITE_GOLDEN') and not is_red:
             path.write_text(transcript.text())
         assert transcript.text() == path.read_text()
 
@@ -185,6 +189,50 @@
     await session.ask('counter', 'GET', STOCK, x_trace=key)
 
 
+async def order_cut_after_its_run(session, running):
+    await running.deployment.set_fault('orders-1', 'cut_after_run', count=1)
+    session.note('the service runs the order and closes with no answer')
+    once = {'idempotency_key': 'order-2'}
+    await session.ask('counter', 'POST', CUT, ORDER, **once)
+    await session.ask('counter', 'POST', CUT, ORDER, **once)
+
+
+async def order_still_running(session, running):
+    await running.deployment.set_fault('orders-1', 'slow', seconds=2)
+    once = {'idempotency_key': 'order-3'}
+    first = Transcript(running.deployment, running.keys)
+    before = len(await running.deployment.read_journal('orders-1'))
+
+    async def is_running():
+        journal = await running.deployment.read_journal('orders-1')
+        return len(journal) > before
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(
+            functools.partial(first.ask, 'counter', 'POST', CUT, ORDER, **once)
+        )
+        await wait_until(is_running, 'the order runs')
+        session.note('the same order runs already')
+        await session.ask('counter', 'POST', CUT, ORDER, **once)
+    await running.deployment.clear_faults('orders-1')
+    session.note('that one has ended')
+    await session.ask('counter', 'POST', CUT, ORDER, **once)
+
+
+async def log_outage(session, running):
+    await running.deployment.set_fault('log', 'outage')
+    session.note('the log service is down')
+    once = {'idempotency_key': 'order-4'}
+    try:
+        await session.ask('counter', 'POST', CUT, ORDER, **once)
+        session.note('calls that may be repeated go on')
+        await session.ask('counter', 'GET', STOCK)
+    finally:
+        await running.deployment.clear_faults('log')
+    session.note('the log service is up again')
+    await session.ask('counter', 'POST', CUT, ORDER, **once)
+
+
 @pytest.mark.parametrize(
     'story',
     [
@@ -198,6 +246,9 @@
         order_sent_again,
         withdrawn_mid_stream,
         stream_cut_by_engine,
+        order_cut_after_its_run,
+        order_still_running,
+        log_outage,
     ],
     ids=lambda story: story.__name__,
 )
