--- a/ebonywell/limits.py
+++ b/ebonywell/limits.py
@@ -7,18 +7,20 @@
 from . import ledger as books
 from . import lending, wire
 from .answers import RefusedError, refuse
-from .changes import WorkspaceSet
+from .changes import Workspace, WorkspaceSet
 from .ledger import Ledger
 from .logs import Logger
 from .membership import Membership
 from .peers import Peers
 from .records import Record
+from .registry import EpochSettled
 from .replica import Replica
 from .shares import Account, Reservation, Waiter, refund
 from .types import HostId
 
 TICK_S = 0.1
 WAITING_TICK_S = 0.02
+READY_WAIT_S = 5.0
 _STATUS_LIMITED = 429
 _STATUS_STALE = 503
 _STALE_RETRY_S = 1.0
@@ -51,13 +53,22 @@
         self.ledger = Ledger(host.name, str(host), self._send)
         self.refused = 0
         replica.watchers.append(self._note_record)
+        replica.adopters.append(self._note_adopted)
         peers.add_handler(wire.Transfers, self._take)
 
     async def run(self, ready: Callable[[], None]) -> None:
-        """Move tokens to where they are asked for, until cancelled."""
-        ready()
+        """Move tokens to where they are asked for, until cancelled.
+
+        Ready once this host has its share, or soon after if it gets none
+        because the log is down.
+        """
+        ready_at = self.clock() + READY_WAIT_S
+        is_ready = False
         while True:
             now = self.follow()
+            if not is_ready and (self.ledger.grown or now > ready_at):
+                is_ready = True
+                ready()
             lending.tick(self.ledger, now)
             is_waiting = any(
                 self.ledger.accounts[name].waiters
@@ -124,10 +135,18 @@
         Raises
         ------
         RefusedError
-            If this host may be out of date or there is no such workspace.
+            If this host may be out of date, has no share of the limits, or
+            there is no such workspace.
         """
         if self.membership.is_stale(now):
             raise stale_refusal()
+        if not self.ledger.members:
+            raise refuse(
+                'host_not_registered',
+                _STATUS_STALE,
+                'This host has no share of the limits yet.',
+                _STALE_RETRY_S,
+            )
         limit = self.replica.state.catalogue.workspaces.get(workspace)
         if limit is None:
             raise refuse(
@@ -182,11 +201,22 @@
     def _take(self, sender: HostId, message: wire.Transfers) -> None:
         lending.take(self.ledger, sender.name, message, self.follow())
 
+    def _note_adopted(self) -> None:
+        if self.replica.state.registry.epoch != self.ledger.epoch:
+            books.forfeit(self.ledger, self.clock())
+
     def _note_record(self, _: int, record: Record, counted: bool) -> None:
-        if not counted or not isinstance(record.body, WorkspaceSet):
-            return
-        limit = record.body.workspace
+        # No epoch may be skipped: the share of this host may have been less
+        # in one that a page of records passes over.
         now = self.follow()
+        if not counted:
+            return
+        if isinstance(record.body, EpochSettled):
+            books.endow_pending(self.ledger)
+        elif isinstance(record.body, WorkspaceSet):
+            self._open_new(record.body.workspace, now)
+
+    def _open_new(self, limit: Workspace, now: float) -> None:
         is_new = limit.name not in self.ledger.accounts
         account = books.open_account(
             self.ledger,
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -67,6 +67,18 @@
 
         await wait_until(is_served, 'the engine serves again')
 
+    async def wait_until_recorded(self):
+        url = f'{self.deployment.entry_urls()[0]}{CUT}'
+        headers = bearer(self.keys['counter']) | {'idempotency-key': 'probe'}
+
+        async def is_recorded():
+            answer = await self.deployment.client.ask(
+                'POST', url, headers, ORDER
+            )
+            return answer.status == 200
+
+        await wait_until(is_recorded, 'orders are recorded again')
+
     async def withdraw(self, name):
         await self.deployment.operator.withdraw_key(self.key_ids[name])
 
@@ -229,6 +241,7 @@
         await session.ask('counter', 'GET', STOCK)
     finally:
         await running.deployment.clear_faults('log')
+    await running.wait_until_recorded()
     session.note('the log service is up again')
     await session.ask('counter', 'POST', CUT, ORDER, **once)
 
