--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -158,3 +158,29 @@
         assert len(world.serving()) == 4
 
     play(story, world)
+
+
+def test_a_target_that_answers_no_order_keeps_no_model_from_serving(world):
+    async def story(world, group):
+        world.engines[0].drops = 10**6
+        planner, _ = await world.start(group, 'a')
+        await world.set_models(planner, 8, 20)
+        await anyio.sleep(60)
+        assert len(world.serving()) == 8
+
+    play(story, world)
+
+
+def test_a_target_that_misses_a_report_costs_no_move(world):
+    async def story(world, group):
+        planner, _ = await world.start(group, 'a')
+        await world.set_models(planner, 10, 20)
+        await anyio.sleep(20)
+        before = [dict(engine.models) for engine in world.engines]
+        world.engines[1].is_dead = True
+        await anyio.sleep(1.5)
+        world.engines[1].is_dead = False
+        await anyio.sleep(2)
+        assert before == [engine.models for engine in world.engines]
+
+    play(story, world)
