--- a/ebonywell/oncecalls.py
+++ b/ebonywell/oncecalls.py
@@ -25,9 +25,6 @@
 from .state import State
 from .types import RunState, new_id
 
-# A little longer than the gap between two heartbeats.
-EVIDENCE_WAIT_S = 0.7
-EVIDENCE_POLL_S = 0.05
 ASK_AGAIN_S = 1.0
 # Two heartbeats there and back, and some for a busy machine.
 CURRENT_WAIT_S = 1.5
@@ -154,11 +151,7 @@
             ticket = await self.replica.append(record)
         except LogOutageError as outage:
             self._give_up(record)
-<<<<<<< HEAD
-            is_current = await self._wait_current(arrived_at)
-=======
             is_current = await self._become_current(arrived_at)
->>>>>>> main
             # Another host's claim may have been read in the meantime.
             known = self._find_outcome(request)
             if known is None:
@@ -208,15 +201,6 @@
             raise _unkept_refusal(outcome)
         return outcome
 
-<<<<<<< HEAD
-    async def _wait_current(self, arrived_at: float) -> bool:
-        # Another host may have run the same call while this one was cut off.
-        # The peers' next heartbeats can rule that out.
-        with anyio.move_on_after(EVIDENCE_WAIT_S):
-            while not self.is_current(arrived_at):
-                await anyio.sleep(EVIDENCE_POLL_S)
-        return self.is_current(arrived_at)
-=======
     async def _become_current(self, since: float) -> bool:
         late_at = anyio.current_time() + CURRENT_WAIT_S
         while not self.is_current(since):
@@ -224,7 +208,6 @@
                 return False
             await anyio.sleep(CURRENT_POLL_S)
         return True
->>>>>>> main
 
     def _refuse_unlogged(
         self,
@@ -232,10 +215,7 @@
         is_current: bool,
     ) -> RefusedError:
         self.log('claim_unanswered', entry=request.entry)
-<<<<<<< HEAD
-=======
         # Another host may have run the same call while this one was cut off.
->>>>>>> main
         make = refuse if is_current else unknown
         return make(
             'log_unavailable',
