A withdrawal passes from peer to peer without the log; operators can say that a host has ended; hosts that are not registered are not named to callers

Before: with the log down a key could not be stopped at all (the hook was there, nothing was connected to it). An expelled host that has come back is left out of GET /v1/hosts until it is registered again.

--- a/ebonywell/assembly.py
+++ b/ebonywell/assembly.py
@@ -8,7 +8,6 @@
 from collections.abc import Mapping
 from typing import Any
 
-from . import changes
 from .calls import Calls
 from .checkpointer import Checkpointer
 from .config import Settings
@@ -21,7 +20,6 @@
 from .operations import Operations
 from .peers import Peers
 from .planner import Planner
-from .records import Record
 from .replica import Replica
 from .requests import Requests
 from .targets import Targets
@@ -29,6 +27,7 @@
 from .types import HostId
 from .usage import Usage
 from .web import Web
+from .withdrawals import Withdrawals
 
 TIMELINE = 'timeline'
 METRICS = 'metrics'
@@ -131,15 +130,6 @@
     for name, service in requests.services():
         kernel.add(name, service)
 
-    def cut_withdrawn(_: int, record: Record, counted: bool) -> None:
-        if counted and isinstance(record.body, changes.CatalogueRecord):
-            requests.calls.cut_unapproved(replica.state.catalogue)
-
-    replica.watchers.append(cut_withdrawn)
-    replica.adopters.append(
-        lambda: requests.calls.cut_unapproved(replica.state.catalogue),
-    )
-
 
 def _add_metrics(kernel: Kernel) -> None:
     timeline = kernel.find(TIMELINE, Timeline)
@@ -157,11 +147,19 @@
 
 def _add_edge(kernel: Kernel, settings: Settings, fleet: Fleet) -> None:
     replica = kernel.find(REPLICA, Replica)
+    withdrawals = Withdrawals(
+        replica,
+        kernel.find(PEERS, Peers),
+        kernel.find(CALLS, Calls),
+        find_log(kernel),
+    )
     operations = Operations(
         replica,
         settings.operator_token,
         kernel.find(TIMELINE, Timeline),
         kernel.find(METRICS, Metrics),
+        withdraw=withdrawals.tell,
+        end_host=fleet.membership.confirm_ended,
     )
 
     def list_hosts() -> Any:
@@ -177,6 +175,7 @@
         find_log(kernel),
         [*operations.routes(), *fleet.routes()],
     )
+    web.check_call = withdrawals.check
     kernel.add(WEB, web)
     kernel.add(ANNOUNCER, Announcer(fleet.membership))
 
--- a/ebonywell/control.py
+++ b/ebonywell/control.py
@@ -138,6 +138,12 @@
         ]
         return Outcome(ExitCode.ok, view, lines)
 
+    async def end_host(self, name: str) -> Outcome:
+        """Remove an entry host whose process is known to have ended."""
+        path = f'{opmessages.PREFIX}/hosts/{name}/ended'
+        view = await self.client.fetch(path, opmessages.HostEnded, 'POST')
+        return Outcome(ExitCode.ok, view, [f'removed  {view.name}'])
+
     async def status(self) -> Outcome:
         """Return how every process is that can be reached or is listed."""
         await self._find_hosts()
--- a/ebonywell/membership.py
+++ b/ebonywell/membership.py
@@ -123,7 +123,7 @@
         """Return the addresses for callers by availability zone."""
         now = self.clock()
         zones: dict[str, list[str]] = {}
-        if self.is_open and not self.is_leaving:
+        if _takes_calls(self):
             zones[self.line.host.zone] = [self.line.host.address]
         heard = [
             peer.heartbeat
@@ -149,7 +149,7 @@
             zone=self.line.host.zone,
             address=self.line.host.address,
             peer_address=self.peers.address,
-            leaving=not self.is_open or self.is_leaving,
+            leaving=not _takes_calls(self),
             applied=self.replica.state.applied,
             sent_at=now,
             echo=known.heartbeat.sent_at if known else -math.inf,
@@ -243,3 +243,11 @@
         except LogOutageError as outage:
             self.log('registry_unwritable', reason=str(outage.args[0]))
             return False
+
+
+def _takes_calls(membership: Membership) -> bool:
+    # A host that was expelled refuses calls until it is registered again.
+    host = membership.host
+    members = membership.replica.state.registry.members
+    is_serving = membership.is_open and not membership.is_leaving
+    return is_serving and members.get(host.name) == str(host)
--- a/ebonywell/opclient.py
+++ b/ebonywell/opclient.py
@@ -51,9 +51,16 @@
         self.urls = [url.rstrip('/') for url in urls]
         self.token = token
 
-    async def fetch(self, path: str, kind: type[_View]) -> _View:
+    async def fetch(
+        self,
+        path: str,
+        kind: type[_View],
+        method: str = 'GET',
+    ) -> _View:
         """Return an answer of the first process that gives one.
 
+        The method must be one that may be repeated at another process.
+
         Raises
         ------
         OperatorError
@@ -62,7 +69,7 @@
         reasons: list[str] = []
         for url in self.urls:
             try:
-                return await self.fetch_from(url, path, kind)
+                return await self.fetch_from(url, path, kind, method)
             except NotReachableError as error:
                 reasons.append(str(error))
         raise NotReachableError('; '.join(reasons))
@@ -72,6 +79,7 @@
         url: str,
         path: str,
         kind: type[_View],
+        method: str = 'GET',
     ) -> _View:
         """Return an answer of one process.
 
@@ -81,7 +89,7 @@
             If it refuses or cannot be reached.
         """
         try:
-            content = await self._ask(url, 'GET', path)
+            content = await self._ask(url, method, path)
         except OutcomeUnknownError as error:
             raise NotReachableError(str(error)) from error
         return _decode(url, content, kind)
--- a/ebonywell/opcommands.py
+++ b/ebonywell/opcommands.py
@@ -73,6 +73,11 @@
     help=f'Issue, withdraw and list the keys of workspaces.\n{EXIT_CODES}',
     config=(),
 )
+host_app = App(
+    name='host',
+    help=f'Tell what became of an entry host.\n{EXIT_CODES}',
+    config=(),
+)
 
 
 @catalogue_app.command
@@ -189,6 +194,22 @@
     _run(access, lambda operator: operator.list_keys())
 
 
+@host_app.command
+def ended(name: str, access: _Access) -> None:
+    """Remove an entry host whose process has ended for certain.
+
+    The others then take over its share of the limits at once. Never say it of
+    a host that may only be frozen or cut off: its calls would not be counted.
+
+    Parameters
+    ----------
+    name : str
+        The host id.
+    access : Access
+    """
+    _run(access, lambda operator: operator.end_host(name))
+
+
 def status(access: _Access) -> None:
     """Show how every entry process is.
 
@@ -235,6 +256,7 @@
     """Add the operators' commands to the command line."""
     app.command(catalogue_app)
     app.command(key_app)
+    app.command(host_app)
     app.command(status, config=())
     app.command(timeline, config=())
 
--- a/ebonywell/operations.py
+++ b/ebonywell/operations.py
@@ -28,6 +28,7 @@
 
 StatusSource = Callable[[], Mapping[str, object]]
 Withdraw = Callable[[str], None]
+EndHost = Callable[[str], Awaitable[bool]]
 _Endpoint = Callable[[Request], Awaitable[Response]]
 
 
@@ -39,6 +40,11 @@
     """Leave a withdrawal to the log alone."""
 
 
+async def _end_nothing(name: str) -> bool:
+    """Know no host."""
+    return False
+
+
 class Operations:
     """What operators ask of this process.
 
@@ -54,6 +60,9 @@
     withdraw : callable
         Called with a key id before its withdrawal is appended, so that peers
         hear of it without the log.
+    end_host : callable
+        Removes a host whose process has ended; false if it is not registered
+        or the log is down.
     """
 
     def __init__(
@@ -64,7 +73,9 @@
         metrics: Metrics,
         status: StatusSource = _say_nothing,
         withdraw: Withdraw = _ignore_key,
+        end_host: EndHost = _end_nothing,
     ) -> None:
+        self.end_host = end_host
         self.replica = replica
         self.token = token
         self.timeline = timeline
@@ -85,6 +96,11 @@
             Route(f'{prefix}/keys', self._guard(self.show_keys)),
             Route(f'{prefix}/status', self._guard(self.show_status)),
             Route(f'{prefix}/timeline', self._guard(self.show_timeline)),
+            Route(
+                f'{prefix}/hosts/{{name}}/ended',
+                self._guard(self.post_ended),
+                methods=['POST'],
+            ),
             Route('/metrics', self.show_metrics),
         ]
 
@@ -140,6 +156,18 @@
         events = tuple(self.timeline.select(wanted))
         return _answer(opmessages.TimelineView(events))
 
+    async def post_ended(self, request: Request) -> Response:
+        """Remove a host that an operator knows to have ended."""
+        name = request.path_params['name']
+        if not await self.end_host(name):
+            return _fail(
+                _STATUS_CONFLICT,
+                'not_ended',
+                f'{name} is not registered, or the log is down.',
+            )
+        self.timeline.record('host_ended', name=name)
+        return _answer(opmessages.HostEnded(name))
+
     async def show_metrics(self, request: Request) -> Response:
         """Answer with all numbers of this process as text."""
         return Response(self.metrics.expose(), media_type=CONTENT_TYPE)
@@ -220,26 +248,6 @@
         )
 
 
-def routes(
-    replica: Replica,
-    token: str,
-    timeline: Timeline,
-    metrics: Metrics,
-    status: StatusSource = _say_nothing,
-    withdraw: Withdraw = _ignore_key,
-) -> list[Route]:
-    """Return the operators' routes; `Operations` says what each takes."""
-    operations = Operations(
-        replica,
-        token,
-        timeline,
-        metrics,
-        status,
-        withdraw,
-    )
-    return operations.routes()
-
-
 def read_change(content: bytes) -> changes.CatalogueRecord:
     """Return the change that a body holds.
 
--- a/ebonywell/opmessages.py
+++ b/ebonywell/opmessages.py
@@ -114,3 +114,9 @@
     """The body of every answer that is no success."""
 
     error: Failure
+
+
+class HostEnded(msgspec.Struct, frozen=True):
+    """A host that was removed on an operator's word."""
+
+    name: str
--- a/ebonywell/requests.py
+++ b/ebonywell/requests.py
@@ -7,6 +7,7 @@
 
 from .admission import Admission
 from .calls import Calls
+from .changes import CatalogueRecord
 from .dispatch import Dispatcher
 from .fleet import Fleet
 from .kernel import Service
@@ -15,6 +16,7 @@
 from .oncecalls import OnceCalls
 from .placing import Placer
 from .quarantine import Quarantine
+from .records import Record
 from .replica import Replica
 from .settling import Settler
 from .targets import Targets
@@ -84,6 +86,8 @@
             rng,
         )
         self.calls = Calls(tries, self.once, fleet.reserve, log)
+        replica.watchers.append(self._cut_withdrawn)
+        replica.adopters.append(self._cut_unapproved)
 
     def services(self) -> Iterator[tuple[str, Service]]:
         """Yield the services by name, in the order in which they start."""
@@ -112,3 +116,10 @@
             state.applied,
             since,
         )
+
+    def _cut_withdrawn(self, _: int, record: Record, counted: bool) -> None:
+        if counted and isinstance(record.body, CatalogueRecord):
+            self._cut_unapproved()
+
+    def _cut_unapproved(self) -> None:
+        self.calls.cut_unapproved(self.replica.state.catalogue)
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -42,6 +42,7 @@
 
 ReadCall = Callable[..., Awaitable[Call]]
 CheckServing = Callable[[], None]
+CheckCall = Callable[[Call], None]
 
 
 class CallAnswer(Response):
@@ -83,13 +84,15 @@
 
     async def _read_call(self, request_id: str) -> Call:
         self.web.check_serving()
-        return await self.read(
+        call = await self.read(
             self.request,
             self.web.replica.state.catalogue,
             self.web.settings.max_body_bytes,
             request_id,
             self.web.settings.deadline_s,
         )
+        self.web.check_call(call)
+        return call
 
     async def _run_guarded(
         self, call: Call, reply: Reply, receive: Receive
@@ -121,6 +124,8 @@
     leave : callable
         Called first on a planned stop; returns when callers no longer come.
     is_leaving : bool
+    check_call : callable
+        Raises RefusedError for a call that the catalogue still allows.
     app : Starlette
     read_service : callable
         Makes a call of a plain service from a request.
@@ -143,6 +148,7 @@
         self.hosts = hosts
         self.log = log
         self.is_leaving = False
+        self.check_call: CheckCall = _allow_call
         self.read_service: ReadCall = edge.read_service_call
         self.app = Starlette(
             routes=[*self._routes(), *routes],
@@ -243,6 +249,10 @@
     )
 
 
+def _allow_call(call: Call) -> None:
+    """Allow what the catalogue allows."""
+
+
 async def answer_http_error(request: Request, error: Exception) -> Response:
     """Answer a path or method that there is none of."""
     status = getattr(error, 'status_code', _STATUS_NOT_FOUND)
--- /dev/null
+++ b/ebonywell/withdrawals.py
@@ -0,0 +1,105 @@
+"""Withdrawals of keys that pass from peer to peer before the log has them."""
+
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from . import wire
+from .answers import Refusal, RefusedError
+from .calls import Calls
+from .logs import Logger
+from .messages import Call
+from .peers import Peers
+from .replica import Replica
+from .types import HostId
+
+NOTE_KIND = 'key_withdrawn'
+# Long enough for an outage of the log to end and the operator to ask again.
+BLOCK_S = 3600.0
+MAX_BLOCKED = 10_000
+_STATUS_UNAUTHORIZED = 401
+
+
+class WithdrawalNote(msgspec.Struct, frozen=True):
+    """What a host that an operator told passes on.
+
+    Attributes
+    ----------
+    key_id : str
+    """
+
+    key_id: str
+
+
+class Withdrawals:
+    """Keys that an operator has withdrawn, whether the log has it or not.
+
+    The log decides whether a withdrawal lasts. Until it has, a key that any
+    host was told of is refused by all hosts that the word reaches.
+
+    Attributes
+    ----------
+    blocked : dict of str to float
+        Until when, by the process's clock and the key's digest.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        peers: Peers,
+        calls: Calls,
+        log: Logger,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.replica = replica
+        self.peers = peers
+        self.calls = calls
+        self.log = log
+        self.clock = clock
+        self.blocked: dict[str, float] = {}
+        peers.add_handler(wire.Note, self._take_note)
+
+    def tell(self, key_id: str) -> None:
+        """Block a key here and on every peer that can be reached."""
+        self.block(key_id)
+        content = msgspec.json.encode(WithdrawalNote(key_id))
+        self.peers.broadcast(wire.Note(NOTE_KIND, content))
+
+    def block(self, key_id: str) -> None:
+        """Refuse a key from now on, and cut the calls that came with it."""
+        digest = self.replica.state.catalogue.key_digests.get(key_id)
+        if digest is None:
+            return
+        now = self.clock()
+        self.blocked = {
+            known: until for known, until in self.blocked.items() if until > now
+        }
+        if len(self.blocked) < MAX_BLOCKED:
+            self.blocked[digest] = now + BLOCK_S
+        self.log('key_blocked', key=key_id)
+        self.calls.cut(lambda call: call.key_digest == digest, _refusal())
+
+    def check(self, call: Call) -> None:
+        """Raise RefusedError for a call that came with a blocked key."""
+        until = self.blocked.get(call.key_digest)
+        if until is not None and self.clock() < until:
+            raise RefusedError(_refusal())
+
+    def _take_note(self, sender: HostId, message: wire.Note) -> None:
+        if message.kind != NOTE_KIND:
+            return
+        try:
+            note = msgspec.json.decode(message.content, type=WithdrawalNote)
+        except msgspec.MsgspecError as error:
+            self.log('note_malformed', peer=sender.name, reason=str(error))
+            return
+        self.block(note.key_id)
+
+
+def _refusal() -> Refusal:
+    return Refusal(
+        'key_withdrawn',
+        _STATUS_UNAUTHORIZED,
+        'The key has been withdrawn.',
+    )
