--- a/ebonywell/operations.py
+++ b/ebonywell/operations.py
@@ -202,7 +202,7 @@
         try:
             ticket = await self.replica.append(change)
         except LogOutageError as outage:
-            return self._report_outage(outage)
+            return self._report_outage(change, outage)
         table = self.replica.state.catalogue
         revision = table.revisions.get(catalogue.revision_name(change), 0)
         if not ticket.counted and not opviews.is_in_force(table, change):
@@ -231,7 +231,11 @@
         sentence = f'{name} is at revision {revision}, not {replaces}.'
         return _fail(_STATUS_CONFLICT, 'conflict', sentence, revision=revision)
 
-    def _report_outage(self, outage: LogOutageError) -> Response:
+    def _report_outage(
+        self,
+        change: changes.CatalogueRecord,
+        outage: LogOutageError,
+    ) -> Response:
         self.metrics.count('operator_changes_total', outcome='outage')
         if outage.is_sent:
             return _fail(
@@ -241,11 +245,13 @@
                 'it may take effect. Look before you repeat it.',
                 RunState.unknown,
             )
-        return _fail(
-            _STATUS_UNAVAILABLE,
-            'log_outage',
-            'The log is down; the change was not sent and has no effect.',
-        )
+        sentence = 'The log is down; the change was not sent and has no effect.'
+        if isinstance(change, changes.KeyWithdrawn):
+            sentence = (
+                'The log is down; the hosts in reach refuse the key for now. '
+                'Repeat the command until it reports success.'
+            )
+        return _fail(_STATUS_UNAVAILABLE, 'log_outage', sentence)
 
 
 def read_change(content: bytes) -> changes.CatalogueRecord:
