--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -133,7 +133,7 @@
 async def test_a_lost_reply_is_still_found_in_the_log():
     log = MemoryLog()
     async with running(log) as host:
-        log.loses_replies = True
+        log.log.lost_replies = 1
         status, body = await host.change(changes.WorkspaceSet(COUNTER))
         assert (status, body) == (200, {'revision': 1})
 
@@ -142,7 +142,7 @@
 async def test_a_withdrawal_is_passed_on_before_the_log_has_it():
     log = MemoryLog()
     async with running(log) as host:
-        log.is_down = True
+        log.is_cut = True
         status, _ = await host.change(changes.KeyWithdrawn('k1'))
         assert status == 503
         assert host.withdrawn == ['k1']
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -148,12 +148,12 @@
     async def story(world, group):
         planner, _ = await world.start(group, 'a')
         await world.set_models(planner, 4, 20)
-        world.log.is_down = True
+        world.log.is_cut = True
         await anyio.sleep(30)
         held = {engine.name: dict(engine.models) for engine in world.engines}
         await anyio.sleep(30)
         assert held == {one.name: one.models for one in world.engines}
-        world.log.is_down = False
+        world.log.is_cut = False
         await anyio.sleep(20)
         assert len(world.serving()) == 4
 
