--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,72 @@
+"""Stops of an entry process by signals, with a call that still runs."""
+
+import functools
+import signal
+
+import anyio
+import msgspec
+
+from lab.client import bearer
+from lab.deployment import Deployment
+from lab.processes import wait
+from lab.shape import Shape
+
+LONG_CALL = {
+    'model': 'quote',
+    'stream': True,
+    'max_tokens': 200,
+    'messages': [{'role': 'user', 'content': 'a long cutting plan'}],
+}
+
+
+async def stop_in_mid_stream(signals, **shape):
+    """Signal an entry process while it streams; return text and exit code."""
+    async with Deployment(Shape(entries=1, **shape)) as deployment:
+        await deployment.fill()
+        issued = await deployment.operator.issue_key('counter')
+        member = deployment.entries['entry-1']
+        parts = []
+        async with deployment.client.stream(
+            'POST',
+            f'{member.url}/v1/chat/completions',
+            bearer(issued.key),
+            LONG_CALL,
+        ) as stream:
+            async for chunk in stream.chunks():
+                parts.append(chunk)
+                if len(parts) == 1:
+                    for number in signals:
+                        member.send_signal(number)
+                        await anyio.sleep(0.2)
+        return b''.join(parts), await wait(member)
+
+
+def test_one_signal_lets_a_stream_end():
+    text, code = anyio.run(stop_in_mid_stream, [signal.SIGTERM])
+    assert text.endswith(b'data: [DONE]\n\n')
+    assert code == 0
+
+
+def check_cut(text, code):
+    """Check that a stream ends with a true word about the stop."""
+    assert b'[DONE]' not in text
+    last = text.split(b'\n\n')[-2].removeprefix(b'data: ')
+    error = msgspec.json.decode(last)['error']
+    assert error['code'] == 'host_stopping'
+    assert error['run_state'] == 'ran'
+    assert code == 0
+
+
+def test_a_second_signal_cuts_it_with_a_true_answer():
+    twice = [signal.SIGTERM, signal.SIGTERM]
+    check_cut(*anyio.run(stop_in_mid_stream, twice))
+
+
+def test_the_end_of_the_grace_period_cuts_it_with_a_true_answer():
+    stop = functools.partial(
+        stop_in_mid_stream,
+        entry_flags=('--grace-s', '1'),
+        hosts_ttl_s=0,
+        token_ms=100,
+    )
+    check_cut(*anyio.run(stop, [signal.SIGTERM]))
