--- a/ebonywell/lending.py
+++ b/ebonywell/lending.py
@@ -7,17 +7,24 @@
 from .ledger import Ledger
 from .wire import Transfer, Transfers
 
+# A host asks for its demand of this long ahead, and for this many requests.
 HORIZON_S = 0.5
+KEPT_REQUESTS = 2
+# A host that is asked keeps its own demand of this long, and one request if
+# it has more demand than this many requests a second.
 RESERVE_S = 0.1
 BUSY_RATE = 0.1
-KEPT_REQUESTS = 2
 ASK_GAP_S = 0.02
 IDLE_ASK_GAP_S = 0.25
+# After rounds that brought nothing, nobody is asked for this long, doubled
+# for each such round up to a number of them.
 DRY_S = 0.1
 MAX_DRY_ROUNDS = 4
 WAIT_S = 0.3
 REPEAT_GAP_S = 1.0
+# Tokens a second below which a workspace counts as unused on this host.
 ACTIVE_DEMAND = 0.01
+# Each peer is asked for somewhat more than its part, for not all have it.
 FIRST_ASK_FACTOR = 1.25
 MIN_RETURN = shares.WHOLE // 1000
 
--- a/lab/limits_bench.py
+++ b/lab/limits_bench.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from .limits_fleet import Fleet, find_excess
+from .limits_fleet import Fleet
+from .limits_tally import find_excess
 
 NAMES = tuple(f'h{index}' for index in range(8))
 RATE = 1000.0
--- a/lab/limits_fleet.py
+++ b/lab/limits_fleet.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from typing import Any, cast
 
@@ -33,6 +33,8 @@
 from ebonywell.types import HostId
 from ebonywell.wire import Heartbeat, Message, Transfers, encode
 
+from .limits_tally import Admitted, Tally
+
 READ_GAP_S = 0.25
 READ_TRIP_S = 0.004
 APPEND_TRIP_S = 0.01
@@ -45,52 +47,6 @@
 LONGEST_S = 3.0
 
 
-@dataclass(slots=True)
-class Admitted:
-    """A request that was admitted.
-
-    Attributes
-    ----------
-    at : float
-        Seconds since the start.
-    workspace : str
-    host : str
-    tokens : int
-        Those used, once they are known; until then those reserved.
-    """
-
-    at: float
-    workspace: str
-    host: str
-    tokens: int
-
-
-@dataclass(slots=True)
-class Tally:
-    """What became of the requests of a workspace.
-
-    Attributes
-    ----------
-    admitted, limited, stale, lost : int
-        Run, refused by the limit, refused by a stale host, sent to a host
-        that was gone.
-    waited : int
-        Admitted after waiting for other hosts.
-    wrongful : int
-        Refused although one bucket for the whole fleet had the tokens.
-    waits_s : list of float
-        Of each admitted request, in seconds.
-    """
-
-    admitted: int = 0
-    limited: int = 0
-    stale: int = 0
-    waited: int = 0
-    lost: int = 0
-    wrongful: int = 0
-    waits_s: list[float] = field(default_factory=list)
-
-
 @dataclass(slots=True, frozen=True)
 class _Asked:
     workspace: str
@@ -500,29 +456,3 @@
                 self.after(gap_s, act)
 
         self.after(self.chance.random() * gap_s, act)
-
-
-def find_excess(
-    history: list[Admitted],
-    workspace: str,
-    rate: float,
-    burst: float,
-) -> float:
-    """Return by how many tokens the worst window exceeds rate and burst.
-
-    Returns
-    -------
-    float
-        0 or less if every window keeps to the bound.
-    """
-    excess = -math.inf
-    filled: float = 0
-    before: float = 0
-    for admitted in sorted(history, key=lambda one: one.at):
-        if admitted.workspace != workspace:
-            continue
-        filled = max(0, filled - rate * (admitted.at - before))
-        filled += admitted.tokens
-        before = admitted.at
-        excess = max(excess, filled - burst)
-    return excess
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,8 @@
 from ebonywell import decider, ledger, shares
 from ebonywell.freshness import STALE_AFTER_S
 from ebonywell.registry import HostExpelled, HostRegistered
-from lab.limits_fleet import FakeHost, Fleet, find_excess
+from lab.limits_fleet import FakeHost, Fleet
+from lab.limits_tally import find_excess
 
 RATE = 1000
 BURST = 4000
