--- a/ebonywell/faults.py
+++ b/ebonywell/faults.py
@@ -5,6 +5,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from .logclient import LogClient
 from .peers import Peers
 
 _STATUS_OK = 200
@@ -18,13 +19,16 @@
     ----------
     refuse : tuple of str
     drop : tuple of str
+    log : bool
+        Whether the link to the log service is cut.
     """
 
     refuse: tuple[str, ...] = ()
     drop: tuple[str, ...] = ()
+    log: bool = False
 
 
-def fault_routes(peers: Peers) -> list[Route]:
+def fault_routes(peers: Peers, log_client: LogClient) -> list[Route]:
     """Return the route that cuts links."""
 
     async def cut_links(request: Request) -> Response:
@@ -34,6 +38,7 @@
             return Response(status_code=_STATUS_BAD)
         peers.cuts.refuse = set(wanted.refuse)
         peers.cuts.drop = set(wanted.drop)
+        log_client.is_cut = wanted.log
         return Response(status_code=_STATUS_OK)
 
     return [Route('/debug/links', cut_links, methods=['POST'])]
--- a/ebonywell/fleet.py
+++ b/ebonywell/fleet.py
@@ -80,7 +80,9 @@
 
     def routes(self) -> list[Route]:
         """Return the routes by which tests cut links, if they may."""
-        return fault_routes(self.peers) if self.allows_faults else []
+        if not self.allows_faults:
+            return []
+        return fault_routes(self.peers, self.replica.client)
 
     def check_fresh(self) -> None:
         """Raise RefusedError while this host may be out of date."""
--- a/ebonywell/logclient.py
+++ b/ebonywell/logclient.py
@@ -54,11 +54,14 @@
     ----------
     url : str
         Without a slash at its end.
+    is_cut : bool
+        Whether a test has cut the link.
     """
 
     def __init__(self, url: str) -> None:
         super().__init__(max_connections=MAX_CONNECTIONS)
         self.url = url
+        self.is_cut = False
 
     async def append(self, records: list[object]) -> int:
         """Append records, all or none, and return the first one's offset.
@@ -110,6 +113,8 @@
         timeout_s: float,
         content: bytes | None = None,
     ) -> bytes:
+        if self.is_cut:
+            raise LogOutageError('the link is cut', is_sent=False)
         try:
             response = await self.ask(
                 method,
