--- a/ebonywell/transport.py
+++ b/ebonywell/transport.py
@@ -60,7 +60,7 @@
         raise TransportError(f'{what}: {broken!r}') from broken
 
 
-class HttpClient:
+class PooledClient:
     """A connection pool, closed on leaving the context.
 
     Attributes
@@ -86,6 +86,10 @@
     ) -> None:
         await self.pool.__aexit__(kind, error, trace)
 
+
+class HttpClient(PooledClient):
+    """A client that gets whole answers."""
+
     async def ask(
         self,
         method: str,
--- a/lab/client.py
+++ b/lab/client.py
@@ -2,12 +2,14 @@
 
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
-from types import MappingProxyType, TracebackType
-from typing import Any, Self
+from types import MappingProxyType
+from typing import Any
 
 import httpcore
 import msgspec
 
+from ebonywell.transport import PooledClient
+
 TIMEOUT_S = 30.0
 _NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 _FAILURES = (
@@ -72,7 +74,7 @@
             raise ClientError(repr(error)) from error
 
 
-class Client:
+class Client(PooledClient):
     """Connections to any number of addresses, closed on leaving the context.
 
     Attributes
@@ -82,20 +84,8 @@
     """
 
     def __init__(self, timeout_s: float = TIMEOUT_S) -> None:
+        super().__init__()
         self.timeout_s = timeout_s
-        self.pool = httpcore.AsyncConnectionPool(max_connections=None)
-
-    async def __aenter__(self) -> Self:
-        await self.pool.__aenter__()
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self.pool.__aexit__(kind, error, trace)
 
     async def ask(
         self,
--- a/lab/limits_fleet.py
+++ b/lab/limits_fleet.py
@@ -9,7 +9,6 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 from typing import Any, cast
 
@@ -33,7 +32,7 @@
 from ebonywell.types import HostId
 from ebonywell.wire import Heartbeat, Message, Transfers, encode
 
-from .limits_tally import Admitted, Tally
+from .limits_tally import Admitted, Asked, Tally
 
 READ_GAP_S = 0.25
 READ_TRIP_S = 0.004
@@ -47,15 +46,6 @@
 LONGEST_S = 3.0
 
 
-@dataclass(slots=True, frozen=True)
-class _Asked:
-    workspace: str
-    tokens: int
-    used: int
-    is_due: bool
-    tally: Tally
-
-
 class FakePeers:
     """Stands for the links of one host."""
 
@@ -250,10 +240,10 @@
         if self.is_dead or self.is_leaving:
             tally.lost += 1
             return
-        asked = _Asked(workspace, tokens, used, is_due, tally)
+        asked = Asked(workspace, tokens, used, is_due, tally)
         self.when_awake(partial(self._admit, asked))
 
-    def _admit(self, asked: _Asked) -> None:
+    def _admit(self, asked: Asked) -> None:
         now = self.limits.follow()
         tally = asked.tally
         try:
@@ -277,7 +267,7 @@
         else:
             finish()
 
-    def _finish(self, asked: _Asked, waiter: Waiter, began_at: float) -> None:
+    def _finish(self, asked: Asked, waiter: Waiter, began_at: float) -> None:
         tally = asked.tally
         now = self.clock()
         if self.membership.is_stale(now):
@@ -299,7 +289,7 @@
             self.when_awake(self.tick)
             self.fleet.after(gap_s, lambda: self._poll(gap_s, waiter))
 
-    def _run(self, taken: Reservation, asked: _Asked) -> None:
+    def _run(self, taken: Reservation, asked: Asked) -> None:
         asked.tally.admitted += 1
         fleet = self.fleet
         entry = Admitted(
--- a/lab/limits_tally.py
+++ b/lab/limits_tally.py
@@ -50,6 +50,29 @@
     waits_s: list[float] = field(default_factory=list)
 
 
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """A request on its way through a host.
+
+    Attributes
+    ----------
+    workspace : str
+    tokens : int
+        Reserved for it.
+    used : int
+        What it uses in the end.
+    is_due : bool
+        Whether one bucket for the whole fleet has its tokens.
+    tally : Tally
+    """
+
+    workspace: str
+    tokens: int
+    used: int
+    is_due: bool
+    tally: Tally
+
+
 def find_excess(
     history: list[Admitted],
     workspace: str,
