--- a/lab/plots.py
+++ b/lab/plots.py
@@ -127,9 +127,12 @@
     columns = [
         name
         for name, cell in table[0].items()
-        if isinstance(cell, int | float) and not isinstance(cell, bool)
+        if isinstance(cell, int | float)
+        and not isinstance(cell, bool)
+        and name != 'seed'
     ]
     labels = [_label(row) for row in table]
+    groups = [_group(row) for row in table]
     across = min(len(columns), MAX_COLUMNS)
     down = -(-len(columns) // across)
     height = max(2.4, BAR_INCHES * len(labels) + 1)
@@ -141,7 +144,8 @@
         squeeze=False,
     )
     for axis, column in zip(axes.flat, columns, strict=False):
-        _bars(axis, labels, [float(row.get(column) or 0) for row in table])
+        values = [float(row.get(column) or 0) for row in table]
+        _bars(axis, labels, values, groups)
         _style(axis, column.replace('_', ' '))
     for unused in axes.flat[len(columns) :]:
         unused.set_visible(False)
@@ -185,13 +189,26 @@
 
 def _label(row: dict[str, object]) -> str:
     words = [str(cell) for cell in row.values() if isinstance(cell, str)]
+    if row.get('has_faults'):
+        words.append('faults')
     return ', '.join(words)
 
 
-def _bars(axis: Axes, labels: Sequence[str], values: Sequence[float]) -> None:
+def _group(row: dict[str, object]) -> str:
+    """Return the way that a row measures, which has one colour."""
+    return str(row.get('policy') or row.get('design') or _label(row))
+
+
+def _bars(
+    axis: Axes,
+    labels: Sequence[str],
+    values: Sequence[float],
+    groups: Sequence[str] = (),
+) -> None:
     places = np.arange(len(labels))
-    names = list(dict.fromkeys(labels))
-    colours = [COLOURS[names.index(name) % len(COLOURS)] for name in labels]
+    groups = groups or labels
+    names = list(dict.fromkeys(groups))
+    colours = [COLOURS[names.index(name) % len(COLOURS)] for name in groups]
     bars = axis.barh(places, values, color=colours, height=0.7)
     axis.bar_label(bars, fmt='%.4g', padding=3, fontsize=8, color=INK)
     axis.set_yticks(places, labels, fontsize=8)
