--- a/ebonywell/withdrawals.py
+++ b/ebonywell/withdrawals.py
@@ -101,5 +101,5 @@
     return Refusal(
         'key_withdrawn',
         _STATUS_UNAUTHORIZED,
-        'The key has been withdrawn.',
+        'The key or its approval has been withdrawn.',
     )
