Orders: adapters counted exactly, a lease that changes hands faster

It now keeps the set that belongs to the count of orders it names, and reads a report where it does not know it. An unused adapter's unload is answered 200 and counted all the same. The lease: hosts hear of renewals from the holder, and claim without a read when it falls silent.

--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -64,7 +64,13 @@
     is_ready : bool
     config_version : int
     fence : int
-        Of its lease; 0 while it holds none.
+        Of the lease that it claimed; 0 while it has none.
+    is_proven : bool
+        Whether its lease was renewed of late.
+    is_ordering : bool
+        Whether it gives orders under the lease.
+    lease_end : int
+        Where the lease's partition ended after the last renewal.
     loads, usage, demand : tuple
     adapters : tuple of str
         Used in the last second, as ``model/adapter``.
@@ -81,6 +87,9 @@
     is_ready: bool
     config_version: int
     fence: int
+    is_proven: bool
+    is_ordering: bool
+    lease_end: int
     loads: tuple[LoadShare, ...] = ()
     usage: tuple[UsageShare, ...] = ()
     demand: tuple[ModelDemand, ...] = ()
--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -43,6 +43,8 @@
     fleet : FleetView
     make_digest : callable
         Takes the number of the digest; returns None while there is none.
+    note_digest : callable
+        Told of each new digest.
     handlers : dict of type to callable
         Get messages of other kinds.
     malformed : int
@@ -54,12 +56,14 @@
         address: str,
         fleet: FleetView,
         make_digest: Callable[[int], Digest | None],
+        note_digest: Callable[[Digest], None],
         log: Logger,
         rng: random.Random,
     ) -> None:
         self.address = address
         self.fleet = fleet
         self.make_digest = make_digest
+        self.note_digest = note_digest
         self.log = log
         self.rng = rng
         self.handlers: dict[type, Callable[[Message], None]] = {}
@@ -155,9 +159,9 @@
 
     def _take(self, message: DigestMessage) -> None:
         now = boot_time()
-        self.fleet.take(message.own, now)
-        for digest in message.relayed:
-            self.fleet.take(digest, now)
+        for digest in (message.own, *message.relayed):
+            if self.fleet.take(digest, now):
+                self.note_digest(digest)
 
     def _note_silent(self) -> None:
         now = boot_time()
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -26,7 +26,7 @@
 from .inbound import InboundCall, RejectionError
 from .intake import Intake
 from .inventory import Announcement, Inventory, KnownTarget, Resident
-from .leadership import Leadership
+from .leadership import Leadership, LeaseState
 from .loadboard import LoadBoard
 from .logs import Logger
 from .metrics import Metrics
@@ -149,6 +149,7 @@
             self.address,
             self.fleet,
             self._make_digest,
+            self._note_digest,
             log,
             rng,
         )
@@ -178,9 +179,11 @@
             self.store,
             (self.translators.own_topic, LEASE_PART),
             self.settings.name,
-            self.settings.bounds.lease_s,
-            self._may_lead,
-            self._holder_heard_at,
+            LeaseState(
+                self.settings.bounds.lease_s,
+                self.settings.bounds.is_fenced,
+            ),
+            self.is_ready,
             self._rank,
             self.log,
             self.rng,
@@ -420,7 +423,10 @@
             self.settings.zone,
             self.is_ready(),
             configuration.version if configuration else 0,
-            state.fence if self.leadership.may_order() else 0,
+            state.fence,
+            state.is_proven(now),
+            state.may_order_adapters(now),
+            state.end or 0,
             tuple(
                 LoadShare(
                     target,
@@ -436,25 +442,21 @@
             self.demand.used_adapters(now),
         )
 
-    def _holder_heard_at(self) -> float:
-        heard = [
-            peer.heard_at
-            for peer in self.fleet.peers.values()
-            if peer.digest is not None and peer.digest.fence
-        ]
-        return max(heard, default=float('-inf'))
+    def _note_digest(self, digest: Digest) -> None:
+        if digest.fence:
+            self.leadership.state.note_heard(digest, boot_time())
 
     def _holder(self) -> Digest | None:
         holders = [
-            one for one in self.fleet.heard(boot_time()) if one.fence
+            one for one in self.fleet.heard(boot_time()) if one.is_ordering
         ]
         return max(holders, key=lambda one: one.fence, default=None)
 
     def _has_holder(self) -> bool:
-        return self.leadership.may_order() or self._holder() is not None
-
-    def _may_lead(self) -> bool:
-        return self.is_ready()
+        return (
+            self.leadership.may_order_adapters()
+            or self._holder() is not None
+        )
 
     def _rank(self) -> int:
         now = boot_time()
@@ -521,7 +523,7 @@
 
     async def _pass_wants(self, wants: list[Wanted]) -> None:
         for wanted in wants:
-            if self.leadership.may_order():
+            if self.leadership.may_order_adapters():
                 self.provisioner.want(wanted, self.settings.name)
                 continue
             holder = self._holder()
--- a/ebonywell/hostsettings.py
+++ b/ebonywell/hostsettings.py
@@ -19,6 +19,8 @@
         Between the signal to stop and the kill.
     lease_s : float
         Two holders that give orders are this far apart.
+    is_fenced : bool
+        Whether targets refuse orders with an older fencing token.
     retry_ratio, retry_slack : float
         Retries in a window, by the requests in it, and on top.
     retry_window_s : float
@@ -36,6 +38,7 @@
     revoke_s: float = 5
     grace_s: float = 8
     lease_s: float = 3
+    is_fenced: bool = False
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 0
--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -8,6 +8,7 @@
 `LeaseState` is pure; `Leadership` talks to the store.
 """
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 import msgspec
 
 from .clock import boot_time
+from .digests import Digest
 from .exceptions import ConflictError, LogServiceError
 from .logs import Logger
 from .sharedstore import SharedStore
@@ -26,15 +28,19 @@
 RENEW_GAP_S = 1.0
 # A renewal that took longer than this, counted from when it was sent, proves
 # nothing for an order given now.
-PROOF_S = 2.0
-# Without digests of a holder for this long, a host looks into the store.
-HOLDER_SILENCE_S = 1.2
-# Hosts look one after the other, so that most find the lease claimed.
+PROOF_S = 1.6
+# Where targets refuse an older fencing token, a holder that lost touch with
+# the store goes on with orders that nobody counts, until it hears of another.
+UNPROVEN_S = 12.0
+# Without word of a proven holder for this long, several digests, a host
+# claims the lease.
+HOLDER_SILENCE_S = 0.9
+# Hosts claim one after the other, so that most hear of the one that did.
 RANK_GAP_S = 0.25
 MAX_RANK = 8
 # A new holder waits for the lease to run out by everyone's clock; this covers
 # clocks that run at different speeds.
-WAIT_MARGIN_S = 0.3
+WAIT_MARGIN_S = 0.2
 RETRY_S = 0.4
 
 
@@ -59,20 +65,6 @@
     is_released: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class SeenLease:
-    """A record of the lease, where it stands, and since when it is known."""
-
-    record: LeaseRecord
-    offset: int
-    seen_at: float
-
-    @property
-    def fence(self) -> int:
-        """The fencing token; offsets begin at 0, tokens at 1."""
-        return self.record.fence or self.offset + 1
-
-
 @dataclass(slots=True)
 class LeaseState:
     """What a host knows of the lease.
@@ -81,24 +73,46 @@
     ----------
     lease_s : float
         For how long a renewal keeps others from giving orders.
+    is_fenced : bool
+        Whether targets refuse orders with an older fencing token.
     fence : int
         Of the lease that this host holds; 0 while it holds none.
     end : int or None
-        Where the partition ended when it was last read or written.
+        Where the partition ended when it was last read, written or heard of;
+        None while that is not known.
     renewed_at : float
         When the last renewal that succeeded was sent.
     may_order_at : float
         From when on this holder gives orders.
-    seen : SeenLease or None
-        The newest record of any holder.
+    other_at : float
+        When another holder may last have renewed.
+    newest_fence : int
+        The newest fencing token that this host has heard of.
     """
 
     lease_s: float
+    is_fenced: bool = False
     fence: int = 0
     end: int | None = None
-    renewed_at: float = float('-inf')
-    may_order_at: float = float('inf')
-    seen: SeenLease | None = None
+    renewed_at: float = -math.inf
+    may_order_at: float = math.inf
+    other_at: float = -math.inf
+    newest_fence: int = 0
+
+    def note_heard(self, heard: Digest, now: float) -> None:
+        """Take over what a holder says of itself.
+
+        A holder that has lost its proof goes on with orders that nobody
+        counts until the one after it begins.
+        """
+        if heard.fence < self.newest_fence:
+            return
+        self.newest_fence = heard.fence
+        if heard.is_proven:
+            self.other_at = now
+            self.end = max(self.end or 0, heard.lease_end)
+        if heard.is_ordering and self.fence and self.fence < heard.fence:
+            self.note_lost()
 
     def note_read(
         self,
@@ -109,19 +123,25 @@
     ) -> None:
         """Take over what the store holds."""
         self.end = end
-        if record is None:
-            self.seen = None
-        elif self.seen is None or self.seen.offset != offset:
-            self.seen = SeenLease(record, offset, now)
+        if record is None or record.is_released:
+            return
+        self.newest_fence = max(self.newest_fence, record.fence or offset + 1)
+        self.other_at = now
 
     def note_claimed(self, offset: int, sent_at: float, now: float) -> None:
-        """Take over that this host's claim succeeded."""
-        is_first = self.seen is None
+        """Take over that this host's claim succeeded.
+
+        The claim shows that nobody has renewed since the partition ended
+        where it was claimed.
+        """
         self.fence = offset + 1
+        self.newest_fence = self.fence
         self.end = offset + 1
         self.renewed_at = sent_at
-        wait_s = 0 if is_first else self.lease_s + WAIT_MARGIN_S
-        self.may_order_at = now + wait_s
+        self.may_order_at = max(
+            now,
+            self.other_at + self.lease_s + WAIT_MARGIN_S,
+        )
 
     def note_renewed(self, offset: int, sent_at: float) -> None:
         """Take over that this host's renewal succeeded."""
@@ -131,22 +151,29 @@
     def note_lost(self) -> None:
         """Take over that another host may have the lease."""
         self.fence = 0
-        self.may_order_at = float('inf')
+        self.may_order_at = math.inf
 
-    def may_order(self, now: float) -> bool:
-        """Return whether this host may give an order now."""
-        if not self.fence or now < self.may_order_at:
-            return False
-        return now - self.renewed_at < min(PROOF_S, self.lease_s)
+    def is_proven(self, now: float) -> bool:
+        """Return whether nobody else can have claimed the lease by now."""
+        is_young = now - self.renewed_at < min(PROOF_S, self.lease_s)
+        return self.fence > 0 and is_young
 
-    def may_claim(self, now: float) -> bool:
-        """Return whether the lease that was read is free for a claim.
+    def may_order(self, now: float) -> bool:
+        """Return whether this host may give any order."""
+        return self.is_proven(now) and now >= self.may_order_at
 
-        A holder that renewed within twice its gap is alive.
-        """
-        if self.seen is None or self.seen.record.is_released:
+    def may_order_adapters(self, now: float) -> bool:
+        """Return whether this host may give orders that nobody counts."""
+        if self.may_order(now):
             return True
-        return now - self.seen.seen_at > RENEW_GAP_S + RETRY_S
+        if not (self.is_fenced and self.fence) or now < self.may_order_at:
+            return False
+        return now - self.renewed_at < UNPROVEN_S
+
+    def may_claim(self, now: float, rank: int) -> bool:
+        """Return whether no holder has been heard of for long enough."""
+        silence_s = HOLDER_SILENCE_S + min(rank, MAX_RANK) * RANK_GAP_S
+        return now - self.other_at >= silence_s
 
 
 class Leadership:
@@ -157,8 +184,6 @@
     state : LeaseState
     is_wanted : callable
         Whether this host could do the holder's work now.
-    holder_heard_at : callable
-        When a holder's digest last came.
     rank : callable
         This host's place among those in touch, from 0.
     """
@@ -168,9 +193,8 @@
         store: SharedStore,
         place: tuple[str, int],
         name: str,
-        lease_s: float,
+        state: LeaseState,
         is_wanted: Callable[[], bool],
-        holder_heard_at: Callable[[], float],
         rank: Callable[[], int],
         log: Logger,
         rng: random.Random,
@@ -179,13 +203,11 @@
         self.topic, self.part = place
         self.name = name
         self.life = 0
-        self.state = LeaseState(lease_s)
+        self.state = state
         self.is_wanted = is_wanted
-        self.holder_heard_at = holder_heard_at
         self.rank = rank
         self.log = log
         self.rng = rng
-        self.silent_since = boot_time()
 
     async def run(self) -> None:
         """Look after the lease until cancelled."""
@@ -198,15 +220,19 @@
             await anyio.sleep(TICK_S)
 
     def may_order(self) -> bool:
-        """Return whether this host may give an order now."""
+        """Return whether this host may give any order now."""
         return self.state.may_order(boot_time())
 
+    def may_order_adapters(self) -> bool:
+        """Return whether this host may give orders for adapters now."""
+        return self.state.may_order_adapters(boot_time())
+
     async def release(self) -> None:
         """Give the lease up on a planned stop."""
         if not self.state.fence:
             return
         record = self._record(is_released=True)
-        self.state.may_order_at = float('inf')
+        self.state.may_order_at = math.inf
         try:
             await self._append(record)
         except (LogServiceError, ConflictError) as error:
@@ -220,17 +246,14 @@
             if now - self.state.renewed_at >= RENEW_GAP_S:
                 await self._renew()
             return
-        heard_at = self.holder_heard_at()
-        since = max(heard_at, self.silent_since)
-        rank = min(self.rank(), MAX_RANK)
-        patience_s = HOLDER_SILENCE_S + rank * RANK_GAP_S
-        if not self.is_wanted() or now - since < patience_s:
+        if not self.is_wanted():
             return
-        await self._read()
-        if self.state.may_claim(boot_time()):
+        if self.state.end is None:
+            await self._read()
+        if self.state.may_claim(now, self.rank()):
             await self._claim()
 
-    async def _read(self) -> None:
+    async def _read(self) -> LeaseRecord | None:
         page = await self.store.read_newest(self.topic, self.part)
         record = None
         offset = 0
@@ -239,6 +262,7 @@
                 record = self._decode(found.value)
                 offset = found.offset
         self.state.note_read(record, offset, page.next_offset, boot_time())
+        return record
 
     async def _claim(self) -> None:
         sent_at = boot_time()
@@ -246,13 +270,16 @@
             offset = await self._append(LeaseRecord(self.name, self.life))
         except ConflictError:
             self.log('lease_claim_lost', end=self.state.end)
-            self.silent_since = boot_time()
+            await self._read()
             return
+        except LogServiceError:
+            # It may have been appended, or may be yet.
+            self.state.end = None
+            raise
         self.state.note_claimed(offset, sent_at, boot_time())
         self.log(
             'lease_claimed',
             fence=self.state.fence,
-            before=self.state.seen and self.state.seen.record.holder,
             orders_in_s=max(0, self.state.may_order_at - boot_time()),
         )
 
@@ -268,13 +295,11 @@
     async def _check_lost(self) -> None:
         """Tell an own renewal whose answer was lost from another's claim."""
         fence = self.state.fence
-        await self._read()
-        seen = self.state.seen
-        if seen is not None and seen.fence == fence:
+        record = await self._read()
+        if record is not None and record.fence == fence:
             return
-        self.log('lease_lost', fence=fence, newer=seen and seen.fence)
+        self.log('lease_lost', fence=fence, newer=self.state.newest_fence)
         self.state.note_lost()
-        self.silent_since = boot_time()
 
     def _record(self, *, is_released: bool = False) -> LeaseRecord:
         return LeaseRecord(
--- a/ebonywell/orderbook.py
+++ b/ebonywell/orderbook.py
@@ -74,6 +74,8 @@
         address.
     unknown
         No answer; it may be carried out yet.
+    unproven
+        Not sent, since another host may have the lease.
     """
 
     accepted = 'accepted'
@@ -82,6 +84,7 @@
     fenced = 'fenced'
     refused = 'refused'
     unknown = 'unknown'
+    unproven = 'unproven'
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,10 +113,13 @@
         Whether a model's order is under way.
     arriving, leaving : set of str
         Models.
-    adapters : dict of str to float
-        When each ``model/adapter`` on it was last asked for.
-    loading : set of str
-        Adapters on their way.
+    adapters : set of str
+        Each ``model/adapter`` on it or on its way, after as many orders as
+        are known; others may only be fewer.
+    is_synced : bool
+        Whether `adapters` is known.
+    asked_at : dict of str to float
+        When each ``model/adapter`` was last asked for.
     turn : anyio.Lock
         Orders go out one after the other, since each names how many came
         before it.
@@ -123,11 +129,21 @@
     is_busy: bool = False
     arriving: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
-    adapters: dict[str, float] = field(default_factory=dict)
-    loading: set[str] = field(default_factory=set)
+    adapters: set[str] = field(default_factory=set)
+    is_synced: bool = False
+    asked_at: dict[str, float] = field(default_factory=dict)
     turn: anyio.Lock = field(default_factory=anyio.Lock)
 
 
+def present_adapters(report: TargetReport) -> set[str]:
+    """Return the adapters on a target or on their way to it."""
+    return {
+        f'{model}/{adapter}'
+        for model, resident in report.models.items()
+        for adapter in resident.adapters
+    } | set(report.arriving)
+
+
 def used_bytes(
     models: dict[str, Resident],
     sizes: dict[str, int],
--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -22,12 +22,12 @@
 
 
 class _Bounds(msgspec.Struct):
-    # How long after a lasting change a replica's leaving binds us.
     drainMs: float = 2000
     configMs: float = 2000
     revokeMs: float = 5000
     graceS: float = 8
     leaseMs: float = 3000
+    requireFence: bool = False
     retryBudgetRatio: float = 0.2
     budgetWindowS: float = 10
     budgetSlack: float = 0
@@ -132,6 +132,7 @@
         revoke_s=found.revokeMs * _MS,
         grace_s=found.graceS,
         lease_s=found.leaseMs * _MS,
+        is_fenced=found.requireFence,
         retry_ratio=found.retryBudgetRatio,
         retry_window_s=found.budgetWindowS,
         retry_slack=found.budgetSlack,
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -21,6 +21,7 @@
     EngineOrder,
     OrderAnswer,
     OrderTrack,
+    present_adapters,
     used_bytes,
 )
 from .orders import Action
@@ -52,9 +53,7 @@
 RETRY_S = 0.4
 # An adapter is there that long after its order was accepted.
 ADAPTER_S = 0.03
-ADAPTER_TRIES = 3
-# An adapter that was asked for within this time stays.
-ADAPTER_RESIDENCE_S = 1.0
+ADAPTER_TRIES = 4
 # Orders for adapters of one model wait so long for an engine that carries out
 # another order.
 ADAPTER_WAIT_S = 1.5
@@ -110,18 +109,17 @@
         async with anyio.create_task_group() as group:
             self.group = group
             while True:
+                is_holder = self.leadership.may_order_adapters()
+                self._note_holder(is_holder=is_holder)
                 if self.leadership.may_order():
-                    self._note_holder(is_holder=True)
                     self._decide()
-                else:
-                    self._note_holder(is_holder=False)
                 self.woken = anyio.Event()
                 with anyio.move_on_after(TICK_S):
                     await self.woken.wait()
 
     def want(self, wanted: Wanted, asker: str) -> None:
         """See to a model or an adapter that a host asks for."""
-        if not self.leadership.may_order() or self.group is None:
+        if self.group is None or not self.leadership.may_order_adapters():
             return
         if not wanted.adapter:
             self.woken.set()
@@ -264,7 +262,14 @@
         return await self._order(known, move.action, move.model, '')
 
     async def _refresh(self, known: KnownTarget) -> bool:
-        """Bring what is known of a target up to date; False if it is busy."""
+        """Bring what is known of a target up to date.
+
+        Returns
+        -------
+        bool
+            Whether its report reflects all orders that are known, and it
+            carries out no order for a model.
+        """
         try:
             report = await self.client.report(known)
         except TransportError as error:
@@ -272,7 +277,12 @@
             return False
         if report.born != known.said.born:
             return False
+        if report.order_count < known.order_count:
+            return False
         known.confirm(report.order_count, report.models, boot_time())
+        track = self._track(known)
+        track.adapters = present_adapters(report)
+        track.is_synced = True
         return not report.is_busy
 
     async def _order(
@@ -282,8 +292,13 @@
         model: str,
         adapter: str,
     ) -> OrderAnswer:
-        if not self.leadership.may_order():
-            return OrderAnswer.fenced
+        is_allowed = (
+            self.leadership.may_order_adapters()
+            if adapter
+            else self.leadership.may_order()
+        )
+        if not is_allowed:
+            return OrderAnswer.unproven
         order = EngineOrder(
             action,
             model,
@@ -293,8 +308,7 @@
             self.leadership.state.fence,
         )
         answer = await self.client.order(known, order)
-        if answer is OrderAnswer.accepted:
-            known.order_count += 1
+        self._note_answer(known, order, answer)
         if answer is OrderAnswer.fenced:
             self.leadership.state.note_lost()
         self.log(
@@ -309,6 +323,26 @@
         )
         return answer
 
+    def _note_answer(
+        self,
+        known: KnownTarget,
+        order: EngineOrder,
+        answer: OrderAnswer,
+    ) -> None:
+        track = self._track(known)
+        name = f'{order.model}/{order.adapter}'
+        if not _is_counted(order.action, answer):
+            # It may have come after orders that are not known here.
+            track.is_synced = answer is OrderAnswer.held
+            return
+        known.order_count = order.order_count + 1
+        if order.action is Action.load_adapter:
+            track.adapters.add(name)
+        elif order.action is Action.unload_adapter:
+            track.adapters.discard(name)
+        else:
+            track.is_synced = False
+
     async def _await_model(
         self,
         move: Move,
@@ -321,6 +355,7 @@
         await anyio.sleep(_expected_s(move, known, engine))
         with anyio.move_on_after(timeout_s):
             while True:
+                # A report that lags does not show the order yet.
                 is_idle = await self._refresh(known)
                 if is_idle and (move.model in known.models) == is_load:
                     await self.tell(_resident(known), ())
@@ -348,9 +383,8 @@
                 if known.holds(wanted.model, wanted.adapter)
             ]
             if holders:
-                self._track(holders[0]).adapters[_full_name(wanted)] = (
-                    boot_time()
-                )
+                track = self._track(holders[0])
+                track.asked_at[_full_name(wanted)] = boot_time()
                 return holders[0]
             known = await self._find_idle(wanted, until)
             if known is None:
@@ -395,21 +429,22 @@
     ) -> bool:
         track = self._track(known)
         async with track.turn:
-            if known.holds(wanted.model, wanted.adapter):
-                return True
-            if not await self._make_adapter_room(wanted, known, track):
+            name = _full_name(wanted)
+            track.asked_at[name] = boot_time()
+            if not track.is_synced and not await self._refresh(known):
+                await anyio.sleep(LOOK_GAP_S / 2)
                 return False
-            answer = await self._order(
-                known,
-                Action.load_adapter,
-                wanted.model,
-                wanted.adapter,
-            )
-            if answer is OrderAnswer.conflict:
-                await self._refresh(known)
-            if answer not in {OrderAnswer.accepted, OrderAnswer.held}:
-                return False
-            track.adapters[_full_name(wanted)] = boot_time()
+            if name not in track.adapters:
+                if not await self._make_adapter_room(wanted, known, track):
+                    return False
+                answer = await self._order(
+                    known,
+                    Action.load_adapter,
+                    wanted.model,
+                    wanted.adapter,
+                )
+                if answer not in {OrderAnswer.accepted, OrderAnswer.held}:
+                    return False
             known.add(wanted.model, wanted.adapter)
         await anyio.sleep(ADAPTER_S)
         return True
@@ -425,33 +460,34 @@
         if configuration is None:
             return False
         slots = configuration.engines[wanted.service].adapter_slots
-        present = [
-            (model, adapter)
-            for model, resident in known.models.items()
-            for adapter in resident.adapters
-        ]
-        if len(present) < slots:
+        if len(track.adapters) < slots:
             return True
         now = boot_time()
         for name in self.used_adapters():
-            if name in track.adapters:
-                track.adapters[name] = now
-        model, adapter = min(
-            present,
-            key=lambda pair: track.adapters.get('/'.join(pair), -math.inf),
+            track.asked_at[name] = now
+        oldest = min(
+            track.adapters,
+            key=lambda one: track.asked_at.get(one, -math.inf),
         )
+        model, _, adapter = oldest.partition('/')
         answer = await self._order(
             known,
             Action.unload_adapter,
             model,
             adapter,
         )
-        if answer is OrderAnswer.conflict:
-            await self._refresh(known)
-        if answer not in {OrderAnswer.accepted, OrderAnswer.held}:
-            return False
         known.drop(model, adapter)
-        return True
+        return answer in {OrderAnswer.accepted, OrderAnswer.held}
+
+
+def _is_counted(action: Action, answer: OrderAnswer) -> bool:
+    """Return whether an engine counts an order.
+
+    It unloads an unused adapter before it answers, as if that held already.
+    """
+    if answer is OrderAnswer.held:
+        return action is Action.unload_adapter
+    return answer is OrderAnswer.accepted
 
 
 def _full_name(wanted: Wanted) -> str:
