Placement: weights at hand first, swaps in one go; limits survive restarts

A load is ordered right after the unloads that make room for it. Limits: what a host had admitted before it started again is kept by its peers and in a summary in the store; a silent host has its last count set aside instead of an even part.

--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -21,16 +21,21 @@
     Attributes
     ----------
     workspace : str
-    in_window : int
-        Tokens in the limits' window.
+    parts : tuple of int
+        Tokens in the limits' window, by equal parts of it, the newest first.
     lately : int
         Tokens a second, over the last second.
     """
 
     workspace: str
-    in_window: int
+    parts: tuple[int, ...]
     lately: int
 
+    @property
+    def in_window(self) -> int:
+        """Tokens in the whole window."""
+        return sum(self.parts)
+
 
 class ModelDemand(msgspec.Struct, frozen=True, array_like=True):
     """What one host's callers ask of one model.
--- a/ebonywell/eviction.py
+++ b/ebonywell/eviction.py
@@ -7,6 +7,7 @@
 
 MIN_RESIDENCE_S = 30.0
 IDLE_COST_SLOTS = 0.01
+MIN_GAIN_SHARE = 0.02
 
 
 @dataclass(slots=True)
@@ -41,11 +42,14 @@
         For a model that nobody serves and nobody asks for.
     for_demand : callable
         For another copy of a busy model.
+    least_gain : float
+        The part of a target's slots that another copy must win.
     """
 
     for_waiting: MayEvict
     for_idle: MayEvict
     for_demand: MayEvict
+    least_gain: float = MIN_GAIN_SHARE
 
 
 def is_redundant(layout: Layout, site: Site, model: str) -> bool:
--- a/ebonywell/fleetview.py
+++ b/ebonywell/fleetview.py
@@ -1,6 +1,6 @@
 """The other hosts, as their digests and the store tell of them."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from .digests import Digest
@@ -44,11 +44,15 @@
     own_name : str
     board : LoadBoard
         Gets the loads that digests report.
+    peers : dict of str to Peer
+    note_restart : callable
+        Told of a host that has started again, as it was before.
     """
 
     own_name: str
     board: LoadBoard
     peers: dict[str, Peer] = field(default_factory=dict)
+    note_restart: Callable[[Peer], None] = lambda peer: None
 
     def enlist(self, name: str, address: str, life: int, now: float) -> None:
         """Take over a host's record in the store."""
@@ -69,6 +73,8 @@
             return False
         known = self.peers.get(digest.name)
         if known is None or known.life < digest.life:
+            if known is not None:
+                self.note_restart(known)
             known = Peer(digest.name, digest.address, digest.life, now)
             self.peers[digest.name] = known
         elif known.life > digest.life:
@@ -116,6 +122,11 @@
             self.remove(name)
         return gone
 
+    def is_minority(self, now: float) -> bool:
+        """Return whether this host is cut off from half of the others."""
+        in_touch = 1 + sum(1 for _ in self.heard(now))
+        return self.size > 1 and in_touch * 2 <= self.size
+
     @property
     def size(self) -> int:
         """How many hosts may be alive, this one included."""
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -38,7 +38,7 @@
 from .retries import WindowBudget
 from .routetable import Configuration, WorkspaceLimit
 from .selection import Choice
-from .sharedlimits import SharedLimits, charge_of
+from .sharedlimits import SharedLimits, Summary, charge_of
 from .sharedstore import KeyedRecord, SharedStore
 from .targeting import Targeting
 from .upstream import ConnectionPool
@@ -69,6 +69,8 @@
 JOIN_RETRY_S = 0.3
 LEASE_PART = 0
 HOSTS_PART = 1
+SUMMARY_PART = 2
+SUMMARY_KEY = 'limits'
 _TOO_MANY = 429
 
 
@@ -143,6 +145,8 @@
         self.budgets: dict[str, WindowBudget] = {}
         self.fleet = FleetView(settings.name, self.board)
         self.limits = SharedLimits(settings.bounds.quota_window_s, self.fleet)
+        self.fleet.note_restart = self.limits.note_restart
+        self.former_lives: dict[str, int] = {}
         port = settings.first_inner_port
         self.address = f'{settings.ip}:{port}'
         self.gossip = Gossip(
@@ -260,6 +264,7 @@
                 group.start_soon(self._join)
                 group.start_soon(self.provisioner.run)
                 group.start_soon(self._send_wants)
+                group.start_soon(self._keep_summary)
                 group.start_soon(self._keep_house)
 
     async def stop(self) -> None:
@@ -385,6 +390,7 @@
                     ((name, body),),
                 )
                 await self._enlist()
+                await self._read_summary()
             except LogServiceError as error:
                 self.log('join_failed', why=str(error))
                 await anyio.sleep(self.rng.uniform(0, 2 * JOIN_RETRY_S))
@@ -408,6 +414,50 @@
                 continue
             self.fleet.enlist(record.key, found.address, record.offset, now)
 
+    async def _read_summary(self) -> None:
+        """Learn what was admitted before this host started."""
+        page = await self.store.read_newest(
+            self.translators.own_topic,
+            SUMMARY_PART,
+        )
+        for record in page.records:
+            if record.key != SUMMARY_KEY or record.value is None:
+                continue
+            try:
+                summary = msgspec.msgpack.decode(record.value, type=Summary)
+            except msgspec.MsgspecError as error:
+                self.log('summary_unreadable', why=str(error))
+                continue
+            self.limits.take_summary(summary, boot_time())
+            self.former_lives = {
+                host.name: host.life for host in summary.hosts
+            }
+
+    async def _keep_summary(self) -> None:
+        """Write down what is used of the limits while this host leads."""
+        while True:
+            await anyio.sleep(HOUSEKEEPING_S)
+            configuration = self.intake.configuration
+            is_leading = self.leadership.state.is_proven(boot_time())
+            if not is_leading or configuration is None or self.life is None:
+                continue
+            summary = self.limits.summarize(
+                configuration.workspaces.values(),
+                self.life,
+                boot_time(),
+            )
+            if summary is None:
+                continue
+            body = msgspec.msgpack.encode(summary)
+            try:
+                await self.store.append(
+                    self.translators.own_topic,
+                    SUMMARY_PART,
+                    ((SUMMARY_KEY, body),),
+                )
+            except LogServiceError as error:
+                self.log('summary_unwritten', why=str(error))
+
     def _make_digest(self, number: int) -> Digest | None:
         if self.life is None:
             return None
@@ -425,7 +475,7 @@
             configuration.version if configuration else 0,
             state.fence,
             state.is_proven(now),
-            state.may_order_adapters(now),
+            state.may_order_near(now),
             state.end or 0,
             tuple(
                 LoadShare(
@@ -443,6 +493,8 @@
         )
 
     def _note_digest(self, digest: Digest) -> None:
+        if self.former_lives.pop(digest.name, None) == digest.life:
+            self.limits.note_same_life(digest.name)
         if digest.fence:
             self.leadership.state.note_heard(digest, boot_time())
 
@@ -454,7 +506,7 @@
 
     def _has_holder(self) -> bool:
         return (
-            self.leadership.may_order_adapters()
+            self.leadership.may_order_near()
             or self._holder() is not None
         )
 
@@ -523,7 +575,7 @@
 
     async def _pass_wants(self, wants: list[Wanted]) -> None:
         for wanted in wants:
-            if self.leadership.may_order_adapters():
+            if self.leadership.may_order_near():
                 self.provisioner.want(wanted, self.settings.name)
                 continue
             holder = self._holder()
@@ -616,6 +668,7 @@
             self.inventory.store_back_at = self.target_feed.state.back_at
             self.inventory.expire(now)
             self.wants.expire(now)
+            self.limits.expire(now)
             known = self.inventory.targets.values()
             self.health.keep(one.name for one in known)
             self.pool.prune(frozenset(one.said.address for one in known))
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -52,8 +52,8 @@
     models : dict of str to Resident
     leaves_in_s : float or None
         When it will be gone, if it is removed at short notice.
-    near_weights : frozenset of str
-        Models whose weights it has in its own memory or on its disk.
+    memory_weights, disk_weights : frozenset of str
+        Models whose weights it need not fetch from the weight store.
     """
 
     name: str
@@ -65,7 +65,13 @@
     slots: int
     models: dict[str, Resident] = field(default_factory=dict)
     leaves_in_s: float | None = None
-    near_weights: frozenset[str] = frozenset()
+    memory_weights: frozenset[str] = frozenset()
+    disk_weights: frozenset[str] = frozenset()
+
+    @property
+    def near_weights(self) -> frozenset[str]:
+        """Models that it loads without the weight store."""
+        return self.memory_weights | self.disk_weights
 
 
 @dataclass(slots=True, eq=False)
--- a/ebonywell/layout.py
+++ b/ebonywell/layout.py
@@ -124,6 +124,8 @@
         Whether the open targets hold every model twice and leave room.
     busy_slots : float
         The demand from which a model counts as busy.
+    only_near : bool
+        Whether the weight store is not to be asked for more loads now.
     """
 
     def __init__(self, sites: Iterable[Site], needs: Iterable[Need]) -> None:
@@ -139,6 +141,7 @@
                     site.free_bytes -= self.missing_bytes(site, model)
         self.spares_fit = self._do_spares_fit()
         self.busy_slots = self._average_slots() * BUSY_SHARE
+        self.only_near = False
 
     def open_sites(self) -> Iterator[Site]:
         """Iterate over the sites that may serve."""
@@ -152,6 +155,7 @@
             if site.slots
             and model not in site.copies
             and model not in site.barred
+            and (not self.only_near or model in site.near_weights)
         ]
 
     def missing_bytes(self, site: Site, model: str) -> int:
--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -30,8 +30,12 @@
 # nothing for an order given now.
 PROOF_S = 1.6
 # Where targets refuse an older fencing token, a holder that lost touch with
-# the store goes on with orders that nobody counts, until it hears of another.
+# the store goes on with orders that do not ask the weight store, until it
+# hears of another holder.
 UNPROVEN_S = 12.0
+# There a new holder need not wait for the lease to run out: late orders of the
+# one before are refused. This lets its orders under way arrive.
+FENCED_WAIT_S = 0.3
 # Without word of a proven holder for this long, several digests, a host
 # claims the lease.
 HOLDER_SILENCE_S = 0.9
@@ -102,8 +106,8 @@
     def note_heard(self, heard: Digest, now: float) -> None:
         """Take over what a holder says of itself.
 
-        A holder that has lost its proof goes on with orders that nobody
-        counts until the one after it begins.
+        A holder that has lost its proof goes on with some orders until the
+        one after it begins.
         """
         if heard.fence < self.newest_fence:
             return
@@ -138,10 +142,13 @@
         self.newest_fence = self.fence
         self.end = offset + 1
         self.renewed_at = sent_at
-        self.may_order_at = max(
-            now,
-            self.other_at + self.lease_s + WAIT_MARGIN_S,
-        )
+        if self.other_at == -math.inf:
+            self.may_order_at = now
+        elif self.is_fenced:
+            self.may_order_at = now + FENCED_WAIT_S
+        else:
+            run_out_at = self.other_at + self.lease_s + WAIT_MARGIN_S
+            self.may_order_at = max(now, run_out_at)
 
     def note_renewed(self, offset: int, sent_at: float) -> None:
         """Take over that this host's renewal succeeded."""
@@ -162,8 +169,8 @@
         """Return whether this host may give any order."""
         return self.is_proven(now) and now >= self.may_order_at
 
-    def may_order_adapters(self, now: float) -> bool:
-        """Return whether this host may give orders that nobody counts."""
+    def may_order_near(self, now: float) -> bool:
+        """Return whether it may give orders that ask no weight store."""
         if self.may_order(now):
             return True
         if not (self.is_fenced and self.fence) or now < self.may_order_at:
@@ -223,9 +230,9 @@
         """Return whether this host may give any order now."""
         return self.state.may_order(boot_time())
 
-    def may_order_adapters(self) -> bool:
-        """Return whether this host may give orders for adapters now."""
-        return self.state.may_order_adapters(boot_time())
+    def may_order_near(self) -> bool:
+        """Return whether it may give orders that ask no weight store."""
+        return self.state.may_order_near(boot_time())
 
     async def release(self) -> None:
         """Give the lease up on a planned stop."""
--- a/ebonywell/placement.py
+++ b/ebonywell/placement.py
@@ -16,6 +16,8 @@
 
 EARMARK_S = 10.0
 SHIFT_GAP_S = 3.0
+# Copies added in one decision; the next one sees what they changed.
+MAX_RELIEFS = 8
 
 
 def decide(
@@ -43,6 +45,7 @@
         Its loads keep to the weight store's limits.
     """
     budget = _refill(layout, pace, now)
+    layout.only_near = budget <= 0
     turn = Turn(layout, pace, now, budget, rules or rules_of_catalogue(now))
     _drop_unwanted(turn)
     _use_earmarks(turn)
@@ -64,9 +67,11 @@
         pace.loads_at_once,
     )
     under_way = sum(
-        not copy.ready and not copy.leaving
+        not copy.ready
+        and not copy.leaving
+        and model not in site.near_weights
         for site in layout.open_sites()
-        for copy in site.copies.values()
+        for model, copy in site.copies.items()
     )
     return min(int(pace.tokens), pace.loads_at_once - under_way)
 
@@ -88,13 +93,14 @@
             turn.pace.earmarks.pop(name)
             continue
         footprint = turn.layout.needs[earmark.model].footprint
-        if site.free_bytes >= footprint and turn.budget > 0:
+        is_near = earmark.model in site.near_weights
+        if site.free_bytes >= footprint and (is_near or turn.budget > 0):
             turn.pace.earmarks.pop(name)
             _load(turn, site, earmark.model)
         else:
             # Room is on its way: what is planned next counts with the copy.
             turn.layout.add_copy(site, earmark.model, turn.now)
-            turn.budget -= 1
+            _count_load(turn, site, earmark.model)
 
 
 def _is_valid(turn: Turn, site: Site, earmark: Earmark) -> bool:
@@ -112,8 +118,6 @@
     ]
     orphans.sort(key=lambda need: (-need.demand, -need.footprint))
     for need in orphans:
-        if turn.budget <= 0:
-            return
         sites = layout.candidates(need.model)
         rules = turn.rules
         may_evict = rules.for_waiting if need.demand else rules.for_idle
@@ -126,7 +130,7 @@
 
 def _widen_busy(turn: Turn) -> None:
     for need in _by_demand(turn.layout):
-        if turn.budget <= 0 or not turn.layout.is_busy(need):
+        if not turn.layout.is_busy(need):
             return
         zones = {site.zone for site in turn.layout.holders[need]}
         if len(zones) == 1:
@@ -147,7 +151,7 @@
 
 def _relieve(turn: Turn) -> None:
     layout = turn.layout
-    for _ in range(turn.budget):
+    for _ in range(MAX_RELIEFS):
         tight = sorted(
             ((layout.pressure(model), model) for model in layout.needs),
             reverse=True,
@@ -159,12 +163,7 @@
 
 def _relief(turn: Turn, model: str, pressure: float) -> bool:
     """Add the copy that takes most of a model's overflow, if it pays."""
-    eviction = find_relief(
-        turn.layout,
-        model,
-        pressure,
-        turn.rules.for_demand,
-    )
+    eviction = find_relief(turn.layout, model, pressure, turn.rules)
     if eviction is None:
         return False
     _place(turn, eviction, model)
@@ -174,7 +173,7 @@
 
 def _shift(turn: Turn) -> None:
     """Begin to move a sole copy away, so that its target can take more."""
-    if turn.budget <= 0 or turn.now < turn.pace.shift_after:
+    if turn.now < turn.pace.shift_after:
         return
     shift = find_shift(turn.layout, turn.rules.for_demand)
     if shift is not None:
@@ -185,8 +184,6 @@
 def _add_spares(turn: Turn) -> None:
     layout = turn.layout
     for model in _by_demand(layout):
-        if turn.budget <= 0:
-            return
         holders = layout.holders[model]
         if len(holders) == 1:
             footprint = layout.needs[model].footprint
@@ -220,12 +217,20 @@
     earmark = Earmark(model, turn.now + EARMARK_S)
     turn.pace.earmarks[eviction.site.name] = earmark
     turn.layout.add_copy(eviction.site, model, turn.now)
+    _count_load(turn, eviction.site, model)
+
+
+def _count_load(turn: Turn, site: Site, model: str) -> None:
+    """Count a load against what the weight store still gives now."""
+    if model in site.near_weights:
+        return
     turn.budget -= 1
+    turn.layout.only_near = turn.budget <= 0
 
 
 def _load(turn: Turn, site: Site, model: str) -> None:
     turn.layout.add_copy(site, model, turn.now)
-    turn.budget -= 1
+    _count_load(turn, site, model)
     if model not in site.near_weights:
         turn.pace.tokens -= 1
     need = turn.layout.needs[model]
--- a/ebonywell/platform/catalog.py
+++ b/ebonywell/platform/catalog.py
@@ -54,6 +54,8 @@
     weightsMb: float
     loadS: float = 1
     diskS: float = 1
+    # From the weights in the replica's memory.
+    warmS: float = 1
     adapters: int = 0
     adapterMb: float = 0
 
@@ -178,6 +180,7 @@
         int(model.weightsMb * _MEGABYTE),
         model.loadS,
         model.diskS,
+        model.warmS,
         model.adapters,
         int(model.adapterMb * _MEGABYTE),
     )
--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -75,7 +75,8 @@
         max(1, entry.slots),
         _translate_models(entry.models),
         None if left_ms is None else left_ms * _MS,
-        frozenset(entry.atHand.inMemory + entry.atHand.onDisk),
+        frozenset(entry.atHand.inMemory),
+        frozenset(entry.atHand.onDisk),
     )
 
 
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -11,11 +11,12 @@
 from .digests import ModelDemand, ResidentMessage
 from .exceptions import TransportError
 from .inventory import Inventory, KnownTarget
+from .layout import Layout
 from .leadership import Leadership
 from .loadboard import LoadBoard
 from .logs import Logger
 from .modeldemand import ModelKey
-from .moves import Move, Pace
+from .moves import Decision, Pace
 from .orderbook import (
     EngineClient,
     EngineOrder,
@@ -37,6 +38,8 @@
 
 # The demand is a few hundred milliseconds old when it comes.
 TICK_S = 0.25
+# A host that asks for a model wakes the holder, though not more often.
+MIN_TICK_S = 0.06
 # Loads that the weight store serves at full speed side by side.
 LOADS_AT_ONCE = 3
 # Loads are counted over a window with some tolerance; this stays inside it
@@ -46,8 +49,10 @@
 LOOK_GAP_S = 0.2
 # A load that takes longer waits behind others, or the engine has crashed.
 LOAD_TIMEOUT_S = 6.0
-UNLOAD_TIMEOUT_S = 10.0
-UNLOAD_S = 0.1
+# While the order before it is carried out, an order is refused; an unload of
+# a model that no request uses takes a few of these pauses.
+BUSY_GAP_S = 0.07
+BUSY_TRIES = 20
 # After an order that was refused or not answered, the engine's own reports
 # lag by some hundred milliseconds.
 RETRY_S = 0.4
@@ -57,6 +62,24 @@
 # Orders for adapters of one model wait so long for an engine that carries out
 # another order.
 ADAPTER_WAIT_S = 1.5
+_TAKEN = frozenset((OrderAnswer.accepted, OrderAnswer.held))
+
+
+@dataclass(slots=True)
+class Swap:
+    """Orders for models to one target, the unloads first.
+
+    Attributes
+    ----------
+    target : str
+    unloads : list of str
+    load : str
+        Empty for none.
+    """
+
+    target: str
+    unloads: list[str] = field(default_factory=list)
+    load: str = ''
 
 
 @dataclass(slots=True, frozen=True)
@@ -103,23 +126,25 @@
     woken: anyio.Event = field(default_factory=anyio.Event)
     group: TaskGroup | None = None
     was_holder: bool = False
+    waiting: set[str] = field(default_factory=set)
 
     async def run(self) -> None:
         """Decide and order until cancelled."""
         async with anyio.create_task_group() as group:
             self.group = group
             while True:
-                is_holder = self.leadership.may_order_adapters()
+                is_holder = self.leadership.may_order_near()
                 self._note_holder(is_holder=is_holder)
-                if self.leadership.may_order():
-                    self._decide()
-                self.woken = anyio.Event()
-                with anyio.move_on_after(TICK_S):
+                if is_holder:
+                    self._decide(only_near=not self.leadership.may_order())
+                await anyio.sleep(MIN_TICK_S)
+                with anyio.move_on_after(TICK_S - MIN_TICK_S):
                     await self.woken.wait()
+                self.woken = anyio.Event()
 
     def want(self, wanted: Wanted, asker: str) -> None:
         """See to a model or an adapter that a host asks for."""
-        if self.group is None or not self.leadership.may_order_adapters():
+        if self.group is None or not self.leadership.may_order_near():
             return
         if not wanted.adapter:
             self.woken.set()
@@ -141,7 +166,7 @@
         self.paces.clear()
         self.log('orders_begin' if is_holder else 'orders_end')
 
-    def _decide(self) -> None:
+    def _decide(self, *, only_near: bool) -> None:
         configuration = self.configuration()
         if configuration is None:
             return
@@ -152,6 +177,10 @@
                 for (named, model), asked in demand.items()
                 if named == service
             }
+            pace = self._pace(service, engine)
+            if only_near:
+                # Another holder may ask the weight store for its part.
+                pace.tokens = 0
             self._decide_service(service, engine, of_service)
 
     def _decide_service(
@@ -170,16 +199,17 @@
         layout = build_layout(engine, views.values(), demand, self.notes, now)
         rules = turnover_rules(demand, self.notes, views, now)
         decision = decide(layout, self._pace(service, engine), now, rules)
-        for move in decision.moves:
-            self._start_move(move, engine)
-        waiting = [model for model, asked in demand.items() if asked.waiting]
-        if waiting:
+        for swap in _gather(decision, self._pace(service, engine), layout):
+            self._start(swap, engine)
+        waiting = {model for model, asked in demand.items() if asked.waiting}
+        if waiting - self.waiting:
             self.log(
                 'models_wanted',
-                models=','.join(waiting),
-                unplaced=','.join(decision.unplaced),
+                models=','.join(sorted(waiting)),
+                unplaced=','.join(decision.unplaced) or None,
                 moves=len(decision.moves),
             )
+        self.waiting = waiting
 
     def _pace(self, service: str, engine: EngineSpec) -> Pace:
         pace = self.paces.get(service)
@@ -209,57 +239,75 @@
             self.tracks[known.name] = track
         return track
 
-    def _start_move(self, move: Move, engine: EngineSpec) -> None:
-        known = self.inventory.targets.get(move.target)
+    def _start(self, swap: Swap, engine: EngineSpec) -> None:
+        known = self.inventory.targets.get(swap.target)
         if known is None or self.group is None:
             return
         track = self._track(known)
         if track.is_busy:
             return
         track.is_busy = True
-        moving = (
-            track.arriving if move.action is Action.load else track.leaving
-        )
-        moving.add(move.model)
-        self.group.start_soon(self._move, move, known, track, engine)
+        track.leaving.update(swap.unloads)
+        if swap.load:
+            track.arriving.add(swap.load)
+        self.group.start_soon(self._carry_out, swap, known, track, engine)
 
-    async def _move(
+    async def _carry_out(
         self,
-        move: Move,
+        swap: Swap,
         known: KnownTarget,
         track: OrderTrack,
         engine: EngineSpec,
     ) -> None:
         try:
             async with track.turn:
-                answer = await self._order_model(move, known, engine)
-            if answer in {OrderAnswer.accepted, OrderAnswer.held}:
-                await self._await_model(move, known, engine)
+                is_ordered = await self._order_swap(swap, known, engine)
+            if is_ordered:
+                await self._await_swap(swap, known, engine)
             else:
                 await anyio.sleep(RETRY_S)
         finally:
             track.is_busy = False
-            track.arriving.discard(move.model)
-            track.leaving.discard(move.model)
+            track.leaving.clear()
+            track.arriving.clear()
             self.woken.set()
 
-    async def _order_model(
+    async def _order_swap(
         self,
-        move: Move,
+        swap: Swap,
         known: KnownTarget,
         engine: EngineSpec,
-    ) -> OrderAnswer:
+    ) -> bool:
+        """Give the orders of a swap, and return whether all were taken."""
         if not await self._refresh(known):
-            return OrderAnswer.conflict
-        is_load = move.action is Action.load
-        if is_load and not _fits(known, engine, move.model):
-            self.log('load_does_not_fit', target=known.name, model=move.model)
-            return OrderAnswer.refused
-        if not is_load:
+            return False
+        if swap.load and not _fits(known, engine, swap):
+            self.log('load_does_not_fit', target=known.name, model=swap.load)
+            return False
+        for model in swap.unloads:
             # Hosts stop sending it requests for the model before it goes.
-            known.drop(move.model, '')
+            known.drop(model, '')
+            known.confirmed_at = boot_time()
             await self.tell(_resident(known), ())
-        return await self._order(known, move.action, move.model, '')
+            if not await self._order_next(known, Action.unload, model):
+                return False
+        if not swap.load:
+            return True
+        return await self._order_next(known, Action.load, swap.load)
+
+    async def _order_next(
+        self,
+        known: KnownTarget,
+        action: Action,
+        model: str,
+    ) -> bool:
+        """Give an order once the one before it has been carried out."""
+        for _ in range(BUSY_TRIES):
+            answer = await self._order(known, action, model, '')
+            if answer is not OrderAnswer.conflict:
+                return answer in _TAKEN
+            await anyio.sleep(BUSY_GAP_S)
+        return False
 
     async def _refresh(self, known: KnownTarget) -> bool:
         """Bring what is known of a target up to date.
@@ -292,9 +340,10 @@
         model: str,
         adapter: str,
     ) -> OrderAnswer:
+        is_near = action is not Action.load or model in known.said.near_weights
         is_allowed = (
-            self.leadership.may_order_adapters()
-            if adapter
+            self.leadership.may_order_near()
+            if is_near
             else self.leadership.may_order()
         )
         if not is_allowed:
@@ -343,25 +392,30 @@
         else:
             track.is_synced = False
 
-    async def _await_model(
+    async def _await_swap(
         self,
-        move: Move,
+        swap: Swap,
         known: KnownTarget,
         engine: EngineSpec,
     ) -> None:
-        """Wait until a model has come or gone, and tell all hosts."""
-        is_load = move.action is Action.load
-        timeout_s = LOAD_TIMEOUT_S if is_load else UNLOAD_TIMEOUT_S
-        await anyio.sleep(_expected_s(move, known, engine))
-        with anyio.move_on_after(timeout_s):
+        """Wait until a swap has been carried out, and tell all hosts.
+
+        A load takes the time that its model states, unless it waits behind
+        others; the target's own report is some hundred milliseconds old.
+        """
+        if swap.load:
+            await anyio.sleep(_load_s(swap.load, known, engine))
+            known.add(swap.load, '')
+            known.confirmed_at = boot_time()
+            await self.tell(_resident(known), ())
+        with anyio.move_on_after(LOAD_TIMEOUT_S):
             while True:
-                # A report that lags does not show the order yet.
-                is_idle = await self._refresh(known)
-                if is_idle and (move.model in known.models) == is_load:
-                    await self.tell(_resident(known), ())
-                    return
                 await anyio.sleep(LOOK_GAP_S)
-        self.log('order_unfinished', target=known.name, model=move.model)
+                if await self._refresh(known):
+                    break
+            await self.tell(_resident(known), ())
+            return
+        self.log('order_unfinished', target=known.name, model=swap.load)
 
     # Adapters
 
@@ -443,7 +497,7 @@
                     wanted.model,
                     wanted.adapter,
                 )
-                if answer not in {OrderAnswer.accepted, OrderAnswer.held}:
+                if answer not in _TAKEN:
                     return False
             known.add(wanted.model, wanted.adapter)
         await anyio.sleep(ADAPTER_S)
@@ -477,7 +531,7 @@
             adapter,
         )
         known.drop(model, adapter)
-        return answer in {OrderAnswer.accepted, OrderAnswer.held}
+        return answer in _TAKEN
 
 
 def _is_counted(action: Action, answer: OrderAnswer) -> bool:
@@ -506,16 +560,51 @@
     )
 
 
-def _fits(known: KnownTarget, engine: EngineSpec, model: str) -> bool:
-    sizes = {name: spec.bytes for name, spec in engine.models.items()}
-    used = used_bytes(known.models, sizes, engine.weight_bytes)
-    wanted = engine.models[model].bytes + reserved_adapter_bytes(engine)
-    return model in known.models or used + wanted <= engine.weight_bytes
-
+def _gather(
+    decision: Decision,
+    pace: Pace,
+    layout: Layout,
+) -> list[Swap]:
+    """Return the moves by target, with the loads that unloads make room for.
 
-def _expected_s(move: Move, known: KnownTarget, engine: EngineSpec) -> float:
-    if move.action is not Action.load:
-        return UNLOAD_S
-    spec = engine.models[move.model]
-    is_near = move.model in known.said.near_weights
-    return spec.disk_load_s if is_near else spec.load_s
+    A load waits for nothing but its own target, so it is ordered right after
+    the unloads and not in a later decision.
+    """
+    swaps: dict[str, Swap] = {}
+    for move in decision.moves:
+        if move.action not in {Action.load, Action.unload}:
+            continue
+        swap = swaps.setdefault(move.target, Swap(move.target))
+        if move.action is Action.unload:
+            swap.unloads.append(move.model)
+        elif not swap.load:
+            swap.load = move.model
+    for target, swap in swaps.items():
+        earmark = pace.earmarks.get(target)
+        if swap.unloads and not swap.load and earmark is not None:
+            pace.earmarks.pop(target)
+            swap.load = earmark.model
+            if swap.load not in layout.sites[target].near_weights:
+                pace.tokens -= 1
+    return list(swaps.values())
+
+
+def _fits(known: KnownTarget, engine: EngineSpec, swap: Swap) -> bool:
+    sizes = {name: spec.bytes for name, spec in engine.models.items()}
+    left = {
+        model: resident
+        for model, resident in known.models.items()
+        if model not in swap.unloads
+    }
+    used = used_bytes(left, sizes, engine.weight_bytes)
+    wanted = engine.models[swap.load].bytes + reserved_adapter_bytes(engine)
+    return swap.load not in left and used + wanted <= engine.weight_bytes
+
+
+def _load_s(model: str, known: KnownTarget, engine: EngineSpec) -> float:
+    spec = engine.models[model]
+    if model in known.said.memory_weights:
+        return spec.memory_load_s
+    if model in known.said.disk_weights:
+        return spec.disk_load_s
+    return spec.load_s
--- a/ebonywell/residency.py
+++ b/ebonywell/residency.py
@@ -21,7 +21,10 @@
 FULL_WORK_MS = 450.0
 # A model stays at least that long after it came, so that two models do not
 # keep replacing each other.
-MIN_RESIDENCE_S = 1.5
+MIN_RESIDENCE_S = 3.0
+# Another copy must win this part of an engine: a swap takes its engine a
+# second.
+LEAST_GAIN = 0.12
 # The last copy of a model may go for a busier one once callers ask for less
 # than this, in milliseconds of work a second, and have not asked for a while.
 IDLE_WORK_MS = 60.0
@@ -138,7 +141,7 @@
     def for_demand(layout: Layout, site: Site, model: str) -> bool:
         return allow(IDLE_S, layout, site, model)
 
-    return EvictionRules(for_waiting, _never, for_demand)
+    return EvictionRules(for_waiting, _never, for_demand, LEAST_GAIN)
 
 
 def _never(layout: Layout, site: Site, model: str) -> bool:
--- a/ebonywell/routetable.py
+++ b/ebonywell/routetable.py
@@ -82,8 +82,9 @@
         Of its weights.
     load_s : float
         How long a load from the weight store takes, in seconds.
-    disk_load_s : float
-        How long a load from the target's own disk takes, in seconds.
+    disk_load_s, memory_load_s : float
+        How long a load from the target's own disk or memory takes, in
+        seconds.
     adapters : int
         How many there are, named ``a1`` and so on.
     adapter_bytes : int
@@ -94,6 +95,7 @@
     bytes: int
     load_s: float
     disk_load_s: float
+    memory_load_s: float
     adapters: int
     adapter_bytes: int
 
--- a/ebonywell/sharedlimits.py
+++ b/ebonywell/sharedlimits.py
@@ -2,25 +2,32 @@
 
 Each host counts what it admitted in the limits' window and tells the others
 several times a second. What a host may admit is what the window leaves after
-its own count and theirs. A host that is silent may be alive behind a cut, so
-its even part of the limit is set aside for it, or what it last reported if
-that is more. A host that hears nobody is thus left with its even part.
+its own count and theirs.
+
+- A host that is silent may be alive behind a cut. What it last reported is
+  set aside for it, and a small part of what was free then. A host that is cut
+  off from half of the others keeps to the same figures.
+- A host that starts again has forgotten its count. The others remember it; so
+  does a summary in the store, for the case that all start again.
 
 Pure: times and digests come in, verdicts come out. The load it answers: a
 workspace that sends several times its limit through all hosts at once, while
-the others stay below theirs.
+hosts die, are cut off or start again, and the others stay below their limits.
 """
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 from .digests import UsageShare
-from .fleetview import FleetView
+from .fleetview import FleetView, Peer
 from .routetable import WorkspaceLimit
 
-# Counts are kept in steps of this length.
+# Counts are kept in steps of this length, and told in so many parts.
 STEP_S = 0.1
+PARTS = 8
 # What the others admitted since their last digests is not known; below this
 # part of the limit each host takes no more than its part of the rest.
 TIGHT_SHARE = 0.2
@@ -30,7 +37,19 @@
 # for a part that grows.
 GROWTH = 1.5
 RECENT_S = 1.0
+# The part of its even share of what is free by which a host that is cut off
+# may grow. The bounds on overshoot leave no room for more on both sides.
+CUT_GROWTH = 0.25
+# A restart is known a digest late.
+RESTART_LAG_S = 0.3
 MIN_RETRY_S = 0.2
+# What a host admitted after it was last heard of, by its rate then.
+UNTOLD_S = 0.6
+# The summary in the store is for workspaces near their limits; it is written
+# anew when so much of a limit has been used since.
+SUMMARY_SHARE = 0.6
+SUMMARY_STEP_SHARE = 0.06
+SUMMARY_GAP_S = 0.3
 
 
 @dataclass(slots=True)
@@ -40,9 +59,9 @@
     Attributes
     ----------
     span_s : float
-    steps : deque of [float, int]
+    steps : deque of [float, float]
         The begin of each step and the tokens admitted in it.
-    total : int
+    total : float
     """
 
     span_s: float
@@ -73,6 +92,54 @@
             tokens += counted
         return tokens
 
+    def parts(self, now: float) -> tuple[int, ...]:
+        """Return the tokens by their age, the newest first."""
+        tokens = [0.0] * PARTS
+        for begin, counted in self.steps:
+            age = int((now - begin) * PARTS / self.span_s)
+            tokens[min(max(age, 0), PARTS - 1)] += counted
+        return tuple(int(part) for part in tokens)
+
+
+@dataclass(slots=True, frozen=True)
+class FormerUsage:
+    """What a host had admitted before it started again.
+
+    Attributes
+    ----------
+    usage : sequence of UsageShare
+    told_at : float
+        When that was so, or later.
+    """
+
+    usage: Sequence[UsageShare]
+    told_at: float
+
+    def count(self, workspace: str, span_s: float, now: float) -> float:
+        """Return what of it is still in the window."""
+        share = _find(self.usage, workspace)
+        age = (now - self.told_at) * PARTS / span_s
+        told = sum(
+            tokens
+            for index, tokens in enumerate(share.parts)
+            if index + age < PARTS
+        )
+        return told + share.lately * UNTOLD_S
+
+
+class HostUsage(msgspec.Struct, frozen=True, array_like=True):
+    """One host's counts in the summary."""
+
+    name: str
+    life: int
+    usage: tuple[UsageShare, ...]
+
+
+class Summary(msgspec.Struct, frozen=True, array_like=True):
+    """The counts of all hosts, as the store keeps them."""
+
+    hosts: tuple[HostUsage, ...]
+
 
 @dataclass(slots=True, frozen=True)
 class LimitVerdict:
@@ -104,11 +171,19 @@
     span_s : float
     fleet : FleetView
     windows : dict of str to Window
+    former : dict of str to FormerUsage
+        By host that has started again.
+    before_cut : dict of str to float
+        This host's counts when it was last in touch with most others.
     """
 
     span_s: float
     fleet: FleetView
     windows: dict[str, Window] = field(default_factory=dict)
+    former: dict[str, FormerUsage] = field(default_factory=dict)
+    before_cut: dict[str, float] = field(default_factory=dict)
+    summary_at: float = float('-inf')
+    summarized: dict[str, float] = field(default_factory=dict)
 
     def admit(
         self,
@@ -124,10 +199,12 @@
             return LimitVerdict(True, 0, own, 0, 0)
         allowed = limit.rate * self.span_s + limit.burst
         silent = self.fleet.silent(now)
-        used = own + self._used_by_peers(limit.name, allowed, now)
+        used = own + self._used_by_others(limit.name, own, allowed, now)
         rest = allowed - used
         fits = tokens <= rest
-        if fits and rest < allowed * TIGHT_SHARE:
+        if fits and self.fleet.is_minority(now):
+            fits = self._fits_cut_off(limit.name, own, tokens, allowed, now)
+        elif fits and rest < allowed * TIGHT_SHARE:
             fits = self._fits_own_part(limit.name, window, tokens, rest, now)
         if fits:
             window.add(tokens, now)
@@ -142,30 +219,113 @@
 
     def usage(self, now: float) -> tuple[UsageShare, ...]:
         """Return this host's counts, for its digest."""
+        is_cut = self.fleet.is_minority(now)
         shares = []
         for name, window in list(self.windows.items()):
             counted = window.count(now)
+            if not is_cut:
+                self.before_cut[name] = counted
             if counted:
                 lately = window.since(now - RECENT_S) / RECENT_S
-                shares.append(UsageShare(name, int(counted), int(lately)))
+                shares.append(UsageShare(name, window.parts(now), int(lately)))
             else:
                 self.windows.pop(name)
         return tuple(shares)
 
-    def _used_by_peers(
+    def note_restart(self, peer: Peer) -> None:
+        """Remember what a host had admitted before it started again."""
+        if peer.digest is not None and peer.digest.usage:
+            told_at = peer.heard_at + RESTART_LAG_S
+            self.former[peer.name] = FormerUsage(peer.digest.usage, told_at)
+
+    def take_summary(self, summary: Summary, now: float) -> None:
+        """Take over what hosts had admitted before this one started.
+
+        When it was written is not known here, so it counts as of now.
+        """
+        for host in summary.hosts:
+            self.former[host.name] = FormerUsage(host.usage, now)
+
+    def expire(self, now: float) -> None:
+        """Forget what no longer counts or is known better."""
+        for name, former in list(self.former.items()):
+            if now - former.told_at >= self.span_s:
+                self.former.pop(name)
+
+    def note_same_life(self, name: str) -> None:
+        """Take over that a host of the summary has not started again."""
+        self.former.pop(name, None)
+
+    def summarize(
+        self,
+        limits: Iterable[WorkspaceLimit],
+        own_life: int,
+        now: float,
+    ) -> Summary | None:
+        """Return a summary for the store if there is news worth its price."""
+        if now - self.summary_at < SUMMARY_GAP_S:
+            return None
+        totals = {}
+        is_news = False
+        for limit in limits:
+            allowed = limit.rate * self.span_s + limit.burst
+            window = self.windows.get(limit.name)
+            own = window.count(now) if window else 0
+            total = own + self._used_by_others(limit.name, own, allowed, now)
+            if allowed and total >= allowed * SUMMARY_SHARE:
+                totals[limit.name] = total
+                change = abs(total - self.summarized.get(limit.name, 0))
+                is_news = is_news or change >= allowed * SUMMARY_STEP_SHARE
+                # A total that stays alike is made of newer tokens.
+                is_old = now - self.summary_at >= self.span_s / PARTS
+                is_news = is_news or is_old
+        if not is_news:
+            return None
+        self.summary_at = now
+        self.summarized = totals
+        hosts = [HostUsage(self.fleet.own_name, own_life, self.usage(now))]
+        for digest in self.fleet.heard(now):
+            hosts.append(HostUsage(digest.name, digest.life, digest.usage))
+        return Summary(tuple(hosts))
+
+    def _used_by_others(
         self,
         workspace: str,
+        own: float,
         allowed: float,
         now: float,
     ) -> float:
-        part = allowed / self.fleet.size
-        used = 0.0
-        for peer in self.fleet.silent(now):
-            last = peer.digest.usage if peer.digest else ()
-            used += max(part, _find(last, workspace).in_window)
+        used = sum(
+            former.count(workspace, self.span_s, now)
+            for former in self.former.values()
+        )
         for digest in self.fleet.heard(now):
             used += _find(digest.usage, workspace).in_window
-        return used
+        silent = self.fleet.silent(now)
+        for peer in silent:
+            used += _last_count(peer, workspace)
+        growth = self._cut_growth(allowed, own + used)
+        return used + growth * len(silent)
+
+    def _cut_growth(self, allowed: float, used: float) -> float:
+        free = max(0, allowed - used)
+        return CUT_GROWTH * free / self.fleet.size
+
+    def _fits_cut_off(
+        self,
+        workspace: str,
+        own: float,
+        tokens: int,
+        allowed: float,
+        now: float,
+    ) -> bool:
+        """Return whether a request fits what the others set aside."""
+        before = self.before_cut.get(workspace, 0)
+        others = sum(
+            _last_count(peer, workspace) for peer in self.fleet.peers.values()
+        )
+        growth = self._cut_growth(allowed, before + others)
+        return own + tokens <= before + growth
 
     def _fits_own_part(
         self,
@@ -188,7 +348,7 @@
         return unknown + tokens <= (rest + unknown) * share
 
 
-_NOTHING = UsageShare('', 0, 0)
+_NOTHING = UsageShare('', (), 0)
 
 
 def _find(usage: Sequence[UsageShare], workspace: str) -> UsageShare:
@@ -198,6 +358,12 @@
     return _NOTHING
 
 
+def _last_count(peer: Peer, workspace: str) -> int:
+    if peer.digest is None:
+        return 0
+    return _find(peer.digest.usage, workspace).in_window
+
+
 def charge_of(limit: WorkspaceLimit, tokens: int | None) -> int:
     """Return what a request counts against its workspace's limit."""
     if not limit.is_in_tokens:
