Placement where models come and go: swaps chosen by the whole spread of the demand

Cause: where demand exceeds what the engines can do, the catalogue's placement saw headroom nowhere, added no copies and took redundant ones of the busiest model for rare ones; its copies fell from four to one at three engines' worth of demand. turnover.py chooses the swap that lowers the summed squares of the engines' loads most, with a weight for what nobody serves.

--- a/ebonywell/eviction.py
+++ b/ebonywell/eviction.py
@@ -7,7 +7,6 @@
 
 MIN_RESIDENCE_S = 30.0
 IDLE_COST_SLOTS = 0.01
-MIN_GAIN_SHARE = 0.02
 
 
 @dataclass(slots=True)
@@ -30,28 +29,6 @@
 MayEvict = Callable[[Layout, Site, str], bool]
 
 
-@dataclass(slots=True, frozen=True)
-class EvictionRules:
-    """What may be unloaded, by what the room is for.
-
-    Attributes
-    ----------
-    for_waiting : callable
-        For a model that nobody serves and that callers ask for.
-    for_idle : callable
-        For a model that nobody serves and nobody asks for.
-    for_demand : callable
-        For another copy of a busy model.
-    least_gain : float
-        The part of a target's slots that another copy must win.
-    """
-
-    for_waiting: MayEvict
-    for_idle: MayEvict
-    for_demand: MayEvict
-    least_gain: float = MIN_GAIN_SHARE
-
-
 def is_redundant(layout: Layout, site: Site, model: str) -> bool:
     """Return whether another target goes on serving the model."""
     copy = site.copies[model]
@@ -77,11 +54,6 @@
     return may_evict
 
 
-def rules_of_catalogue(now: float) -> EvictionRules:
-    """Return the rules under which each model stays on some target."""
-    return EvictionRules(is_redundant, is_redundant, idle_for(now))
-
-
 def plan_eviction(
     layout: Layout,
     site: Site,
@@ -108,11 +80,11 @@
     if missing <= 0:
         return eviction
     costs = sorted(
-        (_cost(layout, site, model), layout.needs[model].asked_at, model)
+        (_cost(layout, site, model), model)
         for model in site.copies
         if may_evict(layout, site, model)
     )
-    for cost, _, model in costs:
+    for cost, model in costs:
         eviction.models.append(model)
         eviction.cost += cost
         missing -= _held_bytes(layout, site, model)
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -16,6 +16,7 @@
 from .routetable import WorkspaceLimit
 from .selection import Choice
 from .targeting import Targeting, holder_name
+from .wants import MODEL_S
 
 # Between two looks at whether a model or an adapter has come to a target.
 LOOK_GAP_S = 0.03
@@ -225,15 +226,17 @@
             )
         if call.generation is None:
             return
-        meter = self.demand.open(call.service, call.generation.model)
-        meter.waiting += 1
-        try:
-            with anyio.move_on_after(patience_s * PATIENCE_SHARE):
-                while not self.targeting.able(call, set()):
-                    await anyio.sleep(LOOK_GAP_S)
-                    self.want(call)
-        finally:
-            meter.waiting -= 1
+        with (
+            self.demand.waiting(
+                call.service,
+                call.generation,
+                is_absent=wait_s >= MODEL_S,
+            ),
+            anyio.move_on_after(patience_s * PATIENCE_SHARE),
+        ):
+            while not self.targeting.able(call, set()):
+                await anyio.sleep(LOOK_GAP_S)
+                self.want(call)
 
     def _note(
         self,
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -13,6 +13,7 @@
     Digest,
     LoadShare,
     Message,
+    ModelDemand,
     ResidentMessage,
     WantMessage,
 )
@@ -30,7 +31,7 @@
 from .loadboard import LoadBoard
 from .logs import Logger
 from .metrics import Metrics
-from .modeldemand import DemandBook, ModelDemand, ModelKey, add_up
+from .modeldemand import DemandBook, ModelKey, add_up
 from .orderbook import EngineClient
 from .prefixes import PrefixBook
 from .provisioning import Provisioner, Wanted
@@ -429,9 +430,7 @@
                 self.log('summary_unreadable', why=str(error))
                 continue
             self.limits.take_summary(summary, boot_time())
-            self.former_lives = {
-                host.name: host.life for host in summary.hosts
-            }
+            self.former_lives = {host.name: host.life for host in summary.hosts}
 
     async def _keep_summary(self) -> None:
         """Write down what is used of the limits while this host leads."""
@@ -505,10 +504,7 @@
         return max(holders, key=lambda one: one.fence, default=None)
 
     def _has_holder(self) -> bool:
-        return (
-            self.leadership.may_order_near()
-            or self._holder() is not None
-        )
+        return self.leadership.may_order_near() or self._holder() is not None
 
     def _rank(self) -> int:
         now = boot_time()
--- a/ebonywell/layout.py
+++ b/ebonywell/layout.py
@@ -59,9 +59,6 @@
         Adapter loads that have no answer yet.
     barred : set of str
         Models and ``model:adapter`` whose load failed here of late.
-    near_weights : frozenset of str
-        Models whose weights it has in its own memory or on its disk, so that
-        the weight store is not asked for them.
     """
 
     name: str
@@ -74,7 +71,6 @@
     load: float = 0
     adapter_loads: int = 0
     barred: set[str] = field(default_factory=set)
-    near_weights: frozenset[str] = frozenset()
 
     @property
     def headroom(self) -> float:
@@ -94,16 +90,12 @@
     adapters : tuple of Adapter
     demand : float
         In slots.
-    asked_at : float
-        When it was last asked for, in seconds; of models that cost the same
-        to unload, that one goes first that was not asked for longest.
     """
 
     model: str
     bytes: int
     adapters: tuple[Adapter, ...] = ()
     demand: float = 0
-    asked_at: float = 0
 
     @property
     def footprint(self) -> int:
@@ -124,8 +116,6 @@
         Whether the open targets hold every model twice and leave room.
     busy_slots : float
         The demand from which a model counts as busy.
-    only_near : bool
-        Whether the weight store is not to be asked for more loads now.
     """
 
     def __init__(self, sites: Iterable[Site], needs: Iterable[Need]) -> None:
@@ -141,7 +131,6 @@
                     site.free_bytes -= self.missing_bytes(site, model)
         self.spares_fit = self._do_spares_fit()
         self.busy_slots = self._average_slots() * BUSY_SHARE
-        self.only_near = False
 
     def open_sites(self) -> Iterator[Site]:
         """Iterate over the sites that may serve."""
@@ -155,7 +144,6 @@
             if site.slots
             and model not in site.copies
             and model not in site.barred
-            and (not self.only_near or model in site.near_weights)
         ]
 
     def missing_bytes(self, site: Site, model: str) -> int:
--- a/ebonywell/modeldemand.py
+++ b/ebonywell/modeldemand.py
@@ -1,7 +1,8 @@
 """How much work callers ask of each model, on this host and on all."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from .digests import ModelDemand
@@ -70,6 +71,22 @@
             name = f'{generation.model}/{generation.adapter}'
             self.adapters[name] = now
 
+    @contextmanager
+    def waiting(
+        self,
+        service: str,
+        generation: Generation,
+        *,
+        is_absent: bool,
+    ) -> Iterator[None]:
+        """Count a request that waits, if it is for the model to come."""
+        meter = self.open(service, generation.model)
+        meter.waiting += is_absent
+        try:
+            yield
+        finally:
+            meter.waiting -= is_absent
+
     def open(self, service: str, model: str) -> Meter:
         """Return a model's meter."""
         return self.meters.setdefault((service, model), Meter())
--- a/ebonywell/moves.py
+++ b/ebonywell/moves.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass, field
 
-from .eviction import EvictionRules
 from .layout import Layout
 from .orders import Action
 
@@ -82,7 +81,6 @@
         In seconds.
     budget : int
         Model loads that may still start.
-    rules : EvictionRules
     decision : Decision
     """
 
@@ -90,5 +88,4 @@
     pace: Pace
     now: float
     budget: int
-    rules: EvictionRules
     decision: Decision = field(default_factory=Decision)
--- a/ebonywell/orderbook.py
+++ b/ebonywell/orderbook.py
@@ -113,6 +113,8 @@
         Whether a model's order is under way.
     arriving, leaving : set of str
         Models.
+    since : dict of str to float
+        When each model came.
     adapters : set of str
         Each ``model/adapter`` on it or on its way, after as many orders as
         are known; others may only be fewer.
@@ -129,6 +131,7 @@
     is_busy: bool = False
     arriving: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
+    since: dict[str, float] = field(default_factory=dict)
     adapters: set[str] = field(default_factory=set)
     is_synced: bool = False
     asked_at: dict[str, float] = field(default_factory=dict)
--- a/ebonywell/placement.py
+++ b/ebonywell/placement.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 
 from .adapters import drop_adapters, load_adapters
-from .eviction import Eviction, EvictionRules, rules_of_catalogue
+from .eviction import Eviction, idle_for, is_redundant
 from .layout import Layout, Site
 from .moves import Decision, Earmark, Move, Pace, Turn
 from .orders import Action
@@ -16,16 +16,9 @@
 
 EARMARK_S = 10.0
 SHIFT_GAP_S = 3.0
-# Copies added in one decision; the next one sees what they changed.
-MAX_RELIEFS = 8
 
 
-def decide(
-    layout: Layout,
-    pace: Pace,
-    now: float,
-    rules: EvictionRules | None = None,
-) -> Decision:
+def decide(layout: Layout, pace: Pace, now: float) -> Decision:
     """Return the moves to make now.
 
     Parameters
@@ -36,17 +29,14 @@
         Changed in place; hand it to the next decision.
     now : float
         In seconds, never going back.
-    rules : EvictionRules or None
-        By default no unload takes the last serving copy of a model.
 
     Returns
     -------
     Decision
-        Its loads keep to the weight store's limits.
+        No unload in it takes the last serving copy of a model, and loads
+        keep to the weight store's limits.
     """
-    budget = _refill(layout, pace, now)
-    layout.only_near = budget <= 0
-    turn = Turn(layout, pace, now, budget, rules or rules_of_catalogue(now))
+    turn = Turn(layout, pace, now, _refill(layout, pace, now))
     _drop_unwanted(turn)
     _use_earmarks(turn)
     layout.spread()
@@ -67,11 +57,9 @@
         pace.loads_at_once,
     )
     under_way = sum(
-        not copy.ready
-        and not copy.leaving
-        and model not in site.near_weights
+        not copy.ready and not copy.leaving
         for site in layout.open_sites()
-        for model, copy in site.copies.items()
+        for copy in site.copies.values()
     )
     return min(int(pace.tokens), pace.loads_at_once - under_way)
 
@@ -93,14 +81,13 @@
             turn.pace.earmarks.pop(name)
             continue
         footprint = turn.layout.needs[earmark.model].footprint
-        is_near = earmark.model in site.near_weights
-        if site.free_bytes >= footprint and (is_near or turn.budget > 0):
+        if site.free_bytes >= footprint and turn.budget > 0:
             turn.pace.earmarks.pop(name)
             _load(turn, site, earmark.model)
         else:
             # Room is on its way: what is planned next counts with the copy.
             turn.layout.add_copy(site, earmark.model, turn.now)
-            _count_load(turn, site, earmark.model)
+            turn.budget -= 1
 
 
 def _is_valid(turn: Turn, site: Site, earmark: Earmark) -> bool:
@@ -118,10 +105,10 @@
     ]
     orphans.sort(key=lambda need: (-need.demand, -need.footprint))
     for need in orphans:
+        if turn.budget <= 0:
+            return
         sites = layout.candidates(need.model)
-        rules = turn.rules
-        may_evict = rules.for_waiting if need.demand else rules.for_idle
-        best = find_cheapest(layout, sites, need.model, may_evict)
+        best = find_cheapest(layout, sites, need.model, is_redundant)
         if best is None:
             turn.decision.unplaced.append(need.model)
         else:
@@ -130,7 +117,7 @@
 
 def _widen_busy(turn: Turn) -> None:
     for need in _by_demand(turn.layout):
-        if not turn.layout.is_busy(need):
+        if turn.budget <= 0 or not turn.layout.is_busy(need):
             return
         zones = {site.zone for site in turn.layout.holders[need]}
         if len(zones) == 1:
@@ -143,7 +130,7 @@
                 turn.layout,
                 sites,
                 need,
-                turn.rules.for_demand,
+                idle_for(turn.now),
             )
             if best is not None and best.cost < turn.layout.busy_slots:
                 _place(turn, best, need)
@@ -151,7 +138,7 @@
 
 def _relieve(turn: Turn) -> None:
     layout = turn.layout
-    for _ in range(MAX_RELIEFS):
+    for _ in range(turn.budget):
         tight = sorted(
             ((layout.pressure(model), model) for model in layout.needs),
             reverse=True,
@@ -163,7 +150,8 @@
 
 def _relief(turn: Turn, model: str, pressure: float) -> bool:
     """Add the copy that takes most of a model's overflow, if it pays."""
-    eviction = find_relief(turn.layout, model, pressure, turn.rules)
+    may_evict = idle_for(turn.now)
+    eviction = find_relief(turn.layout, model, pressure, may_evict)
     if eviction is None:
         return False
     _place(turn, eviction, model)
@@ -173,9 +161,9 @@
 
 def _shift(turn: Turn) -> None:
     """Begin to move a sole copy away, so that its target can take more."""
-    if turn.now < turn.pace.shift_after:
+    if turn.budget <= 0 or turn.now < turn.pace.shift_after:
         return
-    shift = find_shift(turn.layout, turn.rules.for_demand)
+    shift = find_shift(turn.layout, idle_for(turn.now))
     if shift is not None:
         turn.pace.shift_after = turn.now + SHIFT_GAP_S
         _place(turn, shift.eviction, shift.model)
@@ -184,6 +172,8 @@
 def _add_spares(turn: Turn) -> None:
     layout = turn.layout
     for model in _by_demand(layout):
+        if turn.budget <= 0:
+            return
         holders = layout.holders[model]
         if len(holders) == 1:
             footprint = layout.needs[model].footprint
@@ -217,22 +207,13 @@
     earmark = Earmark(model, turn.now + EARMARK_S)
     turn.pace.earmarks[eviction.site.name] = earmark
     turn.layout.add_copy(eviction.site, model, turn.now)
-    _count_load(turn, eviction.site, model)
-
-
-def _count_load(turn: Turn, site: Site, model: str) -> None:
-    """Count a load against what the weight store still gives now."""
-    if model in site.near_weights:
-        return
     turn.budget -= 1
-    turn.layout.only_near = turn.budget <= 0
 
 
 def _load(turn: Turn, site: Site, model: str) -> None:
     turn.layout.add_copy(site, model, turn.now)
-    _count_load(turn, site, model)
-    if model not in site.near_weights:
-        turn.pace.tokens -= 1
+    turn.budget -= 1
+    turn.pace.tokens -= 1
     need = turn.layout.needs[model]
     turn.decision.moves.append(
         Move(Action.load, site.name, model, need.bytes),
--- a/ebonywell/platform/app.py
+++ b/ebonywell/platform/app.py
@@ -10,7 +10,7 @@
 from ..gateway import Gateway
 from ..hostsettings import HostSettings
 from ..inbound import RejectionError
-from ..metrics import CONTENT_TYPE, Metrics
+from ..metrics import Metrics
 from ..misc import split_address
 from . import ingress
 
@@ -135,4 +135,3 @@
     Cut answers are ended on purpose and logged by the gateway.
     """
     logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
-
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -1,6 +1,7 @@
 """Runs a host on the platform: its client, its sockets and its services."""
 
 import random
+import socket
 
 import anyio
 import uvicorn
@@ -63,7 +64,7 @@
         log('stopped')
 
 
-def _bind_all(settings: HostSettings) -> list[server.socket.socket]:
+def _bind_all(settings: HostSettings) -> list[socket.socket]:
     metrics_port = settings.first_inner_port + METRICS_PORT_OFFSET
     addresses = (
         settings.caller_address,
--- a/ebonywell/platform/headers.py
+++ b/ebonywell/platform/headers.py
@@ -21,30 +21,34 @@
 SERVER_LOAD = b'server-load'
 
 # Concern one connection only, or are set anew.
-PER_CONNECTION = frozenset((
-    b'connection',
-    b'keep-alive',
-    b'proxy-connection',
-    b'proxy-authorization',
-    b'te',
-    b'trailer',
-    b'transfer-encoding',
-    b'upgrade',
-    b'expect',
-    b'content-length',
-))
+PER_CONNECTION = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+        b'content-length',
+    )
+)
 
 # Set by this system towards targets, whatever a caller sent.
-OURS = frozenset((
-    AUTHORIZATION,
-    TENANT,
-    EXPECT_INSTANCE,
-    REQUEST_PRIORITY,
-    DEADLINE_MS,
-    b'expect-version',
-    b'hold',
-    b'pin-ms',
-    b'kv-backup',
-    b'kv-from',
-    b'kv-fetch',
-))
+OURS = frozenset(
+    (
+        AUTHORIZATION,
+        TENANT,
+        EXPECT_INSTANCE,
+        REQUEST_PRIORITY,
+        DEADLINE_MS,
+        b'expect-version',
+        b'hold',
+        b'pin-ms',
+        b'kv-backup',
+        b'kv-from',
+        b'kv-fetch',
+    )
+)
--- a/ebonywell/platform/ingress.py
+++ b/ebonywell/platform/ingress.py
@@ -36,19 +36,23 @@
 
     async def start(self, status: int, answer_headers: Headers) -> None:
         """Send the head."""
-        await self.asgi_send({
-            'type': 'http.response.start',
-            'status': status,
-            'headers': list(answer_headers),
-        })
+        await self.asgi_send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': list(answer_headers),
+            }
+        )
 
     async def send(self, body: bytes) -> None:
         """Send a part of the body."""
-        await self.asgi_send({
-            'type': 'http.response.body',
-            'body': body,
-            'more_body': True,
-        })
+        await self.asgi_send(
+            {
+                'type': 'http.response.body',
+                'body': body,
+                'more_body': True,
+            }
+        )
 
     async def finish(self) -> None:
         """End the body."""
@@ -201,4 +205,3 @@
             break
         parts.append(PromptPart(part_id, int(tokens)))
     return parts
-
--- a/ebonywell/platform/store.py
+++ b/ebonywell/platform/store.py
@@ -126,7 +126,8 @@
             query['at'] = at
         framed = b''.join(_frame(key, value) for key, value in records)
         answer = await self._ask('POST', '/log-append', query, 0, framed)
-        return self._decode(answer, _Appended).offset
+        appended: _Appended = self._decode(answer, _Appended)
+        return appended.offset
 
     def _decode(self, answer: httpcore.Response, kind: type[Any]) -> Any:
         try:
--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -109,5 +109,3 @@
     host, colon, port = address.rpartition(':')
     if not (host and colon and port.isdigit()):
         raise RecordError(f'target {name}: address {address!r}')
-
-
--- a/ebonywell/prefixes.py
+++ b/ebonywell/prefixes.py
@@ -47,7 +47,9 @@
         prefix: Sequence[PromptPart],
     ) -> int:
         """Return the tokens that a target need not read again."""
-        parts = self.sent.get(target, {})
+        parts = self.sent.get(target)
+        if parts is None:
+            return 0
         kept = 0
         for part in prefix:
             if f'{holder} {part.part_id}' not in parts:
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -11,12 +11,10 @@
 from .digests import ModelDemand, ResidentMessage
 from .exceptions import TransportError
 from .inventory import Inventory, KnownTarget
-from .layout import Layout
 from .leadership import Leadership
 from .loadboard import LoadBoard
 from .logs import Logger
 from .modeldemand import ModelKey
-from .moves import Decision, Pace
 from .orderbook import (
     EngineClient,
     EngineOrder,
@@ -26,15 +24,8 @@
     used_bytes,
 )
 from .orders import Action
-from .placement import decide
-from .residency import (
-    EngineView,
-    ModelNotes,
-    build_layout,
-    reserved_adapter_bytes,
-    turnover_rules,
-)
 from .routetable import Configuration, EngineSpec
+from .turnover import Budget, EngineState, Fleet, ModelState, Swap
 
 # The demand is a few hundred milliseconds old when it comes.
 TICK_S = 0.25
@@ -62,24 +53,35 @@
 # Orders for adapters of one model wait so long for an engine that carries out
 # another order.
 ADAPTER_WAIT_S = 1.5
+MS_PER_S = 1000
+# Of the models that callers ask for most, in one line of the log.
+LOGGED_MODELS = 8
 _TAKEN = frozenset((OrderAnswer.accepted, OrderAnswer.held))
 
 
 @dataclass(slots=True)
-class Swap:
-    """Orders for models to one target, the unloads first.
+class LoadPace:
+    """The loads that the weight store may be asked for.
 
     Attributes
     ----------
-    target : str
-    unloads : list of str
-    load : str
-        Empty for none.
+    loads : float
+        That may start now.
+    refilled_at : float
+        In seconds.
+    under_way : int
     """
 
-    target: str
-    unloads: list[str] = field(default_factory=list)
-    load: str = ''
+    refilled_at: float
+    loads: float = 0
+    under_way: int = 0
+
+    def refill(self, loads_per_s: float, now: float) -> int:
+        """Return how many loads may start now."""
+        earned = (now - self.refilled_at) * loads_per_s * RATE_SHARE
+        self.loads = min(self.loads + earned, LOADS_AT_ONCE)
+        self.refilled_at = now
+        return min(int(self.loads), LOADS_AT_ONCE - self.under_way)
 
 
 @dataclass(slots=True, frozen=True)
@@ -120,13 +122,12 @@
     tell: Callable[[ResidentMessage, tuple[str, ...]], Awaitable[None]]
     log: Logger
     tracks: dict[str, OrderTrack] = field(default_factory=dict)
-    notes: ModelNotes = field(default_factory=ModelNotes)
-    paces: dict[str, Pace] = field(default_factory=dict)
+    asked_at: dict[str, float] = field(default_factory=dict)
+    paces: dict[str, LoadPace] = field(default_factory=dict)
     askers: dict[Wanted, set[str]] = field(default_factory=dict)
     woken: anyio.Event = field(default_factory=anyio.Event)
     group: TaskGroup | None = None
     was_holder: bool = False
-    waiting: set[str] = field(default_factory=set)
 
     async def run(self) -> None:
         """Decide and order until cancelled."""
@@ -177,59 +178,87 @@
                 for (named, model), asked in demand.items()
                 if named == service
             }
-            pace = self._pace(service, engine)
+            pace = self._pace(service)
             if only_near:
                 # Another holder may ask the weight store for its part.
-                pace.tokens = 0
-            self._decide_service(service, engine, of_service)
+                pace.loads = 0
+            self._decide_service(service, engine, of_service, pace)
 
     def _decide_service(
         self,
         service: str,
         engine: EngineSpec,
         demand: dict[str, ModelDemand],
+        pace: LoadPace,
     ) -> None:
         now = boot_time()
-        views = {
-            known.name: self._view(known)
+        engines = [
+            self._view(known, engine, now)
             for known in self.inventory.of_service(service)
-        }
-        if not views:
-            return
-        layout = build_layout(engine, views.values(), demand, self.notes, now)
-        rules = turnover_rules(demand, self.notes, views, now)
-        decision = decide(layout, self._pace(service, engine), now, rules)
-        for swap in _gather(decision, self._pace(service, engine), layout):
-            self._start(swap, engine)
-        waiting = {model for model, asked in demand.items() if asked.waiting}
-        if waiting - self.waiting:
-            self.log(
-                'models_wanted',
-                models=','.join(sorted(waiting)),
-                unplaced=','.join(decision.unplaced) or None,
-                moves=len(decision.moves),
-            )
-        self.waiting = waiting
-
-    def _pace(self, service: str, engine: EngineSpec) -> Pace:
-        pace = self.paces.get(service)
-        if pace is None:
-            # The holder before may have used up what the window allows.
-            pace = Pace(
-                tokens=0,
-                loads_per_s=engine.loads_per_s * RATE_SHARE,
-                loads_at_once=LOADS_AT_ONCE,
-            )
-            self.paces[service] = pace
-        return pace
-
-    def _view(self, known: KnownTarget) -> EngineView:
+        ]
+        fleet = Fleet(engines, self._view_models(engine, demand, now), now)
+        budget = Budget(pace.refill(engine.loads_per_s, now))
+        swaps = fleet.decide(budget)
+        if swaps:
+            self._note_decision(fleet, swaps)
+        for swap in swaps:
+            self._start(swap, engine, pace)
+
+    def _note_decision(self, fleet: Fleet, swaps: list[Swap]) -> None:
+        asked = sorted(fleet.models.values(), key=lambda one: -one.demand)
+        self.log(
+            'placement_decided',
+            demand=','.join(
+                f'{one.name}:{one.work:.2f}:{one.waiting}'
+                f':{len(fleet.holders(one.name))}'
+                for one in asked[:LOGGED_MODELS]
+            ),
+            load=max(one.load for one in fleet.engines.values()),
+            swaps=len(swaps),
+        )
+
+    def _pace(self, service: str) -> LoadPace:
+        # The holder before may have used up what the window allows.
+        return self.paces.setdefault(service, LoadPace(boot_time()))
+
+    def _view_models(
+        self,
+        engine: EngineSpec,
+        demand: dict[str, ModelDemand],
+        now: float,
+    ) -> Iterator[ModelState]:
+        for name, spec in engine.models.items():
+            asked = demand.get(name)
+            if asked is None:
+                asked_at = self.asked_at.get(name, -math.inf)
+                yield ModelState(name, spec.bytes, asked_at=asked_at)
+                continue
+            self.asked_at[name] = now
+            work = asked.work_ms / MS_PER_S
+            yield ModelState(name, spec.bytes, work, asked.waiting, now)
+
+    def _view(
+        self,
+        known: KnownTarget,
+        engine: EngineSpec,
+        now: float,
+    ) -> EngineState:
         track = self._track(known)
-        return EngineView(
-            known,
+        held = (known.models.keys() | track.arriving) - track.leaving
+        used = reserved_adapter_bytes(engine)
+        for model in known.models.keys() | track.arriving:
+            spec = engine.models.get(model)
+            used += spec.bytes if spec else engine.weight_bytes
+        for gone in track.since.keys() - held:
+            track.since.pop(gone)
+        for model in held:
+            track.since.setdefault(model, now)
+        return EngineState(
+            known.name,
+            engine.weight_bytes - used,
+            {model: track.since[model] for model in held},
+            known.said.near_weights,
             track.is_busy,
-            frozenset(track.arriving),
-            frozenset(track.leaving),
         )
 
     def _track(self, known: KnownTarget) -> OrderTrack:
@@ -239,7 +268,7 @@
             self.tracks[known.name] = track
         return track
 
-    def _start(self, swap: Swap, engine: EngineSpec) -> None:
+    def _start(self, swap: Swap, engine: EngineSpec, pace: LoadPace) -> None:
         known = self.inventory.targets.get(swap.target)
         if known is None or self.group is None:
             return
@@ -248,9 +277,15 @@
             return
         track.is_busy = True
         track.leaving.update(swap.unloads)
-        if swap.load:
-            track.arriving.add(swap.load)
-        self.group.start_soon(self._carry_out, swap, known, track, engine)
+        track.arriving.add(swap.load)
+        self.group.start_soon(
+            self._carry_out,
+            swap,
+            known,
+            track,
+            engine,
+            pace,
+        )
 
     async def _carry_out(
         self,
@@ -258,7 +293,11 @@
         known: KnownTarget,
         track: OrderTrack,
         engine: EngineSpec,
+        pace: LoadPace,
     ) -> None:
+        is_far = swap.load not in known.said.near_weights
+        pace.loads -= is_far
+        pace.under_way += is_far
         try:
             async with track.turn:
                 is_ordered = await self._order_swap(swap, known, engine)
@@ -267,6 +306,7 @@
             else:
                 await anyio.sleep(RETRY_S)
         finally:
+            pace.under_way -= is_far
             track.is_busy = False
             track.leaving.clear()
             track.arriving.clear()
@@ -281,7 +321,7 @@
         """Give the orders of a swap, and return whether all were taken."""
         if not await self._refresh(known):
             return False
-        if swap.load and not _fits(known, engine, swap):
+        if not _fits(known, engine, swap):
             self.log('load_does_not_fit', target=known.name, model=swap.load)
             return False
         for model in swap.unloads:
@@ -291,8 +331,6 @@
             await self.tell(_resident(known), ())
             if not await self._order_next(known, Action.unload, model):
                 return False
-        if not swap.load:
-            return True
         return await self._order_next(known, Action.load, swap.load)
 
     async def _order_next(
@@ -403,11 +441,10 @@
         A load takes the time that its model states, unless it waits behind
         others; the target's own report is some hundred milliseconds old.
         """
-        if swap.load:
-            await anyio.sleep(_load_s(swap.load, known, engine))
-            known.add(swap.load, '')
-            known.confirmed_at = boot_time()
-            await self.tell(_resident(known), ())
+        await anyio.sleep(_load_s(swap.load, known, engine))
+        known.add(swap.load, '')
+        known.confirmed_at = boot_time()
+        await self.tell(_resident(known), ())
         with anyio.move_on_after(LOAD_TIMEOUT_S):
             while True:
                 await anyio.sleep(LOOK_GAP_S)
@@ -468,10 +505,12 @@
             if idle:
                 return min(
                     idle,
-                    key=lambda known: self.board.total(
-                        known.name,
-                        now,
-                    ).held_tokens,
+                    key=lambda known: (
+                        self.board.total(
+                            known.name,
+                            now,
+                        ).held_tokens
+                    ),
                 )
             await anyio.sleep(LOOK_GAP_S / 4)
         return None
@@ -560,33 +599,17 @@
     )
 
 
-def _gather(
-    decision: Decision,
-    pace: Pace,
-    layout: Layout,
-) -> list[Swap]:
-    """Return the moves by target, with the loads that unloads make room for.
-
-    A load waits for nothing but its own target, so it is ordered right after
-    the unloads and not in a later decision.
-    """
-    swaps: dict[str, Swap] = {}
-    for move in decision.moves:
-        if move.action not in {Action.load, Action.unload}:
-            continue
-        swap = swaps.setdefault(move.target, Swap(move.target))
-        if move.action is Action.unload:
-            swap.unloads.append(move.model)
-        elif not swap.load:
-            swap.load = move.model
-    for target, swap in swaps.items():
-        earmark = pace.earmarks.get(target)
-        if swap.unloads and not swap.load and earmark is not None:
-            pace.earmarks.pop(target)
-            swap.load = earmark.model
-            if swap.load not in layout.sites[target].near_weights:
-                pace.tokens -= 1
-    return list(swaps.values())
+def reserved_adapter_bytes(engine: EngineSpec) -> int:
+    """Return the memory that adapters of any models may take."""
+    largest = max(
+        (
+            spec.adapter_bytes
+            for spec in engine.models.values()
+            if spec.adapters
+        ),
+        default=0,
+    )
+    return largest * engine.adapter_slots
 
 
 def _fits(known: KnownTarget, engine: EngineSpec, swap: Swap) -> bool:
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -552,4 +552,3 @@
 ) -> list[tuple[bytes, bytes]]:
     length = str(len(body)).encode()
     return [*headers, (b'content-length', length)]
-
--- a/ebonywell/relief.py
+++ b/ebonywell/relief.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from .eviction import Eviction, EvictionRules, MayEvict, plan_eviction
+from .eviction import Eviction, MayEvict, plan_eviction
 from .layout import Layout, Site
 
+MIN_GAIN_SHARE = 0.02
 SHIFT_GAIN_SHARE = 0.1
 SITES_TRIED = 64
 SHIFT_SITES_TRIED = 3
@@ -39,12 +40,7 @@
     )
     return min(
         (eviction for eviction in evictions if eviction is not None),
-        key=lambda one: (
-            model not in one.site.near_weights,
-            bool(one.models),
-            one.cost,
-            -one.site.headroom,
-        ),
+        key=lambda one: (bool(one.models), one.cost, -one.site.headroom),
         default=None,
     )
 
@@ -53,7 +49,7 @@
     layout: Layout,
     model: str,
     pressure: float,
-    rules: EvictionRules,
+    may_evict: MayEvict,
 ) -> Eviction | None:
     """Return where a copy takes most of a model's overflow, if it pays.
 
@@ -64,38 +60,17 @@
     model : str
     pressure : float
         The model's demand that finds its targets full, in slots.
-    rules : EvictionRules
+    may_evict : callable
     """
-    if pressure <= 0:
-        return None
-    sites = _emptiest(layout, model)
-    near = [site for site in sites if model in site.near_weights]
-    # A load that does not ask the weight store is sooner there, and free.
-    found = _best_relief(layout, near, model, pressure, rules)
-    return found or _best_relief(layout, sites, model, pressure, rules)
-
-
-def _best_relief(
-    layout: Layout,
-    sites: list[Site],
-    model: str,
-    pressure: float,
-    rules: EvictionRules,
-) -> Eviction | None:
     best: Eviction | None = None
     best_gain: float = 0
-    for site in sites:
-        least = max(rules.least_gain * site.slots, best_gain)
+    for site in _emptiest(layout, model) if pressure > 0 else ():
+        least = max(MIN_GAIN_SHARE * site.slots, best_gain)
         reach = min(pressure, site.headroom)
         if reach < least:
             break
         footprint = layout.needs[model].footprint
-        eviction = plan_eviction(
-            layout,
-            site,
-            footprint,
-            rules.for_demand,
-        )
+        eviction = plan_eviction(layout, site, footprint, may_evict)
         if eviction is not None and reach - eviction.cost >= least:
             best = eviction
             best_gain = reach - eviction.cost
--- /dev/null
+++ b/ebonywell/turnover.py
@@ -0,0 +1,383 @@
+"""Decides which engine holds which model where models come and go in seconds.
+
+Pure: the engines, their models and the demand come in, swaps come out. The
+load that it answers: a few busy models that need several engines each, while
+their places in the demand change within seconds, and many rare ones that must
+come within their callers' patience although not all fit at once.
+
+`placement` decides for catalogues in which each model stays resident; here a
+model that nobody asks for may go, since engines have the weights of several
+more on their disks and load them in less than a second.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+# Work that no engine can take costs its callers their answers; an engine that
+# is loaded as far as it can costs waiting only.
+UNSERVED_WEIGHT = 5.0
+# A request that waits for a model counts as this much work, in engines.
+WAITING_WORK = 0.06
+# What the loss of the last copy of a model costs that was asked for of late.
+RECENT_WEIGHT = 0.08
+RECENT_S = 8.0
+# A swap occupies its engine, and may be regretted; its gain must be more.
+LEAST_GAIN = 0.06
+# A copy that is put into free memory costs next to nothing.
+LEAST_FREE_GAIN = 0.004
+# A model stays at least that long after it came.
+MIN_RESIDENCE_S = 2.5
+# Models and engines that are tried in one decision.
+MODELS_TRIED = 4
+ENGINES_TRIED = 5
+SWAPS_AT_ONCE = 3
+# Loads from the weight store that serve models nobody asks for leave this
+# many for those that somebody does.
+KEPT_LOADS = 1
+
+
+@dataclass(slots=True)
+class Swap:
+    """Orders for models to one engine, the unloads first.
+
+    Attributes
+    ----------
+    target : str
+    unloads : list of str
+    load : str
+        Empty for none.
+    """
+
+    target: str
+    unloads: list[str] = field(default_factory=list)
+    load: str = ''
+
+
+@dataclass(slots=True)
+class EngineState:
+    """An engine as the decision sees it.
+
+    Attributes
+    ----------
+    name : str
+    free_bytes : int
+    models : dict of str to float
+        When each model came, in seconds; those on their way included.
+    near_weights : frozenset of str
+        Models that it loads without the weight store.
+    is_busy : bool
+        Whether it carries out an order.
+    load : float
+        Work by the spread demand, 1.0 being all that it can do.
+    """
+
+    name: str
+    free_bytes: int
+    models: dict[str, float]
+    near_weights: frozenset[str] = frozenset()
+    is_busy: bool = False
+    load: float = 0
+
+
+@dataclass(slots=True, frozen=True)
+class ModelState:
+    """A model as the decision sees it.
+
+    Attributes
+    ----------
+    name : str
+    bytes : int
+    work : float
+        Demand, in engines.
+    waiting : int
+        Requests that wait for it.
+    asked_at : float
+        When it was last asked for, in seconds.
+    """
+
+    name: str
+    bytes: int
+    work: float = 0
+    waiting: int = 0
+    asked_at: float = float('-inf')
+
+    @property
+    def demand(self) -> float:
+        """The work with that of the requests that wait."""
+        return self.work + self.waiting * WAITING_WORK
+
+
+@dataclass(slots=True)
+class Budget:
+    """Loads that the weight store may still be asked for."""
+
+    loads: int
+
+
+@dataclass(slots=True, frozen=True)
+class Trial:
+    """A swap and what it would gain."""
+
+    swap: Swap
+    gain: float
+    is_near: bool
+
+
+class Fleet:
+    """The engines of one service with the demand spread over them.
+
+    Attributes
+    ----------
+    engines : dict of str to EngineState
+    models : dict of str to ModelState
+    shares : dict of str to dict of str to float
+        Work by model and engine.
+    """
+
+    def __init__(
+        self,
+        engines: Iterable[EngineState],
+        models: Iterable[ModelState],
+        now: float,
+    ) -> None:
+        self.engines = {one.name: one for one in engines}
+        self.models = {one.name: one for one in models}
+        self.now = now
+        self.shares: dict[str, dict[str, float]] = {}
+        order = sorted(self.models.values(), key=lambda one: -one.demand)
+        for _ in range(2):
+            for model in order:
+                self._respread(model)
+
+    def holders(self, model: str) -> list[str]:
+        """Return the engines that hold a model."""
+        return [
+            name for name, one in self.engines.items() if model in one.models
+        ]
+
+    def decide(self, budget: Budget) -> list[Swap]:
+        """Return the swaps to begin now, the best first."""
+        swaps: list[Swap] = []
+        for _ in range(SWAPS_AT_ONCE):
+            best = max(
+                self._trials(budget),
+                key=lambda trial: trial.gain,
+                default=None,
+            )
+            if best is None:
+                break
+            self._apply(best, budget)
+            swaps.append(best.swap)
+        return [*swaps, *self._fill_free(budget)]
+
+    def _respread(self, model: ModelState) -> None:
+        """Share out one model's demand over its engines, level by level."""
+        for name, share in self.shares.pop(model.name, {}).items():
+            self.engines[name].load -= share
+        loads = {
+            name: self.engines[name].load for name in self.holders(model.name)
+        }
+        shares = fill(loads, model.demand)
+        for taking, taken in shares.items():
+            self.engines[taking].load += taken
+        self.shares[model.name] = shares
+
+    def _trials(self, budget: Budget) -> Iterator[Trial]:
+        for model in self._wanting():
+            for engine in self._takers(model, budget):
+                trial = self._try(model, engine)
+                if trial is not None:
+                    yield trial
+
+    def _wanting(self) -> list[ModelState]:
+        """Return the models that would gain most from another copy."""
+        scored = []
+        for model in self.models.values():
+            shares = self.shares[model.name]
+            if not model.demand:
+                continue
+            if not shares:
+                scored.append((UNSERVED_WEIGHT * model.demand, model))
+                continue
+            worst = max(self.engines[name].load for name in shares)
+            scored.append((model.demand / len(shares) * worst, model))
+        scored.sort(key=lambda pair: -pair[0])
+        return [model for _, model in scored[:MODELS_TRIED]]
+
+    def _takers(self, model: ModelState, budget: Budget) -> list[EngineState]:
+        """Return the least loaded engines that could get a model."""
+        takers = [
+            engine
+            for engine in self.engines.values()
+            if not engine.is_busy
+            and model.name not in engine.models
+            and (budget.loads > 0 or model.name in engine.near_weights)
+        ]
+        takers.sort(key=lambda engine: engine.load)
+        near = [one for one in takers if model.name in one.near_weights]
+        far = [one for one in takers if model.name not in one.near_weights]
+        return near[:ENGINES_TRIED] + far[: ENGINES_TRIED - len(near)]
+
+    def _try(self, model: ModelState, engine: EngineState) -> Trial | None:
+        unloads = self._make_room(model, engine)
+        if unloads is None:
+            return None
+        gain = self._gain(model, engine, unloads)
+        if gain < (LEAST_GAIN if unloads else LEAST_FREE_GAIN):
+            return None
+        return Trial(
+            Swap(engine.name, unloads, model.name),
+            gain,
+            model.name in engine.near_weights,
+        )
+
+    def _make_room(
+        self,
+        model: ModelState,
+        engine: EngineState,
+    ) -> list[str] | None:
+        """Return what to unload for a model, None if there is no way."""
+        missing = model.bytes - engine.free_bytes
+        unloads: list[str] = []
+        if missing <= 0:
+            return unloads
+        settled = [
+            name
+            for name, since in engine.models.items()
+            if self.now - since >= MIN_RESIDENCE_S
+        ]
+        settled.sort(key=lambda name: self._worth(name, engine.name))
+        for name in settled:
+            unloads.append(name)
+            held = self.models.get(name)
+            missing -= held.bytes if held else 0
+            if missing <= 0:
+                return unloads
+        return None
+
+    def _worth(self, model: str, engine: str) -> float:
+        """Return roughly what a copy is worth where it is."""
+        share = self.shares.get(model, {}).get(engine, 0)
+        if len(self.holders(model)) > 1:
+            return share
+        return share * UNSERVED_WEIGHT + self._recency(model)
+
+    def _recency(self, model: str) -> float:
+        known = self.models.get(model)
+        if known is None:
+            return 0
+        age_s = self.now - known.asked_at
+        return RECENT_WEIGHT * max(0.1, 1 - age_s / RECENT_S)
+
+    def _gain(
+        self,
+        model: ModelState,
+        engine: EngineState,
+        unloads: list[str],
+    ) -> float:
+        """Return by how much a swap lowers the cost of the whole spread."""
+        loads = {name: one.load for name, one in self.engines.items()}
+        before = sum(load * load for load in loads.values())
+        cost = 0.0
+        changed = [self.models[name] for name in unloads if name in self.models]
+        for one in (*changed, model):
+            for name, share in self.shares[one.name].items():
+                loads[name] -= share
+            if not self.shares[one.name]:
+                before += UNSERVED_WEIGHT * one.demand
+        for one in (*changed, model):
+            holders = set(self.holders(one.name))
+            holders.discard(engine.name)
+            if one is model:
+                holders.add(engine.name)
+            if not holders:
+                cost += UNSERVED_WEIGHT * one.demand + self._recency(one.name)
+                continue
+            shares = fill({name: loads[name] for name in holders}, one.demand)
+            for name, share in shares.items():
+                loads[name] += share
+        cost += sum(load * load for load in loads.values())
+        return before - cost
+
+    def _apply(self, trial: Trial, budget: Budget) -> None:
+        swap = trial.swap
+        engine = self.engines[swap.target]
+        for unloaded in swap.unloads:
+            engine.models.pop(unloaded)
+            known = self.models.get(unloaded)
+            if known is not None:
+                engine.free_bytes += known.bytes
+                self._respread(known)
+        loaded = self.models[swap.load]
+        engine.models[swap.load] = self.now
+        engine.free_bytes -= loaded.bytes
+        engine.is_busy = True
+        self._respread(loaded)
+        if not trial.is_near:
+            budget.loads -= 1
+
+    def _fill_free(self, budget: Budget) -> Iterator[Swap]:
+        """Load models that nobody holds where there is room for them."""
+        absent = [
+            model
+            for model in self.models.values()
+            if not self.holders(model.name)
+        ]
+        absent.sort(key=lambda model: -model.asked_at)
+        for model in absent:
+            engine = self._find_room(model, budget)
+            if engine is not None:
+                is_near = model.name in engine.near_weights
+                swap = Swap(engine.name, [], model.name)
+                self._apply(Trial(swap, 0, is_near), budget)
+                yield swap
+
+    def _find_room(
+        self,
+        model: ModelState,
+        budget: Budget,
+    ) -> EngineState | None:
+        rooms = [
+            engine
+            for engine in self.engines.values()
+            if not engine.is_busy
+            and engine.free_bytes >= model.bytes
+            and (model.name in engine.near_weights or budget.loads > KEPT_LOADS)
+        ]
+        return min(
+            rooms,
+            key=lambda engine: (
+                model.name not in engine.near_weights,
+                engine.free_bytes,
+            ),
+            default=None,
+        )
+
+
+def fill(loads: Mapping[str, float], work: float) -> dict[str, float]:
+    """Return how work spreads over engines so that their loads are level.
+
+    Parameters
+    ----------
+    loads : mapping of str to float
+        Of the engines, without that work.
+    work : float
+
+    Returns
+    -------
+    dict of str to float
+        The part that each engine takes.
+    """
+    if not loads:
+        return {}
+    ranked = sorted(loads.values())
+    level = ranked[0]
+    left = work
+    for count, load in enumerate(ranked, 1):
+        after = ranked[count] if count < len(ranked) else float('inf')
+        step = min(left, (after - load) * count)
+        level = load + step / count
+        left -= step
+        if left <= 0:
+            break
+    return {name: max(0, level - load) for name, load in loads.items()}
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -387,4 +387,3 @@
         yield
     except (OSError, TimeoutError) as error:
         raise TargetUnreachableError(f'{address}: {error!r}') from error
-
