--- a/ebonywell/events.py
+++ b/ebonywell/events.py
@@ -4,6 +4,7 @@
 
 _END = b'\n\n'
 _ID = b'id:'
+_NEXT_ID = b'\nid:'
 
 
 @dataclass(slots=True)
@@ -39,7 +40,7 @@
         self.rest = b''
 
     def _note_id(self, whole: bytes) -> None:
-        start = whole.rfind(b'\n' + _ID)
+        start = whole.rfind(_NEXT_ID)
         start = start + 1 if start >= 0 else 0
         if whole.startswith(_ID, start):
             line, _, _ = whole[start:].partition(b'\n')
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -117,14 +117,13 @@
         """Serve a request within its deadline, as long as its caller stays."""
         outcome: Outcome | None = None
         rejection: RejectionError | None = None
-        is_gone = False
+        gone = anyio.Event()
         left_s = call.deadline - boot_time()
         async with anyio.create_task_group() as group:
 
             async def watch() -> None:
-                nonlocal is_gone
                 await wait_gone()
-                is_gone = True
+                gone.set()
                 group.cancel_scope.cancel()
 
             group.start_soon(watch)
@@ -139,7 +138,7 @@
             group.cancel_scope.cancel()
         if rejection is not None:
             raise rejection
-        if is_gone and outcome is None:
+        if gone.is_set() and outcome is None:
             return Outcome(_CLIENT_CLOSED, 'caller_gone')
         if outcome is None:
             return _timed_out(progress)
@@ -193,10 +192,10 @@
         RejectionError
             If no target can answer it in time.
         """
-        placed = self._place(call)
+        placed = self.targeting.place(call, set())
         if placed is None:
             await self._wait_for_target(call)
-            placed = self._place(call)
+            placed = self.targeting.place(call, set())
         if placed is None:
             raise RejectionError(_UNAVAILABLE, 'no_target', ABSENT_RETRY_S)
         patience_s = min(call.patience_s, call.deadline - boot_time())
@@ -209,11 +208,6 @@
             )
         return placed
 
-    def _place(self, call: InboundCall) -> tuple[KnownTarget, Choice] | None:
-        configuration = self.intake.configuration
-        assert configuration is not None  # noqa: S101
-        return self.targeting.place(call, set(), configuration)
-
     async def _wait_for_target(self, call: InboundCall) -> None:
         """Ask for what is missing, and wait if it may come in time."""
         patience_s = min(call.patience_s, call.deadline - boot_time())
@@ -263,13 +257,9 @@
             runs=progress.runs,
             target=progress.target or None,
             model=generation.model if generation else None,
-            version=self._version(),
+            version=self.intake.version,
         )
 
-    def _version(self) -> int | None:
-        configuration = self.intake.configuration
-        return None if configuration is None else configuration.version
-
 
 def _timed_out(progress: Progress) -> Outcome:
     if progress.is_started:
--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -45,8 +45,8 @@
         Takes the number of the digest; returns None while there is none.
     note_digest : callable
         Told of each new digest.
-    handlers : dict of type to callable
-        Get messages of other kinds.
+    take_message : callable
+        Gets messages of other kinds.
     malformed : int
         Datagrams that held no message.
     """
@@ -66,7 +66,7 @@
         self.note_digest = note_digest
         self.log = log
         self.rng = rng
-        self.handlers: dict[type, Callable[[Message], None]] = {}
+        self.take_message: Callable[[Message], None] = _ignore
         self.socket: UDPSocket | None = None
         self.number = 0
         self.malformed = 0
@@ -154,8 +154,8 @@
                 continue
             if isinstance(message, DigestMessage):
                 self._take(message)
-            elif type(message) in self.handlers:
-                self.handlers[type(message)](message)
+            else:
+                self.take_message(message)
 
     def _take(self, message: DigestMessage) -> None:
         now = boot_time()
@@ -177,3 +177,7 @@
         self.silent = silent
         for name in self.fleet.expire(now):
             self.log('peer_forgotten', peer=name)
+
+
+def _ignore(message: Message) -> None:
+    """Do nothing."""
--- /dev/null
+++ b/ebonywell/hostfeeds.py
@@ -0,0 +1,137 @@
+"""The configuration and the targets, as the shared store announces them."""
+
+import random
+from collections.abc import Iterable, Iterator, Sequence
+
+from .clock import boot_time
+from .exceptions import RecordError
+from .following import Feed, Follower
+from .intake import Intake
+from .inventory import Announcement, Inventory
+from .logs import Logger
+from .sharedstore import KeyedRecord, SharedStore
+from .translators import Translators
+
+# The configuration is read with a long wait: its news come at once, and each
+# read that waited in vain is a proof that no key was withdrawn.
+CONFIG_WAIT_S = 1.5
+# Targets write several records a second; reading them in groups this far
+# apart keeps the price of the calls low and the news within their bound.
+TARGETS_PACE_S = 0.8
+TARGETS_WAIT_S = 1.5
+
+
+class HostFeeds:
+    """Keeps a host's configuration and its targets up to date.
+
+    Attributes
+    ----------
+    intake : Intake
+    inventory : Inventory
+    configuration, targets : Follower
+    """
+
+    def __init__(
+        self,
+        store: SharedStore,
+        translators: Translators,
+        intake: Intake,
+        inventory: Inventory,
+        log: Logger,
+        rng: random.Random,
+    ) -> None:
+        self.translators = translators
+        self.intake = intake
+        self.inventory = inventory
+        self.log = log
+        self.configuration = Follower(
+            store,
+            Feed(translators.configuration_topic, 0, CONFIG_WAIT_S, 0),
+            self.take_configuration,
+            self.take_configuration,
+            log,
+            rng,
+        )
+        self.targets = Follower(
+            store,
+            Feed(
+                translators.targets_topic,
+                0,
+                TARGETS_WAIT_S,
+                TARGETS_PACE_S,
+            ),
+            self.take_all_targets,
+            self.take_targets,
+            log,
+            rng,
+        )
+
+    def refresh(self, now: float) -> None:
+        """Pass on how fresh the feeds are, and drop targets that are gone."""
+        self.intake.proven_at = self.configuration.state.proven_at
+        self.inventory.store_back_at = self.targets.state.back_at
+        self.inventory.expire(now)
+
+    def take_configuration(self, records: Sequence[KeyedRecord]) -> None:
+        """Put the newest configuration in force."""
+        for record in records:
+            is_ours = record.key == self.translators.configuration_key
+            if is_ours and record.value is not None:
+                self._adopt(record, record.value)
+
+    def take_all_targets(self, records: Sequence[KeyedRecord]) -> None:
+        """Take over the whole list of targets."""
+        self.inventory.replace_all(self._decode(records), boot_time())
+
+    def take_targets(self, records: Sequence[KeyedRecord]) -> None:
+        """Take over what targets announced since."""
+        newest = {record.key: record for record in records}
+        for record in newest.values():
+            if record.value is None:
+                self.inventory.withdraw(record.key, boot_time())
+                self.log('target_gone', target=record.key)
+        for said in self._decode(newest.values()):
+            before = self.inventory.targets.get(said.name)
+            self.inventory.announce(said, boot_time())
+            if before is None or before.said.state is not said.state:
+                self.log(
+                    'target_announced',
+                    target=said.name,
+                    state=said.state.value,
+                    service=said.service,
+                )
+
+    def _adopt(self, record: KeyedRecord, body: bytes) -> None:
+        try:
+            found = self.translators.decode_configuration(body)
+        except RecordError as error:
+            self.log(
+                'configuration_unreadable',
+                offset=record.offset,
+                why=str(error),
+            )
+            return
+        if self.intake.adopt(found):
+            self.log(
+                'configuration_applied',
+                version=found.version,
+                offset=record.offset,
+                routes=sum(len(one) for one in found.routes.values()),
+            )
+
+    def _decode(
+        self,
+        records: Iterable[KeyedRecord],
+    ) -> Iterator[Announcement]:
+        decode = self.translators.decode_announcement
+        for record in records:
+            if record.value is None:
+                continue
+            try:
+                yield decode(record.key, record.value)
+            except RecordError as error:
+                self.log(
+                    'target_unreadable',
+                    offset=record.offset,
+                    why=str(error),
+                )
--- a/ebonywell/intake.py
+++ b/ebonywell/intake.py
@@ -83,6 +83,18 @@
         """Return whether requests with keys may be served."""
         return now - self.proven_at < self.revoke_s - PROOF_MARGIN_S
 
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        configuration = self.configuration
+        return 0 if configuration is None else configuration.version
+
+    def list_limits(self) -> list[WorkspaceLimit]:
+        """Return the limits of all workspaces."""
+        if self.configuration is None:
+            return []
+        return list(self.configuration.workspaces.values())
+
     def adopt(self, configuration: Configuration) -> bool:
         """Put a configuration in force, unless a newer one is already."""
         current = self.configuration
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -140,8 +140,14 @@
     def add(self, model: str, adapter: str) -> None:
         """Take over that a target holds a model or an adapter."""
         resident = self.models.get(model, Resident(model))
-        adapters = resident.adapters | ({adapter} if adapter else set())
-        self.models[model] = Resident(model, adapters, resident.version)
+        adapters = set(resident.adapters)
+        if adapter:
+            adapters.add(adapter)
+        self.models[model] = Resident(
+            model,
+            frozenset(adapters),
+            resident.version,
+        )
 
     def holds(self, model: str, adapter: str = '') -> bool:
         """Return whether a model and, if named, an adapter are there."""
--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -22,6 +22,8 @@
 from .logs import Logger
 from .sharedstore import SharedStore
 
+# Of the topic, the partition that holds nothing but the lease.
+PART = 0
 KEY = 'lease'
 TICK_S = 0.2
 # Renewals are priced, and a holder that is late with one gives no orders.
@@ -198,7 +200,7 @@
     def __init__(
         self,
         store: SharedStore,
-        place: tuple[str, int],
+        topic: str,
         name: str,
         state: LeaseState,
         is_wanted: Callable[[], bool],
@@ -207,7 +209,7 @@
         rng: random.Random,
     ) -> None:
         self.store = store
-        self.topic, self.part = place
+        self.topic = topic
         self.name = name
         self.life = 0
         self.state = state
@@ -261,7 +263,7 @@
             await self._claim()
 
     async def _read(self) -> LeaseRecord | None:
-        page = await self.store.read_newest(self.topic, self.part)
+        page = await self.store.read_newest(self.topic, PART)
         record = None
         offset = 0
         for found in page.records:
@@ -320,7 +322,7 @@
         body = msgspec.json.encode(record)
         return await self.store.append(
             self.topic,
-            self.part,
+            PART,
             ((KEY, body),),
             self.state.end,
         )
--- a/ebonywell/loadboard.py
+++ b/ebonywell/loadboard.py
@@ -79,14 +79,7 @@
         try:
             yield
         finally:
-            load.held_tokens -= run.prompt_tokens + run.output_tokens
-            if run.is_started:
-                load.running -= 1
-            else:
-                load.waiting -= 1
-                load.waiting_tokens -= run.prompt_tokens
-            if not load.waiting and not load.running:
-                self.own.pop(run.target, None)
+            self._end(run, load)
 
     def start(self, run: Run) -> None:
         """Note that a request has brought its first token."""
@@ -109,3 +102,13 @@
             if load is not None and now - peer.received_at < PEER_LIFE_S:
                 total.add(load)
         return total
+
+    def _end(self, run: Run, load: TargetLoad) -> None:
+        load.held_tokens -= run.prompt_tokens + run.output_tokens
+        if run.is_started:
+            load.running -= 1
+        else:
+            load.waiting -= 1
+            load.waiting_tokens -= run.prompt_tokens
+        if not load.waiting and not load.running:
+            self.own.pop(run.target, None)
--- a/ebonywell/orderbook.py
+++ b/ebonywell/orderbook.py
@@ -1,13 +1,15 @@
 """Orders to model engines: what they ask, and what became of them."""
 
 import enum
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import anyio
 
 from .inventory import KnownTarget, Resident
 from .orders import Action
+from .turnover import Swap
 
 
 @dataclass(slots=True, frozen=True)
@@ -137,6 +139,22 @@
     asked_at: dict[str, float] = field(default_factory=dict)
     turn: anyio.Lock = field(default_factory=anyio.Lock)
 
+    @contextmanager
+    def swapping(self, swap: Swap) -> Iterator[None]:
+        """Note which models come and go while a swap lasts."""
+        self.leaving.update(swap.unloads)
+        self.arriving.add(swap.load)
+        try:
+            yield
+        finally:
+            self.end_swap()
+
+    def end_swap(self) -> None:
+        """Note that no order for a model is under way."""
+        self.is_busy = False
+        self.leaving.clear()
+        self.arriving.clear()
+
 
 def present_adapters(report: TargetReport) -> set[str]:
     """Return the adapters on a target or on their way to it."""
--- /dev/null
+++ b/ebonywell/ordering.py
@@ -0,0 +1,160 @@
+"""Gives orders to model engines under the lease of this host."""
+
+from dataclasses import dataclass, field
+
+from .clock import boot_time
+from .digests import ResidentMessage
+from .exceptions import TransportError
+from .inventory import KnownTarget
+from .leadership import Leadership
+from .logs import Logger
+from .orderbook import (
+    EngineClient,
+    EngineOrder,
+    OrderAnswer,
+    OrderTrack,
+    present_adapters,
+)
+from .orders import Action
+
+TAKEN = frozenset((OrderAnswer.accepted, OrderAnswer.held))
+
+
+@dataclass(slots=True)
+class Ordering:
+    """What has been ordered of each engine, and how to order more.
+
+    Each order names how many orders came before it, and an engine refuses it
+    if that is not so. Thus an order whose answer was lost, and that is carried
+    out late, never meets an engine that holds more than was reckoned with.
+
+    Attributes
+    ----------
+    name : str
+        This host's.
+    leadership : Leadership
+    client : EngineClient
+    tracks : dict of str to OrderTrack
+        By target.
+    """
+
+    name: str
+    leadership: Leadership
+    client: EngineClient
+    log: Logger
+    tracks: dict[str, OrderTrack] = field(default_factory=dict)
+
+    def track(self, known: KnownTarget) -> OrderTrack:
+        """Return what is known of the orders to one life of a target."""
+        track = self.tracks.get(known.name)
+        if track is None or track.life != known.life:
+            track = OrderTrack(known.life)
+            self.tracks[known.name] = track
+        return track
+
+    async def refresh(self, known: KnownTarget) -> bool:
+        """Bring what is known of a target up to date.
+
+        Returns
+        -------
+        bool
+            Whether its report reflects all orders that are known, and it
+            carries out no order for a model.
+        """
+        try:
+            report = await self.client.report(known)
+        except TransportError as error:
+            self.log('report_missing', target=known.name, why=str(error))
+            return False
+        if report.born != known.said.born:
+            return False
+        if report.order_count < known.order_count:
+            return False
+        known.confirm(report.order_count, report.models, boot_time())
+        track = self.track(known)
+        track.adapters = present_adapters(report)
+        track.is_synced = True
+        return not report.is_busy
+
+    async def order(
+        self,
+        known: KnownTarget,
+        action: Action,
+        model: str,
+        adapter: str,
+    ) -> OrderAnswer:
+        """Give an order, if this host may, and return its answer."""
+        is_near = action is not Action.load or model in known.said.near_weights
+        is_allowed = (
+            self.leadership.may_order_near()
+            if is_near
+            else self.leadership.may_order()
+        )
+        if not is_allowed:
+            return OrderAnswer.unproven
+        order = EngineOrder(
+            action,
+            model,
+            adapter,
+            known.order_count,
+            self.name,
+            self.leadership.state.fence,
+        )
+        answer = await self.client.order(known, order)
+        self._note_answer(known, order, answer)
+        if answer is OrderAnswer.fenced:
+            self.leadership.state.note_lost()
+        self.log(
+            'order_given',
+            target=known.name,
+            action=action.value,
+            model=model,
+            adapter=adapter or None,
+            after=order.order_count,
+            fence=order.fence,
+            answer=answer.value,
+        )
+        return answer
+
+    def _note_answer(
+        self,
+        known: KnownTarget,
+        order: EngineOrder,
+        answer: OrderAnswer,
+    ) -> None:
+        track = self.track(known)
+        name = f'{order.model}/{order.adapter}'
+        if not _is_counted(order.action, answer):
+            # It may have come after orders that are not known here.
+            track.is_synced = answer is OrderAnswer.held
+            return
+        known.order_count = order.order_count + 1
+        if order.action is Action.load_adapter:
+            track.adapters.add(name)
+        elif order.action is Action.unload_adapter:
+            track.adapters.discard(name)
+        else:
+            track.is_synced = False
+
+
+def resident_message(known: KnownTarget) -> ResidentMessage:
+    """Return the news of what a target holds, for the other hosts."""
+    return ResidentMessage(
+        known.name,
+        known.said.born,
+        known.order_count,
+        {
+            model: tuple(resident.adapters)
+            for model, resident in known.models.items()
+        },
+    )
+
+
+def _is_counted(action: Action, answer: OrderAnswer) -> bool:
+    """Return whether an engine counts an order.
+
+    It unloads an unused adapter before it answers, as if that held already.
+    """
+    if answer is OrderAnswer.held:
+        return action is Action.unload_adapter
+    return answer is OrderAnswer.accepted
--- a/ebonywell/platform/app.py
+++ b/ebonywell/platform/app.py
@@ -37,7 +37,7 @@
     is_stopping : callable
         Whether answers end their connections.
     list_addresses : callable
-        The addresses for callers in a region and a zone.
+        The addresses that callers may use.
     directory_ttl_s : float
     """
 
@@ -46,7 +46,7 @@
     metrics: Metrics
     is_ready: Callable[[], bool]
     is_stopping: Callable[[], bool]
-    list_addresses: Callable[[str, str], list[str]]
+    list_addresses: Callable[[], list[str]]
     directory_ttl_s: float
 
     async def __call__(
@@ -65,7 +65,7 @@
             status = _READY if self.is_ready() else _NOT_READY
             await ingress.send_text(send, status, '')
         elif path == ingress.DIRECTORY_PATH:
-            await self._serve_directory(scope, send)
+            await self._serve_directory(send)
         elif path == METRICS_PATH:
             await ingress.send_text(send, _READY, self.metrics.expose())
         else:
@@ -73,14 +73,9 @@
 
     async def _serve_directory(
         self,
-        scope: ingress.Message,
         send: ingress.Send,
     ) -> None:
-        query = ingress.read_query(scope)
-        addresses = self.list_addresses(
-            query.get('region', ''),
-            query.get('zone', ''),
-        )
+        addresses = self.list_addresses()
         if not addresses:
             await ingress.send_text(send, _NOT_READY, '')
             return
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -7,9 +7,10 @@
 import uvicorn
 
 from .. import server
-from ..hostprocess import DIRECTORY_TTL_S, HostProcess, Translators
+from ..hostprocess import HostProcess
 from ..hostsettings import HostSettings
 from ..logs import bind, write_event
+from ..translators import Translators
 from ..transport import HttpClient
 from . import catalog, exchange, orders, targets
 from .app import Doors, silence_server_log
@@ -23,6 +24,8 @@
 # which is not known yet when the first connections come.
 KEEP_ALIVE_S = 120
 BACKLOG = 512
+# Callers keep a directory's answer for that long, some three times as long.
+DIRECTORY_TTL_S = 1.0
 
 
 def translators(client: HttpClient) -> Translators:
@@ -50,7 +53,7 @@
             store,
             translators(engine_client),
             log,
-            random.Random(),  # noqa: S311
+            random.Random(),
         )
         log('started', zone=settings.zone, address=settings.caller_address)
         web = server.Server(_server_config(host))
--- a/ebonywell/platform/catalog.py
+++ b/ebonywell/platform/catalog.py
@@ -1,5 +1,7 @@
 """The operator's configuration as the platform's store holds it."""
 
+from types import MappingProxyType
+
 import msgspec
 
 from ..exceptions import RecordError
@@ -21,78 +23,80 @@
 _MS = 0.001
 _MEGABYTE = 1_000_000
 _TOKENS = 'tokens'
-_KINDS = {
-    'idempotent': RequestKind.idempotent,
-    'non_idempotent': RequestKind.once,
-    'streaming': RequestKind.stream,
-}
+_KINDS = MappingProxyType(
+    {
+        'idempotent': RequestKind.idempotent,
+        'non_idempotent': RequestKind.once,
+        'streaming': RequestKind.stream,
+    }
+)
 
 
-class _Split(msgspec.Struct):
+class _Split(msgspec.Struct, rename='camel'):
     service: str
     weight: float = 1
 
 
-class _Route(msgspec.Struct):
+class _Route(msgspec.Struct, rename='camel'):
     name: str
     host: str
-    pathPrefix: str
+    path_prefix: str
     kind: str
-    timeoutMs: float
-    goalMs: float = 1000
+    timeout_ms: float
+    goal_ms: float = 1000
     priority: int = 0
     service: str = ''
     split: tuple[_Split, ...] = ()
     # Counts targets that run the request, not those that reject it.
-    maxAttempts: int = 1
+    max_attempts: int = 1
     anonymous: bool = False
-    allowResume: bool = False
+    allow_resume: bool = False
 
 
-class _Model(msgspec.Struct):
+class _Model(msgspec.Struct, rename='camel'):
     name: str
-    weightsMb: float
-    loadS: float = 1
-    diskS: float = 1
+    weights_mb: float
+    load_s: float = 1
+    disk_s: float = 1
     # From the weights in the replica's memory.
-    warmS: float = 1
+    warm_s: float = 1
     adapters: int = 0
-    adapterMb: float = 0
+    adapter_mb: float = 0
 
 
-class _Engine(msgspec.Struct):
+class _Engine(msgspec.Struct, rename='camel'):
     slots: int = 1
-    kvCapacityTokens: int = 0
-    weightsMb: float = 0
-    adapterSlots: int = 0
-    loadsPerS: float = 1
+    kv_capacity_tokens: int = 0
+    weights_mb: float = 0
+    adapter_slots: int = 0
+    loads_per_s: float = 1
     models: tuple[_Model, ...] = ()
 
 
-class _Service(msgspec.Struct):
+class _Service(msgspec.Struct, rename='camel'):
     name: str
-    maxConns: int = 100
+    max_conns: int = 100
     engine: _Engine | None = None
 
 
-class _Tenant(msgspec.Struct):
+class _Tenant(msgspec.Struct, rename='camel'):
     name: str
-    apiKeys: tuple[str, ...] = ()
-    ratePerS: float = 0
+    api_keys: tuple[str, ...] = ()
+    rate_per_s: float = 0
     burst: float = 0
     unit: str = ''
-    plainTokens: int = 1
+    plain_tokens: int = 1
     priority: int | None = None
 
 
-class _Limits(msgspec.Struct):
-    maxHeaderBytes: int = 65536
-    maxBodyBytes: int = 4194304
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = 65536
+    max_body_bytes: int = 4194304
     # The longest that a caller's connection may stay idle.
-    idleTimeoutMs: float = 60000
+    idle_timeout_ms: float = 60000
 
 
-class _Config(msgspec.Struct):
+class _Config(msgspec.Struct, rename='camel'):
     version: int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
@@ -118,7 +122,7 @@
     routes: dict[str, dict[str, Route]] = {}
     for route in found.routes:
         of_host = routes.setdefault(route.host.lower(), {})
-        of_host[route.pathPrefix] = _translate_route(route)
+        of_host[route.path_prefix] = _translate_route(route)
     return Configuration(
         found.version,
         routes,
@@ -127,12 +131,12 @@
         {
             digest_key(key): tenant.name
             for tenant in found.tenants
-            for key in tenant.apiKeys
+            for key in tenant.api_keys
         },
         CallerLimits(
-            found.limits.maxHeaderBytes,
-            found.limits.maxBodyBytes,
-            found.limits.idleTimeoutMs * _MS,
+            found.limits.max_header_bytes,
+            found.limits.max_body_bytes,
+            found.limits.idle_timeout_ms * _MS,
         ),
     )
 
@@ -147,51 +151,51 @@
     return Route(
         route.name,
         route.host,
-        route.pathPrefix,
+        route.path_prefix,
         kind,
         tuple(services),
-        route.timeoutMs * _MS,
-        route.goalMs * _MS,
+        route.timeout_ms * _MS,
+        route.goal_ms * _MS,
         route.priority,
-        max(1, route.maxAttempts),
+        max(1, route.max_attempts),
         route.anonymous,
-        kind is RequestKind.stream and route.allowResume,
+        kind is RequestKind.stream and route.allow_resume,
     )
 
 
 def _translate_service(service: _Service) -> Service:
     engine = service.engine
     if engine is None:
-        return Service(service.name, service.maxConns)
+        return Service(service.name, service.max_conns)
     spec = EngineSpec(
         engine.slots,
-        engine.kvCapacityTokens,
-        int(engine.weightsMb * _MEGABYTE),
-        engine.adapterSlots,
-        engine.loadsPerS,
+        engine.kv_capacity_tokens,
+        int(engine.weights_mb * _MEGABYTE),
+        engine.adapter_slots,
+        engine.loads_per_s,
         {one.name: _translate_model(one) for one in engine.models},
     )
-    return Service(service.name, service.maxConns, spec)
+    return Service(service.name, service.max_conns, spec)
 
 
 def _translate_model(model: _Model) -> ModelSpec:
     return ModelSpec(
         model.name,
-        int(model.weightsMb * _MEGABYTE),
-        model.loadS,
-        model.diskS,
-        model.warmS,
+        int(model.weights_mb * _MEGABYTE),
+        model.load_s,
+        model.disk_s,
+        model.warm_s,
         model.adapters,
-        int(model.adapterMb * _MEGABYTE),
+        int(model.adapter_mb * _MEGABYTE),
     )
 
 
 def _translate_tenant(tenant: _Tenant) -> WorkspaceLimit:
     return WorkspaceLimit(
         tenant.name,
-        tenant.ratePerS,
+        tenant.rate_per_s,
         tenant.burst,
-        tenant.plainTokens,
+        tenant.plain_tokens,
         tenant.unit == _TOKENS,
         tenant.priority,
     )
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -84,7 +84,7 @@
         return Verdict.unclear
     if head.status >= _SERVER_ERROR:
         return Verdict.failed
-    return Verdict.answer if echoed is not None else Verdict.crossed
+    return Verdict.crossed if echoed is None else Verdict.answer
 
 
 def answer_headers(head: AnswerHead) -> list[tuple[bytes, bytes]]:
--- a/ebonywell/platform/ingress.py
+++ b/ebonywell/platform/ingress.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable, Callable, MutableMapping, Sequence
 from typing import Any
-from urllib.parse import parse_qs
 
 import msgspec
 
@@ -20,6 +19,7 @@
 _BEARER = 'bearer '
 _ENCODING = 'latin-1'
 _MS = 0.001
+_OK = 200
 _PLAIN_TEXT = ((b'content-type', b'text/plain'),)
 _JSON = ((b'content-type', b'application/json'),)
 
@@ -84,7 +84,7 @@
     found = dict(raw)
     path = scope['raw_path']
     if scope['query_string']:
-        path = path + b'?' + scope['query_string']
+        path = b'%s?%s' % (path, scope['query_string'])
     return Arrival(
         request_id=_text(found.get(headers.REQUEST_ID, b'')),
         method=scope['method'],
@@ -118,7 +118,7 @@
 
 async def send_json(send: Send, content: Any) -> None:
     """Answer with a JSON body."""
-    await _send_whole(send, 200, _JSON, msgspec.json.encode(content))
+    await _send_whole(send, _OK, _JSON, msgspec.json.encode(content))
 
 
 async def send_text(send: Send, status: int, text: str) -> None:
@@ -126,12 +126,6 @@
     await _send_whole(send, status, _PLAIN_TEXT, text.encode())
 
 
-def read_query(scope: Message) -> dict[str, str]:
-    """Return the first value of each name in the query."""
-    query = parse_qs(_text(scope['query_string']))
-    return {name: found[0] for name, found in query.items()}
-
-
 def directory_answer(addresses: list[str], ttl_s: float) -> dict[str, Any]:
     """Return the body that tells a caller where to connect."""
     return {'addresses': addresses, 'ttlS': ttl_s}
--- a/ebonywell/platform/orders.py
+++ b/ebonywell/platform/orders.py
@@ -1,5 +1,7 @@
 """Reports of and orders to the platform's model replicas."""
 
+from types import MappingProxyType
+
 import msgspec
 
 from ..exceptions import TransportError
@@ -11,33 +13,37 @@
 
 # A replica answers within milliseconds; nothing else waits for it longer.
 TIMEOUT_S = 0.8
-_OPERATIONS = {
-    Action.load: 'load',
-    Action.load_adapter: 'load',
-    Action.unload: 'unload',
-    Action.unload_adapter: 'unload',
-}
-_ANSWERS = {
-    202: OrderAnswer.accepted,
-    200: OrderAnswer.held,
-    409: OrderAnswer.conflict,
-    412: OrderAnswer.fenced,
-    400: OrderAnswer.refused,
-    421: OrderAnswer.refused,
-}
+_OPERATIONS = MappingProxyType(
+    {
+        Action.load: 'load',
+        Action.load_adapter: 'load',
+        Action.unload: 'unload',
+        Action.unload_adapter: 'unload',
+    }
+)
+_ANSWERS = MappingProxyType(
+    {
+        202: OrderAnswer.accepted,
+        200: OrderAnswer.held,
+        409: OrderAnswer.conflict,
+        412: OrderAnswer.fenced,
+        400: OrderAnswer.refused,
+        421: OrderAnswer.refused,
+    }
+)
 
 
 def engine_client(client: HttpClient) -> EngineClient:
     """Return how replicas are asked and ordered over HTTP."""
 
     async def report(known: KnownTarget) -> TargetReport:
-        url = f'http://{known.said.address}/report'
+        url = _url(known, 'report')
         return decode_report(
             check_status(await client.ask('GET', url, TIMEOUT_S), url),
         )
 
     async def order(known: KnownTarget, given: EngineOrder) -> OrderAnswer:
-        url = f'http://{known.said.address}/order'
+        url = _url(known, 'order')
         headers = (
             ('Content-Type', 'application/json'),
             ('Expect-Instance', known.name),
@@ -57,6 +63,11 @@
     return EngineClient(report, order)
 
 
+def _url(known: KnownTarget, path: str) -> str:
+    address = known.said.address
+    return f'http://{address}/{path}'
+
+
 def _encode(given: EngineOrder) -> bytes:
     body = {
         'operation': _OPERATIONS[given.action],
--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -15,46 +15,46 @@
 _LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
-class _Listen(msgspec.Struct):
+class _Listen(msgspec.Struct, rename='camel'):
     front: str = ''
     ready: str = ''
     directory: str = ''
 
 
-class _Bounds(msgspec.Struct):
-    drainMs: float = 2000
-    configMs: float = 2000
-    revokeMs: float = 5000
-    graceS: float = 8
-    leaseMs: float = 3000
-    requireFence: bool = False
-    retryBudgetRatio: float = 0.2
-    budgetWindowS: float = 10
-    budgetSlack: float = 0
-    quotaWindowS: float = 8
-    quotaOvershoot: float = 0
-    quotaSlack: float = 0
-    ceilingWindowS: float = 5
-    ceilingOvershoot: float = 1
+class _Bounds(msgspec.Struct, rename='camel'):
+    drain_ms: float = 2000
+    config_ms: float = 2000
+    revoke_ms: float = 5000
+    grace_s: float = 8
+    lease_ms: float = 3000
+    require_fence: bool = False
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    budget_slack: float = 0
+    quota_window_s: float = 8
+    quota_overshoot: float = 0
+    quota_slack: float = 0
+    ceiling_window_s: float = 5
+    ceiling_overshoot: float = 1
     # Named in snake case on the platform, unlike all others.
-    ttl_max_s: float = 5
+    ttl_max_s: float = msgspec.field(default=5, name='ttl_max_s')
 
 
-class _Platform(msgspec.Struct):
+class _Platform(msgspec.Struct, rename='camel'):
     address: str = ''
 
 
-class _Limits(msgspec.Struct):
-    memoryMb: float = 0
+class _Limits(msgspec.Struct, rename='camel'):
+    memory_mb: float = 0
 
 
-class _File(msgspec.Struct):
+class _File(msgspec.Struct, rename='camel'):
     node: str
     ip: str
     zone: str
     region: str = ''
     listen: _Listen = msgspec.field(default_factory=_Listen)
-    portRange: tuple[int, int] = (7600, 7615)
+    port_range: tuple[int, int] = (7600, 7615)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     platform: _Platform = msgspec.field(default_factory=_Platform)
@@ -106,7 +106,7 @@
 
 
 def _load(text: str) -> Any:
-    return yaml.load(text, Loader=_LOADER)  # noqa: S506
+    return yaml.load(text, Loader=_LOADER)
 
 
 def _translate(found: _File) -> HostSettings:
@@ -118,8 +118,8 @@
         caller_address=found.listen.front,
         ready_address=found.listen.ready,
         directory_address=found.listen.directory,
-        first_inner_port=found.portRange[0],
-        memory_bytes=int(found.limits.memoryMb) * 1024 * 1024,
+        first_inner_port=found.port_range[0],
+        memory_bytes=int(found.limits.memory_mb) * 1024 * 1024,
         store=StoreLimits(found.platform.address),
         bounds=_translate_bounds(found.bounds),
     )
@@ -127,19 +127,19 @@
 
 def _translate_bounds(found: _Bounds) -> Bounds:
     return Bounds(
-        drain_s=found.drainMs * _MS,
-        config_s=found.configMs * _MS,
-        revoke_s=found.revokeMs * _MS,
-        grace_s=found.graceS,
-        lease_s=found.leaseMs * _MS,
-        is_fenced=found.requireFence,
-        retry_ratio=found.retryBudgetRatio,
-        retry_window_s=found.budgetWindowS,
-        retry_slack=found.budgetSlack,
-        quota_window_s=found.quotaWindowS,
-        quota_overshoot=found.quotaOvershoot,
-        quota_slack=found.quotaSlack,
-        load_window_s=found.ceilingWindowS,
-        load_overshoot=found.ceilingOvershoot,
+        drain_s=found.drain_ms * _MS,
+        config_s=found.config_ms * _MS,
+        revoke_s=found.revoke_ms * _MS,
+        grace_s=found.grace_s,
+        lease_s=found.lease_ms * _MS,
+        is_fenced=found.require_fence,
+        retry_ratio=found.retry_budget_ratio,
+        retry_window_s=found.budget_window_s,
+        retry_slack=found.budget_slack,
+        quota_window_s=found.quota_window_s,
+        quota_overshoot=found.quota_overshoot,
+        quota_slack=found.quota_slack,
+        load_window_s=found.ceiling_window_s,
+        load_overshoot=found.ceiling_overshoot,
         max_directory_ttl_s=found.ttl_max_s,
     )
--- a/ebonywell/platform/store.py
+++ b/ebonywell/platform/store.py
@@ -34,24 +34,24 @@
 _NOTHING_DONE = frozenset((429, 503, 507))
 
 
-class _Item(msgspec.Struct):
+class _Item(msgspec.Struct, rename='camel'):
     key: str
     offset: int
     # Base64; absent where the key was dropped.
     value: str = ''
 
 
-class _Newest(msgspec.Struct):
+class _Newest(msgspec.Struct, rename='camel'):
     items: tuple[_Item, ...] = ()
-    hasMore: bool = False
+    has_more: bool = False
     end: int = 0
 
 
-class _Appended(msgspec.Struct):
+class _Appended(msgspec.Struct, rename='camel'):
     offset: int
 
 
-class _Gone(msgspec.Struct):
+class _Gone(msgspec.Struct, rename='camel'):
     first: int = 0
 
 
@@ -88,7 +88,7 @@
             if first_end is None:
                 first_end = page.end
             records.extend(_translate_item(one) for one in page.items)
-            if not page.hasMore or not page.items:
+            if not page.has_more or not page.items:
                 return StorePage(tuple(records), first_end)
             after = {'after': page.items[-1].key}
 
@@ -143,7 +143,7 @@
         wait_s: float = 0,
         content: bytes | None = None,
     ) -> httpcore.Response:
-        url = f'{self.url}{path}?{urlencode(query)}'
+        url = '?'.join((self.url + path, urlencode(query)))
         try:
             answer = await self.client.ask(
                 method,
@@ -162,7 +162,7 @@
         return answer
 
     def _count(self, path: str, outcome: str) -> None:
-        name = f'{path[1:]} {outcome}'
+        name = f'{path} {outcome}'
         self.calls[name] = self.calls.get(name, 0) + 1
 
 
--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -11,18 +11,18 @@
 _MS = 0.001
 
 
-class _Held(msgspec.Struct):
+class _Held(msgspec.Struct, rename='camel'):
     name: str
     version: int = 0
     adapters: tuple[str, ...] = ()
 
 
-class _AtHand(msgspec.Struct):
-    inMemory: tuple[str, ...] = ()
-    onDisk: tuple[str, ...] = ()
+class _AtHand(msgspec.Struct, rename='camel'):
+    in_memory: tuple[str, ...] = ()
+    on_disk: tuple[str, ...] = ()
 
 
-class _Entry(msgspec.Struct):
+class _Entry(msgspec.Struct, rename='camel'):
     service: str
     address: str
     state: str
@@ -30,12 +30,12 @@
     slots: int = 1
     born: int = 0
     models: tuple[_Held, ...] = ()
-    remainingMs: float | None = None
+    remaining_ms: float | None = None
     # Weights that it need not fetch from the weight store.
-    atHand: _AtHand = msgspec.field(default_factory=_AtHand)
+    at_hand: _AtHand = msgspec.field(default_factory=_AtHand)
 
 
-class _Report(msgspec.Struct):
+class _Report(msgspec.Struct, rename='camel'):
     # The orders that it accepted; in its entry the same name counts its
     # heartbeats.
     seq: int
@@ -46,8 +46,8 @@
     coming: tuple[str, ...] = ()
     running: int = 0
     queued: int = 0
-    kvUsed: int = 0
-    kvTotal: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
 
 
 def decode_announcement(name: str, body: bytes) -> Announcement:
@@ -64,7 +64,7 @@
     except (msgspec.MsgspecError, ValueError) as error:
         raise RecordError(f'target {name}: {error}') from error
     _check_address(name, entry.address)
-    left_ms = entry.remainingMs
+    left_ms = entry.remaining_ms
     return Announcement(
         name,
         entry.born,
@@ -75,8 +75,8 @@
         max(1, entry.slots),
         _translate_models(entry.models),
         None if left_ms is None else left_ms * _MS,
-        frozenset(entry.atHand.inMemory),
-        frozenset(entry.atHand.onDisk),
+        frozenset(entry.at_hand.in_memory),
+        frozenset(entry.at_hand.on_disk),
     )
 
 
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -1,28 +1,20 @@
 """Carries out, on the holder of the lease, what the placement decides."""
 
 import math
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import anyio
 from anyio.abc import TaskGroup
 
+from .adapterloads import AdapterLoads, Link, Wanted
 from .clock import boot_time
-from .digests import ModelDemand, ResidentMessage
-from .exceptions import TransportError
+from .digests import ModelDemand
 from .inventory import Inventory, KnownTarget
-from .leadership import Leadership
-from .loadboard import LoadBoard
 from .logs import Logger
-from .modeldemand import ModelKey
-from .orderbook import (
-    EngineClient,
-    EngineOrder,
-    OrderAnswer,
-    OrderTrack,
-    present_adapters,
-    used_bytes,
-)
+from .orderbook import OrderAnswer, OrderTrack, used_bytes
+from .ordering import TAKEN, Ordering, resident_message
 from .orders import Action
 from .routetable import Configuration, EngineSpec
 from .turnover import Budget, EngineState, Fleet, ModelState, Swap
@@ -47,16 +39,9 @@
 # After an order that was refused or not answered, the engine's own reports
 # lag by some hundred milliseconds.
 RETRY_S = 0.4
-# An adapter is there that long after its order was accepted.
-ADAPTER_S = 0.03
-ADAPTER_TRIES = 4
-# Orders for adapters of one model wait so long for an engine that carries out
-# another order.
-ADAPTER_WAIT_S = 1.5
 MS_PER_S = 1000
 # Of the models that callers ask for most, in one line of the log.
 LOGGED_MODELS = 8
-_TAKEN = frozenset((OrderAnswer.accepted, OrderAnswer.held))
 
 
 @dataclass(slots=True)
@@ -83,48 +68,44 @@
         self.refilled_at = now
         return min(int(self.loads), LOADS_AT_ONCE - self.under_way)
 
-
-@dataclass(slots=True, frozen=True)
-class Wanted:
-    """A model or an adapter that some host's callers ask for."""
-
-    service: str
-    model: str
-    adapter: str
+    @contextmanager
+    def loading(self, *, is_far: bool) -> Iterator[None]:
+        """Count a load while it lasts, if it asks the weight store."""
+        self.loads -= is_far
+        self.under_way += is_far
+        try:
+            yield
+        finally:
+            self.under_way -= is_far
 
 
 @dataclass(slots=True)
 class Provisioner:
-    """Loads and unloads models and adapters while this host has the lease.
+    """Loads and unloads models while this host has the lease.
 
     Attributes
     ----------
+    inventory : Inventory
+    ordering : Ordering
+    adapters : AdapterLoads
     configuration : callable
         Returns the one in force, None before the first.
-    demand : callable
-        Returns that of all hosts.
-    used_adapters : callable
-        Returns those that any host's callers used of late.
-    tell : callable
-        Sends a message to some hosts, to all if none are named.
-    tracks : dict of str to OrderTrack
-        By target.
+    link : Link
+        To the other hosts; set before it runs.
+    asked_at : dict of str to float
+        When each model was last asked for.
+    paces : dict of str to LoadPace
+        By service.
     """
 
-    name: str
     inventory: Inventory
-    board: LoadBoard
-    leadership: Leadership
-    client: EngineClient
+    ordering: Ordering
+    adapters: AdapterLoads
     configuration: Callable[[], Configuration | None]
-    demand: Callable[[], dict[ModelKey, ModelDemand]]
-    used_adapters: Callable[[], set[str]]
-    tell: Callable[[ResidentMessage, tuple[str, ...]], Awaitable[None]]
     log: Logger
-    tracks: dict[str, OrderTrack] = field(default_factory=dict)
+    link: Link = field(init=False)
     asked_at: dict[str, float] = field(default_factory=dict)
     paces: dict[str, LoadPace] = field(default_factory=dict)
-    askers: dict[Wanted, set[str]] = field(default_factory=dict)
     woken: anyio.Event = field(default_factory=anyio.Event)
     group: TaskGroup | None = None
     was_holder: bool = False
@@ -134,10 +115,11 @@
         async with anyio.create_task_group() as group:
             self.group = group
             while True:
-                is_holder = self.leadership.may_order_near()
+                lease = self.ordering.leadership
+                is_holder = lease.may_order_near()
                 self._note_holder(is_holder=is_holder)
                 if is_holder:
-                    self._decide(only_near=not self.leadership.may_order())
+                    self._decide(only_near=not lease.may_order())
                 await anyio.sleep(MIN_TICK_S)
                 with anyio.move_on_after(TICK_S - MIN_TICK_S):
                     await self.woken.wait()
@@ -145,25 +127,22 @@
 
     def want(self, wanted: Wanted, asker: str) -> None:
         """See to a model or an adapter that a host asks for."""
-        if self.group is None or not self.leadership.may_order_near():
+        if not self.ordering.leadership.may_order_near():
             return
         if not wanted.adapter:
             self.woken.set()
             return
-        if wanted in self.askers:
-            self.askers[wanted].add(asker)
-            return
-        self.askers[wanted] = {asker}
-        self.group.start_soon(self._bring_adapter, wanted)
-
-    # Models
+        is_new = wanted not in self.adapters.askers
+        self.adapters.askers.setdefault(wanted, set()).add(asker)
+        if is_new and self.group is not None:
+            self.group.start_soon(self.adapters.bring, wanted)
 
     def _note_holder(self, *, is_holder: bool) -> None:
         if is_holder == self.was_holder:
             return
         self.was_holder = is_holder
         # What another holder ordered since is not in the tracks.
-        self.tracks.clear()
+        self.ordering.tracks.clear()
         self.paces.clear()
         self.log('orders_begin' if is_holder else 'orders_end')
 
@@ -171,7 +150,7 @@
         configuration = self.configuration()
         if configuration is None:
             return
-        demand = self.demand()
+        demand = self.link.total_demand()
         for service, engine in configuration.engines.items():
             of_service = {
                 model: asked
@@ -243,16 +222,16 @@
         engine: EngineSpec,
         now: float,
     ) -> EngineState:
-        track = self._track(known)
+        track = self.ordering.track(known)
         held = (known.models.keys() | track.arriving) - track.leaving
         used = reserved_adapter_bytes(engine)
-        for model in known.models.keys() | track.arriving:
-            spec = engine.models.get(model)
+        for present in known.models.keys() | track.arriving:
+            spec = engine.models.get(present)
             used += spec.bytes if spec else engine.weight_bytes
         for gone in track.since.keys() - held:
             track.since.pop(gone)
-        for model in held:
-            track.since.setdefault(model, now)
+        for kept in held:
+            track.since.setdefault(kept, now)
         return EngineState(
             known.name,
             engine.weight_bytes - used,
@@ -261,23 +240,15 @@
             track.is_busy,
         )
 
-    def _track(self, known: KnownTarget) -> OrderTrack:
-        track = self.tracks.get(known.name)
-        if track is None or track.life != known.life:
-            track = OrderTrack(known.life)
-            self.tracks[known.name] = track
-        return track
-
     def _start(self, swap: Swap, engine: EngineSpec, pace: LoadPace) -> None:
         known = self.inventory.targets.get(swap.target)
         if known is None or self.group is None:
             return
-        track = self._track(known)
+        track = self.ordering.track(known)
         if track.is_busy:
             return
+        # Before the task begins, for the next decision counts with it.
         track.is_busy = True
-        track.leaving.update(swap.unloads)
-        track.arriving.add(swap.load)
         self.group.start_soon(
             self._carry_out,
             swap,
@@ -296,21 +267,14 @@
         pace: LoadPace,
     ) -> None:
         is_far = swap.load not in known.said.near_weights
-        pace.loads -= is_far
-        pace.under_way += is_far
-        try:
+        with pace.loading(is_far=is_far), track.swapping(swap):
             async with track.turn:
                 is_ordered = await self._order_swap(swap, known, engine)
             if is_ordered:
                 await self._await_swap(swap, known, engine)
             else:
                 await anyio.sleep(RETRY_S)
-        finally:
-            pace.under_way -= is_far
-            track.is_busy = False
-            track.leaving.clear()
-            track.arriving.clear()
-            self.woken.set()
+        self.woken.set()
 
     async def _order_swap(
         self,
@@ -319,7 +283,7 @@
         engine: EngineSpec,
     ) -> bool:
         """Give the orders of a swap, and return whether all were taken."""
-        if not await self._refresh(known):
+        if not await self.ordering.refresh(known):
             return False
         if not _fits(known, engine, swap):
             self.log('load_does_not_fit', target=known.name, model=swap.load)
@@ -328,7 +292,7 @@
             # Hosts stop sending it requests for the model before it goes.
             known.drop(model, '')
             known.confirmed_at = boot_time()
-            await self.tell(_resident(known), ())
+            await self.link.tell(resident_message(known), ())
             if not await self._order_next(known, Action.unload, model):
                 return False
         return await self._order_next(known, Action.load, swap.load)
@@ -341,95 +305,12 @@
     ) -> bool:
         """Give an order once the one before it has been carried out."""
         for _ in range(BUSY_TRIES):
-            answer = await self._order(known, action, model, '')
+            answer = await self.ordering.order(known, action, model, '')
             if answer is not OrderAnswer.conflict:
-                return answer in _TAKEN
+                return answer in TAKEN
             await anyio.sleep(BUSY_GAP_S)
         return False
 
-    async def _refresh(self, known: KnownTarget) -> bool:
-        """Bring what is known of a target up to date.
-
-        Returns
-        -------
-        bool
-            Whether its report reflects all orders that are known, and it
-            carries out no order for a model.
-        """
-        try:
-            report = await self.client.report(known)
-        except TransportError as error:
-            self.log('report_missing', target=known.name, why=str(error))
-            return False
-        if report.born != known.said.born:
-            return False
-        if report.order_count < known.order_count:
-            return False
-        known.confirm(report.order_count, report.models, boot_time())
-        track = self._track(known)
-        track.adapters = present_adapters(report)
-        track.is_synced = True
-        return not report.is_busy
-
-    async def _order(
-        self,
-        known: KnownTarget,
-        action: Action,
-        model: str,
-        adapter: str,
-    ) -> OrderAnswer:
-        is_near = action is not Action.load or model in known.said.near_weights
-        is_allowed = (
-            self.leadership.may_order_near()
-            if is_near
-            else self.leadership.may_order()
-        )
-        if not is_allowed:
-            return OrderAnswer.unproven
-        order = EngineOrder(
-            action,
-            model,
-            adapter,
-            known.order_count,
-            self.name,
-            self.leadership.state.fence,
-        )
-        answer = await self.client.order(known, order)
-        self._note_answer(known, order, answer)
-        if answer is OrderAnswer.fenced:
-            self.leadership.state.note_lost()
-        self.log(
-            'order_given',
-            target=known.name,
-            action=action.value,
-            model=model,
-            adapter=adapter or None,
-            after=order.order_count,
-            fence=order.fence,
-            answer=answer.value,
-        )
-        return answer
-
-    def _note_answer(
-        self,
-        known: KnownTarget,
-        order: EngineOrder,
-        answer: OrderAnswer,
-    ) -> None:
-        track = self._track(known)
-        name = f'{order.model}/{order.adapter}'
-        if not _is_counted(order.action, answer):
-            # It may have come after orders that are not known here.
-            track.is_synced = answer is OrderAnswer.held
-            return
-        known.order_count = order.order_count + 1
-        if order.action is Action.load_adapter:
-            track.adapters.add(name)
-        elif order.action is Action.unload_adapter:
-            track.adapters.discard(name)
-        else:
-            track.is_synced = False
-
     async def _await_swap(
         self,
         swap: Swap,
@@ -444,160 +325,16 @@
         await anyio.sleep(_load_s(swap.load, known, engine))
         known.add(swap.load, '')
         known.confirmed_at = boot_time()
-        await self.tell(_resident(known), ())
+        await self.link.tell(resident_message(known), ())
         with anyio.move_on_after(LOAD_TIMEOUT_S):
             while True:
                 await anyio.sleep(LOOK_GAP_S)
-                if await self._refresh(known):
+                if await self.ordering.refresh(known):
                     break
-            await self.tell(_resident(known), ())
+            await self.link.tell(resident_message(known), ())
             return
         self.log('order_unfinished', target=known.name, model=swap.load)
 
-    # Adapters
-
-    async def _bring_adapter(self, wanted: Wanted) -> None:
-        try:
-            known = await self._place_adapter(wanted)
-        finally:
-            askers = self.askers.pop(wanted)
-        if known is not None:
-            await self.tell(_resident(known), tuple(askers))
-
-    async def _place_adapter(self, wanted: Wanted) -> KnownTarget | None:
-        """Return a target that holds an adapter, once there is one."""
-        until = boot_time() + ADAPTER_WAIT_S
-        for _ in range(ADAPTER_TRIES):
-            holders = [
-                known
-                for known in self._engines_with(wanted)
-                if known.holds(wanted.model, wanted.adapter)
-            ]
-            if holders:
-                track = self._track(holders[0])
-                track.asked_at[_full_name(wanted)] = boot_time()
-                return holders[0]
-            known = await self._find_idle(wanted, until)
-            if known is None:
-                return None
-            if await self._load_adapter(wanted, known):
-                return known
-        return None
-
-    def _engines_with(self, wanted: Wanted) -> Iterator[KnownTarget]:
-        for known in self.inventory.of_service(wanted.service):
-            if known.holds(wanted.model):
-                yield known
-
-    async def _find_idle(
-        self,
-        wanted: Wanted,
-        until: float,
-    ) -> KnownTarget | None:
-        """Return the least loaded engine with the model that takes orders."""
-        while boot_time() < until:
-            now = boot_time()
-            idle = [
-                known
-                for known in self._engines_with(wanted)
-                if not self._track(known).is_busy
-            ]
-            if idle:
-                return min(
-                    idle,
-                    key=lambda known: (
-                        self.board.total(
-                            known.name,
-                            now,
-                        ).held_tokens
-                    ),
-                )
-            await anyio.sleep(LOOK_GAP_S / 4)
-        return None
-
-    async def _load_adapter(
-        self,
-        wanted: Wanted,
-        known: KnownTarget,
-    ) -> bool:
-        track = self._track(known)
-        async with track.turn:
-            name = _full_name(wanted)
-            track.asked_at[name] = boot_time()
-            if not track.is_synced and not await self._refresh(known):
-                await anyio.sleep(LOOK_GAP_S / 2)
-                return False
-            if name not in track.adapters:
-                if not await self._make_adapter_room(wanted, known, track):
-                    return False
-                answer = await self._order(
-                    known,
-                    Action.load_adapter,
-                    wanted.model,
-                    wanted.adapter,
-                )
-                if answer not in _TAKEN:
-                    return False
-            known.add(wanted.model, wanted.adapter)
-        await anyio.sleep(ADAPTER_S)
-        return True
-
-    async def _make_adapter_room(
-        self,
-        wanted: Wanted,
-        known: KnownTarget,
-        track: OrderTrack,
-    ) -> bool:
-        """Unload the adapter that nobody asked for longest, if need be."""
-        configuration = self.configuration()
-        if configuration is None:
-            return False
-        slots = configuration.engines[wanted.service].adapter_slots
-        if len(track.adapters) < slots:
-            return True
-        now = boot_time()
-        for name in self.used_adapters():
-            track.asked_at[name] = now
-        oldest = min(
-            track.adapters,
-            key=lambda one: track.asked_at.get(one, -math.inf),
-        )
-        model, _, adapter = oldest.partition('/')
-        answer = await self._order(
-            known,
-            Action.unload_adapter,
-            model,
-            adapter,
-        )
-        known.drop(model, adapter)
-        return answer in _TAKEN
-
-
-def _is_counted(action: Action, answer: OrderAnswer) -> bool:
-    """Return whether an engine counts an order.
-
-    It unloads an unused adapter before it answers, as if that held already.
-    """
-    if answer is OrderAnswer.held:
-        return action is Action.unload_adapter
-    return answer is OrderAnswer.accepted
-
-
-def _full_name(wanted: Wanted) -> str:
-    return f'{wanted.model}/{wanted.adapter}'
-
-
-def _resident(known: KnownTarget) -> ResidentMessage:
-    return ResidentMessage(
-        known.name,
-        known.said.born,
-        known.order_count,
-        {
-            model: tuple(resident.adapters)
-            for model, resident in known.models.items()
-        },
-    )
-
 
 def reserved_adapter_bytes(engine: EngineSpec) -> int:
     """Return the memory that adapters of any models may take."""
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -1,9 +1,9 @@
 """Carries a request to a target, and its answer back to the caller."""
 
 import enum
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import anyio
 
@@ -154,7 +154,23 @@
         self.body = body
 
 
-Place = Callable[[InboundCall, set[str]], tuple[KnownTarget, Choice] | None]
+class Placer(Protocol):
+    """Chooses targets, and learns of those that turn requests away."""
+
+    def place(
+        self,
+        call: InboundCall,
+        avoided: set[str],
+    ) -> tuple[KnownTarget, Choice] | None:
+        """Return the target to send a request to, None if there is none."""
+
+    def note_absent(
+        self,
+        call: InboundCall,
+        known: KnownTarget,
+        verdict: Verdict,
+    ) -> None:
+        """Learn that a target has not what a request needs."""
 
 
 class Proxy:
@@ -168,10 +184,7 @@
     format : TargetFormat
     budget_of : callable
         The retry budget of a service.
-    place : callable
-        Chooses a target.
-    note_absent : callable
-        Told that a target turned a request away for a missing model.
+    placer : Placer
     """
 
     def __init__(
@@ -181,20 +194,16 @@
         health: HealthBook,
         target_format: TargetFormat,
         budget_of: Callable[[str], WindowBudget],
-        place: Place,
-        note_absent: Callable[[InboundCall, KnownTarget, Verdict], None],
+        placer: Placer,
         log: Logger,
-        rng: random.Random,
     ) -> None:
         self.pool = pool
         self.board = board
         self.health = health
         self.format = target_format
         self.budget_of = budget_of
-        self.place = place
-        self.note_absent = note_absent
+        self.placer = placer
         self.log = log
-        self.rng = rng
 
     async def serve(
         self,
@@ -254,7 +263,7 @@
             return None
         if call.deadline - boot_time() < MIN_LEFT_S:
             return None
-        placed = self.place(call, progress.avoided)
+        placed = self.placer.place(call, progress.avoided)
         is_arrival = error.reason != 'unreachable'
         if placed is None or not is_arrival:
             return placed
@@ -287,7 +296,7 @@
         progress: Progress,
         error: TryError,
     ) -> Outcome:
-        assert error.head is not None  # noqa: S101
+        assert error.head is not None
         if progress.is_started:
             return Outcome(0, f'cut_{error.reason}')
         progress.is_started = True
@@ -398,7 +407,7 @@
         if verdict is not Verdict.crossed:
             body = await self._read_body(sending) or b''
         if verdict in {Verdict.absent, Verdict.other_target}:
-            self.note_absent(call, sending.target, verdict)
+            self.placer.note_absent(call, sending.target, verdict)
         if verdict in {Verdict.unclear, Verdict.crossed}:
             self.health.note_ending(
                 sending.target.name,
@@ -447,7 +456,7 @@
     async def _read_body(self, sending: 'Sending') -> bytes | None:
         """Return a whole body, None if it is not whole."""
         exchange = sending.connection.exchange
-        assert exchange is not None  # noqa: S101
+        assert exchange is not None
         body = bytearray()
         while True:
             part = await sending.connection.receive(exchange)
@@ -467,33 +476,31 @@
         head: AnswerHead,
     ) -> Outcome:
         exchange = sending.connection.exchange
-        assert exchange is not None  # noqa: S101
+        assert exchange is not None
         if call.route.is_resumable and progress.splitter is None:
             progress.splitter = EventSplitter()
         if not progress.is_started:
             progress.is_started = True
             progress.first_byte_s = boot_time() - call.received_at
             await responder.start(head.status, self.format.answer_headers(head))
-        while True:
+        part = await sending.connection.receive(exchange)
+        while isinstance(part, bytes):
+            await _forward(responder, progress, part)
             part = await sending.connection.receive(exchange)
-            if isinstance(part, bytes):
-                await _forward(responder, progress, part)
-            elif part is Ending.broken:
-                self.health.note_ending(
-                    sending.target.name,
-                    boot_time(),
-                    is_good=False,
-                )
-                if progress.splitter:
-                    progress.splitter.restart()
-                raise TryError('stream_broken', has_run=True)
-            elif isinstance(part, Ending):
-                break
+        if part is Ending.broken:
+            raise self._note_broken(sending, progress)
         if progress.splitter and progress.splitter.rest:
             await responder.send(progress.splitter.rest)
         await responder.finish()
         return Outcome(head.status, 'answered')
 
+    def _note_broken(self, sending: 'Sending', progress: Progress) -> TryError:
+        now = boot_time()
+        self.health.note_ending(sending.target.name, now, is_good=False)
+        if progress.splitter:
+            progress.splitter.restart()
+        return TryError('stream_broken', has_run=True)
+
 
 @dataclass(slots=True, eq=False)
 class Sending:
--- /dev/null
+++ b/ebonywell/requestpath.py
@@ -0,0 +1,75 @@
+"""Puts together what carries callers' requests to targets."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .gateway import Gateway
+from .hostknowledge import Knowledge
+from .hostsettings import HostSettings
+from .inbound import InboundCall
+from .logs import Logger
+from .metrics import Metrics
+from .prefixes import PrefixBook
+from .proxying import Proxy
+from .retries import RetryBudgets
+from .sharedlimits import make_charge
+from .targeting import Targeting
+from .translators import Translators
+from .upstream import ConnectionPool
+
+
+@dataclass(slots=True, frozen=True)
+class Observers:
+    """Where the request path writes, and where its chance comes from."""
+
+    log: Logger
+    metrics: Metrics
+    rng: random.Random
+
+
+def make_gateway(
+    settings: HostSettings,
+    known: Knowledge,
+    pool: ConnectionPool,
+    want: Callable[[InboundCall], float],
+    translators: Translators,
+    observers: Observers,
+) -> Gateway:
+    """Return the request path of one host."""
+    bounds = settings.bounds
+    targeting = Targeting(
+        settings.zone,
+        known.inventory,
+        known.board,
+        known.health,
+        PrefixBook(),
+        known.engine_of,
+        observers.log,
+        observers.rng,
+    )
+    budgets = RetryBudgets(
+        bounds.retry_window_s,
+        bounds.retry_ratio,
+        bounds.retry_slack,
+        lambda: known.fleet.size,
+    )
+    proxy = Proxy(
+        pool,
+        known.board,
+        known.health,
+        translators.target_format,
+        budgets.of_service,
+        targeting,
+        observers.log,
+    )
+    return Gateway(
+        known.intake,
+        targeting,
+        proxy,
+        make_charge(known.limits, observers.log),
+        want,
+        known.demand,
+        observers.log,
+        observers.metrics,
+    )
--- a/ebonywell/retries.py
+++ b/ebonywell/retries.py
@@ -3,6 +3,7 @@
 import collections
 import enum
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 RETRY_SHARE = 0.2
@@ -11,6 +12,12 @@
 MAX_TRIES = 4
 FIRST_BACKOFF_S = 0.02
 MAX_BACKOFF_S = 1.0
+# All hosts together must keep the bounds, although hosts may join while others
+# have used their parts, and two windows count requests differently.
+SLACK_PART = 0.7
+RATIO_PART = 0.95
+# Into so many parts the slack is divided before other hosts are known.
+LEAST_HOSTS = 8
 
 
 class Failure(enum.StrEnum):
@@ -179,3 +186,33 @@
         for times in (self.requests, self.retries):
             while times and times[0] <= now - self.window_s:
                 times.popleft()
+
+
+@dataclass(slots=True)
+class RetryBudgets:
+    """What each service's retries may be on this host.
+
+    Attributes
+    ----------
+    window_s, ratio, slack : float
+        The bounds over all hosts together.
+    count_hosts : callable
+        How many hosts may be alive.
+    by_service : dict of str to WindowBudget
+    """
+
+    window_s: float
+    ratio: float
+    slack: float
+    count_hosts: Callable[[], int]
+    by_service: dict[str, WindowBudget] = field(default_factory=dict)
+
+    def of_service(self, service: str) -> WindowBudget:
+        """Return a service's budget, with the slack divided as of now."""
+        budget = self.by_service.get(service)
+        if budget is None:
+            budget = WindowBudget(self.window_s, self.ratio * RATIO_PART, 0)
+            self.by_service[service] = budget
+        hosts = max(self.count_hosts(), LEAST_HOSTS)
+        budget.slack = self.slack * SLACK_PART / hosts
+        return budget
--- /dev/null
+++ b/ebonywell/roster.py
@@ -0,0 +1,152 @@
+"""The list of hosts and the limits' summary in the shared store."""
+
+import random
+from collections.abc import Callable, Iterable
+
+import anyio
+import msgspec
+
+from .clock import boot_time
+from .digests import Digest
+from .exceptions import LogServiceError
+from .fleetview import FleetView
+from .logs import Logger
+from .routetable import WorkspaceLimit
+from .sharedlimits import SharedLimits, Summary
+from .sharedstore import SharedStore
+
+# Of the topic, the partitions for hosts and for the summary.
+HOSTS_PART = 1
+SUMMARY_PART = 2
+SUMMARY_KEY = 'limits'
+# Hosts that start together do not all come back to the store at once.
+RETRY_S = 0.3
+LOOK_GAP_S = 0.1
+
+
+class HostRecord(msgspec.Struct, frozen=True):
+    """A host as the store lists it."""
+
+    address: str
+
+
+class Roster:
+    """Lists this host, and learns of the others and of what they admitted.
+
+    Attributes
+    ----------
+    fleet : FleetView
+    limits : SharedLimits
+    life : int or None
+        The store's offset of this start, None before it is listed.
+    former_lives : dict of str to int
+        Of the hosts in the summary that was read at the start.
+    """
+
+    def __init__(
+        self,
+        store: SharedStore,
+        topic: str,
+        address: str,
+        fleet: FleetView,
+        limits: SharedLimits,
+        log: Logger,
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.topic = topic
+        self.address = address
+        self.fleet = fleet
+        self.limits = limits
+        self.log = log
+        self.rng = rng
+        self.life: int | None = None
+        self.former_lives: dict[str, int] = {}
+
+    async def join(self) -> int:
+        """List this host, and return its life once that is done."""
+        body = msgspec.json.encode(HostRecord(self.address))
+        record = (self.fleet.own_name, body)
+        life: int | None = None
+        while life is None:
+            try:
+                life = await self.store.append(
+                    self.topic,
+                    HOSTS_PART,
+                    (record,),
+                )
+                await self._enlist()
+                await self._read_summary()
+            except LogServiceError as error:
+                self.log('join_failed', why=str(error))
+                await anyio.sleep(self.rng.uniform(0, 2 * RETRY_S))
+        self.life = life
+        self.log('joined', life=life, hosts=self.fleet.size)
+        return life
+
+    async def keep_summary(
+        self,
+        is_due: Callable[[], bool],
+        list_limits: Callable[[], Iterable[WorkspaceLimit]],
+    ) -> None:
+        """Write down what is used of the limits, until cancelled.
+
+        Parameters
+        ----------
+        is_due : callable
+            Whether this is the host that does so.
+        list_limits : callable
+        """
+        while True:
+            await anyio.sleep(LOOK_GAP_S)
+            if self.life is None or not is_due():
+                continue
+            summary = self.limits.summarize(
+                list_limits(),
+                self.life,
+                boot_time(),
+            )
+            if summary is not None:
+                await self._write(summary)
+
+    def note_digest(self, digest: Digest) -> None:
+        """Take over that a host is alive."""
+        if self.former_lives.pop(digest.name, None) == digest.life:
+            self.limits.note_same_life(digest.name)
+
+    async def _enlist(self) -> None:
+        page = await self.store.read_newest(self.topic, HOSTS_PART)
+        for record in page.records:
+            if record.value is None:
+                continue
+            try:
+                found = msgspec.json.decode(record.value, type=HostRecord)
+            except msgspec.MsgspecError as error:
+                self.log('host_unreadable', host=record.key, why=str(error))
+                continue
+            self.fleet.enlist(
+                record.key,
+                found.address,
+                record.offset,
+                boot_time(),
+            )
+
+    async def _read_summary(self) -> None:
+        page = await self.store.read_newest(self.topic, SUMMARY_PART)
+        for record in page.records:
+            if record.key != SUMMARY_KEY or record.value is None:
+                continue
+            try:
+                summary = msgspec.msgpack.decode(record.value, type=Summary)
+            except msgspec.MsgspecError as error:
+                self.log('summary_unreadable', why=str(error))
+                continue
+            self.limits.take_summary(summary, boot_time())
+            self.former_lives = {host.name: host.life for host in summary.hosts}
+
+    async def _write(self, summary: Summary) -> None:
+        record = (SUMMARY_KEY, msgspec.msgpack.encode(summary))
+        try:
+            await self.store.append(self.topic, SUMMARY_PART, (record,))
+        except LogServiceError as error:
+            self.log('summary_unwritten', why=str(error))
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -6,6 +6,7 @@
 or fail a part of their requests while their health check stays good.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -107,17 +108,15 @@
 ) -> Choice | None:
     """Return the target with the least cost, near ties at random."""
     best: Choice | None = None
-    least_ms = 0.0
+    least_ms = math.inf
     for candidate in candidates:
         expected_ms = expect_ms(candidate)
         wait_ms = expected_ms * candidate.health.slowness
-        cost_ms = (
-            wait_ms
-            + candidate.health.failure_share * FAILURE_MS
-            + (0 if candidate.is_near else OTHER_ZONE_MS)
-            + rng.uniform(0, SPREAD_MS)
-        )
-        if best is None or cost_ms < least_ms:
+        cost_ms = wait_ms + candidate.health.failure_share * FAILURE_MS
+        cost_ms += rng.uniform(0, SPREAD_MS)
+        if not candidate.is_near:
+            cost_ms += OTHER_ZONE_MS
+        if cost_ms < least_ms:
             least_ms = cost_ms
             best = Choice(
                 candidate.name,
--- a/ebonywell/sharedlimits.py
+++ b/ebonywell/sharedlimits.py
@@ -16,13 +16,17 @@
 """
 
 import collections
-from collections.abc import Iterable, Sequence
+import itertools
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
+from .clock import boot_time
 from .digests import UsageShare
 from .fleetview import FleetView, Peer
+from .inbound import InboundCall, RejectionError
+from .logs import Logger
 from .routetable import WorkspaceLimit
 
 # Counts are kept in steps of this length, and told in so many parts.
@@ -50,6 +54,9 @@
 SUMMARY_SHARE = 0.6
 SUMMARY_STEP_SHARE = 0.06
 SUMMARY_GAP_S = 0.3
+_TOO_MANY = 429
+
+Charge = Callable[[WorkspaceLimit, InboundCall], None]
 
 
 @dataclass(slots=True)
@@ -85,20 +92,19 @@
 
     def since(self, start: float) -> float:
         """Return the tokens counted from a time on."""
-        tokens = 0.0
-        for begin, counted in reversed(self.steps):
-            if begin < start:
-                break
-            tokens += counted
-        return tokens
+        recent = itertools.takewhile(
+            lambda step: step[0] >= start,
+            reversed(self.steps),
+        )
+        return sum(step[1] for step in recent)
 
     def parts(self, now: float) -> tuple[int, ...]:
         """Return the tokens by their age, the newest first."""
-        tokens = [0.0] * PARTS
+        tokens: collections.Counter[int] = collections.Counter()
         for begin, counted in self.steps:
             age = int((now - begin) * PARTS / self.span_s)
-            tokens[min(max(age, 0), PARTS - 1)] += counted
-        return tuple(int(part) for part in tokens)
+            tokens[min(max(age, 0), PARTS - 1)] += int(counted)
+        return tuple(tokens[part] for part in range(PARTS))
 
 
 @dataclass(slots=True, frozen=True)
@@ -295,15 +301,17 @@
         allowed: float,
         now: float,
     ) -> float:
-        used = sum(
-            former.count(workspace, self.span_s, now)
-            for former in self.former.values()
+        former = sum(
+            one.count(workspace, self.span_s, now)
+            for one in self.former.values()
+        )
+        heard = sum(
+            _find(digest.usage, workspace).in_window
+            for digest in self.fleet.heard(now)
         )
-        for digest in self.fleet.heard(now):
-            used += _find(digest.usage, workspace).in_window
         silent = self.fleet.silent(now)
-        for peer in silent:
-            used += _last_count(peer, workspace)
+        told = sum(_last_count(peer, workspace) for peer in silent)
+        used = former + heard + told
         growth = self._cut_growth(allowed, own + used)
         return used + growth * len(silent)
 
@@ -364,6 +372,38 @@
     return _find(peer.digest.usage, workspace).in_window
 
 
+def make_charge(limits: SharedLimits, log: Logger) -> Charge:
+    """Return what counts a request against its workspace's limit.
+
+    It raises `RejectionError` for a request beyond the limit.
+    """
+
+    def charge(limit: WorkspaceLimit, call: InboundCall) -> None:
+        generation = call.generation
+        tokens = None
+        if generation is not None:
+            tokens = generation.prompt_tokens + generation.max_output_tokens
+        verdict = limits.admit(limit, charge_of(limit, tokens), boot_time())
+        if verdict.is_admitted:
+            return
+        log(
+            'limit_refused',
+            request=call.request_id,
+            workspace=limit.name,
+            tokens=tokens,
+            allowed=verdict.allowed,
+            used=verdict.used,
+            silent=verdict.silent,
+        )
+        raise RejectionError(
+            _TOO_MANY,
+            'workspace_limit',
+            verdict.retry_after_s,
+        )
+
+    return charge
+
+
 def charge_of(limit: WorkspaceLimit, tokens: int | None) -> int:
     """Return what a request counts against its workspace's limit."""
     if not limit.is_in_tokens:
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -1,6 +1,7 @@
 """Finds the target for a request among those that discovery announces."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .clock import boot_time
@@ -8,8 +9,10 @@
 from .inbound import Generation, InboundCall
 from .inventory import Inventory, KnownTarget
 from .loadboard import LoadBoard
+from .logs import Logger
 from .prefixes import PrefixBook
-from .routetable import Configuration, EngineSpec
+from .proxying import Verdict
+from .routetable import EngineSpec
 from .selection import Candidate, Choice, choose
 
 # A target that refused a connection, or had gone from its address, is tried
@@ -29,6 +32,8 @@
     board : LoadBoard
     health : HealthBook
     prefixes : PrefixBook
+    engine_of : callable
+        What the engines of a service have in common, None for plain ones.
     """
 
     zone: str
@@ -36,6 +41,8 @@
     board: LoadBoard
     health: HealthBook
     prefixes: PrefixBook
+    engine_of: Callable[[str], EngineSpec | None]
+    log: Logger
     rng: random.Random
 
     def able(
@@ -61,10 +68,9 @@
         self,
         call: InboundCall,
         avoided: set[str],
-        configuration: Configuration,
     ) -> tuple[KnownTarget, Choice] | None:
         """Return the target to send a request to, None if there is none."""
-        engine = configuration.engines.get(call.service)
+        engine = self.engine_of(call.service)
         candidates = [
             self._describe(call.generation, known, engine)
             for known in self.able(call, avoided)
@@ -74,6 +80,26 @@
             return None
         return self.inventory.targets[choice.name], choice
 
+    def note_absent(
+        self,
+        call: InboundCall,
+        known: KnownTarget,
+        verdict: Verdict,
+    ) -> None:
+        """Learn from a target that it has not what a request needs."""
+        generation = call.generation
+        self.log(
+            'target_rejected',
+            request=call.request_id,
+            target=known.name,
+            why=verdict.value,
+            model=generation.model if generation else None,
+        )
+        if verdict is Verdict.other_target:
+            known.refused_at = boot_time()
+        elif generation is not None:
+            known.drop(generation.model, generation.adapter)
+
     def _describe(
         self,
         generation: Generation | None,
--- a/ebonywell/turnover.py
+++ b/ebonywell/turnover.py
@@ -175,7 +175,8 @@
         for name, share in self.shares.pop(model.name, {}).items():
             self.engines[name].load -= share
         loads = {
-            name: self.engines[name].load for name in self.holders(model.name)
+            holder: self.engines[holder].load
+            for holder in self.holders(model.name)
         }
         shares = fill(loads, model.demand)
         for taking, taken in shares.items():
@@ -191,18 +192,16 @@
 
     def _wanting(self) -> list[ModelState]:
         """Return the models that would gain most from another copy."""
-        scored = []
-        for model in self.models.values():
-            shares = self.shares[model.name]
-            if not model.demand:
-                continue
-            if not shares:
-                scored.append((UNSERVED_WEIGHT * model.demand, model))
-                continue
-            worst = max(self.engines[name].load for name in shares)
-            scored.append((model.demand / len(shares) * worst, model))
-        scored.sort(key=lambda pair: -pair[0])
-        return [model for _, model in scored[:MODELS_TRIED]]
+        asked = [one for one in self.models.values() if one.demand]
+        asked.sort(key=self._want_of, reverse=True)
+        return asked[:MODELS_TRIED]
+
+    def _want_of(self, model: ModelState) -> float:
+        shares = self.shares[model.name]
+        if not shares:
+            return UNSERVED_WEIGHT * model.demand
+        worst = max(self.engines[name].load for name in shares)
+        return model.demand / len(shares) * worst
 
     def _takers(self, model: ModelState, budget: Budget) -> list[EngineState]:
         """Return the least loaded engines that could get a model."""
@@ -223,7 +222,8 @@
         if unloads is None:
             return None
         gain = self._gain(model, engine, unloads)
-        if gain < (LEAST_GAIN if unloads else LEAST_FREE_GAIN):
+        least = LEAST_GAIN if unloads else LEAST_FREE_GAIN
+        if gain < least:
             return None
         return Trial(
             Swap(engine.name, unloads, model.name),
@@ -277,27 +277,36 @@
     ) -> float:
         """Return by how much a swap lowers the cost of the whole spread."""
         loads = {name: one.load for name, one in self.engines.items()}
-        before = sum(load * load for load in loads.values())
-        cost = 0.0
+        before = _cost(loads)
         changed = [self.models[name] for name in unloads if name in self.models]
-        for one in (*changed, model):
-            for name, share in self.shares[one.name].items():
-                loads[name] -= share
-            if not self.shares[one.name]:
-                before += UNSERVED_WEIGHT * one.demand
-        for one in (*changed, model):
-            holders = set(self.holders(one.name))
-            holders.discard(engine.name)
-            if one is model:
+        changed.append(model)
+        for moved in changed:
+            shares = self.shares[moved.name]
+            for holder, share in shares.items():
+                loads[holder] -= share
+            if not shares:
+                before += UNSERVED_WEIGHT * moved.demand
+        after: float = 0
+        for placed in changed:
+            holders = set(self.holders(placed.name)) - {engine.name}
+            if placed is model:
                 holders.add(engine.name)
-            if not holders:
-                cost += UNSERVED_WEIGHT * one.demand + self._recency(one.name)
-                continue
-            shares = fill({name: loads[name] for name in holders}, one.demand)
-            for name, share in shares.items():
-                loads[name] += share
-        cost += sum(load * load for load in loads.values())
-        return before - cost
+            after += self._settle(placed, holders, loads)
+        return before - after - _cost(loads)
+
+    def _settle(
+        self,
+        model: ModelState,
+        holders: set[str],
+        loads: dict[str, float],
+    ) -> float:
+        """Spread a model over its holders; return what it costs without."""
+        if not holders:
+            return UNSERVED_WEIGHT * model.demand + self._recency(model.name)
+        spread = fill({name: loads[name] for name in holders}, model.demand)
+        for holder, share in spread.items():
+            loads[holder] += share
+        return 0
 
     def _apply(self, trial: Trial, budget: Budget) -> None:
         swap = trial.swap
@@ -325,33 +334,39 @@
         ]
         absent.sort(key=lambda model: -model.asked_at)
         for model in absent:
-            engine = self._find_room(model, budget)
+            engine = _find_room(self.engines.values(), model, budget)
             if engine is not None:
                 is_near = model.name in engine.near_weights
                 swap = Swap(engine.name, [], model.name)
                 self._apply(Trial(swap, 0, is_near), budget)
                 yield swap
 
-    def _find_room(
-        self,
-        model: ModelState,
-        budget: Budget,
-    ) -> EngineState | None:
-        rooms = [
-            engine
-            for engine in self.engines.values()
-            if not engine.is_busy
-            and engine.free_bytes >= model.bytes
-            and (model.name in engine.near_weights or budget.loads > KEPT_LOADS)
-        ]
-        return min(
-            rooms,
-            key=lambda engine: (
-                model.name not in engine.near_weights,
-                engine.free_bytes,
-            ),
-            default=None,
-        )
+
+def _find_room(
+    engines: Iterable[EngineState],
+    model: ModelState,
+    budget: Budget,
+) -> EngineState | None:
+    """Return where an idle model fits without an unload."""
+    rooms = [
+        engine
+        for engine in engines
+        if not engine.is_busy
+        and engine.free_bytes >= model.bytes
+        and (model.name in engine.near_weights or budget.loads > KEPT_LOADS)
+    ]
+    return min(
+        rooms,
+        key=lambda engine: (
+            model.name not in engine.near_weights,
+            engine.free_bytes,
+        ),
+        default=None,
+    )
+
+
+def _cost(loads: Mapping[str, float]) -> float:
+    return sum(load * load for load in loads.values())
 
 
 def fill(loads: Mapping[str, float], work: float) -> dict[str, float]:
@@ -370,14 +385,13 @@
     """
     if not loads:
         return {}
-    ranked = sorted(loads.values())
+    ranked = [*sorted(loads.values()), float('inf')]
     level = ranked[0]
     left = work
-    for count, load in enumerate(ranked, 1):
-        after = ranked[count] if count < len(ranked) else float('inf')
-        step = min(left, (after - load) * count)
-        level = load + step / count
+    for count, after in enumerate(ranked[1:], 1):
+        step = min(left, (after - level) * count)
+        level += step / count
         left -= step
         if left <= 0:
             break
-    return {name: max(0, level - load) for name, load in loads.items()}
+    return {name: max(0, level - before) for name, before in loads.items()}
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -36,10 +36,10 @@
 # this part of the idle timeout before the target would.
 IDLE_SHARE = 0.6
 # Reading from the target pauses while its caller has this much to take.
-MAX_BUFFERED_BYTES = 256 * 1024
+MAX_BUFFERED_BYTES = 262_144
 _CONTINUE = 200
 _KEEP_ALIVE = b'keep-alive'
-_TIMEOUT = 'timeout='
+_TIMEOUT = 'timeout'
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -161,8 +161,9 @@
         part = exchange.parts.popleft()
         if isinstance(part, bytes):
             exchange.buffered -= len(part)
-            if exchange.buffered < MAX_BUFFERED_BYTES:
-                self._resume()
+            transport = None if self.is_closed else self.transport
+            if transport and exchange.buffered < MAX_BUFFERED_BYTES:
+                transport.resume_reading()
         return part
 
     def release(self) -> bool:
@@ -171,7 +172,7 @@
         self.exchange = None
         self.idle_since = boot_time()
         is_whole = exchange is not None and exchange.ending is Ending.whole
-        if not is_whole or not self.is_reusable or self.is_closed:
+        if not is_whole or not self.is_reusable or _has_unsent(self):
             self.close()
         return not self.is_closed
 
@@ -190,7 +191,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the transport."""
-        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         _set_timeouts(transport.get_extra_info('socket'))
 
@@ -243,7 +244,9 @@
         if exchange is None or exchange.ending or status < _CONTINUE:
             return
         exchange.head = AnswerHead(status, self.headers)
-        self._note_idle_limit(exchange.head)
+        stated_s = _stated_idle_s(exchange.head)
+        if stated_s is not None:
+            self.idle_limit_s = stated_s
         exchange.add(exchange.head)
 
     def on_body(self, body: bytes) -> None:
@@ -273,16 +276,20 @@
             exchange.ending = ending
             exchange.add(ending)
 
-    def _note_idle_limit(self, head: AnswerHead) -> None:
-        stated = (head.get(_KEEP_ALIVE) or b'').decode('latin-1')
-        for part in stated.split(','):
-            name, _, seconds = part.strip().partition('=')
-            if f'{name}=' == _TIMEOUT and seconds.isdigit():
-                self.idle_limit_s = float(seconds)
 
-    def _resume(self) -> None:
-        if self.transport is not None and not self.is_closed:
-            self.transport.resume_reading()
+def _has_unsent(connection: Connection) -> bool:
+    # An answer may come before its request has been read to the end.
+    transport = connection.transport
+    return transport is None or transport.get_write_buffer_size() > 0
+
+
+def _stated_idle_s(head: AnswerHead) -> float | None:
+    stated = (head.get(_KEEP_ALIVE) or b'').decode('latin-1')
+    for part in stated.split(','):
+        name, _, seconds = part.strip().partition('=')
+        if name == _TIMEOUT and seconds.isdigit():
+            return float(seconds)
+    return None
 
 
 def _is_unframed(head: AnswerHead) -> bool:
--- a/ebonywell/wants.py
+++ b/ebonywell/wants.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from .adapterloads import Wanted
 from .clock import boot_time
 from .inbound import Generation, InboundCall
 from .inventory import Inventory
-from .provisioning import Wanted
 
 # A question or its answer may be lost; after this long it is asked again.
 ASK_GAP_S = 0.12
@@ -55,8 +55,8 @@
         if now - self.asked_at.get(wanted, -math.inf) >= ASK_GAP_S:
             self.asked_at[wanted] = now
             self.ask(wanted)
-        expected_s = 0 if is_present else MODEL_S
-        return expected_s + (ADAPTER_S if generation.adapter else 0)
+        expected_s = ADAPTER_S if generation.adapter else 0
+        return expected_s if is_present else expected_s + MODEL_S
 
     def expire(self, now: float) -> None:
         """Forget questions that may be asked again."""
