--- a/ebonywell/hostfeeds.py
+++ b/ebonywell/hostfeeds.py
@@ -91,9 +91,10 @@
                 self.inventory.withdraw(record.key, boot_time())
                 self.log('target_gone', target=record.key)
         for said in self._decode(newest.values()):
-            before = self.inventory.targets.get(said.name)
+            known = self.inventory.targets.get(said.name)
+            before = None if known is None else known.said.state
             self.inventory.announce(said, boot_time())
-            if before is None or before.said.state is not said.state:
+            if before is not said.state:
                 self.log(
                     'target_announced',
                     target=said.name,
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -230,8 +230,10 @@
             used += spec.bytes if spec else engine.weight_bytes
         for gone in track.since.keys() - held:
             track.since.pop(gone)
+        # What was there before this host gave orders came long ago.
+        came_at = now if track.since else -math.inf
         for kept in held:
-            track.since.setdefault(kept, now)
+            track.since.setdefault(kept, came_at)
         return EngineState(
             known.name,
             engine.weight_bytes - used,
--- a/ebonywell/sharedlimits.py
+++ b/ebonywell/sharedlimits.py
@@ -41,6 +41,9 @@
 # for a part that grows.
 GROWTH = 1.5
 RECENT_S = 1.0
+# What all hosts together may admit at once without knowing of each other;
+# half of the overshoot that the users bear.
+SMALL_SHARE = 0.05
 # The part of its even share of what is free by which a host that is cut off
 # may grow. The bounds on overshoot leave no room for more on both sides.
 CUT_GROWTH = 0.25
@@ -211,7 +214,14 @@
         if fits and self.fleet.is_minority(now):
             fits = self._fits_cut_off(limit.name, own, tokens, allowed, now)
         elif fits and rest < allowed * TIGHT_SHARE:
-            fits = self._fits_own_part(limit.name, window, tokens, rest, now)
+            fits = self._fits_own_part(
+                limit.name,
+                window,
+                tokens,
+                rest,
+                allowed,
+                now,
+            )
         if fits:
             window.add(tokens, now)
         missing = max(0, tokens - rest)
@@ -341,19 +351,24 @@
         window: Window,
         tokens: int,
         rest: float,
+        limit_total: float,
         now: float,
     ) -> bool:
         """Return whether a request fits this host's part of the rest."""
         lately = window.since(now - RECENT_S) / RECENT_S
-        total = lately + sum(
+        others = sum(
             _find(digest.usage, workspace).lately
             for digest in self.fleet.heard(now)
         )
         share = 1 / self.fleet.size
-        if total:
-            share = min(1, max(share, GROWTH * lately / total))
-        unknown = window.since(now - LAG_S)
-        return unknown + tokens <= (rest + unknown) * share
+        if lately:
+            share = min(1, max(share, GROWTH * lately / (lately + others)))
+        untold = window.since(now - LAG_S)
+        if untold + tokens <= (rest + untold) * share:
+            return True
+        # One small request at a time does no harm, though all hosts admit one.
+        is_small = tokens * self.fleet.size <= SMALL_SHARE * limit_total
+        return not untold and is_small and tokens + others * LAG_S <= rest
 
 
 _NOTHING = UsageShare('', (), 0)
--- /dev/null
+++ b/lab/standin_http.py
@@ -0,0 +1,157 @@
+"""A small HTTP/1.1 server for stand-ins that must also misbehave."""
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import h11
+from anyio.abc import SocketStream
+
+CHUNK_BYTES = 65_536
+
+
+@dataclass
+class HttpRequest:
+    """A request that was read to its end."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Reply:
+    """What to answer, and how.
+
+    Attributes
+    ----------
+    status : int
+    body : bytes
+        Empty where `events` are sent.
+    headers : dict of str to str
+    events : tuple of bytes
+        Sent one by one as chunks.
+    gap_s : float
+        Between two events.
+    cut_after : int or None
+        Break the connection off after so many events.
+    raw : bytes or None
+        Sent as they are, in place of all else.
+    """
+
+    status: int
+    body: bytes = b''
+    headers: dict[str, str] = field(default_factory=dict)
+    events: tuple[bytes, ...] = ()
+    gap_s: float = 0
+    cut_after: int | None = None
+    raw: bytes | None = None
+
+    @classmethod
+    def json(cls, content: Any, status: int = 200) -> 'Reply':
+        """Return an answer with a JSON body."""
+        return cls(status, json.dumps(content).encode())
+
+
+AnswerCall = Callable[[HttpRequest], Awaitable[Reply | None]]
+
+
+async def serve_http(stream: SocketStream, answer_call: AnswerCall) -> None:
+    """Serve requests on a connection until either side closes it.
+
+    A handler that returns None leaves its request without an answer.
+    """
+    async with stream:
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while await _serve_one(stream, connection, answer_call):
+                connection.start_next_cycle()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+        except h11.ProtocolError:
+            return
+
+
+async def _serve_one(
+    stream: SocketStream,
+    connection: h11.Connection,
+    answer_call: AnswerCall,
+) -> bool:
+    request = await _read(stream, connection)
+    if request is None:
+        return False
+    reply = await answer_call(request)
+    if reply is None:
+        await anyio.sleep_forever()
+        return False
+    if reply.raw is not None:
+        await stream.send(reply.raw)
+        return False
+    return await _answer(stream, connection, reply)
+
+
+async def _read(
+    stream: SocketStream,
+    connection: h11.Connection,
+) -> HttpRequest | None:
+    request: h11.Request | None = None
+    body = b''
+    event = await _next_event(stream, connection)
+    while not isinstance(event, h11.EndOfMessage):
+        if isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        else:
+            return None
+        event = await _next_event(stream, connection)
+    if request is None:
+        return None
+    return HttpRequest(
+        request.method.decode(),
+        request.target.decode('latin-1'),
+        {
+            name.decode(): found.decode('latin-1')
+            for name, found in request.headers
+        },
+        body,
+    )
+
+
+async def _next_event(stream: SocketStream, connection: h11.Connection) -> Any:
+    event = connection.next_event()
+    while event is h11.NEED_DATA:
+        try:
+            connection.receive_data(await stream.receive(CHUNK_BYTES))
+        except anyio.EndOfStream:
+            return None
+        event = connection.next_event()
+    return event
+
+
+async def _answer(
+    stream: SocketStream,
+    connection: h11.Connection,
+    reply: Reply,
+) -> bool:
+    headers = list(reply.headers.items())
+    if reply.events:
+        headers.append(('transfer-encoding', 'chunked'))
+    else:
+        headers.append(('content-length', str(len(reply.body))))
+    head = connection.send(
+        h11.Response(status_code=reply.status, headers=headers),
+    )
+    await stream.send(head or b'')
+    for number, event in enumerate(reply.events):
+        if reply.cut_after is not None and number >= reply.cut_after:
+            return False
+        await anyio.sleep(reply.gap_s)
+        await stream.send(connection.send(h11.Data(data=event)) or b'')
+    if reply.body:
+        await stream.send(connection.send(h11.Data(data=reply.body)) or b'')
+    await stream.send(connection.send(h11.EndOfMessage()) or b'')
+    return connection.our_state is not h11.MUST_CLOSE
--- /dev/null
+++ b/lab/standin_platform.py
@@ -0,0 +1,137 @@
+"""Stands in for the users' platform: its store, as its pages describe it."""
+
+import base64
+import json
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+from anyio.abc import SocketStream
+
+from .standin_http import HttpRequest, Reply, serve_http
+
+MAX_WAIT_MS = 30_000
+MS_PER_S = 1000
+
+
+@dataclass
+class PlatformStore:
+    """Topics of keyed records, with outages to order.
+
+    Attributes
+    ----------
+    records : dict
+        Key, value and offset by topic and partition.
+    is_down : bool
+        Whether all calls are answered 503.
+    calls : int
+    """
+
+    records: dict[tuple[str, int], list[tuple[str, bytes | None]]] = field(
+        default_factory=dict,
+    )
+    is_down: bool = False
+    calls: int = 0
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    async def answer_call(self, request: HttpRequest) -> Reply:
+        """Answer one call."""
+        self.calls += 1
+        if self.is_down:
+            return Reply(503)
+        parts = urlsplit(request.path)
+        query = {
+            name: found[0] for name, found in parse_qs(parts.query).items()
+        }
+        where = (query.get('topic', ''), int(query.get('part', '0')))
+        match parts.path:
+            case '/log-newest':
+                return self.newest(where)
+            case '/log-read':
+                return await self.read(where, query)
+            case '/log-append':
+                return self.append(where, query, request.body)
+        return Reply(404)
+
+    def put(self, topic: str, key: str, value: Any) -> None:
+        """Write a record as the operator or a replica would."""
+        body = None if value is None else json.dumps(value).encode()
+        self.records.setdefault((topic, 0), []).append((key, body))
+        self._wake()
+
+    def newest(self, where: tuple[str, int]) -> Reply:
+        """Return the newest record of each key."""
+        records = self.records.get(where, [])
+        newest = {
+            key: (value, offset) for offset, (key, value) in enumerate(records)
+        }
+        items = [
+            {
+                'key': key,
+                'value': base64.b64encode(value).decode(),
+                'offset': offset,
+            }
+            for key, (value, offset) in newest.items()
+            if value is not None
+        ]
+        return Reply.json(
+            {'items': items, 'hasMore': False, 'end': len(records)},
+        )
+
+    async def read(
+        self, where: tuple[str, int], query: dict[str, str]
+    ) -> Reply:
+        """Return raw records, once there are any."""
+        start = int(query['from'])
+        wait_ms = min(int(query.get('waitMs', '0')), MAX_WAIT_MS)
+        with anyio.move_on_after(wait_ms / MS_PER_S):
+            while len(self.records.get(where, [])) <= start:
+                await self.changed.wait()
+        if self.is_down:
+            return Reply(503)
+        records = self.records.get(where, [])
+        framed = b''.join(_frame(*record) for record in records[start:])
+        head = len(records).to_bytes(8, 'big') + bytes(8)
+        return Reply(200, head + framed)
+
+    def append(
+        self,
+        where: tuple[str, int],
+        query: dict[str, str],
+        body: bytes,
+    ) -> Reply:
+        """Add records, on condition if one is named."""
+        records = self.records.setdefault(where, [])
+        end = len(records)
+        if 'at' in query and int(query['at']) != end:
+            return Reply.json({'end': end}, 412)
+        records.extend(_unframe(body))
+        self._wake()
+        return Reply.json({'offset': end, 'end': len(records)})
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+async def serve_store(store: PlatformStore, stream: SocketStream) -> None:
+    """Serve one connection to the store."""
+    await serve_http(stream, store.answer_call)
+
+
+def _frame(key: str, value: bytes | None) -> bytes:
+    content = bytes((len(key),)) + key.encode() + (value or b'')
+    return len(content).to_bytes(4, 'big') + content
+
+
+def _unframe(body: bytes) -> list[tuple[str, bytes | None]]:
+    records = []
+    position = 0
+    while position < len(body):
+        size = int.from_bytes(body[position : position + 4], 'big')
+        record = body[position + 4 : position + 4 + size]
+        split = 1 + record[0]
+        records.append((record[1:split].decode(), record[split:] or None))
+        position += 4 + size
+    return records
--- /dev/null
+++ b/tests/limitsworld.py
@@ -0,0 +1,120 @@
+"""Hosts that share limits on a virtual clock, with digests that lag."""
+
+import random
+
+from ebonywell.digests import Digest
+from ebonywell.fleetview import FleetView
+from ebonywell.loadboard import LoadBoard
+from ebonywell.routetable import WorkspaceLimit
+from ebonywell.sharedlimits import HostUsage, SharedLimits, Summary
+
+SPAN_S = 8.0
+PERIOD_S = 0.2
+LIMIT = WorkspaceLimit('team', 10_000, 10_000, 200, True, None)
+ALLOWED = LIMIT.rate * SPAN_S + LIMIT.burst
+# The users' bound: a tenth more, and a slack of some requests.
+MOST = ALLOWED * 1.1 + 17_000
+
+
+class Host:
+    """One host: its limits and what it admitted."""
+
+    def __init__(self, name, life):
+        self.name = name
+        self.life = life
+        self.number = 0
+        self.fleet = FleetView(name, LoadBoard())
+        self.limits = SharedLimits(SPAN_S, self.fleet)
+        self.fleet.note_restart = self.limits.note_restart
+
+    def digest(self, now):
+        self.number += 1
+        usage = self.limits.usage(now)
+        return Digest(
+            self.name, self.life, self.number, '', '', '',
+            True, 1, 0, False, False, 0, (), usage,
+        )  # fmt: skip
+
+
+class World:
+    """Hosts, the links between them and all that was admitted."""
+
+    def __init__(self, count, seed=1):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.hosts = {}
+        self.cut = set()
+        self.dead = set()
+        self.admitted = []
+        self.asked = 0
+        self.lives = 0
+        for number in range(count):
+            self.start(f'host-{number}')
+        self.tell()
+
+    def start(self, name, summary=None):
+        self.lives += 1
+        host = Host(name, self.lives)
+        for other in self.hosts.values():
+            if other.name != name:
+                host.fleet.enlist(other.name, '', other.life, self.now)
+                other.fleet.enlist(name, '', host.life, self.now)
+        if summary is not None:
+            host.limits.take_summary(summary, self.now)
+        self.hosts[name] = host
+        self.dead.discard(name)
+
+    def summary(self):
+        hosts = self.hosts.values()
+        return Summary(
+            tuple(
+                HostUsage(host.name, host.life, host.limits.usage(self.now))
+                for host in hosts
+            ),
+        )
+
+    def are_linked(self, one, other):
+        if {one, other} & self.dead:
+            return False
+        return (one in self.cut) == (other in self.cut)
+
+    def tell(self):
+        for sender in self.hosts.values():
+            if sender.name in self.dead:
+                continue
+            digest = sender.digest(self.now)
+            for host in self.hosts.values():
+                if host is not sender and self.are_linked(
+                    sender.name, host.name
+                ):
+                    host.fleet.take(digest, self.now)
+
+    def run(self, seconds, tokens_per_s, size=2000):
+        """Ask for so many tokens a second, at hosts at random."""
+        steps = round(seconds / PERIOD_S)
+        for _ in range(steps):
+            for _ in range(round(tokens_per_s * PERIOD_S / size)):
+                self.ask(size)
+            self.now += PERIOD_S
+            self.tell()
+
+    def ask(self, size):
+        alive = sorted(set(self.hosts) - self.dead)
+        host = self.hosts[self.rng.choice(alive)]
+        self.asked += size
+        if host.limits.admit(LIMIT, size, self.now).is_admitted:
+            self.admitted.append((self.now, size))
+
+    def most_in_window(self):
+        most = 0
+        for start, _ in self.admitted:
+            inside = [
+                size
+                for at, size in self.admitted
+                if start <= at < start + SPAN_S
+            ]
+            most = max(most, sum(inside))
+        return most
+
+    def total(self):
+        return sum(size for _, size in self.admitted)
--- /dev/null
+++ b/tests/memorystore.py
@@ -0,0 +1,67 @@
+"""A shared store in memory, for services under test."""
+
+import anyio
+
+from ebonywell.exceptions import (
+    ConflictError,
+    LogGapError,
+    LogOutageError,
+    LogRefusedError,
+)
+from ebonywell.sharedstore import KeyedRecord, StorePage
+
+
+class MemoryStore:
+    """Keyed topics with offsets, outages and lost answers."""
+
+    def __init__(self):
+        self.records = {}
+        self.ends = {}
+        self.first = 0
+        self.is_down = False
+        self.lose_answers = 0
+        self.changed = anyio.Event()
+
+    async def read_newest(self, topic, part):
+        self._check()
+        newest = {}
+        for record in self._all(topic, part):
+            newest[record.key] = record
+        live = [one for one in newest.values() if one.value is not None]
+        return StorePage(tuple(live), self.ends.get((topic, part), 0))
+
+    async def read_since(self, topic, part, offset, wait_s):
+        self._check()
+        if offset < self.first:
+            raise LogGapError(self.first)
+        found = [one for one in self._all(topic, part) if one.offset >= offset]
+        if not found:
+            with anyio.move_on_after(wait_s):
+                await self.changed.wait()
+            self._check()
+            every = self._all(topic, part)
+            found = [one for one in every if one.offset >= offset]
+        return StorePage(tuple(found), offset + len(found))
+
+    async def append(self, topic, part, records, at=None):
+        self._check()
+        end = self.ends.get((topic, part), 0)
+        if at is not None and at != end:
+            raise ConflictError('grown')
+        for index, (key, value) in enumerate(records):
+            record = KeyedRecord(key, value, end + index)
+            self._all(topic, part).append(record)
+        self.ends[topic, part] = end + len(records)
+        self.changed.set()
+        self.changed = anyio.Event()
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise LogOutageError('answer lost')
+        return end
+
+    def _all(self, topic, part):
+        return self.records.setdefault((topic, part), [])
+
+    def _check(self):
+        if self.is_down:
+            raise LogRefusedError('down')
--- /dev/null
+++ b/tests/platformworld.py
@@ -0,0 +1,311 @@
+"""A small deployment on loopback: real hosts before stand-ins."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+
+import anyio
+import h11
+import yaml
+
+from lab.standin_platform import PlatformStore, serve_store
+from lab.standin_replica import Replica, listen, serve_replica
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+KEY = 'key-of-team'
+GB = 1000
+SIZES = {'m1': 70, 'm2': 70, 'm3': 70, 'm4': 70}
+START_S = 10
+BOUNDS = {
+    'drainMs': 2000, 'configMs': 2000, 'revokeMs': 5000, 'graceS': 8,
+    'leaseMs': 1000, 'requireFence': True, 'retryBudgetRatio': 0.2,
+    'budgetWindowS': 10, 'budgetSlack': 56, 'quotaWindowS': 8,
+    'quotaOvershoot': 0.1, 'quotaSlack': 17000, 'ceilingWindowS': 5,
+    'ceilingOvershoot': 1.1, 'ttl_max_s': 5,
+}  # fmt: skip
+
+
+def free_ports(count):
+    """Return the first of some ports in a row that are free now."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            first = probe.getsockname()[1]
+        if first + count < 65_000 and all(
+            _is_free(port) for port in range(first, first + count)
+        ):
+            return first
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
+
+
+def route(name, kind, service, **more):
+    return {
+        'name': name, 'host': 'app.example', 'pathPrefix': f'/{name}/',
+        'kind': kind, 'timeoutMs': 4000, 'goalMs': 500, 'priority': 1,
+        'service': service, 'maxAttempts': 2, 'anonymous': False, **more,
+    }  # fmt: skip
+
+
+def configuration(version=1, keys=(KEY,), rate=10_000):
+    models = [
+        {
+            'name': name,
+            'weightsMb': size * GB,
+            'loadS': 0.2,
+            'diskS': 0.1,
+            'warmS': 0.1,
+            'adapters': 9,
+            'adapterMb': 1,
+        }  # fmt: skip
+        for name, size in SIZES.items()
+    ]
+    engine = {
+        'slots': 4, 'kvCapacityTokens': 100_000, 'weightsMb': 200 * GB,
+        'adapterSlots': 2, 'loadsPerS': 20, 'models': models,
+    }  # fmt: skip
+    return {
+        'version': version,
+        'routes': [
+            route('look', 'idempotent', 'desk'),
+            route('book', 'non_idempotent', 'desk'),
+            route('open', 'idempotent', 'desk', anonymous=True),
+            route('chat', 'streaming', 'pool'),
+            route('batch', 'streaming', 'pool', allowResume=True),
+        ],
+        'services': [
+            {'name': 'desk', 'maxConns': 100},
+            {'name': 'pool', 'maxConns': 100, 'engine': engine},
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384, 'maxBodyBytes': 100_000,
+            'idleTimeoutMs': 15_000,
+        },
+        'tenants': [
+            {
+                'name': 'team', 'apiKeys': list(keys), 'unit': 'tokens',
+                'plainTokens': 10, 'ratePerS': rate, 'burst': rate,
+            },
+        ],
+    }  # fmt: skip
+
+
+@dataclass
+class Answer:
+    """What a caller got; `is_whole` is False where it was cut."""
+
+    status: int
+    headers: dict
+    body: bytes
+    is_whole: bool
+
+
+@dataclass
+class Host:
+    """A real host process."""
+
+    name: str
+    first_port: int
+    process: subprocess.Popen
+    log_path: str
+
+    @property
+    def front(self):
+        return self.first_port + 20
+
+    def log(self):
+        with open(self.log_path, encoding='utf-8') as opened:
+            return opened.read()
+
+
+@dataclass
+class World:
+    """The stand-ins and the hosts before them."""
+
+    folder: str
+    group: object
+    store: PlatformStore = field(default_factory=PlatformStore)
+    replicas: dict = field(default_factory=dict)
+    hosts: dict = field(default_factory=dict)
+    store_address: str = ''
+    ids: int = 0
+
+    async def start_store(self):
+        async def serve(stream):
+            await serve_store(self.store, stream)
+
+        self.store_address = await listen(serve, self.group)
+        self.store.put('keyed.op', 'config', configuration())
+
+    async def add(self, name, service, models=None):
+        held = None if models is None else {model: set() for model in models}
+        replica = Replica(name, service, models=held, sizes=dict(SIZES))
+
+        async def serve(stream):
+            with contextlib.suppress(
+                anyio.BrokenResourceError, anyio.ClosedResourceError
+            ):
+                await serve_replica(replica, stream)
+
+        replica.address = await listen(serve, self.group)
+        self.replicas[name] = replica
+        self.store.put('keyed.servers', name, replica.entry())
+        return replica
+
+    def launch(self, name):
+        first = free_ports(24)
+        path = os.path.join(self.folder, f'{name}.yaml')
+        settings = {
+            'node': name, 'ip': '127.0.0.1', 'zone': 'z1', 'region': 'r',
+            'listen': {
+                'front': f'127.0.0.1:{first + 20}',
+                'ready': f'127.0.0.1:{first + 21}',
+                'directory': f'127.0.0.1:{first + 22}',
+            },
+            'portRange': [first, first + 15],
+            'limits': {'memoryMb': 300},
+            'bounds': BOUNDS,
+            'platform': {'address': self.store_address},
+        }  # fmt: skip
+        with open(path, 'w', encoding='utf-8') as opened:
+            yaml.safe_dump(settings, opened)
+        log_path = os.path.join(self.folder, f'{name}.log')
+        with open(log_path, 'w', encoding='utf-8') as log:
+            process = subprocess.Popen(
+                [sys.executable, '-m', 'ebonywell.platform'],
+                cwd=ROOT,
+                env={**os.environ, 'EBONYWELL_NODE_FILE': path},
+                stdout=log,
+                stderr=log,
+            )
+        self.hosts[name] = Host(name, first, process, log_path)
+        return self.hosts[name]
+
+    async def wait_ready(self):
+        for host in self.hosts.values():
+            with anyio.fail_after(START_S):
+                while await self.ready(host) != 200:
+                    await anyio.sleep(0.05)
+
+    async def wait_logged(self, text, hosts=None):
+        """Wait until some host has logged a text, and return that host."""
+        with anyio.fail_after(START_S):
+            while True:
+                for host in hosts or self.hosts.values():
+                    if text in host.log():
+                        return host
+                await anyio.sleep(0.05)
+
+    async def ready(self, host):
+        try:
+            answer = await get(host.first_port + 21, 'GET', '/ready', {})
+        except OSError:
+            return 0
+        return answer.status
+
+    async def ask(self, host, path, *, key=KEY, body=b'', **headers):
+        """Send a caller's request and return its answer."""
+        self.ids += 1
+        sent = {
+            'Host': 'app.example',
+            'Request-Id': f'id-{self.ids}',
+            'Deadline-Ms': '4000',
+            **{name.replace('_', '-'): one for name, one in headers.items()},
+        }
+        if key:
+            sent['Authorization'] = f'Bearer {key}'
+        return await get(host.front, 'POST', path, sent, body)
+
+    async def chat(self, host, model='m1', path='/chat/x', **headers):
+        named = {'Model': model, 'Token_Count': '100,20', **headers}
+        return await self.ask(host, path, **named)
+
+    def stop_hosts(self):
+        for host in self.hosts.values():
+            if host.process.poll() is None:
+                host.process.send_signal(signal.SIGKILL)
+            host.process.wait()
+
+
+async def get(port, method, path, headers, body=b''):
+    """Send one request on a connection of its own."""
+    async with await anyio.connect_tcp('127.0.0.1', port) as stream:
+        connection = h11.Connection(h11.CLIENT)
+        named = {'Host': 'x', 'Content-Length': str(len(body)), **headers}
+        request = h11.Request(
+            method=method, target=path, headers=list(named.items())
+        )
+        sent = connection.send(request) or b''
+        sent += connection.send(h11.Data(data=body)) or b''
+        await stream.send(sent + (connection.send(h11.EndOfMessage()) or b''))
+        return await _read_answer(stream, connection)
+
+
+async def _read_answer(stream, connection):
+    status, headers, body = 0, {}, b''
+    while True:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError:
+            return Answer(status, headers, body, is_whole=False)
+        if event is h11.NEED_DATA:
+            try:
+                connection.receive_data(await stream.receive())
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                connection.receive_data(b'')
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            headers = {
+                name.decode(): found.decode() for name, found in event.headers
+            }
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        else:
+            is_whole = isinstance(event, h11.EndOfMessage)
+            return Answer(status, headers, body, is_whole)
+
+
+def play(folder, story, hosts=('host-1',)):
+    """Run a story in a world with some replicas and hosts."""
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            world = World(str(folder), group)
+            await world.start_store()
+            await world.add('desk-1', 'desk')
+            await world.add('desk-2', 'desk')
+            await world.add('pool-1', 'pool', ['m1', 'm2'])
+            await world.add('pool-2', 'pool', ['m1', 'm3'])
+            for name in hosts:
+                world.launch(name)
+            try:
+                await world.wait_ready()
+                await story(world)
+            finally:
+                world.stop_hosts()
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def events_of(body):
+    """Return the numbers of the events in a stream."""
+    return [
+        int(line[4:]) for line in body.splitlines() if line.startswith(b'id: ')
+    ]
+
+
+def decode(answer):
+    return json.loads(answer.body)
--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,190 @@
+"""The lease in the shared store: one holder, and what it may do when."""
+
+import random
+
+import anyio
+import pytest
+
+from ebonywell.digests import Digest
+from ebonywell.exceptions import ConflictError, LogOutageError
+from ebonywell.leadership import (
+    FENCED_WAIT_S,
+    HOLDER_SILENCE_S,
+    PROOF_S,
+    UNPROVEN_S,
+    Leadership,
+    LeaseState,
+)
+from ebonywell.logs import discard_event
+from tests.memorystore import MemoryStore
+
+
+def digest(fence, *, is_proven=True, is_ordering=True, end=5):
+    return Digest(
+        'other', 1, 1, '', '', '', True, 1, fence,
+        is_proven, is_ordering, end,
+    )  # fmt: skip
+
+
+def holder(*, is_fenced=False, now=100.0):
+    state = LeaseState(3, is_fenced)
+    state.note_claimed(4, now, now)
+    return state
+
+
+def test_the_first_holder_orders_at_once():
+    state = holder()
+    assert state.fence == 5
+    assert state.may_order(100)
+
+
+def test_a_holder_without_a_young_renewal_orders_nothing():
+    state = holder()
+    assert not state.may_order(100.01 + PROOF_S)
+    assert not state.may_order_near(100.01 + PROOF_S)
+
+
+def test_with_fenced_targets_it_goes_on_with_uncounted_orders():
+    state = holder(is_fenced=True)
+    assert not state.may_order(100.01 + PROOF_S)
+    assert state.may_order_near(100.01 + PROOF_S)
+    assert not state.may_order_near(100.01 + UNPROVEN_S)
+
+
+def test_it_ends_them_when_the_next_holder_begins():
+    state = holder(is_fenced=True)
+    state.note_heard(digest(9, is_ordering=False), 103)
+    assert state.may_order_near(103)
+    state.note_heard(digest(9), 104)
+    assert not state.may_order_near(104)
+
+
+def test_a_new_holder_waits_until_the_lease_before_has_run_out():
+    state = LeaseState(3)
+    state.note_heard(digest(5), 100)
+    state.note_claimed(7, 101, 101)
+    assert not state.may_order(101.5)
+    state.note_renewed(8, 103)
+    assert state.may_order(103.3)
+
+
+def test_with_fenced_targets_it_waits_for_orders_under_way_only():
+    state = LeaseState(3, is_fenced=True)
+    state.note_heard(digest(5), 100)
+    state.note_claimed(7, 101, 101)
+    assert not state.may_order(101)
+    assert state.may_order(101 + FENCED_WAIT_S)
+
+
+def test_hosts_claim_after_silence_one_after_the_other():
+    state = LeaseState(3)
+    state.note_heard(digest(5), 100)
+    assert not state.may_claim(100 + HOLDER_SILENCE_S - 0.1, 0)
+    assert state.may_claim(100 + HOLDER_SILENCE_S, 0)
+    assert not state.may_claim(100 + HOLDER_SILENCE_S, 1)
+
+
+def test_word_of_a_holder_before_counts_for_nothing():
+    state = LeaseState(3)
+    state.note_heard(digest(9), 100)
+    state.note_heard(digest(5), 200)
+    assert state.other_at == 100
+
+
+def make(store, name, state=None):
+    return Leadership(
+        store,
+        'own',
+        name,
+        state or LeaseState(3),
+        lambda: True,
+        int,
+        discard_event,
+        random.Random(1),
+    )
+
+
+async def step(leadership):
+    try:
+        await leadership._step()
+    except LogOutageError:
+        pass
+
+
+def test_of_two_that_race_one_gets_the_lease():
+    async def play():
+        store = MemoryStore()
+        one, other = make(store, 'one'), make(store, 'other')
+        await one._read()
+        await other._read()
+        await step(one)
+        await step(other)
+        return one.state.fence, other.state.fence
+
+    assert anyio.run(play) == (1, 0)
+
+
+def test_a_lost_answer_to_a_renewal_does_not_cost_the_lease():
+    async def play():
+        store = MemoryStore()
+        one = make(store, 'one')
+        await step(one)
+        fence = one.state.fence
+        store.lose_answers = 1
+        one.state.renewed_at = 0
+        await step(one)
+        await step(one)
+        await step(one)
+        return fence, one.state.fence, store.ends['own', 0]
+
+    fence, after, _ = anyio.run(play)
+    assert fence == after == 1
+
+
+def test_a_lost_answer_to_a_claim_is_read_again_and_not_believed():
+    async def play():
+        store = MemoryStore()
+        one = make(store, 'one')
+        await one._read()
+        store.lose_answers = 1
+        await step(one)
+        return one.state.fence, one.state.end
+
+    assert anyio.run(play) == (0, None)
+
+
+def test_a_holder_that_was_frozen_finds_its_lease_taken():
+    async def play():
+        store = MemoryStore()
+        one, other = make(store, 'one'), make(store, 'other')
+        await step(one)
+        await other._read()
+        other.state.other_at = float('-inf')
+        await step(other)
+        one.state.renewed_at = 0
+        await step(one)
+        return one.state.fence, other.state.fence
+
+    assert anyio.run(play) == (0, 2)
+
+
+def test_a_released_lease_is_free():
+    async def play():
+        store = MemoryStore()
+        one, other = make(store, 'one'), make(store, 'other')
+        await step(one)
+        await one.release()
+        await step(other)
+        return one.state.fence, other.state.fence
+
+    assert anyio.run(play) == (0, 3)
+
+
+def test_a_conflict_is_no_outage():
+    async def play():
+        store = MemoryStore()
+        await store.append('own', 0, (('a', b'1'),))
+        with pytest.raises(ConflictError):
+            await store.append('own', 0, (('a', b'2'),), 0)
+
+    anyio.run(play)
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,360 @@
+"""The platform's formats: what is read, and what wrong bytes do."""
+
+import json
+import platform
+import re
+import subprocess
+from pathlib import Path
+
+import anyio
+import msgspec
+import pytest
+import yaml
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonywell.digests import decode_message
+from ebonywell.exceptions import (
+    LogRefusedError,
+    MalformedFrameError,
+    RecordError,
+    SettingsError,
+    TransportError,
+)
+from ebonywell.inbound import InboundCall
+from ebonywell.inventory import Announcement, KnownTarget, TargetState
+from ebonywell.platform import (
+    catalog,
+    exchange,
+    ingress,
+    settings,
+    store,
+    targets,
+)
+from ebonywell.proxying import Verdict
+from ebonywell.routetable import RequestKind, Route, WeightedService
+from ebonywell.transport import HttpClient
+from ebonywell.upstream import AnswerHead
+from lab.standin_platform import PlatformStore, serve_store
+from lab.standin_replica import listen
+from tests.platformworld import BOUNDS, configuration
+
+PACKAGE = Path(__file__).parents[1] / 'ebonywell'
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+def test_the_package_named_platform_hides_nothing():
+    assert platform.python_implementation() == 'CPython'
+
+
+def test_the_platforms_names_stay_in_their_folder():
+    names = re.compile(
+        r'Response-Seal|Expect-Instance|Not-Executed|Token-Count|'
+        r'keyed\.(op|servers|status|ebonywell)|log-(append|newest|read)|'
+        r'pathPrefix|maxAttempts|apiKeys|kvUsed|atHand|remainingMs',
+        re.IGNORECASE,
+    )
+    found = [
+        f'{path.name}: {line.strip()}'
+        for path in PACKAGE.glob('*.py')
+        for line in path.read_text().splitlines()
+        if names.search(line)
+    ]
+    assert found == []
+
+
+def test_the_deploy_files_packages_are_those_of_the_project():
+    root = PACKAGE.parent
+    wanted = {
+        line.partition('==')[0].lower()
+        for line in (root / 'requirements.txt').read_text().split()
+    }
+    locked = {
+        line.partition('==')[0].lower()
+        for line in (root / 'requirements/lock.txt').read_text().split()
+    }
+    assert wanted <= locked
+    ignored = subprocess.run(
+        ['git', 'check-ignore', 'target/deps'], cwd=root, check=False
+    )
+    assert ignored.returncode in {0, 128}
+
+
+# Settings
+
+
+def a_file(**changes):
+    return {
+        'node': 'n',
+        'ip': '10.0.0.1',
+        'zone': 'z',
+        'listen': {'front': 'a:1', 'ready': 'a:2', 'directory': 'a:3'},
+        'portRange': [7600, 7615],
+        'bounds': BOUNDS,
+        'platform': {'address': '10.0.0.2:80'},
+        'unknown': {'field': 1},
+        **changes,
+    }
+
+
+def test_settings_are_read_with_their_units():
+    found = settings.parse_settings(yaml.safe_dump(a_file()), 'f')
+    assert found.bounds.revoke_s == 5
+    assert found.bounds.max_directory_ttl_s == 5
+    assert found.bounds.is_fenced
+    assert found.first_inner_port == 7600
+
+
+@pytest.mark.parametrize(
+    ('changes', 'part'),
+    [
+        ({'node': 7.5}, 'node'),
+        ({'listen': {}}, 'listen.front'),
+        ({'platform': {}}, 'platform.address'),
+        ({'portRange': 'x'}, 'portRange'),
+        ({'bounds': {'revokeMs': 'soon'}}, 'revokeMs'),
+    ],
+)
+def test_wrong_settings_are_named(changes, part):
+    with pytest.raises(SettingsError, match=part):
+        settings.parse_settings(yaml.safe_dump(a_file(**changes)), 'f')
+
+
+@given(st.text(max_size=200))
+def test_any_settings_file_is_read_or_refused(text):
+    try:
+        settings.parse_settings(text, 'f')
+    except SettingsError as error:
+        assert '\n' not in str(error)
+
+
+def test_a_missing_settings_file_is_named():
+    with pytest.raises(SettingsError, match='no-such-file'):
+        settings.read_settings('/no-such-file')
+    with pytest.raises(SettingsError, match='NODE_FILE'):
+        settings.find_file({})
+
+
+# Configuration
+
+
+def test_a_configuration_is_read():
+    body = json.dumps(configuration(7)).encode()
+    found = catalog.decode_configuration(body)
+    assert found.version == 7
+    batch = found.find_route('app.example', '/batch/x')
+    assert batch.kind is RequestKind.stream
+    assert batch.is_repeatable
+    assert not found.find_route('app.example', '/chat/x').is_repeatable
+    engine = found.engines['pool']
+    assert engine.weight_bytes == 200 * 10**9
+    assert found.find_workspace('key-of-team').name == 'team'
+    assert found.find_workspace('other') is None
+
+
+@given(JSON)
+def test_any_configuration_is_read_or_refused(content):
+    body = json.dumps(content).encode('utf-8', 'replace')
+    try:
+        catalog.decode_configuration(body)
+    except RecordError:
+        return
+    assert isinstance(content, dict)
+
+
+# Targets
+
+
+@given(st.binary(max_size=60) | JSON.map(lambda one: json.dumps(one).encode()))
+def test_any_record_of_a_target_is_read_or_refused(body):
+    try:
+        said = targets.decode_announcement('t', body)
+    except RecordError:
+        return
+    assert said.address
+
+
+@given(st.binary(max_size=60) | JSON.map(lambda one: json.dumps(one).encode()))
+def test_any_report_is_read_or_refused(body):
+    try:
+        targets.decode_report(body)
+    except TransportError:
+        return
+
+
+@given(st.binary(max_size=80))
+def test_any_datagram_is_read_or_refused(datagram):
+    try:
+        decode_message(datagram)
+    except MalformedFrameError:
+        return
+
+
+# Requests and answers
+
+
+def a_scope(headers, path='/a/b', query=b''):
+    return {
+        'method': 'POST',
+        'headers': headers,
+        'raw_path': path.encode(),
+        'query_string': query,
+    }
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([
+                b'host', b'request-id', b'authorization', b'model',
+                b'token-count', b'prompt-prefix', b'deadline-ms',
+                b'length-hint', b'connection', b'x-other',
+            ]),
+            st.binary(max_size=20),
+        ),
+        max_size=12,
+    ),
+)  # fmt: skip
+def test_any_headers_are_read_and_ours_never_passed_on(raw):
+    arrival = ingress.read_arrival(a_scope(raw), b'', 0)
+    passed = {name for name, _ in arrival.headers}
+    assert not passed & {b'authorization', b'deadline-ms', b'connection'}
+
+
+def test_a_prompt_is_read_in_parts():
+    raw = [
+        (b'model', b'm1/a3'),
+        (b'token-count', b'1460,80'),
+        (b'prompt-prefix', b'5c:800,91:410,e4:250'),
+        (b'length-hint', b'30'),
+    ]
+    found = ingress.read_arrival(a_scope(raw), b'', 0).generation
+    assert (found.model, found.adapter) == ('m1', 'a3')
+    assert (found.prompt_tokens, found.max_output_tokens) == (1460, 80)
+    assert found.likely_output_tokens == 30
+    assert [part.tokens for part in found.prefix] == [800, 410, 250]
+
+
+def a_call():
+    route = Route(
+        'r', 'h', '/', RequestKind.once, (WeightedService('s', 1),),
+        4, 1, 1, 1, True, False,
+    )  # fmt: skip
+    return InboundCall(
+        'id-1', 'POST', b'/a?b=c',
+        ((b'host', b'h'), (b'request-id', b'id-1'), (b'last-event-id', b'3')),
+        b'body', route, 's', None, None, b'', 0, 4,
+    )  # fmt: skip
+
+
+TARGET = KnownTarget(
+    Announcement('i-1', 1, 's', '10.0.0.1:80', 'z', TargetState.ready, 4), {}
+)
+
+
+def judge(status, **headers):
+    named = [
+        (name.replace('_', '-').encode(), content.encode())
+        for name, content in headers.items()
+    ]
+    return exchange.judge(a_call(), TARGET, AnswerHead(status, named))
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'verdict'),
+    [
+        (200, {'request_id': 'id-1'}, Verdict.answer),
+        (404, {'request_id': 'id-1'}, Verdict.answer),
+        (200, {'request_id': 'id-2'}, Verdict.crossed),
+        (200, {}, Verdict.crossed),
+        (500, {'request_id': 'id-1'}, Verdict.failed),
+        (503, {'not_executed': '1'}, Verdict.not_run),
+        (400, {'not_executed': '1'}, Verdict.not_run),
+        (503, {'request_id': 'id-1'}, Verdict.unclear),
+        (429, {'request_id': 'id-1'}, Verdict.unclear),
+        (421, {'instance_id': 'i-2'}, Verdict.other_target),
+        (421, {'instance_id': 'i-1'}, Verdict.absent),
+    ],
+)
+def test_the_head_of_an_answer_is_judged(status, headers, verdict):
+    assert judge(status, **headers) is verdict
+
+
+def test_a_resumed_request_names_the_last_event_once():
+    request = exchange.encode_request(a_call(), TARGET, 1.5, b'7')
+    assert request.startswith(b'POST /a?b=c HTTP/1.1\r\n')
+    assert request.count(b'last-event-id') == 1
+    assert b'last-event-id: 7\r\n' in request
+    assert b'deadline-ms: 1500\r\n' in request
+    assert request.endswith(b'content-length: 4\r\n\r\nbody')
+
+
+# The store
+
+
+def test_the_store_client_against_the_stand_in():
+    async def play():
+        platform_store = PlatformStore()
+
+        async def serve(stream):
+            await serve_store(platform_store, stream)
+
+        async with anyio.create_task_group() as group:
+            address = await listen(serve, group)
+            async with HttpClient() as http:
+                client = store.StoreClient(address, http)
+                await _use(client, platform_store)
+            group.cancel_scope.cancel()
+
+    async def _use(client, platform_store):
+        assert await client.append('own', 1, (('a', b'1'), ('b', b'2'))) == 0
+        assert await client.append('own', 1, (('a', b'3'),), 2) == 2
+        page = await client.read_newest('own', 1)
+        assert {one.key: one.value for one in page.records} == {
+            'a': b'3',
+            'b': b'2',
+        }
+        assert page.next_offset == 3
+        await client.append('own', 1, (('b', None),))
+        page = await client.read_since('own', 1, 2, 1)
+        assert [(one.key, one.value) for one in page.records] == [
+            ('a', b'3'),
+            ('b', None),
+        ]
+        empty = await client.read_since('own', 1, 4, 0.05)
+        assert empty.records == ()
+        platform_store.is_down = True
+        with pytest.raises(LogRefusedError):
+            await client.read_newest('own', 1)
+
+    anyio.run(play)
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_of_the_store_are_split_without_an_error(body):
+    for record in store._split_records(bytes(16) + body):
+        store._translate_record(record, 0)
+
+
+def test_messages_survive_their_encoding():
+    from ebonywell.digests import (
+        Digest,
+        DigestMessage,
+        UsageShare,
+        encode_message,
+    )
+
+    digest = Digest(
+        'n', 1, 2, 'a:1', 'a:2', 'z', True, 3, 4, True, False, 5,
+        usage=(UsageShare('w', (1, 2), 3),),
+    )  # fmt: skip
+    message = DigestMessage(digest)
+    assert decode_message(encode_message(message)) == message
+    assert msgspec.to_builtins(digest)
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,386 @@
+"""Real hosts before stand-ins of the platform, as callers see them."""
+
+import signal
+
+import anyio
+
+from lab.standin_http import Reply
+from tests.platformworld import configuration, decode, events_of, get, play
+
+
+def test_the_whole_path(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        look = await world.ask(host, '/look/1?q=2')
+        assert (look.status, look.body) == (200, b'done')
+        seen = [one for each in world.replicas.values() for one in each.seen][0]
+        assert seen.path == '/look/1?q=2'
+        assert seen.headers['tenant'] == 'team'
+        assert 'authorization' not in seen.headers
+        assert int(seen.headers['deadline-ms']) <= 4000
+        chat = await world.chat(host)
+        assert chat.is_whole
+        assert events_of(chat.body) == [1, 2, 3, 4, 5]
+        assert chat.headers['response-seal'] in {'pool-1', 'pool-2'}
+        for path, key, status in (
+            ('/none/', 'key-of-team', 404),
+            ('/look/1', 'wrong', 401),
+            ('/look/1', None, 401),
+            ('/open/1', None, 200),
+        ):
+            assert (await world.ask(host, path, key=key)).status == status
+        found = decode(
+            await get(host.first_port + 22, 'GET', '/resolution', {})
+        )
+        assert found['addresses'] == [f'127.0.0.1:{host.front}']
+        metrics = await get(host.first_port + 15, 'GET', '/metrics', {})
+        assert b'ebonywell_requests_total' in metrics.body
+
+    play(tmp_path, story)
+
+
+def test_what_may_not_be_repeated_runs_once(tmp_path):
+    async def cut(request):
+        replica = request.headers['expect-instance']
+        world_replicas[replica].run(request)
+        return Reply(200, raw=b'HTTP/1.1 200 OK\r\nContent-Le')
+
+    world_replicas = {}
+
+    async def story(world):
+        host = world.hosts['host-1']
+        world_replicas.update(world.replicas)
+        for name in ('desk-1', 'desk-2'):
+            world.replicas[name].behave = cut
+        answer = await world.ask(host, '/book/1')
+        assert answer.status == 502
+        runs = [
+            count
+            for each in world.replicas.values()
+            for count in each.ran.values()
+        ]
+        assert runs == [1]
+
+    play(tmp_path, story)
+
+
+def test_what_may_be_repeated_is_answered_by_another(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+
+        async def fail(request):
+            return Reply(
+                500, b'', {'Request-Id': request.headers['request-id']}
+            )
+
+        world.replicas['desk-1'].behave = fail
+        for _ in range(6):
+            assert (await world.ask(host, '/look/1')).status == 200
+
+    play(tmp_path, story)
+
+
+def test_a_refusal_by_the_target_is_passed_on_as_not_run_only_if_it_says_so(
+    tmp_path,
+):
+    async def story(world):
+        host = world.hosts['host-1']
+        said = {}
+
+        async def refuse(request):
+            headers = {'Request-Id': request.headers['request-id'], **said}
+            return Reply(503, b'', headers)
+
+        for name in ('desk-1', 'desk-2'):
+            world.replicas[name].behave = refuse
+        assert (await world.ask(host, '/book/1')).status == 502
+        said['Not-Executed'] = '1'
+        answer = await world.ask(host, '/book/1')
+        assert answer.status == 503
+
+    play(tmp_path, story)
+
+
+def test_an_answer_to_another_request_reaches_nobody(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+
+        async def cross(request):
+            return Reply(200, b'secret', {'Request-Id': 'other'})
+
+        for name in ('desk-1', 'desk-2'):
+            world.replicas[name].behave = cross
+        for path in ('/book/1', '/look/1'):
+            answer = await world.ask(host, path)
+            assert answer.status == 502
+            assert b'secret' not in answer.body
+
+    play(tmp_path, story)
+
+
+def test_bytes_after_an_answer_belong_to_no_request(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+
+        async def twice(request):
+            named = request.headers['request-id'].encode()
+            one = (
+                b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n'
+                b'Content-Length: 4\r\n\r\ndone' % named
+            )
+            return Reply(200, raw=one + one.replace(b'done', b'fake'))
+
+        for name in ('desk-1', 'desk-2'):
+            world.replicas[name].behave = twice
+        for _ in range(6):
+            answer = await world.ask(host, '/look/1')
+            assert (answer.status, answer.body) == (200, b'done')
+
+    play(tmp_path, story)
+
+
+def test_a_cut_stream_looks_cut_unless_it_may_be_resumed(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        replicas = [world.replicas['pool-1'], world.replicas['pool-2']]
+        cuts = set()
+
+        def cut_first(replica):
+            async def behave(request):
+                reply = replica.run(request)
+                named = request.headers['request-id']
+                if named not in cuts:
+                    cuts.add(named)
+                    reply.cut_after = 2
+                    half = reply.events[2][:7]
+                    reply.events = (*reply.events[:2], half, b'')
+                    reply.cut_after = 3
+                return reply
+
+            return behave
+
+        for replica in replicas:
+            replica.behave = cut_first(replica)
+        whole = await world.chat(host, path='/batch/x')
+        assert whole.is_whole
+        assert events_of(whole.body) == [1, 2, 3, 4, 5]
+        cut = await world.chat(host, path='/chat/x')
+        assert not cut.is_whole
+        assert events_of(cut.body)[:2] == [1, 2]
+
+    play(tmp_path, story)
+
+
+def test_an_absent_model_is_brought_and_no_engine_overfilled(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        await world.wait_logged('event=orders_begin')
+        for model in ('m4', 'm1', 'm3', 'm2', 'm4'):
+            answer = await world.chat(host, model)
+            assert answer.is_whole, host.log()
+            assert answer.status == 200
+        assert not any(one.overfull for one in world.replicas.values())
+
+    play(tmp_path, story)
+
+
+def test_adapters_come_on_demand_and_make_room_for_each_other(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        await world.wait_logged('event=orders_begin')
+        for number in (1, 2, 3, 4, 5, 1, 2):
+            answer = await world.chat(host, f'm1/a{number}')
+            assert answer.status == 200, host.log()
+        assert not any(one.overfull for one in world.replicas.values())
+
+    play(tmp_path, story)
+
+
+def test_work_ends_when_the_caller_has_left(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        ended = anyio.Event()
+
+        async def stall(request):
+            try:
+                await anyio.sleep_forever()
+            finally:
+                ended.set()
+
+        for name in ('desk-1', 'desk-2'):
+            world.replicas[name].behave = stall
+        with anyio.move_on_after(0.3):
+            await world.ask(host, '/book/1')
+        with anyio.fail_after(1):
+            while 'reason=caller_gone' not in host.log():
+                await anyio.sleep(0.02)
+
+    play(tmp_path, story)
+
+
+def test_a_request_is_answered_at_its_deadline(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+
+        async def stall(request):
+            await anyio.sleep_forever()
+
+        for name in ('desk-1', 'desk-2'):
+            world.replicas[name].behave = stall
+        answer = await world.ask(host, '/book/1', Deadline_Ms='400')
+        assert answer.status == 504
+
+    play(tmp_path, story)
+
+
+def test_a_workspace_over_its_limit_is_told_when_to_come_back(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        world.store.put('keyed.op', 'config', configuration(2, rate=20))
+        await world.wait_logged('version=2')
+        statuses = []
+        for _ in range(20):
+            answer = await world.ask(host, '/look/1')
+            statuses.append(answer.status)
+        # Ten tokens each: the window's eight seconds of rate, and the burst.
+        assert statuses.count(200) == 18
+        assert answer.status == 429
+        assert float(answer.headers['retry-after']) > 0
+
+    play(tmp_path, story)
+
+
+def test_a_withdrawn_key_stops_working_also_where_the_store_is_away(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        assert (await world.ask(host, '/look/1')).status == 200
+        world.store.put('keyed.op', 'config', configuration(2, ['new']))
+        with anyio.fail_after(2):
+            while (await world.ask(host, '/look/1')).status != 401:
+                await anyio.sleep(0.05)
+        assert (await world.ask(host, '/look/1', key='new')).status == 200
+        world.store.is_down = True
+        with anyio.fail_after(5):
+            while (await world.ask(host, '/look/1', key='new')).status == 200:
+                await anyio.sleep(0.1)
+        assert (await world.ask(host, '/look/1', key='new')).status == 503
+        assert (await world.ask(host, '/open/1', key=None)).status == 200
+        world.store.is_down = False
+        with anyio.fail_after(5):
+            while (await world.ask(host, '/look/1', key='new')).status != 200:
+                await anyio.sleep(0.1)
+
+    play(tmp_path, story)
+
+
+def test_a_leaving_target_gets_nothing_new(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        leaving = world.replicas['desk-1']
+        world.store.put('keyed.servers', 'desk-1', leaving.entry('draining'))
+        await world.wait_logged('target=desk-1 state=draining')
+        before = len(leaving.seen)
+        for _ in range(10):
+            assert (await world.ask(host, '/look/1')).status == 200
+        world.store.put('keyed.servers', 'desk-1', None)
+        for _ in range(5):
+            assert (await world.ask(host, '/look/1')).status == 200
+        assert len(leaving.seen) == before
+
+    play(tmp_path, story)
+
+
+def test_records_of_other_writers_do_no_harm(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        world.store.put('keyed.servers', 'odd', {'state': 7})
+        world.store.put('keyed.servers', 'odd-2', ['x'])
+        world.store.put('keyed.op', 'config', {'version': 'x'})
+        await world.wait_logged('event=target_unreadable')
+        await world.wait_logged('event=configuration_unreadable')
+        assert (await world.ask(host, '/look/1')).status == 200
+
+    play(tmp_path, story)
+
+
+def test_a_planned_stop_cuts_nothing(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        for name in ('pool-1', 'pool-2'):
+            world.replicas[name].events = 20
+            world.replicas[name].gap_s = 0.15
+        answers = []
+
+        async def ask():
+            answers.append(await world.chat(host))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0.5)
+            host.process.send_signal(signal.SIGTERM)
+            await anyio.sleep(0.2)
+            assert await world.ready(host) == 503
+            late = await world.ask(host, '/look/1')
+            assert late.status == 200
+            assert late.headers['connection'] == 'close'
+        assert answers[0].is_whole
+        with anyio.fail_after(8):
+            while host.process.poll() is None:
+                await anyio.sleep(0.05)
+        assert host.process.returncode == 0
+
+    play(tmp_path, story)
+
+
+def test_when_the_holder_is_killed_another_host_gives_the_orders(tmp_path):
+    async def story(world):
+        holder = await world.wait_logged('event=orders_begin')
+        holder.process.kill()
+        others = [one for one in world.hosts.values() if one is not holder]
+        other = await world.wait_logged('event=orders_begin', others)
+        answer = await world.chat(other, 'm4')
+        assert answer.status == 200
+        assert not any(one.overfull for one in world.replicas.values())
+
+    play(tmp_path, story, hosts=('host-1', 'host-2'))
+
+
+def test_hosts_tell_callers_of_each_other(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+
+        async def addresses():
+            answer = await get(host.first_port + 22, 'GET', '/resolution', {})
+            return sorted(decode(answer)['addresses'])
+
+        fronts = sorted(
+            f'127.0.0.1:{one.front}' for one in world.hosts.values()
+        )
+        with anyio.fail_after(3):
+            while await addresses() != fronts:
+                await anyio.sleep(0.05)
+        world.hosts['host-2'].process.send_signal(signal.SIGTERM)
+        with anyio.fail_after(3):
+            while await addresses() != [f'127.0.0.1:{host.front}']:
+                await anyio.sleep(0.05)
+
+    play(tmp_path, story, hosts=('host-1', 'host-2'))
+
+
+def test_bad_settings_end_with_one_clear_line(tmp_path):
+    import os
+    import subprocess
+    import sys
+
+    path = tmp_path / 'bad.yaml'
+    path.write_text('node: "x"\nip: "127.0.0.1"\nzone: z\n')
+    ended = subprocess.run(
+        [sys.executable, '-m', 'ebonywell.platform'],
+        env={**os.environ, 'EBONYWELL_NODE_FILE': str(path)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert ended.returncode == 2
+    assert ended.stderr.count('\n') == 1
+    assert 'listen.front is missing' in ended.stderr
--- /dev/null
+++ b/tests/test_request_decisions.py
@@ -0,0 +1,351 @@
+"""Routes, keys, freshness, targets' choice, health and retry budgets."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonywell.events import EventSplitter
+from ebonywell.health import HALF_LIFE_S, HealthBook, TargetHealth
+from ebonywell.inbound import PromptPart, RejectionError
+from ebonywell.intake import PROOF_MARGIN_S, Arrival, Intake
+from ebonywell.inventory import (
+    ANNOUNCEMENT_AGE_S,
+    RETURN_GRACE_S,
+    Announcement,
+    Inventory,
+    Resident,
+    TargetState,
+)
+from ebonywell.loadboard import LoadBoard, PeerLoads, Run, TargetLoad
+from ebonywell.prefixes import PARTS_PER_TARGET, PrefixBook
+from ebonywell.retries import RetryBudgets, WindowBudget
+from ebonywell.routetable import (
+    CallerLimits,
+    Configuration,
+    RequestKind,
+    Route,
+    Service,
+    WeightedService,
+    WorkspaceLimit,
+    digest_key,
+)
+from ebonywell.selection import Candidate, choose, expect_ms
+
+LIMITS = CallerLimits(1000, 5000, 15)
+
+
+def route(prefix, name='r', *, is_open=False, services=('pool',)):
+    return Route(
+        name,
+        'host.example',
+        prefix,
+        RequestKind.once,
+        tuple(WeightedService(one, 1) for one in services),
+        4,
+        0.5,
+        1,
+        1,
+        is_open,
+        False,
+    )
+
+
+def configuration(version=1, keys=('secret',), routes=(route('/a/'),)):
+    return Configuration(
+        version,
+        {'host.example': {one.path_prefix: one for one in routes}},
+        {'pool': Service('pool', 10)},
+        {'team': WorkspaceLimit('team', 10, 10, 1, True, None)},
+        {digest_key(key): 'team' for key in keys},
+        LIMITS,
+    )
+
+
+def arrival(path=b'/a/x', key='secret', body=b'', headers=100):
+    return Arrival(
+        'id-1', 'POST', 'Host.example:80', path, key, (), headers, body,
+        2.0, None, 50.0,
+    )  # fmt: skip
+
+
+def intake(monkeypatch, now=100.0, proven_at=100.0):
+    monkeypatch.setattr('ebonywell.intake.boot_time', lambda: now)
+    made = Intake(random.Random(1), 5)
+    made.adopt(configuration())
+    made.proven_at = proven_at
+    return made
+
+
+def status_of(made, one):
+    with pytest.raises(RejectionError) as raised:
+        made.admit(one)
+    return raised.value.status
+
+
+# Routes
+
+
+def test_the_longest_prefix_is_taken():
+    found = configuration(
+        routes=(route('/', 'root'), route('/a/', 'a'), route('/a/b/', 'ab')),
+    )
+    for path, name in (('/a/b/c', 'ab'), ('/a/b', 'a'), ('/ab', 'root')):
+        assert found.find_route('HOST.example:8080', path).name == name
+    assert found.find_route('other.example', '/a/') is None
+
+
+@given(st.text(max_size=40), st.text(max_size=40))
+def test_any_host_and_path_are_looked_up_without_an_error(host, path):
+    configuration().find_route(host, path)
+
+
+def test_a_split_route_uses_its_services_by_weight():
+    split = Route(
+        'r', 'h', '/', RequestKind.once,
+        (WeightedService('a', 90), WeightedService('b', 10)),
+        1, 1, 1, 1, True, False,
+    )  # fmt: skip
+    rng = random.Random(5)
+    picked = [split.pick_service(rng) for _ in range(2000)]
+    assert 0.06 < picked.count('b') / 2000 < 0.14
+
+
+# Admission
+
+
+def test_a_request_with_a_key_is_admitted(monkeypatch):
+    call = intake(monkeypatch).admit(arrival())
+    assert call.workspace.name == 'team'
+    assert call.deadline == 52
+
+
+def test_before_the_first_configuration_nothing_is_said_to_be_missing():
+    made = Intake(random.Random(1), 5)
+    assert status_of(made, arrival()) == 503
+
+
+def test_what_the_configuration_does_not_allow_is_refused(monkeypatch):
+    made = intake(monkeypatch)
+    assert status_of(made, arrival(b'/b/x')) == 404
+    assert status_of(made, arrival(key='wrong')) == 401
+    assert status_of(made, arrival(key=None)) == 401
+    assert status_of(made, arrival(body=b'x' * 5001)) == 413
+    assert status_of(made, arrival(headers=1001)) == 431
+
+
+def test_a_host_without_proof_refuses_keys_and_no_sooner(monkeypatch):
+    late = 100 + 5 - PROOF_MARGIN_S
+    assert intake(monkeypatch, late - 0.01).admit(arrival())
+    made = intake(monkeypatch, late + 0.01)
+    # Neither a known nor an unknown key can be judged.
+    assert status_of(made, arrival()) == 503
+    assert status_of(made, arrival(key='wrong')) == 503
+
+
+def test_an_open_route_needs_no_proof(monkeypatch):
+    made = intake(monkeypatch, 500)
+    made.adopt(configuration(2, routes=(route('/a/', is_open=True),)))
+    assert made.admit(arrival(key=None)).workspace is None
+
+
+def test_a_configuration_never_goes_back():
+    made = Intake(random.Random(1), 5)
+    assert made.adopt(configuration(7))
+    assert not made.adopt(configuration(3))
+    assert not made.adopt(configuration(7))
+    assert made.version == 7
+
+
+# Targets
+
+
+def said(name='t', born=1, state=TargetState.ready, models=('m',)):
+    return Announcement(
+        name, born, 'pool', '10.0.0.1:80', 'z', state, 4,
+        {model: Resident(model) for model in models},
+    )  # fmt: skip
+
+
+def test_a_leaving_target_takes_no_new_requests():
+    known = Inventory()
+    known.announce(said(), 0)
+    known.announce(said(state=TargetState.draining), 1)
+    assert known.of_service('pool') == []
+
+
+def test_a_target_whose_entry_is_gone_is_gone():
+    known = Inventory()
+    known.announce(said(), 0)
+    known.withdraw('t', 100)
+    assert not known.targets
+
+
+def test_after_an_outage_entries_get_time_to_come_back():
+    known = Inventory(store_back_at=100)
+    known.announce(said(), 0)
+    known.withdraw('t', 100.1)
+    assert known.of_service('pool')
+    known.expire(100 + RETURN_GRACE_S)
+    assert not known.targets
+
+
+def test_an_old_announcement_does_not_undo_what_was_confirmed():
+    known = Inventory()
+    target = known.announce(said(), 0)
+    target.confirm(3, {'new': Resident('new')}, 10)
+    known.announce(said(), 11)
+    assert target.holds('new')
+    known.announce(said(), 10.01 + ANNOUNCEMENT_AGE_S)
+    assert target.holds('m')
+
+
+def test_a_target_that_starts_again_begins_anew():
+    known = Inventory()
+    first = known.announce(said(), 0)
+    first.confirm(9, {'other': Resident('other')}, 0)
+    second = known.announce(said(born=2), 0.1)
+    assert second is not first
+    assert second.order_count == 0
+    assert second.holds('m')
+
+
+def test_a_missing_adapter_does_not_hide_its_model():
+    known = Inventory()
+    target = known.announce(said(), 0)
+    target.add('m', 'a1')
+    target.drop('m', 'a1')
+    assert target.holds('m')
+    assert not target.holds('m', 'a1')
+    target.drop('m', '')
+    assert not target.holds('m')
+
+
+# The choice
+
+
+def candidate(name, waiting_tokens=0, running=0, failing=0.0, slow=1.0, **more):
+    load = TargetLoad(waiting_tokens, 0, running, 0)
+    health = TargetHealth(failing, slow)
+    return Candidate(name, load, health, 64, 150_000, 2000, 2100, **more)
+
+
+def chosen(*candidates):
+    return choose(candidates, random.Random(1)).name
+
+
+def test_the_target_that_answers_first_is_chosen():
+    assert chosen(candidate('a', 20_000), candidate('b', 4_000)) == 'b'
+    assert chosen(candidate('a', slow=5), candidate('b', 4_000)) == 'b'
+    assert chosen(candidate('a', failing=0.5), candidate('b', 9_000)) == 'b'
+
+
+def test_a_kept_prompt_is_worth_some_waiting():
+    kept = Candidate(
+        'kept', TargetLoad(800), TargetHealth(), 64, 150_000, 500, 2100
+    )
+    assert chosen(candidate('a'), kept) == 'kept'
+
+
+def test_a_full_cache_is_avoided():
+    full = Candidate(
+        'full',
+        TargetLoad(0, 0, 60, 149_000),
+        TargetHealth(),
+        64,
+        150_000,
+        2000,
+        2100,
+    )
+    assert expect_ms(full) > expect_ms(candidate('a'))
+
+
+def test_no_candidate_no_choice():
+    assert choose((), random.Random(1)) is None
+
+
+def test_evidence_fades():
+    book = HealthBook()
+    for _ in range(20):
+        book.note_ending('t', 0, is_good=False)
+    assert book.look('t', 0).failure_share > 0.9
+    assert book.look('t', 3 * HALF_LIFE_S).failure_share < 0.15
+
+
+def test_loads_of_peers_count_while_they_are_young():
+    board = LoadBoard()
+    board.peers['p'] = PeerLoads({'t': TargetLoad(500, 1, 2, 900)}, 10)
+    run = Run('t', 100, 20)
+    with board.running(run):
+        assert board.total('t', 10.5).waiting_tokens == 600
+        board.start(run)
+        assert board.total('t', 10.5).running == 3
+        assert board.total('t', 20).held_tokens == 120
+    assert board.own == {}
+
+
+def test_a_prompt_is_kept_up_to_its_first_unknown_part():
+    book = PrefixBook()
+    parts = [PromptPart(str(n), 10) for n in range(3)]
+    book.note('t', 'm/', parts)
+    assert book.kept_tokens('t', 'm/', parts) == 30
+    other = [parts[0], PromptPart('x', 5), parts[2]]
+    assert book.kept_tokens('t', 'm/', other) == 10
+    assert book.kept_tokens('t', 'm/a1', parts) == 0
+    for number in range(PARTS_PER_TARGET):
+        book.note('t', 'm/', [PromptPart(f'n{number}', 1)])
+    assert book.kept_tokens('t', 'm/', parts) == 0
+
+
+# Retries
+
+
+def test_retries_keep_to_their_part_in_any_window():
+    budget = WindowBudget(10, 0.2, 2)
+    for number in range(50):
+        budget.count_request(number * 0.1)
+    assert sum(budget.spend(5) for _ in range(100)) == 12
+    # The requests have left the window; the slack is there again.
+    assert sum(budget.spend(30) for _ in range(100)) == 2
+
+
+def test_the_slack_is_divided_among_the_hosts():
+    budgets = RetryBudgets(10, 0.2, 56, lambda: 8)
+    each = sum(budgets.of_service('s').spend(0) for _ in range(100))
+    assert 8 * each <= 56
+    assert each >= 4
+
+
+# Events
+
+
+@given(st.lists(st.integers(1, 30), max_size=12), st.integers(0, 10**6))
+def test_whole_events_come_out_however_they_are_cut(sizes, seed):
+    rng = random.Random(seed)
+    stream = b''.join(
+        b'id: %d\ndata: %s\n\n' % (number, b'x' * size)
+        for number, size in enumerate(sizes, 1)
+    )
+    splitter = EventSplitter()
+    out = b''
+    position = 0
+    while position < len(stream):
+        step = rng.randint(1, 20)
+        out += splitter.feed(stream[position : position + step])
+        position += step
+    assert out == stream
+    assert splitter.rest == b''
+    last = b'%d' % len(sizes)
+    assert splitter.last_id in {last, b''}
+    assert bool(splitter.last_id) == bool(sizes)
+
+
+def test_a_cut_event_is_dropped_and_comes_whole_from_the_next_run():
+    splitter = EventSplitter()
+    assert splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda') == (
+        b'id: 1\ndata: a\n\n'
+    )
+    splitter.restart()
+    assert splitter.last_id == b'1'
+    assert splitter.feed(b'id: 2\ndata: b\n\n') == b'id: 2\ndata: b\n\n'
--- /dev/null
+++ b/tests/test_sharedlimits.py
@@ -0,0 +1,133 @@
+"""Limits over all hosts: never far above, and no refusals below."""
+
+import pytest
+
+from ebonywell.sharedlimits import FormerUsage, Window
+from tests.limitsworld import ALLOWED, LIMIT, MOST, World
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_a_workspace_far_over_its_limit_is_kept_to_it(seed):
+    world = World(8, seed)
+    world.run(20, LIMIT.rate * 5)
+    assert world.most_in_window() <= MOST
+    # It gets what its limit allows all the same, but for a tenth.
+    assert world.total() >= 0.9 * (LIMIT.rate * 20 + LIMIT.burst)
+
+
+def test_a_workspace_below_its_limit_is_never_refused():
+    world = World(8)
+    world.run(30, LIMIT.rate * 0.8, size=500)
+    assert world.total() == world.asked
+
+
+def test_a_workspace_right_at_its_limit_is_hardly_refused():
+    world = World(8)
+    world.run(30, LIMIT.rate, size=500)
+    assert world.total() >= 0.97 * world.asked
+
+
+@pytest.mark.parametrize('cut', [1, 3, 4])
+def test_hosts_on_both_sides_of_a_cut_keep_the_limit_together(cut):
+    world = World(8)
+    world.run(5, LIMIT.rate * 0.5)
+    world.cut = {f'host-{number}' for number in range(cut)}
+    world.run(20, LIMIT.rate * 5)
+    assert world.most_in_window() <= MOST
+
+
+def test_a_cut_costs_a_workspace_at_half_its_limit_little():
+    world = World(8)
+    world.run(8, LIMIT.rate * 0.5)
+    world.cut = {'host-0', 'host-1'}
+    # Callers go on to ask at all hosts.
+    world.run(10, LIMIT.rate * 0.5)
+    assert world.total() >= 0.85 * world.asked
+
+
+def test_dead_hosts_cost_a_workspace_at_half_its_limit_nothing():
+    world = World(8)
+    world.run(8, LIMIT.rate * 0.5)
+    world.dead = {'host-0', 'host-1', 'host-2'}
+    world.run(10, LIMIT.rate * 0.5)
+    assert world.total() == world.asked
+
+
+def test_a_host_that_starts_again_does_not_forget():
+    world = World(8)
+    world.run(8, LIMIT.rate * 5)
+    summary = world.summary()
+    for number in range(4):
+        world.start(f'host-{number}', summary)
+    world.run(8, LIMIT.rate * 5)
+    assert world.most_in_window() <= MOST
+
+
+def test_the_limit_holds_when_all_hosts_start_again():
+    world = World(8)
+    world.run(8, LIMIT.rate * 5)
+    summary = world.summary()
+    for name in sorted(world.hosts):
+        world.start(name, summary)
+    world.run(12, LIMIT.rate * 5)
+    assert world.most_in_window() <= MOST
+
+
+def test_a_joining_host_adds_nothing_to_the_limit():
+    world = World(8)
+    world.run(8, LIMIT.rate * 5)
+    for number in range(8, 11):
+        world.start(f'host-{number}')
+    world.run(12, LIMIT.rate * 5)
+    assert world.most_in_window() <= MOST
+
+
+def test_a_refusal_says_when_room_is_due():
+    world = World(1)
+    host = world.hosts['host-0']
+    assert host.limits.admit(LIMIT, int(ALLOWED), world.now).is_admitted
+    verdict = host.limits.admit(LIMIT, 5000, world.now)
+    assert not verdict.is_admitted
+    assert verdict.retry_after_s == pytest.approx(0.5)
+
+
+def test_a_workspace_without_a_limit_is_counted_and_admitted():
+    world = World(1)
+    host = world.hosts['host-0']
+    free = type(LIMIT)('free', 0, 0, 200, True, None)
+    assert host.limits.admit(free, 10**9, world.now).is_admitted
+    assert host.limits.usage(world.now)[0].in_window == 10**9
+
+
+def test_a_window_counts_what_is_young_enough():
+    window = Window(8)
+    window.add(100, 10)
+    window.add(50, 14)
+    assert window.count(17.9) == 150
+    assert window.count(18.2) == 50
+    assert window.parts(18)[4] == 50
+
+
+def test_former_usage_leaves_the_window_with_its_age():
+    window = Window(8)
+    window.add(100, 2)
+    window.add(50, 9.5)
+    from ebonywell.digests import UsageShare
+
+    former = FormerUsage((UsageShare('team', window.parts(10), 0),), 10)
+    assert former.count('team', 8, 10) == 150
+    assert former.count('team', 8, 11.1) == 50
+    assert former.count('team', 8, 18.1) == 0
+
+
+def test_a_summary_is_written_near_the_limit_only():
+    world = World(2)
+    host = world.hosts['host-0']
+    host.limits.admit(LIMIT, int(ALLOWED * 0.5), world.now)
+    assert host.limits.summarize([LIMIT], 1, world.now) is None
+    host.limits.admit(LIMIT, int(ALLOWED * 0.3), world.now)
+    summary = host.limits.summarize([LIMIT], 1, world.now)
+    assert summary is not None
+    assert summary.hosts[0].usage[0].in_window >= int(ALLOWED * 0.7)
+    # Nothing new, nothing written.
+    assert host.limits.summarize([LIMIT], 1, world.now + 0.1) is None
--- /dev/null
+++ b/tests/test_turnover.py
@@ -0,0 +1,210 @@
+"""Which engine holds which model, where models come and go."""
+
+import random
+
+import pytest
+
+from ebonywell.turnover import (
+    Budget,
+    EngineState,
+    Fleet,
+    ModelState,
+    fill,
+)
+
+GB = 10**9
+NOW = 100.0
+
+
+def engine(name, models, near=(), free=0, busy=False):
+    return EngineState(
+        name,
+        free * GB,
+        {model: NOW - 60 for model in models},
+        frozenset(near),
+        busy,
+    )
+
+
+def model(name, work=0.0, waiting=0, size=70, asked_at=0.0):
+    return ModelState(name, size * GB, work, waiting, asked_at)
+
+
+def decide(engines, models, loads=0):
+    return Fleet(engines, models, NOW).decide(Budget(loads))
+
+
+def test_work_is_spread_level_by_level():
+    assert fill({'a': 0.0, 'b': 1.0}, 0.5) == {'a': 0.5, 'b': 0.0}
+    assert fill({'a': 0.0, 'b': 1.0}, 2.0) == {'a': 1.5, 'b': 0.5}
+    assert fill({}, 1.0) == {}
+
+
+def test_work_that_is_spread_adds_up():
+    rng = random.Random(3)
+    for _ in range(200):
+        loads = {str(n): rng.random() for n in range(rng.randint(1, 9))}
+        work = rng.random() * 5
+        assert sum(fill(loads, work).values()) == pytest.approx(work)
+
+
+def test_a_busy_model_gets_another_copy_in_place_of_an_idle_one():
+    engines = [
+        engine('a', ['busy', 'rare-1']),
+        engine('b', ['idle', 'rare-2'], near=['busy']),
+    ]
+    models = [
+        model('busy', 1.5),
+        model('idle'),
+        model('rare-1', 0.1, asked_at=NOW),
+        model('rare-2', 0.1, asked_at=NOW),
+    ]
+    swap = decide(engines, models)[0]
+    assert (swap.target, swap.unloads, swap.load) == ('b', ['idle'], 'busy')
+
+
+def test_copies_of_the_busiest_model_stay_where_all_engines_are_full():
+    """The copies of a busy model once went one by one for rare ones."""
+    engines = [
+        engine(f'e{n}', ['busy', f'rare-{n}'], near=['asked']) for n in range(4)
+    ]
+    models = [model('busy', 6.0), model('asked', 0.05, waiting=1)]
+    models += [model(f'rare-{n}', 0.0) for n in range(4)]
+    for swap in decide(engines, models):
+        assert 'busy' not in swap.unloads
+
+
+def test_a_waiting_request_brings_its_model():
+    engines = [engine('a', ['x', 'y'], near=['asked'])]
+    models = [
+        model('x', 0.1, asked_at=NOW),
+        model('y', asked_at=NOW - 30),
+        model('asked', 0.05, waiting=2, asked_at=NOW),
+    ]
+    swap = decide(engines, models)[0]
+    assert (swap.unloads, swap.load) == (['y'], 'asked')
+
+
+def test_without_the_weight_store_only_near_weights_are_loaded():
+    engines = [engine('a', ['x']), engine('b', ['y'], near=['asked'])]
+    models = [model('x'), model('y'), model('asked', 0.3, waiting=1)]
+    assert [one.target for one in decide(engines, models)] == ['b']
+
+
+def test_an_engine_that_carries_out_an_order_gets_no_other():
+    engines = [engine('a', ['x'], near=['asked'], busy=True)]
+    models = [model('x'), model('asked', 0.3, waiting=1)]
+    assert decide(engines, models) == []
+
+
+def test_what_came_a_moment_ago_stays():
+    fresh = EngineState('a', 0, {'x': NOW - 0.5}, frozenset(('asked',)))
+    models = [model('x'), model('asked', 0.3, waiting=1)]
+    assert decide([fresh], models) == []
+
+
+def test_free_memory_takes_models_that_nobody_holds():
+    engines = [engine('a', ['x'], free=80)]
+    models = [model('x'), model('absent')]
+    assert decide(engines, models, loads=1) == []
+    swap = decide([engine('a', ['x'], free=80)], models, loads=3)[0]
+    assert (swap.unloads, swap.load) == ([], 'absent')
+
+
+def test_no_swap_needs_more_memory_than_it_frees():
+    rng = random.Random(7)
+    for _ in range(200):
+        names = [f'm{n}' for n in range(12)]
+        models = [
+            model(
+                name, rng.random() * 2, rng.randint(0, 2), rng.choice([34, 72])
+            )
+            for name in names
+        ]
+        sizes = {one.name: one.bytes for one in models}
+        engines = [
+            EngineState(
+                f'e{n}',
+                rng.randint(0, 60) * GB,
+                dict.fromkeys(rng.sample(names, 2), 0.0),
+                frozenset(rng.sample(names, 5)),
+                rng.random() < 0.2,
+            )
+            for n in range(5)
+        ]
+        free = {one.name: one.free_bytes for one in engines}
+        held = {one.name: set(one.models) for one in engines}
+        busy = {one.name for one in engines if one.is_busy}
+        targets = set()
+        for swap in Fleet(engines, models, NOW).decide(Budget(2)):
+            assert swap.target not in targets | busy
+            targets.add(swap.target)
+            assert set(swap.unloads) <= held[swap.target]
+            assert swap.load not in held[swap.target]
+            room = free[swap.target]
+            room += sum(sizes[name] for name in swap.unloads)
+            assert sizes[swap.load] <= room
+
+
+class Site:
+    """Engines that carry out swaps, for a play of a moving demand."""
+
+    def __init__(self, engines, per_engine, names):
+        self.held = {}
+        for number in range(engines):
+            first = number * per_engine
+            self.held[f'e{number}'] = [
+                names[(first + n) % len(names)] for n in range(per_engine)
+            ]
+        self.names = names
+        self.asked_at = dict.fromkeys(names, 0.0)
+
+    def unserved_and_worst(self, demand):
+        engines = [engine(name, held) for name, held in self.held.items()]
+        fleet = Fleet(engines, self.states(demand, NOW), NOW)
+        unserved = sum(
+            work for name, work in demand.items() if not fleet.holders(name)
+        )
+        return unserved, max(one.load for one in fleet.engines.values())
+
+    def states(self, demand, now):
+        for name in self.names:
+            if demand.get(name):
+                self.asked_at[name] = now
+            waiting = any(name in held for held in self.held.values())
+            yield model(
+                name,
+                demand.get(name, 0.0),
+                0 if waiting or not demand.get(name) else 1,
+                asked_at=self.asked_at[name],
+            )
+
+    def step(self, demand, now):
+        engines = [
+            EngineState(
+                name, 0, dict.fromkeys(held, 0.0), frozenset(self.names)
+            )
+            for name, held in self.held.items()
+        ]
+        fleet = Fleet(engines, list(self.states(demand, now)), now)
+        for swap in fleet.decide(Budget(0)):
+            held = self.held[swap.target]
+            for gone in swap.unloads:
+                held.remove(gone)
+            held.append(swap.load)
+
+
+def test_a_demand_that_moves_is_followed_within_a_few_swaps():
+    """Beside an even static split, no engine is overloaded for long."""
+    names = [f'm{n}' for n in range(18)]
+    site = Site(9, 2, names)
+    static = Site(9, 2, names)
+    rare = {name: 0.02 for name in names[6:10]}
+    for turn, hot in enumerate((('m0', 'm1'), ('m2', 'm3'), ('m4', 'm5'))):
+        demand = {hot[0]: 2.5, hot[1]: 1.5, **rare}
+        for tick in range(8):
+            site.step(demand, NOW + turn * 8 + tick)
+        unserved, worst = site.unserved_and_worst(demand)
+        assert unserved == 0
+        assert worst <= 0.9
+        assert static.unserved_and_worst(demand)[1] >= 2.5
