Adapters where they suit best; models in use stay; orders given again at once

Hosts now tell which models run where, and a swap that unloads one of them must win more; orders without an answer are given again after 0.3 s, which the count they name makes safe; the holder brings an adapter to the engine that suits the request best.

--- a/ebonywell/adapterloads.py
+++ b/ebonywell/adapterloads.py
@@ -31,11 +31,20 @@
 
 @dataclass(slots=True, frozen=True)
 class Wanted:
-    """A model or an adapter that some host's callers ask for."""
+    """A model or an adapter that some host's callers ask for.
+
+    Attributes
+    ----------
+    service, model, adapter : str
+        The adapter is empty for a model.
+    target : str
+        Where an adapter is wanted; empty for anywhere.
+    """
 
     service: str
     model: str
     adapter: str
+    target: str = ''
 
 
 class Link(Protocol):
@@ -96,6 +105,7 @@
                 known
                 for known in self._engines_with(wanted)
                 if self._has(known, wanted)
+                and wanted.target in {'', known.name}
             ]
             if holders:
                 return min(holders, key=self._load_of)
@@ -132,8 +142,9 @@
                 for known in self._engines_with(wanted)
                 if not self.ordering.track(known).is_busy
             ]
+            named = [one for one in idle if one.name == wanted.target]
             if idle:
-                return min(idle, key=self._load_of)
+                return min(named or idle, key=self._load_of)
             await anyio.sleep(LOOK_GAP_S)
         return None
 
@@ -159,6 +170,9 @@
                     wanted.adapter,
                 )
                 if answer not in TAKEN:
+                    # One whose answer was lost is given again; the engine
+                    # takes only one of the two.
+                    track.is_synced = False
                     return False
             known.add(wanted.model, wanted.adapter)
         await anyio.sleep(ADAPTER_S)
--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -13,6 +13,7 @@
     waiting: int
     running: int
     held_tokens: int
+    models: tuple[str, ...] = ()
 
 
 class UsageShare(msgspec.Struct, frozen=True, array_like=True):
@@ -116,6 +117,7 @@
     service: str
     model: str
     adapter: str = ''
+    target: str = ''
 
 
 class ResidentMessage(msgspec.Struct, frozen=True, array_like=True, tag='r'):
--- a/ebonywell/fleetview.py
+++ b/ebonywell/fleetview.py
@@ -1,5 +1,6 @@
 """The other hosts, as their digests and the store tell of them."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -90,6 +91,7 @@
                     load.waiting,
                     load.running,
                     load.held_tokens,
+                    Counter(load.models),
                 )
                 for load in digest.loads
             },
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -1,7 +1,9 @@
 """Takes requests through admission, limits, routing and to their answers."""
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import anyio
 
@@ -19,20 +21,28 @@
 from .wants import MODEL_S
 
 # Between two looks at whether a model or an adapter has come to a target.
-LOOK_GAP_S = 0.03
+LOOK_GAP_S = 0.02
 # A caller whose first event cannot come within this part of its patience is
 # better told so at once.
 PATIENCE_SHARE = 0.8
 OVERLOAD_RETRY_S = 0.5
 # A model that nobody holds needs an order and a load, about this long.
 ABSENT_RETRY_S = 1.0
+# An adapter that takes longer to come to the best target is used elsewhere.
+ADAPTER_WAIT_S = 0.25
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _CLIENT_CLOSED = 499
 
 Charge = Callable[[WorkspaceLimit, InboundCall], None]
-Want = Callable[[InboundCall], float]
+
+
+class Want(Protocol):
+    """Asks for what a request misses; see `Wants.want`."""
+
+    def __call__(self, call: InboundCall, target: str = '') -> float:
+        """Return after how many seconds it may be there."""
 
 
 @dataclass(slots=True)
@@ -192,6 +202,7 @@
         RejectionError
             If no target can answer it in time.
         """
+        await self._bring_adapter(call)
         placed = self.targeting.place(call, set())
         if placed is None:
             await self._wait_for_target(call)
@@ -208,6 +219,24 @@
             )
         return placed
 
+    async def _bring_adapter(self, call: InboundCall) -> None:
+        """Have an adapter brought to the target that suits best.
+
+        Where that fails, the request goes to one that has the adapter.
+        """
+        generation = call.generation
+        if generation is None or not generation.adapter:
+            return
+        best = self.targeting.place_anywhere(call)
+        if best is None:
+            return
+        known = best[0]
+        with anyio.move_on_after(ADAPTER_WAIT_S):
+            while not known.holds(generation.model, generation.adapter):
+                if math.isinf(self.want(call, known.name)):
+                    return
+                await anyio.sleep(LOOK_GAP_S)
+
     async def _wait_for_target(self, call: InboundCall) -> None:
         """Ask for what is missing, and wait if it may come in time."""
         patience_s = min(call.patience_s, call.deadline - boot_time())
--- a/ebonywell/holderlink.py
+++ b/ebonywell/holderlink.py
@@ -78,6 +78,7 @@
                     message.service,
                     message.model,
                     message.adapter,
+                    message.target,
                 )
                 self.serve_want(wanted, message.sender)
             case ResidentMessage():
@@ -129,6 +130,7 @@
                 wanted.service,
                 wanted.model,
                 wanted.adapter,
+                wanted.target,
             )
             await self.gossip.send(holder.address, message)
 
--- a/ebonywell/loadboard.py
+++ b/ebonywell/loadboard.py
@@ -1,5 +1,6 @@
 """How much work each target has, from this host and from its peers."""
 
+import collections
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -21,12 +22,17 @@
         Requests before and after their first token.
     held_tokens : int
         Prompt and output tokens of all of them.
+    models : Counter of str
+        Requests by model.
     """
 
     waiting_tokens: int = 0
     waiting: int = 0
     running: int = 0
     held_tokens: int = 0
+    models: collections.Counter[str] = field(
+        default_factory=collections.Counter,
+    )
 
     def add(self, other: 'TargetLoad') -> None:
         """Add another host's part."""
@@ -34,6 +40,7 @@
         self.waiting += other.waiting
         self.running += other.running
         self.held_tokens += other.held_tokens
+        self.models.update(other.models)
 
 
 @dataclass(slots=True, eq=False)
@@ -43,6 +50,7 @@
     target: str
     prompt_tokens: int
     output_tokens: int
+    model: str = ''
     is_started: bool = False
 
 
@@ -76,6 +84,7 @@
         load.waiting += 1
         load.waiting_tokens += run.prompt_tokens
         load.held_tokens += run.prompt_tokens + run.output_tokens
+        load.models[run.model] += 1
         try:
             yield
         finally:
@@ -105,6 +114,7 @@
 
     def _end(self, run: Run, load: TargetLoad) -> None:
         load.held_tokens -= run.prompt_tokens + run.output_tokens
+        load.models[run.model] -= 1
         if run.is_started:
             load.running -= 1
         else:
--- a/ebonywell/orderbook.py
+++ b/ebonywell/orderbook.py
@@ -74,6 +74,8 @@
     refused
         The order makes no sense to the engine, or another target has its
         address.
+    unreachable
+        No connection, so that it was not sent.
     unknown
         No answer; it may be carried out yet.
     unproven
@@ -85,6 +87,7 @@
     conflict = 'conflict'
     fenced = 'fenced'
     refused = 'refused'
+    unreachable = 'unreachable'
     unknown = 'unknown'
     unproven = 'unproven'
 
--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -65,6 +65,8 @@
             report = await self.client.report(known)
         except TransportError as error:
             self.log('report_missing', target=known.name, why=str(error))
+            if not error.is_sent:
+                known.refused_at = boot_time()
             return False
         if report.born != known.said.born:
             return False
@@ -102,6 +104,8 @@
         )
         answer = await self.client.order(known, order)
         self._note_answer(known, order, answer)
+        if answer is OrderAnswer.unreachable:
+            known.refused_at = boot_time()
         if answer is OrderAnswer.fenced:
             self.leadership.state.note_lost()
         self.log(
--- a/ebonywell/platform/orders.py
+++ b/ebonywell/platform/orders.py
@@ -11,8 +11,9 @@
 from ..transport import HttpClient, check_status
 from .targets import decode_report
 
-# A replica answers within milliseconds; nothing else waits for it longer.
-TIMEOUT_S = 0.8
+# A replica answers within milliseconds. An order without an answer is given
+# again, so there is no use in waiting longer.
+TIMEOUT_S = 0.3
 _OPERATIONS = MappingProxyType(
     {
         Action.load: 'load',
@@ -56,8 +57,10 @@
                 _encode(given),
                 headers,
             )
-        except TransportError:
-            return OrderAnswer.unknown
+        except TransportError as error:
+            if error.is_sent:
+                return OrderAnswer.unknown
+            return OrderAnswer.unreachable
         return _ANSWERS.get(answer.status, OrderAnswer.unknown)
 
     return EngineClient(report, order)
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -39,7 +39,14 @@
 # After an order that was refused or not answered, the engine's own reports
 # lag by some hundred milliseconds.
 RETRY_S = 0.4
+# An engine that refused a connection is left out for this long; hosts that
+# ask for models mean its requests too.
+UNREACHABLE_S = 1.0
 MS_PER_S = 1000
+# After these an order is given again. One whose answer was lost may still be
+# carried out, but then the engine refuses the second, as it names the same
+# number of orders before it.
+_PASSING = frozenset((OrderAnswer.conflict, OrderAnswer.unknown))
 # Of the models that callers ask for most, in one line of the log.
 LOGGED_MODELS = 8
 
@@ -174,6 +181,7 @@
         engines = [
             self._view(known, engine, now)
             for known in self.inventory.of_service(service)
+            if now - known.refused_at >= UNREACHABLE_S
         ]
         fleet = Fleet(engines, self._view_models(engine, demand, now), now)
         budget = Budget(pace.refill(engine.loads_per_s, now))
@@ -223,6 +231,7 @@
         now: float,
     ) -> EngineState:
         track = self.ordering.track(known)
+        load = self.adapters.board.total(known.name, now)
         held = (known.models.keys() | track.arriving) - track.leaving
         used = reserved_adapter_bytes(engine)
         for present in known.models.keys() | track.arriving:
@@ -240,6 +249,9 @@
             {model: track.since[model] for model in held},
             known.said.near_weights,
             track.is_busy,
+            frozenset(
+                name for name, runs in load.models.items() if name and runs > 0
+            ),
         )
 
     def _start(self, swap: Swap, engine: EngineSpec, pace: LoadPace) -> None:
@@ -308,8 +320,10 @@
         """Give an order once the one before it has been carried out."""
         for _ in range(BUSY_TRIES):
             answer = await self.ordering.order(known, action, model, '')
-            if answer is not OrderAnswer.conflict:
-                return answer in TAKEN
+            if answer in TAKEN:
+                return True
+            if answer not in _PASSING:
+                return False
             await anyio.sleep(BUSY_GAP_S)
         return False
 
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -538,6 +538,7 @@
         target.name,
         generation.prompt_tokens,
         generation.likely_output_tokens,
+        generation.model,
     )
 
 
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -1,13 +1,11 @@
 """Puts together what carries callers' requests to targets."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
-from .gateway import Gateway
+from .gateway import Gateway, Want
 from .hostknowledge import Knowledge
 from .hostsettings import HostSettings
-from .inbound import InboundCall
 from .logs import Logger
 from .metrics import Metrics
 from .prefixes import PrefixBook
@@ -32,7 +30,7 @@
     settings: HostSettings,
     known: Knowledge,
     pool: ConnectionPool,
-    want: Callable[[InboundCall], float],
+    want: Want,
     translators: Translators,
     observers: Observers,
 ) -> Gateway:
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -23,6 +23,8 @@
 PLAIN_REQUEST_MS = 60.0
 # Two crossings between availability zones, and the price of the bytes.
 OTHER_ZONE_MS = 6.0
+# To ask for an adapter, to order it and to load it; an order has its price.
+ADAPTER_MS = 90.0
 # What a failed request costs its caller: a retry at best, its answer at
 # worst.
 FAILURE_MS = 2500.0
@@ -55,6 +57,8 @@
         Prompt and output tokens of the request.
     is_near : bool
         Whether it is in this host's availability zone.
+    lacks_adapter : bool
+        Whether the adapter must be brought there first.
     """
 
     name: str
@@ -65,6 +69,7 @@
     new_tokens: int = 0
     total_tokens: int = 0
     is_near: bool = True
+    lacks_adapter: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -116,6 +121,8 @@
         cost_ms += rng.uniform(0, SPREAD_MS)
         if not candidate.is_near:
             cost_ms += OTHER_ZONE_MS
+        if candidate.lacks_adapter:
+            cost_ms += ADAPTER_MS
         if cost_ms < least_ms:
             least_ms = cost_ms
             best = Choice(
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .clock import boot_time
 from .health import HealthBook
@@ -70,15 +70,19 @@
         avoided: set[str],
     ) -> tuple[KnownTarget, Choice] | None:
         """Return the target to send a request to, None if there is none."""
-        engine = self.engine_of(call.service)
-        candidates = [
-            self._describe(call.generation, known, engine)
-            for known in self.able(call, avoided)
-        ]
-        choice = choose(candidates, self.rng)
-        if choice is None:
-            return None
-        return self.inventory.targets[choice.name], choice
+        return self._choose(call, self.able(call, avoided))
+
+    def place_anywhere(
+        self,
+        call: InboundCall,
+    ) -> tuple[KnownTarget, Choice] | None:
+        """Return the best target, whether it has the adapter or not."""
+        generation = call.generation
+        if generation is None or not generation.adapter:
+            return self.place(call, set())
+        bare = replace(generation, adapter='')
+        without = replace(call, generation=bare)
+        return self._choose(call, self.able(without, set()))
 
     def note_absent(
         self,
@@ -100,6 +104,20 @@
         elif generation is not None:
             known.drop(generation.model, generation.adapter)
 
+    def _choose(
+        self,
+        call: InboundCall,
+        able: list[KnownTarget],
+    ) -> tuple[KnownTarget, Choice] | None:
+        engine = self.engine_of(call.service)
+        candidates = [
+            self._describe(call.generation, known, engine) for known in able
+        ]
+        choice = choose(candidates, self.rng)
+        if choice is None:
+            return None
+        return self.inventory.targets[choice.name], choice
+
     def _describe(
         self,
         generation: Generation | None,
@@ -132,6 +150,7 @@
             max(0, generation.prompt_tokens - kept),
             generation.prompt_tokens + generation.likely_output_tokens,
             is_near,
+            not known.holds(generation.model, generation.adapter),
         )
 
 
--- a/ebonywell/turnover.py
+++ b/ebonywell/turnover.py
@@ -23,6 +23,9 @@
 RECENT_S = 8.0
 # A swap occupies its engine, and may be regretted; its gain must be more.
 LEAST_GAIN = 0.06
+# An unload waits for the runs of its model, and its engine takes no other
+# order meanwhile.
+UNLOAD_WEIGHT = 0.35
 # A copy that is put into free memory costs next to nothing.
 LEAST_FREE_GAIN = 0.004
 # A model stays at least that long after it came.
@@ -67,6 +70,8 @@
         Models that it loads without the weight store.
     is_busy : bool
         Whether it carries out an order.
+    in_use : frozenset of str
+        Models that requests run on now.
     load : float
         Work by the spread demand, 1.0 being all that it can do.
     """
@@ -76,6 +81,7 @@
     models: dict[str, float]
     near_weights: frozenset[str] = frozenset()
     is_busy: bool = False
+    in_use: frozenset[str] = frozenset()
     load: float = 0
 
 
@@ -246,7 +252,12 @@
             for name, since in engine.models.items()
             if self.now - since >= MIN_RESIDENCE_S
         ]
-        settled.sort(key=lambda name: self._worth(name, engine.name))
+        settled.sort(
+            key=lambda name: (
+                name in engine.in_use,
+                self._worth(name, engine.name),
+            ),
+        )
         for name in settled:
             unloads.append(name)
             held = self.models.get(name)
@@ -286,7 +297,7 @@
                 loads[holder] -= share
             if not shares:
                 before += UNSERVED_WEIGHT * moved.demand
-        after: float = 0
+        after = UNLOAD_WEIGHT * len(engine.in_use & set(unloads))
         for placed in changed:
             holders = set(self.holders(placed.name)) - {engine.name}
             if placed is model:
--- a/ebonywell/wants.py
+++ b/ebonywell/wants.py
@@ -36,9 +36,15 @@
     ask: Callable[[Wanted], None]
     asked_at: dict[Wanted, float] = field(default_factory=dict)
 
-    def want(self, call: InboundCall) -> float:
+    def want(self, call: InboundCall, target: str = '') -> float:
         """Ask for what a request misses.
 
+        Parameters
+        ----------
+        call : InboundCall
+        target : str
+            Where its adapter is wanted; empty for anywhere.
+
         Returns
         -------
         float
@@ -50,7 +56,7 @@
             return math.inf
         is_present = self._is_present(call.service, generation)
         adapter = generation.adapter if is_present else ''
-        wanted = Wanted(call.service, generation.model, adapter)
+        wanted = Wanted(call.service, generation.model, adapter, target)
         now = boot_time()
         if now - self.asked_at.get(wanted, -math.inf) >= ASK_GAP_S:
             self.asked_at[wanted] = now
