--- a/ebonywell/adapterloads.py
+++ b/ebonywell/adapterloads.py
@@ -12,7 +12,7 @@
 from .inventory import Inventory, KnownTarget
 from .loadboard import LoadBoard
 from .modeldemand import ModelKey
-from .orderbook import OrderTrack
+from .orderbook import OrderAnswer, OrderTrack
 from .ordering import TAKEN, Ordering, resident_message
 from .orders import Action
 from .routetable import EngineSpec
@@ -193,9 +193,13 @@
         now = boot_time()
         for name in self.link.used_adapters():
             track.asked_at[name] = now
+        in_use = self.board.total(known.name, now).models
         oldest = min(
             track.adapters,
-            key=lambda one: track.asked_at.get(one, -math.inf),
+            key=lambda one: (
+                in_use[one] > 0,
+                track.asked_at.get(one, -math.inf),
+            ),
         )
         model, _, adapter = oldest.partition('/')
         answer = await self.ordering.order(
@@ -205,7 +209,8 @@
             adapter,
         )
         known.drop(model, adapter)
-        return answer in TAKEN
+        # One that requests still run on goes when they have ended.
+        return answer is OrderAnswer.held
 
 
 def _full_name(wanted: Wanted) -> str:
--- a/ebonywell/loadboard.py
+++ b/ebonywell/loadboard.py
@@ -23,7 +23,7 @@
     held_tokens : int
         Prompt and output tokens of all of them.
     models : Counter of str
-        Requests by model.
+        Requests by model, and by ``model/adapter``.
     """
 
     waiting_tokens: int = 0
@@ -50,7 +50,7 @@
     target: str
     prompt_tokens: int
     output_tokens: int
-    model: str = ''
+    needs: tuple[str, ...] = ()
     is_started: bool = False
 
 
@@ -84,7 +84,7 @@
         load.waiting += 1
         load.waiting_tokens += run.prompt_tokens
         load.held_tokens += run.prompt_tokens + run.output_tokens
-        load.models[run.model] += 1
+        load.models.update(run.needs)
         try:
             yield
         finally:
@@ -114,7 +114,7 @@
 
     def _end(self, run: Run, load: TargetLoad) -> None:
         load.held_tokens -= run.prompt_tokens + run.output_tokens
-        load.models[run.model] -= 1
+        load.models.subtract(run.needs)
         if run.is_started:
             load.running -= 1
         else:
--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -135,9 +135,10 @@
         known.order_count = order.order_count + 1
         if order.action is Action.load_adapter:
             track.adapters.add(name)
-        elif order.action is Action.unload_adapter:
+        elif answer is OrderAnswer.held:
             track.adapters.discard(name)
         else:
+            # A model or an adapter in use goes when its requests have ended.
             track.is_synced = False
 
 
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -534,11 +534,14 @@
     generation = call.generation
     if generation is None:
         return Run(target.name, 0, 0)
+    needs: tuple[str, ...] = (generation.model,)
+    if generation.adapter:
+        needs = (*needs, f'{generation.model}/{generation.adapter}')
     return Run(
         target.name,
         generation.prompt_tokens,
         generation.likely_output_tokens,
-        generation.model,
+        needs,
     )
 
 
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -232,6 +232,8 @@
         exchange = self.exchange
         if exchange is not None and exchange.ending is not None:
             self.is_reusable = False
+        # Those of the answer before are still to be passed on.
+        self.headers = []
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Keep a header."""
--- a/lab/standin_http.py
+++ b/lab/standin_http.py
@@ -40,6 +40,8 @@
         Break the connection off after so many events.
     raw : bytes or None
         Sent as they are, in place of all else.
+    at_end : callable or None
+        Called once the answer has ended or was broken off.
     """
 
     status: int
@@ -49,6 +51,7 @@
     gap_s: float = 0
     cut_after: int | None = None
     raw: bytes | None = None
+    at_end: Callable[[], None] | None = None
 
     @classmethod
     def json(cls, content: Any, status: int = 200) -> 'Reply':
@@ -90,7 +93,11 @@
     if reply.raw is not None:
         await stream.send(reply.raw)
         return False
-    return await _answer(stream, connection, reply)
+    try:
+        return await _answer(stream, connection, reply)
+    finally:
+        if reply.at_end is not None:
+            reply.at_end()
 
 
 async def _read(
--- a/lab/standin_replica.py
+++ b/lab/standin_replica.py
@@ -37,6 +37,10 @@
     seen : list of HttpRequest
     orders : list of dict
         That it accepted.
+    in_use : Counter
+        Streams that run now, by ``model/adapter``.
+    overfull : bool
+        Whether an order once asked for more than it holds.
     """
 
     name: str
@@ -56,6 +60,7 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     fence: int = 0
     born: int = field(default_factory=lambda: int(time.time() * MS_PER_S))
+    in_use: Counter[str] = field(default_factory=Counter)
     overfull: bool = False
 
     def entry(self, state: str = 'ready') -> dict[str, Any]:
@@ -100,7 +105,19 @@
             b'id: %d\ndata: token\n\n' % number
             for number in range(first + 1, self.events + 1)
         )
-        return Reply(200, headers=headers, events=events, gap_s=self.gap_s)
+        named = request.headers['model']
+        self.in_use[named] += 1
+
+        def end() -> None:
+            self.in_use[named] -= 1
+
+        return Reply(
+            200,
+            headers=headers,
+            events=events,
+            gap_s=self.gap_s,
+            at_end=end,
+        )
 
     def _holds(self, named: str) -> bool:
         model, _, adapter = named.partition('/')
@@ -135,6 +152,9 @@
         model, adapter = order['model'], order.get('adapter')
         self.orders.append(order)
         if order['operation'] == 'unload':
+            if adapter and self.in_use[f'{model}/{adapter}']:
+                # It goes when its last request ends, which is not played.
+                return Reply(202)
             if adapter:
                 self.models[model].discard(adapter)
                 return Reply(200)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -126,15 +126,18 @@
             named = request.headers['request-id'].encode()
             one = (
                 b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n'
+                b'Response-Seal: own\r\n'
                 b'Content-Length: 4\r\n\r\ndone' % named
             )
-            return Reply(200, raw=one + one.replace(b'done', b'fake'))
+            extra = one.replace(b'done', b'fake').replace(b'own', b'odd')
+            return Reply(200, raw=one + extra)
 
         for name in ('desk-1', 'desk-2'):
             world.replicas[name].behave = twice
         for _ in range(6):
             answer = await world.ask(host, '/look/1')
             assert (answer.status, answer.body) == (200, b'done')
+            assert answer.headers['response-seal'] == 'own'
 
     play(tmp_path, story)
 
@@ -196,6 +199,25 @@
     play(tmp_path, story)
 
 
+def test_an_adapter_in_use_keeps_its_place(tmp_path):
+    """Its unload was accepted, and the next adapter loaded over it."""
+
+    async def story(world):
+        host = world.hosts['host-1']
+        await world.wait_logged('event=orders_begin')
+        for name in ('pool-1', 'pool-2'):
+            world.replicas[name].events = 15
+            world.replicas[name].gap_s = 0.1
+        async with anyio.create_task_group() as group:
+            for number in range(1, 7):
+                group.start_soon(world.chat, host, f'm1/a{number}')
+                await anyio.sleep(0.15)
+        assert 'action=unload_adapter' in host.log()
+        assert not any(one.overfull for one in world.replicas.values())
+
+    play(tmp_path, story)
+
+
 def test_work_ends_when_the_caller_has_left(tmp_path):
     async def story(world):
         host = world.hosts['host-1']
