Logs to standard output that never block, explain, and gauges of a host

One line for each decision, at most a hundred a second of one event, with counts of what was left out; lines wait in memory while nobody reads and the oldest go first.

--- a/ebonywell/cmdline.py
+++ b/ebonywell/cmdline.py
@@ -1,12 +1,13 @@
 """The command line: parses arguments and calls one controlling object."""
 
 import sys
+from pathlib import Path
 from typing import Annotated
 
 from cyclopts import App, CycloptsError, Parameter
 from cyclopts.config import Env
 
-from . import config, entry, opcommands
+from . import config, entry, explain, opcommands
 from .exceptions import SettingsError
 from .version import __version__
 
@@ -34,6 +35,30 @@
     entry.run(settings)
 
 
+@app.command(name='explain')
+def explain_request(request_id: str, files: list[Path]) -> None:
+    """Tell a request's story from the logs of several processes.
+
+    Parameters
+    ----------
+    request_id
+        As the caller sent it.
+    files
+        Log files of the processes, in any order.
+    """
+    lines: list[str] = []
+    for path in files:
+        try:
+            lines.extend(path.read_text(errors='replace').splitlines())
+        except OSError as error:
+            raise SettingsError(f'{path}: {error.strerror}') from error
+    story = explain.explain(request_id, lines)
+    if not story:
+        raise SettingsError(f'no line names request {request_id}')
+    for line in story:
+        sys.stdout.write(f'{line.text}\n')
+
+
 def main() -> None:
     """Run the command line and exit with its code."""
     try:
--- /dev/null
+++ b/ebonywell/hostgauges.py
@@ -0,0 +1,72 @@
+"""Gauges of a host on a platform, set before each exposition."""
+
+import math
+import resource
+
+from .clock import boot_time
+from .gateway import Gateway
+from .gossip import Gossip
+from .hostfeeds import HostFeeds
+from .hostknowledge import Knowledge
+from .leadership import Leadership
+from .metrics import Metrics
+from .upstream import ConnectionPool
+
+_KIB = 1024
+
+
+def add_host_gauges(
+    metrics: Metrics,
+    known: Knowledge,
+    leadership: Leadership,
+    feeds: HostFeeds,
+) -> None:
+    """Have a host's state read before each exposition."""
+
+    def ask_known(sink: Metrics) -> None:
+        now = boot_time()
+        age_s = now - known.intake.proven_at
+        sink.gauge('config_version', known.intake.version)
+        sink.gauge('proof_age_seconds', age_s if math.isfinite(age_s) else -1)
+        sink.gauge('targets', len(known.inventory.targets))
+        sink.gauge('hosts_known', known.fleet.size)
+        sink.gauge('hosts_silent', len(known.fleet.silent(now)))
+        for name, window in known.limits.windows.items():
+            sink.gauge('limit_tokens', window.count(now), workspace=name)
+
+    def ask_lease(sink: Metrics) -> None:
+        sink.gauge('lease_fence', leadership.state.fence)
+        sink.gauge('lease_ordering', float(leadership.may_order_near()))
+
+    def ask_feeds(sink: Metrics) -> None:
+        for feed in (feeds.configuration, feeds.targets):
+            topic = feed.feed.topic
+            sink.gauge('feed_lost', float(feed.state.is_lost), topic=topic)
+            sink.gauge('feed_offset', feed.state.offset or 0, topic=topic)
+
+    def ask_memory(sink: Metrics) -> None:
+        peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        sink.gauge('memory_peak_bytes', peak_kib * _KIB)
+
+    metrics.sources.extend((ask_known, ask_lease, ask_feeds, ask_memory))
+
+
+def add_traffic_gauges(
+    metrics: Metrics,
+    gateway: Gateway,
+    gossip: Gossip,
+    pool: ConnectionPool,
+) -> None:
+    """Have a host's connections and datagrams counted."""
+
+    def ask_traffic(sink: Metrics) -> None:
+        sink.gauge('requests_active', len(gateway.active))
+        sink.gauge('target_connections_opened', pool.opened)
+        sink.gauge(
+            'target_connections_idle',
+            sum(len(idle) for idle in pool.idle.values()),
+        )
+        sink.gauge('digests_sent', gossip.number)
+        sink.gauge('datagrams_malformed', gossip.malformed)
+
+    metrics.sources.append(ask_traffic)
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -9,6 +9,7 @@
 from .digests import Digest
 from .gossip import Gossip
 from .hostfeeds import HostFeeds
+from .hostgauges import add_host_gauges, add_traffic_gauges
 from .hostknowledge import Knowledge
 from .hostsettings import HostSettings
 from .leadership import Leadership, LeaseState
@@ -110,6 +111,18 @@
             translators,
             Observers(log, self.metrics, rng),
         )
+        add_host_gauges(
+            self.metrics,
+            self.known,
+            self.leadership,
+            self.feeds,
+        )
+        add_traffic_gauges(
+            self.metrics,
+            self.gateway,
+            self.gossip,
+            self.pool,
+        )
 
     async def run(self) -> None:
         """Run all services until cancelled."""
--- /dev/null
+++ b/ebonywell/linelog.py
@@ -0,0 +1,102 @@
+"""Writes log lines to standard output without ever blocking the process."""
+
+import collections
+import os
+import select
+import sys
+import time
+from typing import Any
+
+from .clock import boot_time
+from .logs import format_event
+
+# Lines that wait while nobody reads the output; the oldest are dropped.
+MAX_PENDING_LINES = 2000
+# Under load each event is written so many times a second at the most, and
+# what was left out is counted.
+MAX_LINES_PER_S = 100
+# A pipe that is ready takes this much without blocking (PIPE_BUF).
+PIPE_BYTES = 4096
+_NO_TIMEOUT = 0
+
+
+class LineLog:
+    """The log of one process; `event` is its `Logger`.
+
+    Attributes
+    ----------
+    descriptor : int
+    bound : dict
+        Fields of every line.
+    pending : deque of bytes
+        Lines that are not written yet.
+    lines_per_s : int
+        Of one event; a reload may change it.
+    dropped : int
+        Lines lost since the start because nobody read the output.
+    """
+
+    def __init__(self, descriptor: int | None = None, **bound: Any) -> None:
+        self.descriptor = (
+            sys.stdout.fileno() if descriptor is None else descriptor
+        )
+        self.bound = bound
+        self.pending: collections.deque[bytes] = collections.deque()
+        self.lines_per_s = MAX_LINES_PER_S
+        self.dropped = 0
+        self.second = 0
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.poll = select.poll()
+        self.poll.register(self.descriptor, select.POLLOUT)
+
+    def event(self, event: str, /, **fields: Any) -> None:
+        """Write an event with its fields, unless too many came."""
+        self._begin_second()
+        self.counts[event] += 1
+        if self.counts[event] <= self.lines_per_s:
+            self._add(event, fields)
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what the output takes now."""
+        while self.pending and self.poll.poll(_NO_TIMEOUT):
+            try:
+                written = os.write(
+                    self.descriptor,
+                    self.pending[0][:PIPE_BYTES],
+                )
+            except OSError:
+                # Whoever read the output is gone; there is nobody to tell.
+                self.dropped += len(self.pending)
+                self.pending.clear()
+                return
+            rest = self.pending.popleft()[written:]
+            if rest:
+                self.pending.appendleft(rest)
+
+    def _begin_second(self) -> None:
+        second = int(boot_time())
+        if second == self.second:
+            return
+        left_out = {
+            event: count - self.lines_per_s
+            for event, count in self.counts.items()
+            if count > self.lines_per_s
+        }
+        self.second = second
+        self.counts.clear()
+        for event, count in left_out.items():
+            self._add('lines_left_out', {'of': event, 'count': count})
+
+    def _add(self, event: str, fields: dict[str, Any]) -> None:
+        if len(self.pending) >= MAX_PENDING_LINES:
+            self.pending.popleft()
+            self.dropped += 1
+        shown = {
+            name: content
+            for name, content in fields.items()
+            if content is not None
+        }
+        line = format_event(event, **self.bound, **shown)
+        now = time.time()
+        self.pending.append(f'time={now:.6f} {line}\n'.encode())
--- a/ebonywell/platform/__main__.py
+++ b/ebonywell/platform/__main__.py
@@ -5,7 +5,6 @@
 import anyio
 
 from ..exceptions import SettingsError
-from ..logs import start_logging
 from .assembly import run
 from .settings import find_file, read_settings
 
@@ -19,7 +18,6 @@
     except SettingsError as error:
         sys.stderr.write(f'ebonywell: {error}\n')
         sys.exit(EXIT_USAGE)
-    start_logging()
     anyio.run(run, settings)
 
 
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -9,7 +9,7 @@
 from .. import server
 from ..hostprocess import HostProcess
 from ..hostsettings import HostSettings
-from ..logs import bind, write_event
+from ..linelog import LineLog
 from ..translators import Translators
 from ..transport import HttpClient
 from . import catalog, exchange, orders, targets
@@ -24,6 +24,7 @@
 # which is not known yet when the first connections come.
 KEEP_ALIVE_S = 120
 BACKLOG = 512
+FLUSH_GAP_S = 0.2
 # Callers keep a directory's answer for that long, some three times as long.
 DIRECTORY_TTL_S = 1.0
 
@@ -44,7 +45,8 @@
 
 async def run(settings: HostSettings) -> None:
     """Run a host until it is told to stop."""
-    log = bind(write_event, host=settings.name)
+    lines = LineLog(host=settings.name)
+    log = lines.event
     silence_server_log()
     async with HttpClient() as client, HttpClient() as engine_client:
         store = StoreClient(settings.store.address, client)
@@ -59,12 +61,21 @@
         web = server.Server(_server_config(host))
         async with anyio.create_task_group() as group:
             group.start_soon(host.run)
+            group.start_soon(_flush, lines)
             group.start_soon(web.serve, _bind_all(settings))
             await host.watch_signals()
             await host.stop()
             web.should_exit = True
             group.cancel_scope.cancel()
         log('stopped')
+        lines.flush()
+
+
+async def _flush(lines: LineLog) -> None:
+    """Write what the output did not take at once."""
+    while True:
+        await anyio.sleep(FLUSH_GAP_S)
+        lines.flush()
 
 
 def _bind_all(settings: HostSettings) -> list[socket.socket]:
