--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Chores for maintainers. `make help` lists them.
 VENV ?= .venv
 PYTHON ?= python3
+# Tests wait for real time more than for a processor.
+TEST_PROCESSES ?= 4
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
@@ -28,7 +30,7 @@
 	$(RUN) -m mypy
 
 test: lint ## check style and types, then run the tests
-	$(RUN) -m pytest
+	$(RUN) -m pytest -n $(TEST_PROCESSES)
 
 demo: $(STAMP) ## run the whole path on loopback, a line a step
 	@$(RUN) -m lab.demo
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,61 @@
+"""The page for those on call names every event and number of the code."""
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+PAGE = (ROOT / 'docs/OPERATIONS.md').read_text()
+MODULES = (
+    'adapterloads following gateway gossip holderlink hostfeeds '
+    'hostprocess leadership linelog ordering provisioning proxying roster '
+    'sharedlimits targeting platform/assembly'
+).split()
+EVENT = re.compile(
+    r"(?:\blog|self\._add)\(\s*'(\w+)'|'(orders_\w+)' (?:if|else)|"
+    r"else '(orders_\w+)'",
+)
+
+
+def sources():
+    return [(ROOT / f'ebonywell/{name}.py').read_text() for name in MODULES]
+
+
+def test_every_event_is_on_the_page():
+    events = {
+        name
+        for text in sources()
+        for found in EVENT.findall(text)
+        for name in found
+        if name
+    }
+    assert len(events) > 40
+    table = PAGE[PAGE.index('## Events') : PAGE.index('## Numbers')]
+    rows = [line.split('|')[1] for line in table.splitlines()[3:] if line]
+    named = {name.strip() for row in rows for name in row.split(',')}
+    assert named == events
+
+
+def test_every_number_is_on_the_page():
+    gauges = re.findall(
+        r"sink\.gauge\(\s*'(\w+)'",
+        (ROOT / 'ebonywell/hostgauges.py').read_text(),
+    )
+    table = PAGE[PAGE.index('## Numbers') :]
+    assert len(gauges) > 12
+    for name in gauges:
+        assert name in table
+
+
+def test_every_reason_is_on_the_page():
+    table = PAGE[PAGE.index('## Reasons') : PAGE.index('## Alerts')]
+    reasons = {
+        reason
+        for text in sources()
+        for reason in re.findall(
+            r"(?:TryError|RejectionError)\(\s*(?:\w+,\s*)?'(\w+)'", text
+        )
+    }
+    reasons -= {'stream_broken'}
+    assert reasons
+    for reason in reasons:
+        assert reason in table, reason
