--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -26,6 +26,9 @@
 # better told so at once.
 PATIENCE_SHARE = 0.8
 OVERLOAD_RETRY_S = 0.5
+# An engine does as much however long its queue is. With a queue longer than the
+# goal all answers are late; a shorter one serves as many callers in time.
+QUEUE_GOALS = 1.2
 # A model that nobody holds needs an order and a load, about this long.
 ABSENT_RETRY_S = 1.0
 # An adapter that takes longer to come to the best target is used elsewhere.
@@ -210,7 +213,10 @@
         if placed is None:
             raise RejectionError(_UNAVAILABLE, 'no_target', ABSENT_RETRY_S)
         patience_s = min(call.patience_s, call.deadline - boot_time())
-        excess_s = placed[1].wait_s - patience_s * PATIENCE_SHARE
+        limit_s = min(
+            patience_s * PATIENCE_SHARE, QUEUE_GOALS * call.route.goal_s
+        )
+        excess_s = placed[1].wait_s - limit_s
         if excess_s > 0:
             raise RejectionError(
                 _UNAVAILABLE,
