--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -21,13 +21,8 @@
 
 
 def test_every_event_is_on_the_page():
-    events = {
-        name
-        for text in sources()
-        for found in EVENT.findall(text)
-        for name in found
-        if name
-    }
+    found = EVENT.findall('\n'.join(sources()))
+    events = {name for names in found for name in names if name}
     assert len(events) > 40
     table = PAGE[PAGE.index('## Events') : PAGE.index('## Numbers')]
     rows = [line.split('|')[1] for line in table.splitlines()[3:] if line]
