--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -80,8 +80,6 @@
     loads, usage, demand : tuple
     adapters : tuple of str
         Used in the last second, as ``model/adapter``.
-    suspects : tuple of (str, int)
-        Digests of requests that targets crashed under, and how often.
     """
 
     name: str
@@ -100,7 +98,6 @@
     usage: tuple[UsageShare, ...] = ()
     demand: tuple[ModelDemand, ...] = ()
     adapters: tuple[str, ...] = ()
-    suspects: tuple[tuple[str, int], ...] = ()
 
 
 class DigestMessage(msgspec.Struct, frozen=True, array_like=True, tag='d'):
--- a/ebonywell/hostsettings.py
+++ b/ebonywell/hostsettings.py
@@ -9,10 +9,6 @@
 
     Attributes
     ----------
-    drain_s : float
-        After a target's leaving was announced, no request may reach it.
-    config_s : float
-        Until a configuration is in force.
     revoke_s : float
         Until a withdrawn key no longer works, on any host.
     grace_s : float
@@ -24,17 +20,12 @@
     retry_ratio, retry_slack : float
         Retries in a window, by the requests in it, and on top.
     retry_window_s : float
-    quota_window_s, quota_overshoot, quota_slack : float
-        Over how long limits are counted, and how far they may be exceeded.
-    load_window_s, load_overshoot : float
-        Over how long loads from the weight store are counted, and how far
-        their rate may be exceeded.
+    quota_window_s : float
+        Over how long limits are counted.
     max_directory_ttl_s : float
         The longest that a directory's answer may be kept.
     """
 
-    drain_s: float = 2
-    config_s: float = 2
     revoke_s: float = 5
     grace_s: float = 8
     lease_s: float = 3
@@ -43,10 +34,6 @@
     retry_window_s: float = 10
     retry_slack: float = 0
     quota_window_s: float = 8
-    quota_overshoot: float = 0
-    quota_slack: float = 0
-    load_window_s: float = 5
-    load_overshoot: float = 1
     max_directory_ttl_s: float = 5
 
 
--- a/ebonywell/inbound.py
+++ b/ebonywell/inbound.py
@@ -63,8 +63,6 @@
     workspace : WorkspaceLimit or None
     generation : Generation or None
         None for plain services.
-    digest : bytes
-        The same for the same path, workspace and body.
     received_at, deadline : float
         In seconds by the clock of the process.
     """
@@ -78,7 +76,6 @@
     service: str
     workspace: WorkspaceLimit | None
     generation: Generation | None
-    digest: bytes
     received_at: float
     deadline: float
 
--- a/ebonywell/intake.py
+++ b/ebonywell/intake.py
@@ -6,7 +6,6 @@
 
 from .clock import boot_time
 from .inbound import Generation, InboundCall, RejectionError
-from .misc import request_digest
 from .routetable import Configuration, Route, WorkspaceLimit
 
 # The proof that no key was withdrawn ages from when it was asked for; the
@@ -165,8 +164,6 @@
         limit_s = route.timeout_s
         if arrival.patience_s is not None:
             limit_s = min(limit_s, arrival.patience_s)
-        owner = workspace.name if workspace else ''
-        digest = request_digest(arrival.path, owner.encode(), arrival.body)
         return InboundCall(
             arrival.request_id,
             arrival.method,
@@ -177,7 +174,6 @@
             route.pick_service(self.rng),
             workspace,
             arrival.generation,
-            digest.encode(),
             arrival.received_at,
             arrival.received_at + limit_s,
         )
--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -22,8 +22,6 @@
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
-    drain_ms: float = 2000
-    config_ms: float = 2000
     revoke_ms: float = 5000
     grace_s: float = 8
     lease_ms: float = 3000
@@ -32,10 +30,6 @@
     budget_window_s: float = 10
     budget_slack: float = 0
     quota_window_s: float = 8
-    quota_overshoot: float = 0
-    quota_slack: float = 0
-    ceiling_window_s: float = 5
-    ceiling_overshoot: float = 1
     # Named in snake case on the platform, unlike all others.
     ttl_max_s: float = msgspec.field(default=5, name='ttl_max_s')
 
@@ -127,8 +121,6 @@
 
 def _translate_bounds(found: _Bounds) -> Bounds:
     return Bounds(
-        drain_s=found.drain_ms * _MS,
-        config_s=found.config_ms * _MS,
         revoke_s=found.revoke_ms * _MS,
         grace_s=found.grace_s,
         lease_s=found.lease_ms * _MS,
@@ -137,9 +129,5 @@
         retry_window_s=found.budget_window_s,
         retry_slack=found.budget_slack,
         quota_window_s=found.quota_window_s,
-        quota_overshoot=found.quota_overshoot,
-        quota_slack=found.quota_slack,
-        load_window_s=found.ceiling_window_s,
-        load_overshoot=found.ceiling_overshoot,
         max_directory_ttl_s=found.ttl_max_s,
     )
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -250,7 +250,7 @@
     return InboundCall(
         'id-1', 'POST', b'/a?b=c',
         ((b'host', b'h'), (b'request-id', b'id-1'), (b'last-event-id', b'3')),
-        b'body', route, 's', None, None, b'', 0, 4,
+        b'body', route, 's', None, None, 0, 4,
     )  # fmt: skip
 
 
