--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -8,14 +8,13 @@
 import anyio
 
 from .clock import boot_time
-from .inbound import InboundCall, RejectionError, Responder
+from .inbound import Charge, InboundCall, RejectionError, Responder
 from .intake import Arrival, Intake
 from .inventory import KnownTarget
 from .logs import Logger
 from .metrics import Metrics
 from .modeldemand import DemandBook
 from .proxying import MAX_SENDS, Outcome, Progress, Proxy, Verdict
-from .routetable import WorkspaceLimit
 from .selection import Choice
 from .targeting import Targeting, holder_name
 from .wants import MODEL_S
@@ -33,13 +32,10 @@
 ABSENT_RETRY_S = 1.0
 # An adapter that takes longer to come to the best target is used elsewhere.
 ADAPTER_WAIT_S = 0.25
-_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _CLIENT_CLOSED = 499
 
-Charge = Callable[[WorkspaceLimit, InboundCall], None]
-
 
 class Want(Protocol):
     """Asks for what a request misses; see `Wants.want`."""
--- a/ebonywell/hostsettings.py
+++ b/ebonywell/hostsettings.py
@@ -37,13 +37,6 @@
     max_directory_ttl_s: float = 5
 
 
-@dataclass(slots=True, frozen=True)
-class StoreLimits:
-    """How to reach the shared store."""
-
-    address: str
-
-
 @dataclass(slots=True, frozen=True, kw_only=True)
 class HostSettings:
     """One host's settings.
@@ -59,7 +52,8 @@
         The first of the ports that are free for traffic between hosts.
     memory_bytes : int
         The process is killed above that.
-    store : StoreLimits
+    store_address : str
+        The ip:port of the shared store.
     bounds : Bounds
     """
 
@@ -72,5 +66,5 @@
     directory_address: str
     first_inner_port: int
     memory_bytes: int
-    store: StoreLimits
+    store_address: str
     bounds: Bounds
--- a/ebonywell/inbound.py
+++ b/ebonywell/inbound.py
@@ -1,6 +1,6 @@
 """A caller's request on its way through this host, and its answer."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -92,6 +92,11 @@
         return max(MIN_PATIENCE_S, PATIENCE_GOALS * self.route.goal_s)
 
 
+# Takes a request's tokens from its workspace's limit, or raises
+# `RejectionError`.
+Charge = Callable[[WorkspaceLimit, InboundCall], None]
+
+
 class Responder(Protocol):
     """Sends an answer to the caller."""
 
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -49,7 +49,7 @@
     log = lines.event
     silence_server_log()
     async with HttpClient() as client, HttpClient() as engine_client:
-        store = StoreClient(settings.store.address, client)
+        store = StoreClient(settings.store_address, client)
         host = HostProcess(
             settings,
             store,
--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -8,7 +8,7 @@
 import yaml
 
 from ..exceptions import SettingsError
-from ..hostsettings import Bounds, HostSettings, StoreLimits
+from ..hostsettings import Bounds, HostSettings
 
 FILE_VARIABLE = 'EBONYWELL_NODE_FILE'
 _MS = 0.001
@@ -114,7 +114,7 @@
         directory_address=found.listen.directory,
         first_inner_port=found.port_range[0],
         memory_bytes=int(found.limits.memory_mb) * 1024 * 1024,
-        store=StoreLimits(found.platform.address),
+        store_address=found.platform.address,
         bounds=_translate_bounds(found.bounds),
     )
 
--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -44,10 +44,6 @@
     models: tuple[_Held, ...] = ()
     # Adapters on their way from the weight store, as MODEL/NAME@VERSION.
     coming: tuple[str, ...] = ()
-    running: int = 0
-    queued: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
 
 
 def decode_announcement(name: str, body: bytes) -> Announcement:
--- a/ebonywell/sharedlimits.py
+++ b/ebonywell/sharedlimits.py
@@ -17,7 +17,7 @@
 
 import collections
 import itertools
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -25,7 +25,7 @@
 from .clock import boot_time
 from .digests import UsageShare
 from .fleetview import FleetView, Peer
-from .inbound import InboundCall, RejectionError
+from .inbound import Charge, InboundCall, RejectionError
 from .logs import Logger
 from .routetable import WorkspaceLimit
 
@@ -59,8 +59,6 @@
 SUMMARY_GAP_S = 0.3
 _TOO_MANY = 429
 
-Charge = Callable[[WorkspaceLimit, InboundCall], None]
-
 
 @dataclass(slots=True)
 class Window:
