--- a/ebonywell/inbound.py
+++ b/ebonywell/inbound.py
@@ -7,7 +7,7 @@
 from .routetable import Route, WorkspaceLimit
 
 # Callers give a stream up after that long without an event, or after so many
-# times its goal; see docs/PROTOCOLS.md.
+# times its goal, by the platform's pages.
 MIN_PATIENCE_S = 2.0
 PATIENCE_GOALS = 4
 _UNKNOWN_TOKENS = 200
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -102,6 +102,12 @@
         Targets that failed or rejected it.
     last_reason : str
         Of the last failed try.
+    splitter : EventSplitter or None
+        Of a stream that may be resumed, once it has begun.
+    first_byte_s : float or None
+        From the request's arrival to the first byte of its answer.
+    target : str
+        The last one that it was sent to.
     """
 
     sends: int = 0
