--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(RUN) -m mypy
 
 test: lint ## check style and types, then run the tests
-	$(RUN) -m pytest -n $(TEST_PROCESSES)
+	$(RUN) -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 demo: $(STAMP) ## run the whole path on loopback, a line a step
 	@$(RUN) -m lab.demo
