Ranks requests by urgency, and estimates waits by rank

Cause: engines read the prompts of more urgent requests first, but the wait of a request was estimated from all prompt tokens before it, whatever their rank. Also, where workspaces have one priority, all kinds had the same rank.

Each send now writes a line with the inputs of the choice.

--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -9,7 +9,7 @@
     """The work that one host has on one target; see `TargetLoad`."""
 
     target: str
-    waiting_tokens: int
+    waiting_tokens: dict[int, int]
     waiting: int
     running: int
     held_tokens: int
--- a/ebonywell/fleetview.py
+++ b/ebonywell/fleetview.py
@@ -87,7 +87,7 @@
         self.board.peers[digest.name] = PeerLoads(
             {
                 load.target: TargetLoad(
-                    load.waiting_tokens,
+                    dict(load.waiting_tokens),
                     load.waiting,
                     load.running,
                     load.held_tokens,
--- a/ebonywell/hostknowledge.py
+++ b/ebonywell/hostknowledge.py
@@ -55,7 +55,7 @@
         return tuple(
             LoadShare(
                 target,
-                load.waiting_tokens,
+                dict(load.waiting_tokens),
                 load.waiting,
                 load.running,
                 load.held_tokens,
--- a/ebonywell/inbound.py
+++ b/ebonywell/inbound.py
@@ -65,6 +65,8 @@
         None for plain services.
     received_at, deadline : float
         In seconds by the clock of the process.
+    rank : int
+        How urgent it is; 0 goes first.
     """
 
     request_id: str
@@ -78,13 +80,7 @@
     generation: Generation | None
     received_at: float
     deadline: float
-
-    @property
-    def priority(self) -> int:
-        """How urgent it is; 0 goes first."""
-        if self.workspace and self.workspace.priority is not None:
-            return self.workspace.priority
-        return self.route.priority
+    rank: int = 0
 
     @property
     def patience_s(self) -> float:
--- a/ebonywell/intake.py
+++ b/ebonywell/intake.py
@@ -123,7 +123,8 @@
         if route is None:
             raise RejectionError(_NOT_FOUND, 'no_route')
         workspace = self._authenticate(configuration, route, arrival)
-        return self._make_call(arrival, route, workspace)
+        rank = configuration.rank_of(route, workspace)
+        return self._make_call(arrival, route, workspace, rank)
 
     def _check_size(
         self,
@@ -160,6 +161,7 @@
         arrival: Arrival,
         route: Route,
         workspace: WorkspaceLimit | None,
+        rank: int,
     ) -> InboundCall:
         limit_s = route.timeout_s
         if arrival.patience_s is not None:
@@ -176,6 +178,7 @@
             arrival.generation,
             arrival.received_at,
             arrival.received_at + limit_s,
+            rank,
         )
 
 
--- a/ebonywell/loadboard.py
+++ b/ebonywell/loadboard.py
@@ -16,8 +16,9 @@
 
     Attributes
     ----------
-    waiting_tokens : int
-        Prompt tokens of requests that have not brought a first token.
+    waiting_tokens : dict of int to int
+        Prompt tokens of requests that have not brought a first token, by
+        their rank (see `urgency`).
     waiting, running : int
         Requests before and after their first token.
     held_tokens : int
@@ -26,7 +27,7 @@
         Requests by model, and by ``model/adapter``.
     """
 
-    waiting_tokens: int = 0
+    waiting_tokens: dict[int, int] = field(default_factory=dict)
     waiting: int = 0
     running: int = 0
     held_tokens: int = 0
@@ -36,20 +37,45 @@
 
     def add(self, other: 'TargetLoad') -> None:
         """Add another host's part."""
-        self.waiting_tokens += other.waiting_tokens
+        for rank, tokens in other.waiting_tokens.items():
+            self.count(rank, tokens)
         self.waiting += other.waiting
         self.running += other.running
         self.held_tokens += other.held_tokens
         self.models.update(other.models)
 
+    def count(self, rank: int, tokens: int) -> None:
+        """Add waiting tokens of one rank, or take them off again."""
+        left = self.waiting_tokens.get(rank, 0) + tokens
+        if left:
+            self.waiting_tokens[rank] = left
+        else:
+            self.waiting_tokens.pop(rank, None)
+
 
 @dataclass(slots=True, eq=False)
 class Run:
-    """A request that this host has on a target now."""
+    """A request that this host has on a target now.
+
+    Attributes
+    ----------
+    target : str
+    new_tokens : int
+        Prompt tokens that the target has to read.
+    held_tokens : int
+        Prompt and output tokens that it keeps for the request.
+    rank : int
+        How urgent it is; 0 goes first.
+    needs : tuple of str
+        Its model, and ``model/adapter``.
+    is_started : bool
+        Whether it has brought its first token.
+    """
 
     target: str
-    prompt_tokens: int
-    output_tokens: int
+    new_tokens: int
+    held_tokens: int
+    rank: int = 0
     needs: tuple[str, ...] = ()
     is_started: bool = False
 
@@ -82,8 +108,8 @@
         """Count a request on its target until it is over."""
         load = self.own.setdefault(run.target, TargetLoad())
         load.waiting += 1
-        load.waiting_tokens += run.prompt_tokens
-        load.held_tokens += run.prompt_tokens + run.output_tokens
+        load.count(run.rank, run.new_tokens)
+        load.held_tokens += run.held_tokens
         load.models.update(run.needs)
         try:
             yield
@@ -97,7 +123,7 @@
         run.is_started = True
         load = self.own[run.target]
         load.waiting -= 1
-        load.waiting_tokens -= run.prompt_tokens
+        load.count(run.rank, -run.new_tokens)
         load.running += 1
 
     def total(self, target: str, now: float) -> TargetLoad:
@@ -113,12 +139,12 @@
         return total
 
     def _end(self, run: Run, load: TargetLoad) -> None:
-        load.held_tokens -= run.prompt_tokens + run.output_tokens
+        load.held_tokens -= run.held_tokens
         load.models.subtract(run.needs)
         if run.is_started:
             load.running -= 1
         else:
             load.waiting -= 1
-            load.waiting_tokens -= run.prompt_tokens
+            load.count(run.rank, -run.new_tokens)
         if not load.waiting and not load.running:
             self.own.pop(run.target, None)
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -12,8 +12,6 @@
 _SERVER_ERROR = 500
 # Statuses that promise that the request has not run.
 _PROMISES = frozenset((408, 421, 429, 503))
-# Priorities run from 0, the most urgent, to 9.
-_LAST_PRIORITY = 9
 _DROPPED = headers.PER_CONNECTION | {
     headers.SERVER_LOAD,
     headers.INSTANCE_ID,
@@ -56,8 +54,7 @@
         owner = call.workspace.name.encode('latin-1', 'replace')
         lines.append(b'%s: %s' % (headers.TENANT, owner))
     if call.generation is not None:
-        priority = min(call.priority, _LAST_PRIORITY)
-        lines.append(b'%s: %d' % (headers.REQUEST_PRIORITY, priority))
+        lines.append(b'%s: %d' % (headers.REQUEST_PRIORITY, call.rank))
     if last_event_id:
         lines.append(b'%s: %s' % (headers.LAST_EVENT_ID, last_event_id))
     if call.body or call.method not in {'GET', 'HEAD'}:
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -320,7 +320,7 @@
         target, choice = placed
         progress.avoided.add(target.name)
         progress.target = target.name
-        run = _make_run(call, target)
+        run = _make_run(call, choice)
         with self.board.running(run):
             connection = await self._connect(target)
             try:
@@ -358,6 +358,7 @@
         progress.sends += 1
         progress.is_pending = True
         sending.sent_at = boot_time()
+        self._note_send(call, progress, sending)
         head = await self._receive_head(call, progress, sending, exchange)
         progress.is_pending = False
         verdict = self.format.judge(call, sending.target, head)
@@ -377,6 +378,31 @@
             return await self._pass_on(call, responder, progress, sending, head)
         raise await self._read_rejection(call, sending, verdict, head)
 
+    def _note_send(
+        self,
+        call: InboundCall,
+        progress: Progress,
+        sending: 'Sending',
+    ) -> None:
+        """Log which target was chosen, and by what."""
+        chosen = sending.choice.candidate
+        self.log(
+            'request_routed',
+            request=call.request_id,
+            target=sending.target.name,
+            sends=progress.sends,
+            rank=call.rank,
+            ahead=chosen.load.waiting,
+            ahead_tokens=sum(chosen.load.waiting_tokens.values()),
+            new_tokens=chosen.new_tokens,
+            running=chosen.load.running,
+            held_tokens=chosen.load.held_tokens,
+            failing=chosen.health.failure_share,
+            slowness=chosen.health.slowness,
+            wait_s=sending.choice.wait_s,
+            choose_s=sending.sent_at - call.received_at,
+        )
+
     async def _receive_head(
         self,
         call: InboundCall,
@@ -534,17 +560,19 @@
         raise TryError('unreachable', has_run=False) from error
 
 
-def _make_run(call: InboundCall, target: KnownTarget) -> Run:
+def _make_run(call: InboundCall, choice: Choice) -> Run:
     generation = call.generation
     if generation is None:
-        return Run(target.name, 0, 0)
+        return Run(choice.name, 0, 0)
     needs: tuple[str, ...] = (generation.model,)
     if generation.adapter:
         needs = (*needs, f'{generation.model}/{generation.adapter}')
+    chosen = choice.candidate
     return Run(
-        target.name,
-        generation.prompt_tokens,
-        generation.likely_output_tokens,
+        choice.name,
+        chosen.new_tokens,
+        chosen.total_tokens,
+        call.rank,
         needs,
     )
 
--- a/ebonywell/routetable.py
+++ b/ebonywell/routetable.py
@@ -5,6 +5,8 @@
 import random
 from dataclasses import dataclass, field
 
+from .urgency import UrgencyKey, rank
+
 
 class RequestKind(enum.StrEnum):
     """Whether a request may run more than once, and how it is answered."""
@@ -180,6 +182,14 @@
     idle_timeout_s: float
 
 
+def urgency_key(route: Route, workspace: WorkspaceLimit | None) -> UrgencyKey:
+    """Return what decides the rank of a workspace's requests on a route."""
+    priority = route.priority
+    if workspace is not None and workspace.priority is not None:
+        priority = workspace.priority
+    return priority, route.priority, route.goal_s
+
+
 def digest_key(key: str) -> bytes:
     """Return the digest by which a key is kept and looked up."""
     return hashlib.sha256(key.encode('utf-8', 'surrogateescape')).digest()
@@ -208,9 +218,17 @@
     key_owners: dict[bytes, str]
     limits: CallerLimits
     engines: dict[str, EngineSpec] = field(init=False)
+    ranks: dict[UrgencyKey, int] = field(init=False)
 
     def __post_init__(self) -> None:
-        """Index the services that are model engines."""
+        """Index the services that are model engines, and rank the routes."""
+        owners = [None, *self.workspaces.values()]
+        self.ranks = rank(
+            urgency_key(route, owner)
+            for routes in self.routes.values()
+            for route in routes.values()
+            for owner in owners
+        )
         self.engines = {
             name: service.engine
             for name, service in self.services.items()
@@ -238,6 +256,10 @@
             end = path.rfind('/', 0, end)
         return None
 
+    def rank_of(self, route: Route, workspace: WorkspaceLimit | None) -> int:
+        """Return how urgent a request is; 0 goes first."""
+        return self.ranks[urgency_key(route, workspace)]
+
     def find_workspace(self, key: str) -> WorkspaceLimit | None:
         """Return the workspace that holds a key."""
         owner = self.key_owners.get(digest_key(key))
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -13,6 +13,7 @@
 
 from .health import TargetHealth
 from .loadboard import TargetLoad
+from .urgency import tokens_ahead
 
 # Prompt tokens that an engine reads in a millisecond, from the deployments'
 # sheets, less the steps of running requests in between.
@@ -55,6 +56,8 @@
         Prompt tokens of the request that it does not keep already.
     total_tokens : int
         Prompt and output tokens of the request.
+    rank : int
+        How urgent the request is; 0 goes first.
     is_near : bool
         Whether it is in this host's availability zone.
     lacks_adapter : bool
@@ -68,6 +71,7 @@
     cache_tokens: int = 0
     new_tokens: int = 0
     total_tokens: int = 0
+    rank: int = 0
     is_near: bool = True
     lacks_adapter: bool = False
 
@@ -83,11 +87,14 @@
         The time to its first byte by its load alone.
     wait_s : float
         The same, as slow as the target was of late.
+    candidate : Candidate
+        What was known of the target.
     """
 
     name: str
     expected_s: float
     wait_s: float
+    candidate: Candidate
 
 
 def expect_ms(candidate: Candidate) -> float:
@@ -97,7 +104,8 @@
         ahead = load.waiting + load.running
         queued = max(0, ahead + 1 - candidate.slots)
         return PLAIN_REQUEST_MS * (1 + queued / candidate.slots)
-    tokens = load.waiting_tokens + candidate.new_tokens
+    tokens = tokens_ahead(load.waiting_tokens, candidate.rank)
+    tokens += candidate.new_tokens
     busy_ms = tokens / PROMPT_TOKENS_PER_MS + STEP_MS
     full = load.waiting + load.running + 1 - candidate.slots
     wanted = load.held_tokens + candidate.total_tokens
@@ -129,5 +137,6 @@
                 candidate.name,
                 expected_ms / MS_PER_S,
                 wait_ms / MS_PER_S,
+                candidate,
             )
     return best
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -110,9 +110,7 @@
         able: list[KnownTarget],
     ) -> tuple[KnownTarget, Choice] | None:
         engine = self.engine_of(call.service)
-        candidates = [
-            self._describe(call.generation, known, engine) for known in able
-        ]
+        candidates = [self._describe(call, known, engine) for known in able]
         choice = choose(candidates, self.rng)
         if choice is None:
             return None
@@ -120,11 +118,12 @@
 
     def _describe(
         self,
-        generation: Generation | None,
+        call: InboundCall,
         known: KnownTarget,
         engine: EngineSpec | None,
     ) -> Candidate:
         now = boot_time()
+        generation = call.generation
         load = self.board.total(known.name, now)
         health = self.health.look(known.name, now)
         is_near = known.said.zone == self.zone
@@ -149,6 +148,7 @@
             engine.cache_tokens,
             max(0, generation.prompt_tokens - kept),
             generation.prompt_tokens + generation.likely_output_tokens,
+            call.rank,
             is_near,
             not known.holds(generation.model, generation.adapter),
         )
