Demand averaged over 1.5 s; a found renewal is no sign of life; library logs as events

Demand: cause: copies followed a demand that moves within six seconds by more than two.

Each host that claimed got a conflict, read the renewal, and took it for a sign of life for 0.9 s more; orders began 2.5 s after the freeze. The test of a frozen holder now sets the time of the last sign of life, which the claim goes by.

Logs: asyncio wrote hundreds of unformatted lines when a thawed host wrote to closed connections; what libraries log is an event now, bounded like others.

--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -92,6 +92,10 @@
         From when on this holder gives orders.
     other_at : float
         When another holder may last have renewed.
+    heard_at : float
+        When there was last a sign that the holder lives: word of it, or a
+        claim that was not known before. A renewal found in the store is none,
+        since it may have been written just before the holder stopped.
     newest_fence : int
         The newest fencing token that this host has heard of.
     """
@@ -103,6 +107,7 @@
     renewed_at: float = -math.inf
     may_order_at: float = math.inf
     other_at: float = -math.inf
+    heard_at: float = -math.inf
     newest_fence: int = 0
 
     def note_heard(self, heard: Digest, now: float) -> None:
@@ -116,6 +121,7 @@
         self.newest_fence = heard.fence
         if heard.is_proven:
             self.other_at = now
+            self.heard_at = now
             self.end = max(self.end or 0, heard.lease_end)
         if heard.is_ordering and self.fence and self.fence < heard.fence:
             self.note_lost()
@@ -131,7 +137,10 @@
         self.end = end
         if record is None or record.is_released:
             return
-        self.newest_fence = max(self.newest_fence, record.fence or offset + 1)
+        fence = record.fence or offset + 1
+        if fence > self.newest_fence:
+            self.heard_at = now
+        self.newest_fence = max(self.newest_fence, fence)
         self.other_at = now
 
     def note_claimed(self, offset: int, sent_at: float, now: float) -> None:
@@ -182,7 +191,7 @@
     def may_claim(self, now: float, rank: int) -> bool:
         """Return whether no holder has been heard of for long enough."""
         silence_s = HOLDER_SILENCE_S + min(rank, MAX_RANK) * RANK_GAP_S
-        return now - self.other_at >= silence_s
+        return now - self.heard_at >= silence_s
 
 
 class Leadership:
--- a/ebonywell/linelog.py
+++ b/ebonywell/linelog.py
@@ -1,6 +1,7 @@
 """Writes log lines to standard output without ever blocking the process."""
 
 import collections
+import logging
 import os
 import select
 import sys
@@ -8,7 +9,7 @@
 from typing import Any
 
 from .clock import boot_time
-from .logs import format_event
+from .logs import Logger, format_event
 
 # Lines that wait while nobody reads the output; the oldest are dropped.
 MAX_PENDING_LINES = 2000
@@ -18,6 +19,7 @@
 # A pipe that is ready takes this much without blocking (PIPE_BUF).
 PIPE_BYTES = 4096
 _NO_TIMEOUT = 0
+_FORMATTER = logging.Formatter()
 
 
 class LineLog:
@@ -100,3 +102,36 @@
         line = format_event(event, **self.bound, **shown)
         now = time.time()
         self.pending.append(f'time={now:.6f} {line}\n'.encode())
+
+
+class LibraryHandler(logging.Handler):
+    """Writes what libraries log as events, bounded like all others.
+
+    Attributes
+    ----------
+    log : Logger
+    """
+
+    def __init__(self, log: Logger) -> None:
+        super().__init__()
+        self.log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one message, with the trace of its exception."""
+        trace = None
+        if record.exc_info:
+            trace = _FORMATTER.formatException(record.exc_info)
+        self.log(
+            'library_message',
+            logger=record.name,
+            level=record.levelname.lower(),
+            text=record.getMessage(),
+            trace=trace,
+        )
+
+
+def capture_library_messages(log: Logger) -> None:
+    """Have the messages of libraries written as events."""
+    root = logging.getLogger()
+    root.handlers[:] = [LibraryHandler(log)]
+    root.setLevel(logging.WARNING)
--- a/ebonywell/modeldemand.py
+++ b/ebonywell/modeldemand.py
@@ -10,7 +10,7 @@
 
 # Demand is averaged over about this long: short enough for a demand that
 # moves within seconds, long enough for a few requests of a rare model.
-AVERAGE_S = 2.5
+AVERAGE_S = 1.5
 # Below this, in milliseconds of work a second, a model counts as idle.
 LEAST_WORK_MS = 0.5
 # Milliseconds of an engine that a token costs, in a batch that is half full;
--- /dev/null
+++ b/ebonywell/overload.py
@@ -0,0 +1,43 @@
+"""Decides whether a request is better refused than queued.
+
+Pure. The load that it answers: more requests for a model than the engines
+that hold it can answer in time. Each engine does as much however long its
+queue is, so a long queue makes every answer late, while a short one serves as
+many callers and tells the others at once to come back.
+"""
+
+# A caller whose first byte cannot come within this part of its patience is
+# better told so at once.
+PATIENCE_SHARE = 0.8
+# The longest queue, in goals of the request at its end: callers still take an
+# answer that is somewhat late, and estimates err.
+QUEUE_GOALS = 1.2
+# The least pause before a refused caller comes back.
+OVERLOAD_RETRY_S = 0.5
+
+
+def longest_wait_s(goal_s: float, patience_s: float) -> float:
+    """Return the longest wait for a first byte that is worth a caller's while.
+
+    Parameters
+    ----------
+    goal_s : float
+        Within which the operator wants the first byte.
+    patience_s : float
+        After which the caller leaves.
+    """
+    return min(patience_s * PATIENCE_SHARE, goal_s * QUEUE_GOALS)
+
+
+def refusal_s(wait_s: float, goal_s: float, patience_s: float) -> float:
+    """Return after how long a refused caller comes back, 0 to admit it.
+
+    Parameters
+    ----------
+    wait_s : float
+        For its first byte, at the best target.
+    goal_s, patience_s : float
+        See `longest_wait_s`.
+    """
+    excess_s = wait_s - longest_wait_s(goal_s, patience_s)
+    return max(OVERLOAD_RETRY_S, excess_s) if excess_s > 0 else 0
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -9,7 +9,7 @@
 from .. import server
 from ..hostprocess import HostProcess
 from ..hostsettings import HostSettings
-from ..linelog import LineLog
+from ..linelog import LineLog, capture_library_messages
 from ..translators import Translators
 from ..transport import HttpClient
 from . import catalog, exchange, orders, targets
@@ -47,6 +47,7 @@
     """Run a host until it is told to stop."""
     lines = LineLog(host=settings.name)
     log = lines.event
+    capture_library_messages(log)
     silence_server_log()
     async with HttpClient() as client, HttpClient() as engine_client:
         store = StoreClient(settings.store_address, client)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,5 +1,6 @@
 """Logs that never block, and the way from a request's id to its cause."""
 
+import logging
 import os
 import subprocess
 import sys
@@ -7,7 +8,12 @@
 import anyio
 
 from ebonywell.explain import explain, parse_line
-from ebonywell.linelog import MAX_PENDING_LINES, LineLog
+from ebonywell.linelog import (
+    MAX_LINES_PER_S,
+    MAX_PENDING_LINES,
+    LineLog,
+    capture_library_messages,
+)
 from lab.standin_http import Reply
 from tests.platformworld import configuration, play
 
@@ -51,6 +57,29 @@
     os.close(writer)
 
 
+def test_messages_of_libraries_become_events_of_one_line():
+    reader, writer = os.pipe()
+    root = logging.getLogger()
+    before = root.handlers[:], root.level
+    log = LineLog(writer, host='h')
+    capture_library_messages(log.event)
+    try:
+        for _ in range(3 * MAX_LINES_PER_S):
+            logging.getLogger('asyncio').warning('socket.send() raised')
+        try:
+            raise ValueError('bad')
+        except ValueError:
+            logging.getLogger('other').exception('task failed')
+    finally:
+        root.handlers[:], root.level = before
+    lines = read(reader).splitlines()
+    assert len(lines) <= MAX_LINES_PER_S
+    assert 'logger=asyncio level=warning' in lines[0]
+    assert all(line.startswith('time=') for line in lines)
+    os.close(reader)
+    os.close(writer)
+
+
 def test_a_line_is_read_back_as_it_was_written():
     line = parse_line('time=1.5 event=x host=h why="a b c" n=3')
     assert (line.at, line.event) == (1.5, 'x')
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -13,6 +13,7 @@
     PROOF_S,
     UNPROVEN_S,
     Leadership,
+    LeaseRecord,
     LeaseState,
 )
 from ebonywell.logs import discard_event
@@ -91,6 +92,31 @@
     assert state.other_at == 100
 
 
+def test_a_renewal_found_in_the_store_is_no_sign_of_life():
+    state = LeaseState(3, is_fenced=True)
+    state.note_heard(digest(5, end=5), 100)
+    # The holder renewed and stopped before it could tell anybody.
+    state.note_read(LeaseRecord('other', 1, 5), 5, 6, 101)
+    assert state.may_claim(101, 0)
+    state.note_claimed(6, 101, 101)
+    assert state.may_order(101 + FENCED_WAIT_S)
+
+
+def test_without_fences_that_renewal_keeps_its_time():
+    state = LeaseState(3)
+    state.note_heard(digest(5, end=5), 100)
+    state.note_read(LeaseRecord('other', 1, 5), 5, 6, 101)
+    state.note_claimed(6, 101, 101)
+    assert not state.may_order(103.9)
+
+
+def test_a_claim_that_was_not_known_is_a_sign_of_life():
+    state = LeaseState(3, is_fenced=True)
+    state.note_heard(digest(5, end=5), 100)
+    state.note_read(LeaseRecord('third', 1, 0), 7, 8, 101)
+    assert not state.may_claim(101.5, 0)
+
+
 def make(store, name, state=None):
     return Leadership(
         store,
@@ -159,7 +185,7 @@
         one, other = make(store, 'one'), make(store, 'other')
         await step(one)
         await other._read()
-        other.state.other_at = float('-inf')
+        other.state.heard_at = float('-inf')
         await step(other)
         one.state.renewed_at = 0
         await step(one)
--- a/tests/test_request_decisions.py
+++ b/tests/test_request_decisions.py
@@ -1,6 +1,7 @@
 """Routes, keys, freshness, targets' choice, health and retry budgets."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -32,6 +33,7 @@
     digest_key,
 )
 from ebonywell.selection import Candidate, choose, expect_ms
+from ebonywell.urgency import RANKS, rank
 
 LIMITS = CallerLimits(1000, 5000, 15)
 
@@ -226,7 +228,7 @@
 
 
 def candidate(name, waiting_tokens=0, running=0, failing=0.0, slow=1.0, **more):
-    load = TargetLoad(waiting_tokens, 0, running, 0)
+    load = TargetLoad({0: waiting_tokens}, 0, running, 0)
     health = TargetHealth(failing, slow)
     return Candidate(name, load, health, 64, 150_000, 2000, 2100, **more)
 
@@ -243,15 +245,50 @@
 
 def test_a_kept_prompt_is_worth_some_waiting():
     kept = Candidate(
-        'kept', TargetLoad(800), TargetHealth(), 64, 150_000, 500, 2100
+        'kept', TargetLoad({0: 800}), TargetHealth(), 64, 150_000, 500, 2100
     )
     assert chosen(candidate('a'), kept) == 'kept'
 
 
+def test_less_urgent_requests_are_hardly_waited_for():
+    behind = candidate('a', 20_000, rank=1)
+    ahead = candidate('a', 20_000, rank=0)
+    usual = TargetLoad({1: 20_000})
+    first = Candidate('b', usual, TargetHealth(), 64, 150_000, 2000, 2100)
+    assert expect_ms(ahead) == expect_ms(behind)
+    assert expect_ms(first) < expect_ms(ahead) / 2
+
+
+def test_requests_are_ranked_by_priority_then_route_then_goal():
+    keys = [(1, 1, 1.5), (1, 0, 0.5), (0, 2, 0.9), (1, 1, 0.6), (1, 1, 1.5)]
+    ranks = rank(keys)
+    assert sorted(ranks, key=ranks.get) == sorted(set(keys))
+    assert len(set(ranks.values())) == 4
+
+
+@given(st.sets(st.tuples(st.integers(), st.integers(), st.floats(0, 9))))
+def test_ranks_keep_the_order_and_their_bounds(keys):
+    ranks = rank(keys)
+    ordered = [ranks[key] for key in sorted(keys)]
+    assert ordered == sorted(ordered)
+    assert all(0 <= one < RANKS for one in ordered)
+
+
+def test_a_workspace_s_priority_goes_before_the_route_s():
+    first = replace(route('/a/'), priority=0, goal_s=1)
+    second = replace(route('/b/'), priority=1, goal_s=1)
+    made = configuration(routes=(first, second))
+    made.workspaces['team'] = replace(made.workspaces['team'], priority=0)
+    made = replace(made)
+    team = made.workspaces['team']
+    assert made.rank_of(first, team) < made.rank_of(second, team)
+    assert made.rank_of(second, team) < made.rank_of(second, None)
+
+
 def test_a_full_cache_is_avoided():
     full = Candidate(
         'full',
-        TargetLoad(0, 0, 60, 149_000),
+        TargetLoad({}, 0, 60, 149_000),
         TargetHealth(),
         64,
         150_000,
@@ -275,12 +312,13 @@
 
 def test_loads_of_peers_count_while_they_are_young():
     board = LoadBoard()
-    board.peers['p'] = PeerLoads({'t': TargetLoad(500, 1, 2, 900)}, 10)
-    run = Run('t', 100, 20)
+    board.peers['p'] = PeerLoads({'t': TargetLoad({0: 500}, 1, 2, 900)}, 10)
+    run = Run('t', 100, 120, 1)
     with board.running(run):
-        assert board.total('t', 10.5).waiting_tokens == 600
+        assert board.total('t', 10.5).waiting_tokens == {0: 500, 1: 100}
         board.start(run)
         assert board.total('t', 10.5).running == 3
+        assert board.total('t', 10.5).waiting_tokens == {0: 500}
         assert board.total('t', 20).held_tokens == 120
     assert board.own == {}
 
