What is known of orders belongs to a lease; a holder that hears the others goes on loading

Between the claim of a lease and the next look of the provisioner, a load of an adapter had begun on records that the provisioner then replaced, and went on with an empty one. Records now belong to a lease, and an order decided by replaced records is not given. The test failed first (with the replacement as the provisioner did it).

With fenced targets it goes on while it hears most other hosts, as it would hear of the next holder.

--- a/ebonywell/adapterloads.py
+++ b/ebonywell/adapterloads.py
@@ -165,6 +165,7 @@
                     return False
                 answer = await self.ordering.order(
                     known,
+                    track,
                     Action.load_adapter,
                     wanted.model,
                     wanted.adapter,
@@ -204,6 +205,7 @@
         model, _, adapter = oldest.partition('/')
         answer = await self.ordering.order(
             known,
+            track,
             Action.unload_adapter,
             model,
             adapter,
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -84,6 +84,7 @@
             LeaseState(settings.bounds.lease_s, settings.bounds.is_fenced),
             self.is_ready,
             self._rank,
+            lambda: self.known.fleet.is_minority(boot_time()),
             log,
             rng,
         )
--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -32,8 +32,9 @@
 # nothing for an order given now.
 PROOF_S = 1.6
 # Where targets refuse an older fencing token, a holder that lost touch with
-# the store goes on with orders that do not ask the weight store, until it
-# hears of another holder.
+# the store goes on with its orders until it hears of another holder. One that
+# might not hear of it asks nothing of the weight store, whose bound counts
+# the loads of both.
 UNPROVEN_S = 12.0
 # There a new holder need not wait for the lease to run out: late orders of the
 # one before are refused. This lets its orders under way arrive.
@@ -204,6 +205,8 @@
         Whether this host could do the holder's work now.
     rank : callable
         This host's place among those in touch, from 0.
+    is_cut_off : callable
+        Whether this host might not hear of another holder.
     """
 
     def __init__(
@@ -214,6 +217,7 @@
         state: LeaseState,
         is_wanted: Callable[[], bool],
         rank: Callable[[], int],
+        is_cut_off: Callable[[], bool],
         log: Logger,
         rng: random.Random,
     ) -> None:
@@ -224,6 +228,7 @@
         self.state = state
         self.is_wanted = is_wanted
         self.rank = rank
+        self.is_cut_off = is_cut_off
         self.log = log
         self.rng = rng
 
@@ -239,7 +244,10 @@
 
     def may_order(self) -> bool:
         """Return whether this host may give any order now."""
-        return self.state.may_order(boot_time())
+        now = boot_time()
+        if self.state.may_order(now):
+            return True
+        return self.state.may_order_near(now) and not self.is_cut_off()
 
     def may_order_near(self) -> bool:
         """Return whether it may give orders that ask no weight store."""
--- a/ebonywell/orderbook.py
+++ b/ebonywell/orderbook.py
@@ -114,6 +114,9 @@
     Attributes
     ----------
     life : (str, int)
+    fence : int
+        Of the lease under which this was learnt; orders that other hosts gave
+        in between are not in it.
     is_busy : bool
         Whether a model's order is under way.
     arriving, leaving : set of str
@@ -133,6 +136,7 @@
     """
 
     life: tuple[str, int]
+    fence: int
     is_busy: bool = False
     arriving: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -45,10 +45,14 @@
     tracks: dict[str, OrderTrack] = field(default_factory=dict)
 
     def track(self, known: KnownTarget) -> OrderTrack:
-        """Return what is known of the orders to one life of a target."""
+        """Return what is known of the orders to one life of a target.
+
+        It begins anew with each lease.
+        """
+        fence = self.leadership.state.fence
         track = self.tracks.get(known.name)
-        if track is None or track.life != known.life:
-            track = OrderTrack(known.life)
+        if track is None or (track.life, track.fence) != (known.life, fence):
+            track = OrderTrack(known.life, fence)
             self.tracks[known.name] = track
         return track
 
@@ -61,6 +65,7 @@
             Whether its report reflects all orders that are known, and it
             carries out no order for a model.
         """
+        track = self.track(known)
         try:
             report = await self.client.report(known)
         except TransportError as error:
@@ -73,7 +78,8 @@
         if report.order_count < known.order_count:
             return False
         known.confirm(report.order_count, report.models, boot_time())
-        track = self.track(known)
+        if self.track(known) is not track:
+            return False
         track.adapters = present_adapters(report)
         track.is_synced = True
         return not report.is_busy
@@ -81,11 +87,24 @@
     async def order(
         self,
         known: KnownTarget,
+        track: OrderTrack,
         action: Action,
         model: str,
-        adapter: str,
+        adapter: str = '',
     ) -> OrderAnswer:
-        """Give an order, if this host may, and return its answer."""
+        """Give an order, if this host may, and return its answer.
+
+        Parameters
+        ----------
+        known : KnownTarget
+        track : OrderTrack
+            By which the order was decided; the caller has its turn. If it has
+            been replaced meanwhile, the order is not given.
+        action : Action
+        model, adapter : str
+        """
+        if self.track(known) is not track:
+            return OrderAnswer.unproven
         is_near = action is not Action.load or model in known.said.near_weights
         is_allowed = (
             self.leadership.may_order_near()
@@ -103,7 +122,7 @@
             self.leadership.state.fence,
         )
         answer = await self.client.order(known, order)
-        self._note_answer(known, order, answer)
+        _note_answer(known, track, order, answer)
         if answer is OrderAnswer.unreachable:
             known.refused_at = boot_time()
         if answer is OrderAnswer.fenced:
@@ -120,27 +139,6 @@
         )
         return answer
 
-    def _note_answer(
-        self,
-        known: KnownTarget,
-        order: EngineOrder,
-        answer: OrderAnswer,
-    ) -> None:
-        track = self.track(known)
-        name = f'{order.model}/{order.adapter}'
-        if not _is_counted(order.action, answer):
-            # It may have come after orders that are not known here.
-            track.is_synced = answer is OrderAnswer.held
-            return
-        known.order_count = order.order_count + 1
-        if order.action is Action.load_adapter:
-            track.adapters.add(name)
-        elif answer is OrderAnswer.held:
-            track.adapters.discard(name)
-        else:
-            # A model or an adapter in use goes when its requests have ended.
-            track.is_synced = False
-
 
 def resident_message(known: KnownTarget) -> ResidentMessage:
     """Return the news of what a target holds, for the other hosts."""
@@ -155,6 +153,27 @@
     )
 
 
+def _note_answer(
+    known: KnownTarget,
+    track: OrderTrack,
+    order: EngineOrder,
+    answer: OrderAnswer,
+) -> None:
+    name = f'{order.model}/{order.adapter}'
+    if not _is_counted(order.action, answer):
+        # It may have come after orders that are not known here.
+        track.is_synced = answer is OrderAnswer.held
+        return
+    known.order_count = order.order_count + 1
+    if order.action is Action.load_adapter:
+        track.adapters.add(name)
+    elif answer is OrderAnswer.held:
+        track.adapters.discard(name)
+    else:
+        # A model or an adapter in use goes when its requests have ended.
+        track.is_synced = False
+
+
 def _is_counted(action: Action, answer: OrderAnswer) -> bool:
     """Return whether an engine counts an order.
 
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -148,8 +148,6 @@
         if is_holder == self.was_holder:
             return
         self.was_holder = is_holder
-        # What another holder ordered since is not in the tracks.
-        self.ordering.tracks.clear()
         self.paces.clear()
         self.log('orders_begin' if is_holder else 'orders_end')
 
@@ -283,7 +281,12 @@
         is_far = swap.load not in known.said.near_weights
         with pace.loading(is_far=is_far), track.swapping(swap):
             async with track.turn:
-                is_ordered = await self._order_swap(swap, known, engine)
+                is_ordered = await self._order_swap(
+                    swap,
+                    known,
+                    track,
+                    engine,
+                )
             if is_ordered:
                 await self._await_swap(swap, known, engine)
             else:
@@ -294,6 +297,7 @@
         self,
         swap: Swap,
         known: KnownTarget,
+        track: OrderTrack,
         engine: EngineSpec,
     ) -> bool:
         """Give the orders of a swap, and return whether all were taken."""
@@ -307,19 +311,20 @@
             known.drop(model, '')
             known.confirmed_at = boot_time()
             await self.link.tell(resident_message(known), ())
-            if not await self._order_next(known, Action.unload, model):
+            if not await self._order_next(known, track, Action.unload, model):
                 return False
-        return await self._order_next(known, Action.load, swap.load)
+        return await self._order_next(known, track, Action.load, swap.load)
 
     async def _order_next(
         self,
         known: KnownTarget,
+        track: OrderTrack,
         action: Action,
         model: str,
     ) -> bool:
         """Give an order once the one before it has been carried out."""
         for _ in range(BUSY_TRIES):
-            answer = await self.ordering.order(known, action, model, '')
+            answer = await self.ordering.order(known, track, action, model)
             if answer in TAKEN:
                 return True
             if answer not in _PASSING:
--- /dev/null
+++ b/tests/test_adapterloads.py
@@ -0,0 +1,127 @@
+"""Adapters on engines, over changes of the host that gives the orders."""
+
+import random
+
+import anyio
+import pytest
+
+from ebonywell.adapterloads import AdapterLoads, Wanted
+from ebonywell.inventory import Announcement, Inventory, Resident, TargetState
+from ebonywell.leadership import Leadership, LeaseState
+from ebonywell.loadboard import LoadBoard
+from ebonywell.logs import discard_event
+from ebonywell.orderbook import EngineClient, OrderAnswer, TargetReport
+from ebonywell.ordering import Ordering
+from ebonywell.orders import Action
+from ebonywell.routetable import EngineSpec, ModelSpec
+
+SLOTS = 3
+ENGINE = EngineSpec(
+    8, 1000, 100, SLOTS, 1, {'m': ModelSpec('m', 10, 1, 1, 1, 9, 1)}
+)
+
+
+class Engine:
+    """An engine that counts its orders and breaks when it is overfilled."""
+
+    def __init__(self, adapters):
+        self.adapters = set(adapters)
+        self.orders = 0
+        self.is_broken = False
+        self.before_report = lambda: None
+
+    async def report(self, known):
+        await anyio.sleep(0)
+        self.before_report()
+        resident = Resident('m', frozenset(self.adapters))
+        return TargetReport(1, self.orders, False, {'m': resident})
+
+    async def order(self, known, order):
+        await anyio.sleep(0)
+        if order.order_count != self.orders:
+            return OrderAnswer.conflict
+        self.orders += 1
+        if order.action is Action.unload_adapter:
+            self.adapters.discard(order.adapter)
+            return OrderAnswer.held
+        self.adapters.add(order.adapter)
+        self.is_broken |= len(self.adapters) > SLOTS
+        return OrderAnswer.accepted
+
+
+class Link:
+    async def tell(self, message, names):
+        self.told = message
+
+    def used_adapters(self):
+        return set()
+
+
+def make(engine):
+    state = LeaseState(3, is_fenced=True)
+    leadership = Leadership(
+        None, 'own', 'one', state, bool, int, bool, discard_event,
+        random.Random(1),
+    )  # fmt: skip
+    inventory = Inventory()
+    said = Announcement(
+        't', 1, 'pool', 'ip:1', 'zone', TargetState.ready, 8,
+        {'m': Resident('m')},
+    )  # fmt: skip
+    inventory.announce(said, 0)
+    client = EngineClient(engine.report, engine.order)
+    ordering = Ordering('one', leadership, client, discard_event)
+    loads = AdapterLoads(inventory, LoadBoard(), ordering, lambda name: ENGINE)
+    loads.link = Link()
+    return loads, state
+
+
+def wanted(adapter):
+    return Wanted('pool', 'm', adapter)
+
+
+def lead(state, monkeypatch, fence):
+    monkeypatch.setattr('ebonywell.leadership.boot_time', lambda: 100.0)
+    state.note_claimed(fence - 1, 100, 100)
+    state.may_order_at = 0
+
+
+def test_a_full_engine_gives_up_its_oldest_adapter(monkeypatch):
+    async def play():
+        for adapter in ('a1', 'a2', 'a3', 'a4'):
+            loads.askers[wanted(adapter)] = set()
+            await loads.bring(wanted(adapter))
+
+    engine = Engine(())
+    loads, state = make(engine)
+    lead(state, monkeypatch, 1)
+    anyio.run(play)
+    assert engine.adapters == {'a2', 'a3', 'a4'}
+    assert not engine.is_broken
+
+
+@pytest.mark.parametrize('fence', [2, 7])
+def test_a_new_lease_in_the_midst_of_a_load_overfills_no_engine(
+    monkeypatch, fence
+):
+    async def play():
+        for adapter in ('a4', 'a5'):
+            loads.askers[wanted(adapter)] = set()
+        async with anyio.create_task_group() as group:
+            group.start_soon(loads.bring, wanted('a4'))
+            group.start_soon(loads.bring, wanted('a5'))
+
+    engine = Engine({'a1', 'a2', 'a3'})
+    loads, state = make(engine)
+    lead(state, monkeypatch, 1)
+
+    def change():
+        # Another host had the lease meanwhile, and this one has it again.
+        engine.before_report = lambda: None
+        lead(state, monkeypatch, fence)
+        loads.ordering.tracks.clear()
+
+    engine.before_report = change
+    anyio.run(play)
+    assert not engine.is_broken
+    assert len(engine.adapters) == SLOTS
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -117,7 +117,7 @@
     assert not state.may_claim(101.5, 0)
 
 
-def make(store, name, state=None):
+def make(store, name, state=None, *, is_cut_off=False):
     return Leadership(
         store,
         'own',
@@ -125,6 +125,7 @@
         state or LeaseState(3),
         lambda: True,
         int,
+        lambda: is_cut_off,
         discard_event,
         random.Random(1),
     )
@@ -137,6 +138,20 @@
         pass
 
 
+@pytest.mark.parametrize('is_fenced', [True, False])
+@pytest.mark.parametrize('is_cut_off', [True, False])
+def test_without_the_store_a_holder_that_hears_the_others_goes_on(
+    monkeypatch, is_fenced, is_cut_off
+):
+    monkeypatch.setattr('ebonywell.leadership.boot_time', lambda: 105.0)
+    state = holder(is_fenced=is_fenced)
+    one = make(MemoryStore(), 'one', state, is_cut_off=is_cut_off)
+    assert one.may_order() == (is_fenced and not is_cut_off)
+    assert one.may_order_near() == is_fenced
+    state.note_heard(digest(9), 105)
+    assert not one.may_order()
+
+
 def test_of_two_that_race_one_gets_the_lease():
     async def play():
         store = MemoryStore()
