Refuses requests whose model is not coming; heavy load played on a virtual clock

The holder of the lease now tells in its digest what it loads; a request for another absent model is refused after 0.45 s, by then it would have been told of.

--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -80,6 +80,9 @@
     loads, usage, demand : tuple
     adapters : tuple of str
         Used in the last second, as ``model/adapter``.
+    coming : tuple of (str, str)
+        Services and models that a holder of the lease has loads under way
+        for.
     """
 
     name: str
@@ -98,6 +101,7 @@
     usage: tuple[UsageShare, ...] = ()
     demand: tuple[ModelDemand, ...] = ()
     adapters: tuple[str, ...] = ()
+    coming: tuple[tuple[str, str], ...] = ()
 
 
 class DigestMessage(msgspec.Struct, frozen=True, array_like=True, tag='d'):
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -3,7 +3,6 @@
 import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import anyio
 
@@ -14,22 +13,19 @@
 from .logs import Logger
 from .metrics import Metrics
 from .modeldemand import DemandBook
+from .overload import (
+    ABSENT_RETRY_S,
+    PATIENCE_SHARE,
+    absent_refusal_s,
+    refusal_s,
+)
 from .proxying import MAX_SENDS, Outcome, Progress, Proxy, Verdict
 from .selection import Choice
 from .targeting import Targeting, holder_name
-from .wants import MODEL_S
+from .wants import MODEL_S, Wants
 
 # Between two looks at whether a model or an adapter has come to a target.
 LOOK_GAP_S = 0.02
-# A caller whose first event cannot come within this part of its patience is
-# better told so at once.
-PATIENCE_SHARE = 0.8
-OVERLOAD_RETRY_S = 0.5
-# An engine does as much however long its queue is. With a queue longer than the
-# goal all answers are late; a shorter one serves as many callers in time.
-QUEUE_GOALS = 1.2
-# A model that nobody holds needs an order and a load, about this long.
-ABSENT_RETRY_S = 1.0
 # An adapter that takes longer to come to the best target is used elsewhere.
 ADAPTER_WAIT_S = 0.25
 _UNAVAILABLE = 503
@@ -37,13 +33,6 @@
 _CLIENT_CLOSED = 499
 
 
-class Want(Protocol):
-    """Asks for what a request misses; see `Wants.want`."""
-
-    def __call__(self, call: InboundCall, target: str = '') -> float:
-        """Return after how many seconds it may be there."""
-
-
 @dataclass(slots=True)
 class Active:
     """A request that is being served, and how to end it."""
@@ -63,9 +52,8 @@
     proxy : Proxy
     charge : callable
         Takes a request's tokens from its workspace's limit, or raises.
-    want : callable
-        Asks for a missing model or adapter, and returns after how many
-        seconds it may be there; infinite if it cannot be.
+    wants : Wants
+        Asks for missing models and adapters.
     demand : DemandBook
     active : dict of int to Active
         Requests that are being served.
@@ -75,7 +63,7 @@
     targeting: Targeting
     proxy: Proxy
     charge: Charge
-    want: Want
+    wants: Wants
     demand: DemandBook
     log: Logger
     metrics: Metrics
@@ -209,16 +197,9 @@
         if placed is None:
             raise RejectionError(_UNAVAILABLE, 'no_target', ABSENT_RETRY_S)
         patience_s = min(call.patience_s, call.deadline - boot_time())
-        limit_s = min(
-            patience_s * PATIENCE_SHARE, QUEUE_GOALS * call.route.goal_s
-        )
-        excess_s = placed[1].wait_s - limit_s
-        if excess_s > 0:
-            raise RejectionError(
-                _UNAVAILABLE,
-                'overloaded',
-                max(OVERLOAD_RETRY_S, excess_s),
-            )
+        pause_s = refusal_s(placed[1].wait_s, call.route.goal_s, patience_s)
+        if pause_s:
+            raise RejectionError(_UNAVAILABLE, 'overloaded', pause_s)
         return placed
 
     async def _bring_adapter(self, call: InboundCall) -> None:
@@ -235,14 +216,14 @@
         known = best[0]
         with anyio.move_on_after(ADAPTER_WAIT_S):
             while not known.holds(generation.model, generation.adapter):
-                if math.isinf(self.want(call, known.name)):
+                if math.isinf(self.wants.want(call, known.name)):
                     return
                 await anyio.sleep(LOOK_GAP_S)
 
     async def _wait_for_target(self, call: InboundCall) -> None:
         """Ask for what is missing, and wait if it may come in time."""
         patience_s = min(call.patience_s, call.deadline - boot_time())
-        wait_s = self.want(call)
+        wait_s = self.wants.want(call)
         if wait_s > patience_s * PATIENCE_SHARE:
             raise RejectionError(
                 _UNAVAILABLE,
@@ -251,17 +232,25 @@
             )
         if call.generation is None:
             return
-        with (
-            self.demand.waiting(
-                call.service,
-                call.generation,
-                is_absent=wait_s >= MODEL_S,
-            ),
-            anyio.move_on_after(patience_s * PATIENCE_SHARE),
+        is_absent = wait_s >= MODEL_S
+        with self.demand.waiting(
+            call.service,
+            call.generation,
+            is_absent=is_absent,
         ):
+            began_at = boot_time()
             while not self.targeting.able(call, set()):
                 await anyio.sleep(LOOK_GAP_S)
-                self.want(call)
+                self.wants.want(call)
+                is_coming = not is_absent or self.wants.is_coming(call)
+                pause_s = absent_refusal_s(
+                    boot_time() - began_at,
+                    patience_s,
+                    is_coming=is_coming,
+                )
+                if pause_s:
+                    reason = 'no_target' if is_coming else 'model_not_coming'
+                    raise RejectionError(_UNAVAILABLE, reason, pause_s)
 
     def _note(
         self,
--- a/ebonywell/holderlink.py
+++ b/ebonywell/holderlink.py
@@ -20,6 +20,8 @@
 from .leadership import Leadership
 from .modeldemand import DemandBook, ModelKey, add_up
 
+Coming = tuple[tuple[str, str], ...]
+
 
 @dataclass(slots=True)
 class HolderLink:
@@ -37,6 +39,8 @@
         Of this host.
     serve_want : callable
         Sees to a question where this host is the holder.
+    own_coming : callable
+        Models with loads under way where this host is the holder.
     outbox : list of Wanted
         Questions that are to be asked.
     """
@@ -48,6 +52,7 @@
     leadership: Leadership
     demand: DemandBook
     serve_want: Callable[[Wanted, str], None]
+    own_coming: Callable[[], Coming]
     outbox: list[Wanted] = field(default_factory=list)
     asked: anyio.Event = field(default_factory=anyio.Event)
 
@@ -70,6 +75,13 @@
         """Return whether some host gives orders, as far as is known."""
         return self.leadership.may_order_near() or self._find() is not None
 
+    def list_coming(self) -> Coming:
+        """Return the services and models with loads under way."""
+        if self.leadership.may_order_near():
+            return self.own_coming()
+        holder = self._find()
+        return () if holder is None else holder.coming
+
     def take(self, message: Message) -> None:
         """Take a message of another host."""
         match message:
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -12,7 +12,7 @@
 from .hostgauges import add_host_gauges, add_traffic_gauges
 from .hostknowledge import Knowledge
 from .hostsettings import HostSettings
-from .leadership import Leadership, LeaseState
+from .leadership import Leadership, LeaseState, Standing
 from .logs import Logger
 from .metrics import Metrics
 from .modelservices import make_model_services
@@ -82,9 +82,11 @@
             translators.own_topic,
             settings.name,
             LeaseState(settings.bounds.lease_s, settings.bounds.is_fenced),
-            self.is_ready,
-            self._rank,
-            lambda: self.known.fleet.is_minority(boot_time()),
+            Standing(
+                self.is_ready,
+                self._rank,
+                lambda: self.known.fleet.is_minority(boot_time()),
+            ),
             log,
             rng,
         )
@@ -108,7 +110,7 @@
             settings,
             self.known,
             self.pool,
-            self.models.wants.want,
+            self.models.wants,
             translators,
             Observers(log, self.metrics, rng),
         )
@@ -215,6 +217,7 @@
             self.known.limits.usage(now),
             self.known.demand.snapshot(now),
             self.known.demand.used_adapters(now),
+            self.models.provisioner.list_coming(),
         )
 
     def _note_digest(self, digest: Digest) -> None:
--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -195,18 +195,32 @@
         return now - self.heard_at >= silence_s
 
 
-class Leadership:
-    """Claims and renews the lease for this host.
+@dataclass(slots=True, frozen=True)
+class Standing:
+    """How a host stands among the others.
 
     Attributes
     ----------
-    state : LeaseState
     is_wanted : callable
-        Whether this host could do the holder's work now.
+        Whether it could do the holder's work now.
     rank : callable
-        This host's place among those in touch, from 0.
+        Its place among those in touch, from 0.
     is_cut_off : callable
-        Whether this host might not hear of another holder.
+        Whether it might not hear of another holder.
+    """
+
+    is_wanted: Callable[[], bool]
+    rank: Callable[[], int]
+    is_cut_off: Callable[[], bool]
+
+
+class Leadership:
+    """Claims and renews the lease for this host.
+
+    Attributes
+    ----------
+    state : LeaseState
+    standing : Standing
     """
 
     def __init__(
@@ -215,9 +229,7 @@
         topic: str,
         name: str,
         state: LeaseState,
-        is_wanted: Callable[[], bool],
-        rank: Callable[[], int],
-        is_cut_off: Callable[[], bool],
+        standing: Standing,
         log: Logger,
         rng: random.Random,
     ) -> None:
@@ -226,9 +238,7 @@
         self.name = name
         self.life = 0
         self.state = state
-        self.is_wanted = is_wanted
-        self.rank = rank
-        self.is_cut_off = is_cut_off
+        self.standing = standing
         self.log = log
         self.rng = rng
 
@@ -247,7 +257,7 @@
         now = boot_time()
         if self.state.may_order(now):
             return True
-        return self.state.may_order_near(now) and not self.is_cut_off()
+        return self.state.may_order_near(now) and not self.standing.is_cut_off()
 
     def may_order_near(self) -> bool:
         """Return whether it may give orders that ask no weight store."""
@@ -272,11 +282,11 @@
             if now - self.state.renewed_at >= RENEW_GAP_S:
                 await self._renew()
             return
-        if not self.is_wanted():
+        if not self.standing.is_wanted():
             return
         if self.state.end is None:
             await self._read()
-        if self.state.may_claim(now, self.rank()):
+        if self.state.may_claim(now, self.standing.rank()):
             await self._claim()
 
     async def _read(self) -> LeaseRecord | None:
--- a/ebonywell/linelog.py
+++ b/ebonywell/linelog.py
@@ -133,5 +133,7 @@
 def capture_library_messages(log: Logger) -> None:
     """Have the messages of libraries written as events."""
     root = logging.getLogger()
-    root.handlers[:] = [LibraryHandler(log)]
+    for handler in tuple(root.handlers):
+        root.removeHandler(handler)
+    root.addHandler(LibraryHandler(log))
     root.setLevel(logging.WARNING)
--- a/ebonywell/modelservices.py
+++ b/ebonywell/modelservices.py
@@ -64,9 +64,15 @@
         leadership,
         known.demand,
         provisioner.want,
+        provisioner.list_coming,
     )
     provisioner.link = link
     adapters.link = link
     gossip.take_message = link.take
-    wants = Wants(known.inventory, link.has_holder, link.ask)
+    wants = Wants(
+        known.inventory,
+        link.has_holder,
+        link.ask,
+        link.list_coming,
+    )
     return ModelServices(wants, link, provisioner)
--- a/ebonywell/overload.py
+++ b/ebonywell/overload.py
@@ -14,6 +14,11 @@
 QUEUE_GOALS = 1.2
 # The least pause before a refused caller comes back.
 OVERLOAD_RETRY_S = 0.5
+# By then the holder of the lease has been asked for a model, has decided, and
+# has told of the load: a question, a decision and two digests.
+DECISION_S = 0.45
+# A model that nobody holds needs an order and a load, about this long.
+ABSENT_RETRY_S = 1.0
 
 
 def longest_wait_s(goal_s: float, patience_s: float) -> float:
@@ -41,3 +46,31 @@
     """
     excess_s = wait_s - longest_wait_s(goal_s, patience_s)
     return max(OVERLOAD_RETRY_S, excess_s) if excess_s > 0 else 0
+
+
+def absent_refusal_s(
+    waited_s: float,
+    patience_s: float,
+    *,
+    is_coming: bool,
+) -> float:
+    """Return after how long the caller of an absent model comes back.
+
+    Parameters
+    ----------
+    waited_s : float
+        For the model, until now.
+    patience_s : float
+        For which the caller would have waited.
+    is_coming : bool
+        Whether a load of the model is under way.
+
+    Returns
+    -------
+    float
+        0 if the request is to wait on.
+    """
+    longest_s = patience_s * PATIENCE_SHARE
+    if not is_coming:
+        longest_s = min(longest_s, DECISION_S)
+    return ABSENT_RETRY_S if waited_s >= longest_s else 0
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -144,6 +144,18 @@
         if is_new and self.group is not None:
             self.group.start_soon(self.adapters.bring, wanted)
 
+    def list_coming(self) -> tuple[tuple[str, str], ...]:
+        """Return the services and models with loads under way."""
+        if not self.ordering.leadership.may_order_near():
+            return ()
+        pairs = {
+            (known.said.service, model)
+            for name, track in self.ordering.tracks.items()
+            if (known := self.inventory.targets.get(name)) is not None
+            for model in track.arriving
+        }
+        return tuple(pairs)
+
     def _note_holder(self, *, is_holder: bool) -> None:
         if is_holder == self.was_holder:
             return
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from .gateway import Gateway, Want
+from .gateway import Gateway
 from .hostknowledge import Knowledge
 from .hostsettings import HostSettings
 from .logs import Logger
@@ -15,6 +15,7 @@
 from .targeting import Targeting
 from .translators import Translators
 from .upstream import ConnectionPool
+from .wants import Wants
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,7 +31,7 @@
     settings: HostSettings,
     known: Knowledge,
     pool: ConnectionPool,
-    want: Want,
+    wants: Wants,
     translators: Translators,
     observers: Observers,
 ) -> Gateway:
@@ -66,7 +67,7 @@
         targeting,
         proxy,
         make_charge(known.limits, observers.log),
-        want,
+        wants,
         known.demand,
         observers.log,
         observers.metrics,
--- a/ebonywell/routetable.py
+++ b/ebonywell/routetable.py
@@ -223,11 +223,11 @@
     def __post_init__(self) -> None:
         """Index the services that are model engines, and rank the routes."""
         owners = [None, *self.workspaces.values()]
+        routes = [
+            route for named in self.routes.values() for route in named.values()
+        ]
         self.ranks = rank(
-            urgency_key(route, owner)
-            for routes in self.routes.values()
-            for route in routes.values()
-            for owner in owners
+            urgency_key(route, owner) for route in routes for owner in owners
         )
         self.engines = {
             name: service.engine
--- a/ebonywell/turnover.py
+++ b/ebonywell/turnover.py
@@ -25,7 +25,7 @@
 LEAST_GAIN = 0.06
 # An unload waits for the runs of its model, and its engine takes no other
 # order meanwhile.
-UNLOAD_WEIGHT = 0.35
+UNLOAD_WEIGHT = 2.0
 # A copy that is put into free memory costs next to nothing.
 LEAST_FREE_GAIN = 0.004
 # A model stays at least that long after it came.
--- a/ebonywell/urgency.py
+++ b/ebonywell/urgency.py
@@ -45,7 +45,10 @@
         Prompt tokens of waiting requests by rank.
     own_rank : int
     """
-    return sum(
-        tokens * (1 if waiting_rank <= own_rank else LESS_URGENT_SHARE)
+    total = sum(waiting.values())
+    before = sum(
+        tokens
         for waiting_rank, tokens in waiting.items()
+        if waiting_rank <= own_rank
     )
+    return before + LESS_URGENT_SHARE * (total - before)
--- a/ebonywell/wants.py
+++ b/ebonywell/wants.py
@@ -28,12 +28,15 @@
         Whether some host gives orders now, as far as this one knows.
     ask : callable
         Sends a question to the holder of the lease.
+    list_coming : callable
+        Returns the services and models with loads under way.
     asked_at : dict of Wanted to float
     """
 
     inventory: Inventory
     has_holder: Callable[[], bool]
     ask: Callable[[Wanted], None]
+    list_coming: Callable[[], tuple[tuple[str, str], ...]]
     asked_at: dict[Wanted, float] = field(default_factory=dict)
 
     def want(self, call: InboundCall, target: str = '') -> float:
@@ -64,6 +67,13 @@
         expected_s = ADAPTER_S if generation.adapter else 0
         return expected_s if is_present else expected_s + MODEL_S
 
+    def is_coming(self, call: InboundCall) -> bool:
+        """Return whether a load of a request's model is under way."""
+        generation = call.generation
+        if generation is None:
+            return False
+        return (call.service, generation.model) in self.list_coming()
+
     def expire(self, now: float) -> None:
         """Forget questions that may be asked again."""
         for wanted, asked_at in list(self.asked_at.items()):
--- a/lab/measure.py
+++ b/lab/measure.py
@@ -35,6 +35,7 @@
     'limits_bench',
     'placement_bench',
     'requests_bench',
+    'serving_bench',
     'state_bench',
     'configuration_bench',
     'capacity',
--- /dev/null
+++ b/lab/serving_bench.py
@@ -0,0 +1,86 @@
+"""Measures what callers get under heavy load, by way of serving them."""
+
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+import cyclopts
+
+from .serving_demand import SMALL_SITE, Scenario
+from .serving_play import MakePolicy, bound, play, worth_share
+from .serving_policies import least_recent, product, static
+
+app = cyclopts.App()
+LOADS = {
+    'as sized': Scenario(SMALL_SITE),
+    'half as much again': Scenario(SMALL_SITE, load=1.5),
+    'twice as much': Scenario(SMALL_SITE, load=2.0),
+    'three engines lost': Scenario(SMALL_SITE, load=1.2, engines=6),
+    'fast shifts': Scenario(SMALL_SITE, load=1.4, engines=8, shift_s=4),
+}
+WAYS: dict[str, MakePolicy] = {
+    'static, shortest queue': static,
+    'least recently used on demand': least_recent,
+    'the product': product,
+}
+ROUNDS = 3
+_PERCENT = 100
+
+
+@dataclass(slots=True, frozen=True)
+class ServingRow:
+    """One measurement.
+
+    Attributes
+    ----------
+    what : str
+    case : str
+    value : float
+    unit : str
+    """
+
+    what: str
+    case: str
+    value: float
+    unit: str
+
+
+def measure(seed: int) -> Iterator[ServingRow]:
+    """Iterate over the worth that each way earns of what it could."""
+    for load, scenario in LOADS.items():
+        rounds = [
+            replace(scenario, seed=seed + number) for number in range(ROUNDS)
+        ]
+        bounds = [bound(one) for one in rounds]
+        yield _row(f'{load}: worth', 'bound by the work', bounds)
+        for way, make_policy in WAYS.items():
+            played = [play(one, make_policy) for one in rounds]
+            shares = [worth_share(one) for one in played]
+            yield _row(f'{load}: worth', way, shares)
+            for kind in played[0]:
+                shares = [one[kind].share for one in played]
+                yield _row(f'{load}: {kind}', way, shares)
+
+
+def _row(what: str, case: str, shares: list[float]) -> ServingRow:
+    mean = sum(shares) / len(shares)
+    return ServingRow(what, case, round(mean * _PERCENT, 1), '%')
+
+
+@app.default
+def main(*, seed: int = 1) -> None:
+    """Print all measurements.
+
+    Parameters
+    ----------
+    seed
+        Of everything random.
+    """
+    for row in measure(seed):
+        sys.stdout.write(
+            f'{row.what:28} {row.case:32} {row.value:6.1f} {row.unit}\n'
+        )
+
+
+if __name__ == '__main__':
+    app()
--- a/lab/serving_demand.py
+++ b/lab/serving_demand.py
@@ -73,7 +73,7 @@
 
 @dataclass(slots=True, eq=False)
 class Request:
-    """One attempt's request.
+    """One request, over all its caller's attempts.
 
     Attributes
     ----------
@@ -81,6 +81,8 @@
     generation : Generation
     arrived_at : float
         The first attempt's arrival.
+    asked_at : float
+        The last attempt's arrival.
     deadline : float
     returns : int
         How often its caller may still come back.
@@ -89,6 +91,7 @@
     kind: Kind
     generation: Generation
     arrived_at: float
+    asked_at: float
     deadline: float
     returns: int = 1
 
@@ -133,6 +136,7 @@
             kind,
             Generation(model, '', prompt, output, output),
             now,
+            now,
             now + kind.deadline_s,
         )
         now += rng.expovariate(total)
--- a/lab/serving_engines.py
+++ b/lab/serving_engines.py
@@ -1,4 +1,4 @@
-"""Model engines on a virtual clock: batches, prompts by rank, loads, unloads."""
+"""Engines on a virtual clock: batches, prompts by rank, loads, unloads."""
 
 from dataclasses import dataclass, field
 
@@ -71,11 +71,13 @@
         """Whether it carries out orders."""
         return bool(self.unloading or self.loading)
 
+    def coming(self) -> tuple[str, ...]:
+        """Return the model that is on its way, if any."""
+        return (self.loading,) if self.loading else ()
+
     def used_models(self) -> frozenset[str]:
         """Return the models that requests run on."""
-        return frozenset(
-            run.request.generation.model for run in self.runs
-        )
+        return frozenset(one.request.generation.model for one in self.runs)
 
     def take(self, request: Request, new_tokens: int) -> EngineRun:
         """Begin a request."""
@@ -95,30 +97,42 @@
     def step(self, now: float, step_s: float) -> list[EngineRun]:
         """Work for a while; return the requests that ended."""
         self._carry_out(now)
-        running = [run for run in self.runs if run.first_at is not None]
+        batch = self.runs[:SLOTS]
+        running = [one for one in batch if one.first_at is not None]
         step_ms = STEP_MS + STEP_MS_PER_RUN * len(running)
-        for run in running:
-            run.output_left -= step_s * _MS / step_ms
-        budget = step_s * _MS * PROMPT_TOKENS_PER_MS
-        for run in self.runs[:SLOTS]:
-            if run.first_at is None and budget > 0:
-                read = min(budget, run.prompt_left)
-                budget -= read
-                run.prompt_left -= read
-                if run.prompt_left <= 0:
-                    run.first_at = now + step_s
-        ended = [run for run in self.runs if run.output_left <= 0]
-        self.runs = [run for run in self.runs if run.output_left > 0]
+        for producing in running:
+            producing.output_left -= step_s * _MS / step_ms
+        self._read_prompts(batch, now + step_s, step_s)
+        ended = [one for one in batch if one.output_left <= 0]
+        self.runs = [one for one in self.runs if one.output_left > 0]
         return ended
 
+    def _read_prompts(
+        self,
+        batch: list[EngineRun],
+        until: float,
+        step_s: float,
+    ) -> None:
+        budget = step_s * _MS * PROMPT_TOKENS_PER_MS
+        for run in batch:
+            if run.first_at is not None:
+                continue
+            read = min(budget, run.prompt_left)
+            budget -= read
+            run.prompt_left -= read
+            if run.prompt_left <= 0:
+                run.first_at = until
+            if budget <= 0:
+                break
+
     def _carry_out(self, now: float) -> None:
         used = self.used_models()
         self.unloading = [one for one in self.unloading if one in used]
         if self.unloading or not self.loading:
             return
         if self.loaded_at is None:
-            is_near = self.loading in self.near
-            self.loaded_at = now + (NEAR_LOAD_S if is_near else LOAD_S)
+            load_s = NEAR_LOAD_S if self.loading in self.near else LOAD_S
+            self.loaded_at = now + load_s
         if now >= self.loaded_at:
             self._finish_load(now)
 
--- a/lab/serving_play.py
+++ b/lab/serving_play.py
@@ -1,23 +1,15 @@
 """Plays heavy load on virtual engines: the product's decisions, plainer ones.
 
-Callers' outcomes are compared, and with what the engines could do at most.
-`python -m lab.serving_play` prints the tables of several loads.
+Callers' outcomes are compared, and with what the engines could do at most;
+`lab.serving_bench` prints the tables.
 """
 
 import random
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ebonywell.overload import longest_wait_s
-
-from .serving_demand import (
-    SMALL_SITE,
-    Request,
-    Scenario,
-    make_requests,
-    model_sizes,
-)
+from .serving_demand import Request, Scenario, make_requests, model_sizes
 from .serving_engines import (
     ENGINE_BYTES,
     PROMPT_TOKENS_PER_MS,
@@ -88,6 +80,10 @@
         """Return the engines that hold a model."""
         return [one for one in self.engines.values() if model in one.models]
 
+    def is_coming(self, model: str) -> bool:
+        """Return whether a load of a model is under way."""
+        return any(one.loading == model for one in self.engines.values())
+
     def free_bytes(self, engine: VirtualEngine) -> int:
         """Return the memory that nothing takes or is on its way to."""
         held = [*engine.models, *engine.unloading]
@@ -109,6 +105,12 @@
         engine.order(unloads, load)
 
 
+Choose = Callable[
+    [Request, float],
+    tuple[VirtualEngine, int, float] | None,
+]
+
+
 @dataclass(slots=True, frozen=True)
 class Policy:
     """One way to serve.
@@ -132,9 +134,7 @@
     """
 
     place: Callable[[float], None]
-    choose: Callable[
-        [Request, float], tuple[VirtualEngine, int, float] | None
-    ]
+    choose: Choose
     refuse_s: Callable[[Request, float, float], float]
     news: Callable[[float], None] = lambda now: None
     began: Callable[[EngineRun, VirtualEngine], None] = lambda run, on: None
@@ -218,10 +218,12 @@
         due = [one for at, one in self.returning if at <= now]
         self.returning = [pair for pair in self.returning if pair[0] > now]
         for request in due:
+            request.asked_at = now
             self._admit(request, now)
 
     def _serve_waiting(self, now: float) -> None:
-        waiting, self.floor.waiting = self.floor.waiting, []
+        waiting = self.floor.waiting
+        self.floor.waiting = []
         for request in waiting:
             self._admit(request, now)
 
@@ -289,7 +291,7 @@
     requests = list(make_requests(scenario))
     owed = sum(request.work_worth for request in requests)
     left_ms = scenario.engines * (scenario.duration_s + 1) * _MS
-    earned = 0.0
+    earned: float = 0
     for request in sorted(requests, key=_worth_per_token, reverse=True):
         left_ms -= request.generation.prompt_tokens / PROMPT_TOKENS_PER_MS
         if left_ms < 0:
@@ -311,15 +313,3 @@
     """Return the time to read all prompts that wait at an engine."""
     left = sum(run.prompt_left for run in engine.runs)
     return left / PROMPT_TOKENS_PER_MS / _MS
-
-
-def gives_up_s(request: Request) -> float:
-    """Return the longest wait that is worth a request's while."""
-    return longest_wait_s(request.kind.goal_s, patience_s(request))
-
-
-def loads(seeds: range, factors: tuple[float, ...]) -> Iterator[Scenario]:
-    """Iterate over the scenarios that are compared."""
-    for factor in factors:
-        for seed in seeds:
-            yield Scenario(SMALL_SITE, load=factor, seed=seed)
--- a/lab/serving_policies.py
+++ b/lab/serving_policies.py
@@ -3,26 +3,27 @@
 import itertools
 import random
 from collections import Counter
+from contextlib import ExitStack
+from dataclasses import dataclass
 
 from ebonywell.health import TargetHealth
 from ebonywell.loadboard import LoadBoard, PeerLoads, Run, TargetLoad
 from ebonywell.modeldemand import DemandBook
-from ebonywell.overload import refusal_s
+from ebonywell.overload import ABSENT_RETRY_S, absent_refusal_s, refusal_s
 from ebonywell.selection import Candidate, choose
 from ebonywell.turnover import Budget, EngineState, Fleet, ModelState
 
 from .serving_demand import Request
 from .serving_engines import SLOTS, EngineRun, VirtualEngine
 from .serving_play import (
+    Choose,
     Floor,
     Policy,
-    gives_up_s,
     patience_s,
     queue_wait_s,
 )
 
 CACHE_TOKENS = 150_000
-ABSENT_RETRY_S = 1.0
 _SERVICE = 'pool'
 _MS = 1000.0
 
@@ -42,9 +43,7 @@
     shortest = _shortest(floor)
 
     def place(now: float) -> None:
-        wanted = Counter(
-            one.generation.model for one in floor.waiting
-        )
+        wanted = Counter(one.generation.model for one in floor.waiting)
         coming = {engine.loading for engine in floor.engines.values()}
         for model, _ in wanted.most_common():
             if model not in coming:
@@ -68,21 +67,29 @@
     idle = [one for one in floor.engines.values() if not one.is_busy]
     if not idle:
         return
-    plans = []
-    for engine in idle:
-        oldest = sorted(engine.models, key=lambda one: used_at.get(one, -1))
-        missing = floor.sizes[model] - floor.free_bytes(engine)
-        unloads = []
-        while missing > 0 and oldest:
-            unloads.append(oldest.pop(0))
-            missing -= floor.sizes[unloads[-1]]
-        newest = max((used_at.get(one, -1) for one in unloads), default=-2)
-        plans.append((newest, engine.name, unloads))
+    plans = [_plan_room(floor, model, engine, used_at) for engine in idle]
     _, name, unloads = min(plans)
     floor.order(floor.engines[name], unloads, model)
 
 
-def _shortest(floor: Floor):  # noqa: ANN202 - see `Policy.choose`
+def _plan_room(
+    floor: Floor,
+    model: str,
+    engine: VirtualEngine,
+    used_at: dict[str, float],
+) -> tuple[float, str, list[str]]:
+    """Return what would go, and when the newest of that was last used."""
+    oldest = sorted(engine.models, key=lambda one: used_at.get(one, -1))
+    missing = floor.sizes[model] - floor.free_bytes(engine)
+    unloads = []
+    while missing > 0 and oldest:
+        unloads.append(oldest.pop(0))
+        missing -= floor.sizes[unloads[-1]]
+    newest = max((used_at.get(one, -1) for one in unloads), default=-2)
+    return newest, engine.name, unloads
+
+
+def _shortest(floor: Floor) -> Choose:
     def choosing(
         request: Request,
         now: float,
@@ -96,6 +103,15 @@
     return choosing
 
 
+@dataclass(slots=True, frozen=True)
+class Counted:
+    """How a run is counted on the board of the host that chose its engine."""
+
+    board: LoadBoard
+    run: Run
+    scope: ExitStack
+
+
 class ProductState:
     """The hosts' knowledge, with the lag that it has in a deployment.
 
@@ -107,8 +123,7 @@
     demand : DemandBook
     asked_at : dict of str to float
         When each model was last asked for.
-    runs : dict of EngineRun to context manager
-        What counts each run on its host's board.
+    counting : dict of EngineRun to Counted
     """
 
     def __init__(self, floor: Floor) -> None:
@@ -118,15 +133,15 @@
         self.host = 0
         self.demand = DemandBook()
         self.asked_at: dict[str, float] = {}
-        self.counting: dict[EngineRun, tuple[LoadBoard, Run, object]] = {}
+        self.counting: dict[EngineRun, Counted] = {}
         self.seen: set[int] = set()
         self.rng = random.Random(floor.scenario.seed)
 
     def news(self, now: float) -> None:
         """Have each host hear of the others' loads."""
-        for run, (board, counted, _) in self.counting.items():
+        for run, counted in self.counting.items():
             if run.first_at is not None:
-                board.start(counted)
+                counted.board.start(counted.run)
         snapshots = [
             {
                 target: TargetLoad(
@@ -192,30 +207,30 @@
             (generation.model,),
         )
         board = self.boards[self.host]
-        scope = board.running(counted)
-        scope.__enter__()
-        self.counting[run] = (board, counted, scope)
+        scope = ExitStack()
+        scope.enter_context(board.running(counted))
+        self.counting[run] = Counted(board, counted, scope)
 
     def ended(self, run: EngineRun) -> None:
         """Count a run no more."""
-        board, counted, scope = self.counting.pop(run)
+        counted = self.counting.pop(run)
         if run.first_at is not None:
-            board.start(counted)
-        scope.__exit__(None, None, None)
+            counted.board.start(counted.run)
+        counted.scope.close()
 
     def place(self, now: float) -> None:
         """Decide on models as the holder of the lease does."""
         floor = self.floor
-        fleet = Fleet(self._view_engines(), self._view_models(now), now)
+        fleet = Fleet(self._view_engines(now), self._view_models(now), now)
         for swap in fleet.decide(Budget(int(floor.store_loads))):
             floor.order(floor.engines[swap.target], swap.unloads, swap.load)
 
-    def _view_engines(self) -> list[EngineState]:
+    def _view_engines(self, now: float) -> list[EngineState]:
         return [
             EngineState(
                 engine.name,
                 self.floor.free_bytes(engine),
-                engine.models | ({engine.loading: 0} if engine.loading else {}),
+                engine.models | dict.fromkeys(engine.coming(), now),
                 frozenset(engine.near),
                 engine.is_busy,
                 engine.used_models(),
@@ -224,15 +239,12 @@
         ]
 
     def _view_models(self, now: float) -> list[ModelState]:
-        waiting = Counter(
-            one.generation.model
-            for one in self.floor.waiting
-        )
+        waiting = Counter(one.generation.model for one in self.floor.waiting)
         asked = {
-            one.model: one.work_ms / _MS for one in self.demand.snapshot(now)
+            share.model: share.work_ms / _MS
+            for share in self.demand.snapshot(now)
         }
-        for model in asked:
-            self.asked_at[model] = now
+        self.asked_at.update(dict.fromkeys(asked, now))
         return [
             ModelState(
                 model,
@@ -251,9 +263,11 @@
 
     def refuse_s(request: Request, wait_s: float, now: float) -> float:
         if wait_s == float('inf'):
-            waited_s = now - request.arrived_at
-            longest_s = gives_up_s(request)
-            return ABSENT_RETRY_S if waited_s > longest_s else 0
+            return absent_refusal_s(
+                now - request.asked_at,
+                patience_s(request),
+                is_coming=floor.is_coming(request.generation.model),
+            )
         return refusal_s(wait_s, request.kind.goal_s, patience_s(request))
 
     return Policy(
--- a/tests/test_adapterloads.py
+++ b/tests/test_adapterloads.py
@@ -7,7 +7,7 @@
 
 from ebonywell.adapterloads import AdapterLoads, Wanted
 from ebonywell.inventory import Announcement, Inventory, Resident, TargetState
-from ebonywell.leadership import Leadership, LeaseState
+from ebonywell.leadership import Leadership, LeaseState, Standing
 from ebonywell.loadboard import LoadBoard
 from ebonywell.logs import discard_event
 from ebonywell.orderbook import EngineClient, OrderAnswer, TargetReport
@@ -21,6 +21,10 @@
 )
 
 
+def do_nothing():
+    """Change nothing."""
+
+
 class Engine:
     """An engine that counts its orders and breaks when it is overfilled."""
 
@@ -28,7 +32,7 @@
         self.adapters = set(adapters)
         self.orders = 0
         self.is_broken = False
-        self.before_report = lambda: None
+        self.before_report = do_nothing
 
     async def report(self, known):
         await anyio.sleep(0)
@@ -60,8 +64,8 @@
 def make(engine):
     state = LeaseState(3, is_fenced=True)
     leadership = Leadership(
-        None, 'own', 'one', state, bool, int, bool, discard_event,
-        random.Random(1),
+        None, 'own', 'one', state, Standing(bool, int, bool),
+        discard_event, random.Random(1),
     )  # fmt: skip
     inventory = Inventory()
     said = Announcement(
@@ -117,7 +121,7 @@
 
     def change():
         # Another host had the lease meanwhile, and this one has it again.
-        engine.before_report = lambda: None
+        engine.before_report = do_nothing
         lead(state, monkeypatch, fence)
         loads.ordering.tracks.clear()
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -6,6 +6,7 @@
 import sys
 
 import anyio
+import pytest
 
 from ebonywell.explain import explain, parse_line
 from ebonywell.linelog import (
@@ -57,21 +58,29 @@
     os.close(writer)
 
 
+@pytest.fixture
+def root_logger():
+    """Give the root logger back its handlers after a test."""
+    root = logging.getLogger()
+    before = tuple(root.handlers)
+    level = root.level
+    yield root
+    for handler in tuple(root.handlers):
+        root.removeHandler(handler)
+    for handler in before:
+        root.addHandler(handler)
+    root.setLevel(level)
+
+
+@pytest.mark.usefixtures('root_logger')
 def test_messages_of_libraries_become_events_of_one_line():
     reader, writer = os.pipe()
-    root = logging.getLogger()
-    before = root.handlers[:], root.level
     log = LineLog(writer, host='h')
     capture_library_messages(log.event)
-    try:
-        for _ in range(3 * MAX_LINES_PER_S):
-            logging.getLogger('asyncio').warning('socket.send() raised')
-        try:
-            raise ValueError('bad')
-        except ValueError:
-            logging.getLogger('other').exception('task failed')
-    finally:
-        root.handlers[:], root.level = before
+    for _ in range(3 * MAX_LINES_PER_S):
+        logging.getLogger('asyncio').warning('socket.send() raised')
+    error = ValueError('bad')
+    logging.getLogger('other').error('task failed', exc_info=error)
     lines = read(reader).splitlines()
     assert len(lines) <= MAX_LINES_PER_S
     assert 'logger=asyncio level=warning' in lines[0]
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -15,6 +15,7 @@
     Leadership,
     LeaseRecord,
     LeaseState,
+    Standing,
 )
 from ebonywell.logs import discard_event
 from tests.memorystore import MemoryStore
@@ -123,9 +124,7 @@
         'own',
         name,
         state or LeaseState(3),
-        lambda: True,
-        int,
-        lambda: is_cut_off,
+        Standing(lambda: True, int, lambda: is_cut_off),
         discard_event,
         random.Random(1),
     )
