Settings of our own, read again at SIGHUP; config check names all faults at once

ebonywell config check FILE reads a host's settings or a deploy file and says every fault with its place. The deploy file's template adds a level and a rate for the log, which a reload changes.

--- a/ebonywell/cmdline.py
+++ b/ebonywell/cmdline.py
@@ -9,6 +9,8 @@
 
 from . import config, entry, explain, opcommands
 from .exceptions import SettingsError
+from .platform.deployfile import check_deploy
+from .platform.settings import check_settings
 from .version import __version__
 
 EXIT_USAGE = 2
@@ -20,6 +22,8 @@
     config=Env('EBONYWELL_', command=False),
 )
 opcommands.register(app)
+config_app = App(name='config', help='Check configuration files.')
+app.command(config_app)
 
 
 @app.command(name='entry')
@@ -35,6 +39,28 @@
     entry.run(settings)
 
 
+@config_app.command(name='check')
+def check_config(path: Path) -> None:
+    """Say all that is wrong with a host's settings or a deploy file.
+
+    Parameters
+    ----------
+    path
+        A deploy file if its name ends with .toml, else a settings file.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeError) as error:
+        raise SettingsError(f'{path}: {error}') from error
+    check = check_deploy if path.suffix == '.toml' else check_settings
+    faults = check(text)
+    for fault in faults:
+        sys.stdout.write(f'{path}: {fault}\n')
+    if faults:
+        raise SettingsError(f'{len(faults)} faults in {path}')
+    sys.stdout.write(f'{path}: no faults\n')
+
+
 @app.command(name='explain')
 def explain_request(request_id: str, files: list[Path]) -> None:
     """Tell a request's story from the logs of several processes.
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+from collections.abc import Callable
 
 import anyio
 
@@ -42,6 +43,8 @@
         The request path.
     stopping : anyio.Event
         Set when the host begins to stop.
+    reload : callable
+        Called when the settings may have changed.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         log: Logger,
         rng: random.Random,
     ) -> None:
+        self.reload: Callable[[], None] = _keep_settings
         self.settings = settings
         self.log = log
         self.rng = rng
@@ -158,13 +162,14 @@
             await anyio.sleep(HOUSEKEEPING_S / 2)
 
     async def watch_signals(self) -> None:
-        """Return at the first signal to stop; log the others."""
+        """Return at the first signal to stop; reload at the others."""
         signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*signals) as received:
             async for number in received:
                 self.log('signal', number=int(number))
                 if number != signal.SIGHUP:
                     return
+                self.reload()
 
     def is_ready(self) -> bool:
         """Return whether callers may come."""
@@ -240,3 +245,7 @@
             self.known.health.keep(one.name for one in targets)
             self.pool.prune(frozenset(one.said.address for one in targets))
             await anyio.sleep(HOUSEKEEPING_S)
+
+
+def _keep_settings() -> None:
+    """Reload nothing."""
--- a/ebonywell/hostsettings.py
+++ b/ebonywell/hostsettings.py
@@ -37,6 +37,22 @@
     max_directory_ttl_s: float = 5
 
 
+@dataclass(slots=True, frozen=True)
+class LogSettings:
+    """How much a process logs.
+
+    Attributes
+    ----------
+    is_brief : bool
+        Whether only what went wrong is written.
+    lines_per_s : int
+        Of one event.
+    """
+
+    is_brief: bool = False
+    lines_per_s: int = 100
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class HostSettings:
     """One host's settings.
@@ -55,6 +71,8 @@
     store_address : str
         The ip:port of the shared store.
     bounds : Bounds
+    log : LogSettings
+        A reload changes it.
     """
 
     name: str
@@ -68,3 +86,4 @@
     memory_bytes: int
     store_address: str
     bounds: Bounds
+    log: LogSettings = LogSettings()
--- a/ebonywell/linelog.py
+++ b/ebonywell/linelog.py
@@ -18,10 +18,34 @@
 MAX_LINES_PER_S = 100
 # A pipe that is ready takes this much without blocking (PIPE_BUF).
 PIPE_BYTES = 4096
+# Events of a day without trouble, but for starts, stops and reloads.
+ROUTINE = frozenset(
+    (
+        'request_routed',
+        'placement_decided',
+        'order_given',
+        'target_announced',
+        'target_gone',
+        'configuration_applied',
+        'joined',
+        'limit_refused',
+        'peer_heard',
+    )
+)
+_CUT = 0
+_SERVER_ERROR = 500
 _NO_TIMEOUT = 0
 _FORMATTER = logging.Formatter()
 
 
+def is_trouble(event: str, fields: dict[str, Any]) -> bool:
+    """Return whether an event says that something went wrong."""
+    if event == 'request_ended':
+        status = int(fields['status'])
+        return status == _CUT or status >= _SERVER_ERROR
+    return event not in ROUTINE
+
+
 class LineLog:
     """The log of one process; `event` is its `Logger`.
 
@@ -34,6 +58,8 @@
         Lines that are not written yet.
     lines_per_s : int
         Of one event; a reload may change it.
+    is_brief : bool
+        Whether only what went wrong is written; a reload may change it.
     dropped : int
         Lines lost since the start because nobody read the output.
     """
@@ -45,6 +71,7 @@
         self.bound = bound
         self.pending: collections.deque[bytes] = collections.deque()
         self.lines_per_s = MAX_LINES_PER_S
+        self.is_brief = False
         self.dropped = 0
         self.second = 0
         self.counts: collections.Counter[str] = collections.Counter()
@@ -53,6 +80,8 @@
 
     def event(self, event: str, /, **fields: Any) -> None:
         """Write an event with its fields, unless too many came."""
+        if self.is_brief and not is_trouble(event, fields):
+            return
         self._begin_second()
         self.counts[event] += 1
         if self.counts[event] <= self.lines_per_s:
--- a/ebonywell/logs.py
+++ b/ebonywell/logs.py
@@ -1,11 +1,15 @@
 """Structured logs: one line of key=value pairs for each event."""
 
 import json
+import re
 from logging import Formatter
 from typing import Any, Protocol
 
 from absl import logging
 
+# Printable ASCII but for spaces, quotes, equals signs and backslashes.
+_PLAIN = re.compile(r'[!#-<>-\[\]-~]+')
+
 
 class Logger(Protocol):
     """Writes one event."""
@@ -51,9 +55,10 @@
 
 
 def _format_value(value: Any) -> str:
-    text = format(value, '.6g') if isinstance(value, float) else str(value)
-    is_plain = text.isprintable() and text and not set(text) & set(' "=\\')
-    return text if is_plain else json.dumps(text)
+    if isinstance(value, float):
+        return format(value, '.6g')
+    text = str(value)
+    return text if _PLAIN.fullmatch(text) else json.dumps(text)
 
 
 def write_event(event: str, /, **fields: Any) -> None:
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -1,5 +1,6 @@
 """Runs a host on the platform: its client, its sockets and its services."""
 
+import functools
 import random
 import socket
 
@@ -7,6 +8,7 @@
 import uvicorn
 
 from .. import server
+from ..exceptions import SettingsError
 from ..hostprocess import HostProcess
 from ..hostsettings import HostSettings
 from ..linelog import LineLog, capture_library_messages
@@ -14,6 +16,7 @@
 from ..transport import HttpClient
 from . import catalog, exchange, orders, targets
 from .app import Doors, silence_server_log
+from .settings import find_file, read_settings
 from .store import StoreClient
 
 # The platform keeps the newest record of each key in topics so named.
@@ -58,6 +61,8 @@
             log,
             random.Random(),
         )
+        host.reload = functools.partial(_reload, lines)
+        _apply_log_settings(lines, settings)
         log('started', zone=settings.zone, address=settings.caller_address)
         web = server.Server(_server_config(host))
         async with anyio.create_task_group() as group:
@@ -72,6 +77,27 @@
         lines.flush()
 
 
+def _reload(lines: LineLog) -> None:
+    """Read the settings again, and take over what may change in them."""
+    log = lines.event
+    try:
+        settings = read_settings(find_file())
+    except SettingsError as error:
+        log('settings_unreadable', why=str(error))
+        return
+    _apply_log_settings(lines, settings)
+    log(
+        'reloaded',
+        is_brief=lines.is_brief,
+        lines_per_s=lines.lines_per_s,
+    )
+
+
+def _apply_log_settings(lines: LineLog, settings: HostSettings) -> None:
+    lines.is_brief = settings.log.is_brief
+    lines.lines_per_s = settings.log.lines_per_s
+
+
 async def _flush(lines: LineLog) -> None:
     """Write what the output did not take at once."""
     while True:
--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -1,14 +1,15 @@
 """The settings file that the platform writes for a process."""
 
 import os
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Iterator, Mapping
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 import yaml
 
 from ..exceptions import SettingsError
-from ..hostsettings import Bounds, HostSettings
+from ..hostsettings import Bounds, HostSettings, LogSettings
+from ..structcheck import find_faults
 
 FILE_VARIABLE = 'EBONYWELL_NODE_FILE'
 _MS = 0.001
@@ -54,6 +55,11 @@
     platform: _Platform = msgspec.field(default_factory=_Platform)
 
 
+class _Log(msgspec.Struct):
+    level: Literal['info', 'warning'] = 'info'
+    lines_per_s: Annotated[int, msgspec.Meta(ge=1)] = 100
+
+
 def find_file(environment: Mapping[str, str] = os.environ) -> str:
     """Return the path of the settings file.
 
@@ -86,24 +92,65 @@
 
 def parse_settings(text: str, path: str) -> HostSettings:
     """Return the checked settings in a file's text; see `read_settings`."""
+    faults = check_settings(text)
+    if faults:
+        listed = '; '.join(faults)
+        raise SettingsError(f'{path}: {listed}')
+    given = _split(yaml.load(text, Loader=_LOADER))
+    return _translate(
+        msgspec.convert(given.host, _File, strict=False),
+        msgspec.convert(given.log, _Log, strict=False),
+    )
+
+
+def check_settings(text: str) -> list[str]:
+    """Return all faults of a settings file, each with its place."""
     try:
-        found = msgspec.convert(_load(text), _File, strict=False)
-    except (msgspec.ValidationError, yaml.YAMLError) as error:
-        line = ' '.join(str(error).split())
-        raise SettingsError(f'{path}: {line}') from error
+        given = _split(yaml.load(text, Loader=_LOADER))
+    except yaml.YAMLError as error:
+        return [' '.join(str(error).split())]
+    faults = [
+        *find_faults(given.host, _File, given.place),
+        *find_faults(given.log, _Log, 'log'),
+    ]
+    if not faults:
+        faults.extend(_find_empty(given))
+    return faults
+
+
+class _Given(NamedTuple):
+    """The platform's part of a file and this project's own.
+
+    Attributes
+    ----------
+    host, log : object
+    place : str
+        Where the platform's part stands; empty for the whole file.
+    """
+
+    host: Any
+    log: Any
+    place: str
+
+
+def _split(found: Any) -> _Given:
+    """Take a file apart; one without our template is all the platform's."""
+    if isinstance(found, Mapping) and 'host' in found:
+        return _Given(found['host'], found.get('log', {}), 'host')
+    return _Given(found, {}, '')
+
+
+def _find_empty(given: _Given) -> Iterator[str]:
+    found = msgspec.convert(given.host, _File, strict=False)
+    place = f'{given.place}.' if given.place else ''
     for name in ('front', 'ready', 'directory'):
         if not getattr(found.listen, name):
-            raise SettingsError(f'{path}: listen.{name} is missing')
+            yield f'{place}listen.{name}: is missing'
     if not found.platform.address:
-        raise SettingsError(f'{path}: platform.address is missing')
-    return _translate(found)
-
-
-def _load(text: str) -> Any:
-    return yaml.load(text, Loader=_LOADER)
+        yield f'{place}platform.address: is missing'
 
 
-def _translate(found: _File) -> HostSettings:
+def _translate(found: _File, log: _Log) -> HostSettings:
     return HostSettings(
         name=found.node,
         ip=found.ip,
@@ -116,6 +163,7 @@
         memory_bytes=int(found.limits.memory_mb) * 1024 * 1024,
         store_address=found.platform.address,
         bounds=_translate_bounds(found.bounds),
+        log=LogSettings(log.level == 'warning', log.lines_per_s),
     )
 
 
--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -180,7 +180,7 @@
             'platform': {'address': self.store_address},
         }  # fmt: skip
         with open(path, 'w', encoding='utf-8') as opened:
-            yaml.safe_dump(settings, opened)
+            yaml.safe_dump({'host': settings}, opened)
         log_path = os.path.join(self.folder, f'{name}.log')
         with open(log_path, 'w', encoding='utf-8') as log:
             process = subprocess.Popen(
@@ -193,6 +193,14 @@
         self.hosts[name] = Host(name, first, process, log_path)
         return self.hosts[name]
 
+    def set_log(self, host, **log):
+        """Change a host's own settings; it reads them at a reload."""
+        path = os.path.join(self.folder, f'{host.name}.yaml')
+        with open(path, encoding='utf-8') as opened:
+            settings = yaml.safe_load(opened)
+        with open(path, 'w', encoding='utf-8') as opened:
+            yaml.safe_dump({**settings, 'log': log}, opened)
+
     async def wait_ready(self):
         for host in self.hosts.values():
             with anyio.fail_after(START_S):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import signal
 import subprocess
 import sys
 
@@ -89,6 +90,38 @@
     os.close(writer)
 
 
+def test_a_brief_log_keeps_what_went_wrong():
+    reader, writer = os.pipe()
+    log = LineLog(writer)
+    log.is_brief = True
+    log.event('request_routed', request='r')
+    log.event('request_ended', request='r1', status=200)
+    log.event('request_ended', request='r2', status=503)
+    log.event('request_ended', request='r3', status=0)
+    log.event('store_lost', topic='t')
+    events = [parse_line(line).event for line in read(reader).splitlines()]
+    assert events == ['request_ended', 'request_ended', 'store_lost']
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reload_changes_how_much_is_logged(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        world.set_log(host, level='warning')
+        host.process.send_signal(signal.SIGHUP)
+        await world.wait_logged('event=reloaded')
+        before = host.log().count('event=request_ended')
+        assert (await world.ask(host, '/look/1')).status == 200
+        world.set_log(host, level='loud')
+        host.process.send_signal(signal.SIGHUP)
+        await world.wait_logged('event=settings_unreadable')
+        assert (await world.ask(host, '/look/1')).status == 200
+        assert host.log().count('event=request_ended') == before
+
+    play(tmp_path, story)
+
+
 def test_a_line_is_read_back_as_it_was_written():
     line = parse_line('time=1.5 event=x host=h why="a b c" n=3')
     assert (line.at, line.event) == (1.5, 'x')
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -25,6 +25,7 @@
 from ebonywell.inventory import Announcement, KnownTarget, TargetState
 from ebonywell.platform import (
     catalog,
+    deployfile,
     exchange,
     ingress,
     settings,
@@ -127,6 +128,55 @@
         settings.parse_settings(yaml.safe_dump(a_file(**changes)), 'f')
 
 
+def test_all_faults_of_a_settings_file_are_named_at_once():
+    file = {
+        'host': a_file(node=7.5, zone=None, bounds={'leaseMs': 'x'}),
+        'log': {'level': 'loud', 'lines_per_s': 0},
+    }
+    faults = settings.check_settings(yaml.safe_dump(file))
+    places = [one.partition(':')[0] for one in faults]
+    assert places == [
+        'host.node', 'host.zone', 'host.bounds.leaseMs',
+        'log.level', 'log.lines_per_s',
+    ]  # fmt: skip
+
+
+def test_settings_of_this_project_s_own_template_are_read():
+    file = {'host': a_file(), 'log': {'level': 'warning'}}
+    found = settings.parse_settings(yaml.safe_dump(file), 'f')
+    assert found.name == 'n'
+    assert found.log.is_brief
+    assert not settings.parse_settings(
+        yaml.safe_dump(a_file()), 'f'
+    ).log.is_brief
+
+
+def test_the_template_is_yaml_once_it_is_filled_in():
+    root = PACKAGE.parent / 'deploy'
+    text = (root / 'settings.yaml').read_text()
+    filled = text.replace('{{.|json}}', json.dumps(a_file()))
+    assert settings.check_settings(filled) == []
+
+
+def test_the_deploy_file_has_no_faults():
+    text = (PACKAGE.parent / 'deploy/system.toml').read_text()
+    assert deployfile.check_deploy(text) == []
+
+
+@pytest.mark.parametrize(
+    ('text', 'faults'),
+    [
+        ('x =', 1),
+        ('build = ""', 1),
+        ('[roles.a]\nrun = ""\nshare = 2.0\nserves = ["edgy"]', 5),
+        ('build = ""\n[roles]\na = 1', 1),
+        ('build = ""\n[roles.a]\nrun = "x"\non = "e"\nserves = ["edge"]', 1),
+    ],
+)
+def test_all_faults_of_a_deploy_file_are_named(text, faults):
+    assert len(deployfile.check_deploy(text)) == faults
+
+
 @given(st.text(max_size=200))
 def test_any_settings_file_is_read_or_refused(text):
     try:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -405,4 +405,4 @@
     )
     assert ended.returncode == 2
     assert ended.stderr.count('\n') == 1
-    assert 'listen.front is missing' in ended.stderr
+    assert 'listen.front: is missing' in ended.stderr
