--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -29,6 +29,8 @@
 LINGER_S = 3.2
 # What is left of the grace period when requests that still run are cut.
 STOP_MARGIN_S = 0.6
+# Sockets are closed in this time even if the grace period is over.
+CLOSE_S = 0.2
 
 
 class HostProcess:
@@ -143,10 +145,16 @@
                 group.start_soon(self.models.link.run)
                 group.start_soon(self._keep_house)
 
-    async def stop(self) -> None:
+    async def stop(self) -> float:
         """Finish what callers have begun; new ones are sent elsewhere.
 
         Returns once no request runs, or the grace period is nearly over.
+
+        Returns
+        -------
+        float
+            What is left of the grace period for requests that come between
+            then and the closing of the sockets, in seconds.
         """
         started_at = boot_time()
         self.stopping.set()
@@ -160,6 +168,7 @@
                 self.gateway.abort()
                 break
             await anyio.sleep(HOUSEKEEPING_S / 2)
+        return max(CLOSE_S, started_at + grace_s - boot_time())
 
     async def watch_signals(self) -> None:
         """Return at the first signal to stop; reload at the others."""
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -68,10 +68,13 @@
         async with anyio.create_task_group() as group:
             group.start_soon(host.run)
             group.start_soon(_flush, lines)
-            group.start_soon(web.serve, _bind_all(settings))
+            closed = anyio.Event()
+            group.start_soon(_serve, web, settings, closed)
             await host.watch_signals()
-            await host.stop()
+            left_s = await host.stop()
             web.should_exit = True
+            with anyio.move_on_after(left_s):
+                await closed.wait()
             group.cancel_scope.cancel()
         log('stopped')
         lines.flush()
@@ -98,6 +101,16 @@
     lines.lines_per_s = settings.log.lines_per_s
 
 
+async def _serve(
+    web: server.Server,
+    settings: HostSettings,
+    closed: anyio.Event,
+) -> None:
+    """Serve until told to exit and all begun requests have ended."""
+    await web.serve(_bind_all(settings))
+    closed.set()
+
+
 async def _flush(lines: LineLog) -> None:
     """Write what the output did not take at once."""
     while True:
--- a/lab/standin_replica.py
+++ b/lab/standin_replica.py
@@ -34,6 +34,8 @@
         Answers requests in its place.
     ran : Counter
         How often each request ran here.
+    runs : list of (float, HttpRequest)
+        When each run began.
     seen : list of HttpRequest
     orders : list of dict
         That it accepted.
@@ -56,6 +58,7 @@
     address: str = ''
     behave: Behave | None = None
     ran: Counter[str] = field(default_factory=Counter)
+    runs: list[tuple[float, HttpRequest]] = field(default_factory=list)
     seen: list[HttpRequest] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     fence: int = 0
@@ -97,6 +100,7 @@
         """Run a request and return its answer."""
         request_id = request.headers['request-id']
         self.ran[request_id] += 1
+        self.runs.append((time.monotonic(), request))
         headers = {'Request-Id': request_id, 'Response-Seal': self.name}
         if 'model' not in request.headers:
             return Reply(200, b'done', headers)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -16,8 +16,8 @@
     LineLog,
     capture_library_messages,
 )
+from lab.platform_world import configuration, play
 from lab.standin_http import Reply
-from tests.platformworld import configuration, play
 
 
 def read(descriptor):
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -36,9 +36,9 @@
 from ebonywell.routetable import RequestKind, Route, WeightedService
 from ebonywell.transport import HttpClient
 from ebonywell.upstream import AnswerHead
+from lab.platform_world import BOUNDS, configuration
 from lab.standin_platform import PlatformStore, serve_store
 from lab.standin_replica import listen
-from tests.platformworld import BOUNDS, configuration
 
 PACKAGE = Path(__file__).parents[1] / 'ebonywell'
 JSON = st.recursive(
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -4,8 +4,8 @@
 
 import anyio
 
+from lab.platform_world import configuration, decode, events_of, get, play
 from lab.standin_http import Reply
-from tests.platformworld import configuration, decode, events_of, get, play
 
 
 def test_the_whole_path(tmp_path):
