--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -118,7 +118,7 @@
 
 def cut_by_stop(day):
     day.calls[0] = replace(CALL, status=0, is_whole=False)
-    day.stops.append(Window('host-1', 20.5, 22))
+    day.stops.append(Window('host-1', 20.05, 22))
 
 
 @pytest.mark.parametrize(
