--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -95,6 +95,8 @@
             outcome = await self._run(call, responder, wait_gone, progress)
         except RejectionError as error:
             outcome = Outcome(error.status, error.reason)
+            if error.status == _UNAVAILABLE and progress.refund is not None:
+                progress.refund()
             raise
         finally:
             self._note(arrival, progress, outcome)
@@ -148,7 +150,7 @@
         progress: Progress,
     ) -> Outcome:
         if call.workspace is not None:
-            self.charge(call.workspace, call)
+            progress.refund = self.charge(call.workspace, call)
         if call.generation is not None:
             self.demand.note(call.service, call.generation, boot_time())
         while True:
--- a/ebonywell/inbound.py
+++ b/ebonywell/inbound.py
@@ -88,9 +88,11 @@
         return max(MIN_PATIENCE_S, PATIENCE_GOALS * self.route.goal_s)
 
 
+# Takes the charge of a request back that has not run and never will.
+Refund = Callable[[], None]
 # Takes a request's tokens from its workspace's limit, or raises
 # `RejectionError`.
-Charge = Callable[[WorkspaceLimit, InboundCall], None]
+Charge = Callable[[WorkspaceLimit, InboundCall], Refund]
 
 
 class Responder(Protocol):
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -11,7 +11,7 @@
 from .events import EventSplitter
 from .exceptions import TargetUnreachableError
 from .health import HealthBook
-from .inbound import InboundCall, RejectionError, Responder
+from .inbound import InboundCall, Refund, RejectionError, Responder
 from .inventory import KnownTarget
 from .loadboard import LoadBoard, Run
 from .logs import Logger
@@ -108,6 +108,8 @@
         From the request's arrival to the first byte of its answer.
     target : str
         The last one that it was sent to.
+    refund : callable or None
+        Takes back what it counts against its workspace's limit.
     """
 
     sends: int = 0
@@ -120,6 +122,7 @@
     splitter: EventSplitter | None = None
     first_byte_s: float | None = None
     target: str = ''
+    refund: Refund | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/ebonywell/sharedlimits.py
+++ b/ebonywell/sharedlimits.py
@@ -19,13 +19,14 @@
 import itertools
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 import msgspec
 
 from .clock import boot_time
 from .digests import UsageShare
 from .fleetview import FleetView, Peer
-from .inbound import Charge, InboundCall, RejectionError
+from .inbound import Charge, InboundCall, Refund, RejectionError
 from .logs import Logger
 from .routetable import WorkspaceLimit
 
@@ -85,6 +86,15 @@
         self.steps[-1][1] += tokens
         self.total += tokens
 
+    def take_back(self, tokens: float, counted_at: float) -> None:
+        """Uncount tokens that were counted then, if they still count."""
+        for step in reversed(self.steps):
+            if step[0] <= counted_at:
+                taken = min(tokens, step[1])
+                step[1] -= taken
+                self.total -= taken
+                return
+
     def count(self, now: float) -> float:
         """Return the tokens in the window that ends now."""
         while self.steps and self.steps[0][0] + STEP_S <= now - self.span_s:
@@ -231,6 +241,17 @@
             max(MIN_RETRY_S, min(missing / limit.rate, self.span_s)),
         )
 
+    def refund(
+        self,
+        limit: WorkspaceLimit,
+        tokens: int,
+        admitted_at: float,
+    ) -> None:
+        """Uncount a request that has not run and never will."""
+        window = self.windows.get(limit.name)
+        if window is not None:
+            window.take_back(tokens, admitted_at)
+
     def usage(self, now: float) -> tuple[UsageShare, ...]:
         """Return this host's counts, for its digest."""
         is_cut = self.fleet.is_minority(now)
@@ -388,17 +409,20 @@
 def make_charge(limits: SharedLimits, log: Logger) -> Charge:
     """Return what counts a request against its workspace's limit.
 
-    It raises `RejectionError` for a request beyond the limit.
+    It raises `RejectionError` for a request beyond the limit, and returns
+    what takes the charge back if the request is refused after all.
     """
 
-    def charge(limit: WorkspaceLimit, call: InboundCall) -> None:
+    def charge(limit: WorkspaceLimit, call: InboundCall) -> Refund:
         generation = call.generation
         tokens = None
         if generation is not None:
             tokens = generation.prompt_tokens + generation.max_output_tokens
-        verdict = limits.admit(limit, charge_of(limit, tokens), boot_time())
+        charged = charge_of(limit, tokens)
+        admitted_at = boot_time()
+        verdict = limits.admit(limit, charged, admitted_at)
         if verdict.is_admitted:
-            return
+            return partial(limits.refund, limit, charged, admitted_at)
         log(
             'limit_refused',
             request=call.request_id,
--- a/tests/test_sharedlimits.py
+++ b/tests/test_sharedlimits.py
@@ -6,6 +6,24 @@
 from tests.limitsworld import ALLOWED, LIMIT, MOST, World
 
 
+def test_what_was_refused_after_all_counts_no_more():
+    window = Window(8)
+    window.add(100, 10.0)
+    window.add(50, 10.05)
+    window.add(30, 11.0)
+    window.take_back(50, 10.05)
+    assert window.count(11) == 130
+    assert window.parts(11) == (30, 100, 0, 0, 0, 0, 0, 0)
+    window.take_back(30, 11.0)
+    window.take_back(500, 10.0)
+    assert window.count(11) == 0
+    # What has left the window is not taken back once more.
+    window.add(20, 12.0)
+    assert window.count(18.5) == 20
+    window.take_back(100, 10.0)
+    assert window.count(18.5) == 20
+
+
 @pytest.mark.parametrize('seed', range(5))
 def test_a_workspace_far_over_its_limit_is_kept_to_it(seed):
     world = World(8, seed)
