A lowered limit binds what comes after it

Cause: when a limit was lowered, what a workspace had used under the old one counted against the new one, so that it was refused altogether until that left the window. Tests without the bench failed first (tests/test_sharedlimits.py, eight hosts).

--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -249,6 +249,7 @@
             now = boot_time()
             self.feeds.refresh(now)
             self.models.wants.expire(now)
+            self.known.limits.note_limits(self.known.intake.list_limits(), now)
             self.known.limits.expire(now)
             targets = self.known.inventory.targets.values()
             self.known.health.keep(one.name for one in targets)
--- /dev/null
+++ b/ebonywell/limitwindow.py
@@ -0,0 +1,66 @@
+"""Counts tokens in a sliding window."""
+
+import collections
+import itertools
+from dataclasses import dataclass, field
+
+# Counts are kept in steps of this length, and told in so many parts.
+STEP_S = 0.1
+PARTS = 8
+
+
+@dataclass(slots=True)
+class Window:
+    """Tokens admitted in a sliding window.
+
+    Attributes
+    ----------
+    span_s : float
+    steps : deque of [float, float]
+        The begin of each step and the tokens admitted in it.
+    total : float
+    """
+
+    span_s: float
+    steps: collections.deque[list[float]] = field(
+        default_factory=collections.deque,
+    )
+    total: float = 0
+
+    def add(self, tokens: float, now: float) -> None:
+        """Count tokens."""
+        if not self.steps or now - self.steps[-1][0] >= STEP_S:
+            self.steps.append([now, 0])
+        self.steps[-1][1] += tokens
+        self.total += tokens
+
+    def take_back(self, tokens: float, counted_at: float) -> None:
+        """Uncount tokens that were counted then, if they still count."""
+        for step in reversed(self.steps):
+            if step[0] <= counted_at:
+                taken = min(tokens, step[1])
+                step[1] -= taken
+                self.total -= taken
+                return
+
+    def count(self, now: float) -> float:
+        """Return the tokens in the window that ends now."""
+        while self.steps and self.steps[0][0] + STEP_S <= now - self.span_s:
+            self.total -= self.steps.popleft()[1]
+        return self.total
+
+    def since(self, start: float) -> float:
+        """Return the tokens counted from a time on."""
+        recent = itertools.takewhile(
+            lambda step: step[0] >= start,
+            reversed(self.steps),
+        )
+        return sum(step[1] for step in recent)
+
+    def parts(self, now: float) -> tuple[int, ...]:
+        """Return the tokens by their age, the newest first."""
+        tokens: collections.Counter[int] = collections.Counter()
+        for begin, counted in self.steps:
+            age = int((now - begin) * PARTS / self.span_s)
+            tokens[min(max(age, 0), PARTS - 1)] += int(counted)
+        return tuple(tokens[part] for part in range(PARTS))
--- a/ebonywell/sharedlimits.py
+++ b/ebonywell/sharedlimits.py
@@ -7,6 +7,8 @@
 - A host that is silent may be alive behind a cut. What it last reported is
   set aside for it, and a small part of what was free then. A host that is cut
   off from half of the others keeps to the same figures.
+- A limit that is lowered binds what comes after. What was admitted before
+  counts against what was allowed then.
 - A host that starts again has forgotten its count. The others remember it; so
   does a summary in the store, for the case that all start again.
 
@@ -15,8 +17,6 @@
 hosts die, are cut off or start again, and the others stay below their limits.
 """
 
-import collections
-import itertools
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
@@ -27,12 +27,10 @@
 from .digests import UsageShare
 from .fleetview import FleetView, Peer
 from .inbound import Charge, InboundCall, Refund, RejectionError
+from .limitwindow import PARTS, STEP_S, Window
 from .logs import Logger
 from .routetable import WorkspaceLimit
 
-# Counts are kept in steps of this length, and told in so many parts.
-STEP_S = 0.1
-PARTS = 8
 # What the others admitted since their last digests is not known; below this
 # part of the limit each host takes no more than its part of the rest.
 TIGHT_SHARE = 0.2
@@ -61,63 +59,6 @@
 _TOO_MANY = 429
 
 
-@dataclass(slots=True)
-class Window:
-    """Tokens admitted in a sliding window.
-
-    Attributes
-    ----------
-    span_s : float
-    steps : deque of [float, float]
-        The begin of each step and the tokens admitted in it.
-    total : float
-    """
-
-    span_s: float
-    steps: collections.deque[list[float]] = field(
-        default_factory=collections.deque,
-    )
-    total: float = 0
-
-    def add(self, tokens: float, now: float) -> None:
-        """Count tokens."""
-        if not self.steps or now - self.steps[-1][0] >= STEP_S:
-            self.steps.append([now, 0])
-        self.steps[-1][1] += tokens
-        self.total += tokens
-
-    def take_back(self, tokens: float, counted_at: float) -> None:
-        """Uncount tokens that were counted then, if they still count."""
-        for step in reversed(self.steps):
-            if step[0] <= counted_at:
-                taken = min(tokens, step[1])
-                step[1] -= taken
-                self.total -= taken
-                return
-
-    def count(self, now: float) -> float:
-        """Return the tokens in the window that ends now."""
-        while self.steps and self.steps[0][0] + STEP_S <= now - self.span_s:
-            self.total -= self.steps.popleft()[1]
-        return self.total
-
-    def since(self, start: float) -> float:
-        """Return the tokens counted from a time on."""
-        recent = itertools.takewhile(
-            lambda step: step[0] >= start,
-            reversed(self.steps),
-        )
-        return sum(step[1] for step in recent)
-
-    def parts(self, now: float) -> tuple[int, ...]:
-        """Return the tokens by their age, the newest first."""
-        tokens: collections.Counter[int] = collections.Counter()
-        for begin, counted in self.steps:
-            age = int((now - begin) * PARTS / self.span_s)
-            tokens[min(max(age, 0), PARTS - 1)] += int(counted)
-        return tuple(tokens[part] for part in range(PARTS))
-
-
 @dataclass(slots=True, frozen=True)
 class FormerUsage:
     """What a host had admitted before it started again.
@@ -179,6 +120,22 @@
     retry_after_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class FormerLimit:
+    """What a workspace was allowed in a window before its limit was lowered.
+
+    Attributes
+    ----------
+    allowed : float
+        Tokens in the whole window.
+    until : float
+        When the limit was lowered.
+    """
+
+    allowed: float
+    until: float
+
+
 @dataclass(slots=True)
 class SharedLimits:
     """The windows of all workspaces on this host.
@@ -192,6 +149,10 @@
         By host that has started again.
     before_cut : dict of str to float
         This host's counts when it was last in touch with most others.
+    known : dict of str to WorkspaceLimit
+        The limits in force.
+    lowered : dict of str to FormerLimit
+        By workspace, for one window.
     """
 
     span_s: float
@@ -199,6 +160,8 @@
     windows: dict[str, Window] = field(default_factory=dict)
     former: dict[str, FormerUsage] = field(default_factory=dict)
     before_cut: dict[str, float] = field(default_factory=dict)
+    known: dict[str, WorkspaceLimit] = field(default_factory=dict)
+    lowered: dict[str, FormerLimit] = field(default_factory=dict)
     summary_at: float = float('-inf')
     summarized: dict[str, float] = field(default_factory=dict)
 
@@ -214,10 +177,14 @@
         if limit.rate <= 0:
             window.add(tokens, now)
             return LimitVerdict(True, 0, own, 0, 0)
-        allowed = limit.rate * self.span_s + limit.burst
+        allowed = self.allowed(limit, now)
         silent = self.fleet.silent(now)
         used = own + self._used_by_others(limit.name, own, allowed, now)
         rest = allowed - used
+        former = self.lowered.get(limit.name)
+        if former is not None:
+            lately = used - self._used_before(limit.name, former.until, now)
+            rest = min(rest, self._whole(limit) - lately)
         fits = tokens <= rest
         if fits and self.fleet.is_minority(now):
             fits = self._fits_cut_off(limit.name, own, tokens, allowed, now)
@@ -241,6 +208,37 @@
             max(MIN_RETRY_S, min(missing / limit.rate, self.span_s)),
         )
 
+    def note_limits(
+        self,
+        limits: Iterable[WorkspaceLimit],
+        now: float,
+    ) -> None:
+        """Take over the limits in force; call it when they change."""
+        for limit in limits:
+            before = self.known.get(limit.name)
+            self.known[limit.name] = limit
+            if before is None or before.rate <= 0:
+                continue
+            allowed = self.allowed(before, now)
+            if 0 < self._whole(limit) < self._whole(before):
+                self.lowered[limit.name] = FormerLimit(allowed, now)
+
+    def allowed(self, limit: WorkspaceLimit, now: float) -> float:
+        """Return what a workspace may use in the window that ends now.
+
+        The part of the window before the limit was lowered has what was
+        allowed then.
+        """
+        whole = self._whole(limit)
+        former = self.lowered.get(limit.name)
+        if former is None:
+            return whole
+        share = 1 - (now - former.until) / self.span_s
+        if share <= 0 or former.allowed <= whole:
+            self.lowered.pop(limit.name)
+            return whole
+        return whole + share * (former.allowed - whole)
+
     def refund(
         self,
         limit: WorkspaceLimit,
@@ -303,7 +301,7 @@
         totals = {}
         is_news = False
         for limit in limits:
-            allowed = limit.rate * self.span_s + limit.burst
+            allowed = self.allowed(limit, now)
             window = self.windows.get(limit.name)
             own = window.count(now) if window else 0
             total = own + self._used_by_others(limit.name, own, allowed, now)
@@ -323,6 +321,21 @@
             hosts.append(HostUsage(digest.name, digest.life, digest.usage))
         return Summary(tuple(hosts))
 
+    def _used_before(self, workspace: str, until: float, now: float) -> float:
+        """Return tokens in the window that were surely admitted before."""
+        window = self.windows[workspace]
+        own = window.count(now) - window.since(until - STEP_S)
+        # A part that may hold later tokens counts as later.
+        first_part = int((now - until) * PARTS / self.span_s) + 1
+        heard = sum(
+            sum(_find(digest.usage, workspace).parts[first_part:])
+            for digest in self.fleet.heard(now)
+        )
+        return own + heard
+
+    def _whole(self, limit: WorkspaceLimit) -> float:
+        return limit.rate * self.span_s + limit.burst
+
     def _used_by_others(
         self,
         workspace: str,
--- a/tests/limitsworld.py
+++ b/tests/limitsworld.py
@@ -47,6 +47,7 @@
         self.dead = set()
         self.admitted = []
         self.asked = 0
+        self.limit = LIMIT
         self.lives = 0
         for number in range(count):
             self.start(f'host-{number}')
@@ -102,12 +103,14 @@
         alive = sorted(set(self.hosts) - self.dead)
         host = self.hosts[self.rng.choice(alive)]
         self.asked += size
-        if host.limits.admit(LIMIT, size, self.now).is_admitted:
+        if host.limits.admit(self.limit, size, self.now).is_admitted:
             self.admitted.append((self.now, size))
 
-    def most_in_window(self):
+    def most_in_window(self, since=0):
         most = 0
         for start, _ in self.admitted:
+            if start < since:
+                continue
             inside = [
                 size
                 for at, size in self.admitted
--- a/tests/test_sharedlimits.py
+++ b/tests/test_sharedlimits.py
@@ -1,10 +1,48 @@
 """Limits over all hosts: never far above, and no refusals below."""
 
+from dataclasses import replace
+
 import pytest
 
-from ebonywell.sharedlimits import FormerUsage, Window
+from ebonywell.limitwindow import Window
+from ebonywell.sharedlimits import FormerUsage
 from tests.limitsworld import ALLOWED, LIMIT, MOST, World
 
+LOWER = replace(LIMIT, rate=LIMIT.rate * 0.3, burst=LIMIT.burst * 0.3)
+
+
+def lower(world):
+    for host in world.hosts.values():
+        host.limits.note_limits([LOWER], world.now)
+
+
+@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.parametrize('load', [0.3, 1, 5])
+def test_a_lowered_limit_binds_what_comes_after(seed, load):
+    world = World(8, seed)
+    for host in world.hosts.values():
+        host.limits.note_limits([LIMIT], world.now)
+    world.run(10, LIMIT.rate * load)
+    lowered_at = world.now
+    lower(world)
+    world.limit = LOWER
+    world.run(20, LIMIT.rate * 5)
+    most = (LOWER.rate * 8 + LOWER.burst) * 1.1 + 17_000
+    assert world.most_in_window(since=lowered_at) <= most
+
+
+def test_a_lowered_limit_does_not_count_what_was_allowed_before():
+    world = World(4)
+    for host in world.hosts.values():
+        host.limits.note_limits([LIMIT], world.now)
+    world.run(10, LIMIT.rate)
+    lower(world)
+    world.limit = LOWER
+    before = world.total()
+    world.run(2, LOWER.rate * 0.8, size=500)
+    # In the first two seconds it gets its new rate, not nothing.
+    assert world.total() - before >= 0.7 * 2 * LOWER.rate
+
 
 def test_what_was_refused_after_all_counts_no_more():
     window = Window(8)
