--- a/ebonywell/platform/app.py
+++ b/ebonywell/platform/app.py
@@ -1,15 +1,16 @@
 """The ASGI application behind all of a host's listening sockets."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 import anyio
 
 from ..clock import boot_time
-from ..gateway import Gateway
 from ..hostsettings import HostSettings
-from ..inbound import RejectionError
+from ..inbound import RejectionError, Responder
+from ..intake import Arrival, Intake
 from ..metrics import Metrics
 from ..misc import split_address
 from . import ingress
@@ -24,6 +25,20 @@
 _MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
+class RequestPath(Protocol):
+    """Takes callers' requests to their answers; see `Gateway`."""
+
+    intake: Intake
+
+    async def serve(
+        self,
+        arrival: Arrival,
+        responder: Responder,
+        wait_gone: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Serve a request until it is answered or its caller has gone."""
+
+
 @dataclass(slots=True)
 class Doors:
     """What a host's sockets serve.
@@ -31,7 +46,7 @@
     Attributes
     ----------
     settings : HostSettings
-    gateway : Gateway
+    gateway : RequestPath
     metrics : Metrics
     is_ready : callable
     is_stopping : callable
@@ -42,7 +57,7 @@
     """
 
     settings: HostSettings
-    gateway: Gateway
+    gateway: RequestPath
     metrics: Metrics
     is_ready: Callable[[], bool]
     is_stopping: Callable[[], bool]
