An order names the count of orders by which it was decided

An order that was refused as another was under way was given again with the count that the target had by then: news of the other holder's load had raised it meanwhile, so that an order decided without that load was taken. Each record of orders now keeps the count that it reflects. The test failed first.

--- a/ebonywell/orderbook.py
+++ b/ebonywell/orderbook.py
@@ -117,6 +117,9 @@
     fence : int
         Of the lease under which this was learnt; orders that other hosts gave
         in between are not in it.
+    order_count : int
+        The orders that what is known here reflects. Orders that are decided
+        by it name this count, whatever is heard of the target meanwhile.
     is_busy : bool
         Whether a model's order is under way.
     arriving, leaving : set of str
@@ -137,6 +140,7 @@
 
     life: tuple[str, int]
     fence: int
+    order_count: int = 0
     is_busy: bool = False
     arriving: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -75,11 +75,12 @@
             return False
         if report.born != known.said.born:
             return False
-        if report.order_count < known.order_count:
+        if report.order_count < max(known.order_count, track.order_count):
             return False
         known.confirm(report.order_count, report.models, boot_time())
         if self.track(known) is not track:
             return False
+        track.order_count = report.order_count
         track.adapters = present_adapters(report)
         track.is_synced = True
         return not report.is_busy
@@ -117,7 +118,7 @@
             action,
             model,
             adapter,
-            known.order_count,
+            track.order_count,
             self.name,
             self.leadership.state.fence,
         )
@@ -164,7 +165,8 @@
         # It may have come after orders that are not known here.
         track.is_synced = answer is OrderAnswer.held
         return
-    known.order_count = order.order_count + 1
+    track.order_count = order.order_count + 1
+    known.order_count = max(known.order_count, track.order_count)
     if order.action is Action.load_adapter:
         track.adapters.add(name)
     elif answer is OrderAnswer.held:
--- a/tests/test_adapterloads.py
+++ b/tests/test_adapterloads.py
@@ -127,6 +127,27 @@
     assert loads.link.told.target == 't'
 
 
+def test_an_order_names_the_count_by_which_it_was_decided(monkeypatch):
+    async def play():
+        known = loads.inventory.targets['t']
+        ordering = loads.ordering
+        assert await ordering.refresh(known)
+        # The holder before tells of a load that it had ordered meanwhile.
+        engine.orders += 1
+        known.confirm(engine.orders, {'m': Resident('m')}, 0)
+        track = ordering.track(known)
+        first = await ordering.order(known, track, Action.load, 'm2')
+        assert await ordering.refresh(known)
+        then = await ordering.order(known, track, Action.load, 'm2')
+        return first, then
+
+    engine = Engine(())
+    loads, state = make(engine)
+    lead(state, monkeypatch, 1)
+    answers = anyio.run(play)
+    assert answers == (OrderAnswer.conflict, OrderAnswer.accepted)
+
+
 @pytest.mark.parametrize('fence', [2, 7])
 def test_a_new_lease_in_the_midst_of_a_load_overfills_no_engine(
     monkeypatch, fence
