--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -19,7 +19,8 @@
     absent_refusal_s,
     refusal_s,
 )
-from .proxying import MAX_SENDS, Outcome, Progress, Proxy, Verdict
+from .progress import Outcome, Progress, Verdict
+from .proxying import MAX_SENDS, Proxy
 from .selection import Choice
 from .targeting import Targeting, holder_name
 from .wants import MODEL_S, Wants
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -2,7 +2,7 @@
 
 from ..inbound import InboundCall
 from ..inventory import KnownTarget
-from ..proxying import TargetFormat, Verdict
+from ..progress import TargetFormat, Verdict
 from ..upstream import AnswerHead
 from . import headers
 
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass
 
+from .attempts import Attempts
 from .gateway import Gateway
 from .hostknowledge import Knowledge
 from .hostsettings import HostSettings
@@ -53,11 +54,16 @@
         bounds.retry_slack,
         lambda: known.fleet.size,
     )
-    proxy = Proxy(
+    attempts = Attempts(
         pool,
         known.board,
         known.health,
         translators.target_format,
+        targeting,
+        observers.log,
+    )
+    proxy = Proxy(
+        attempts,
         budgets.of_service,
         targeting,
         observers.log,
--- a/ebonywell/sharedlimits.py
+++ b/ebonywell/sharedlimits.py
@@ -180,11 +180,14 @@
         allowed = self.allowed(limit, now)
         silent = self.fleet.silent(now)
         used = own + self._used_by_others(limit.name, own, allowed, now)
-        rest = allowed - used
         former = self.lowered.get(limit.name)
         if former is not None:
+            # Whichever of the two leaves less decides, and is reported.
+            whole = self._whole(limit)
             lately = used - self._used_before(limit.name, former.until, now)
-            rest = min(rest, self._whole(limit) - lately)
+            if whole - lately < allowed - used:
+                allowed, used = whole, lately
+        rest = allowed - used
         fits = tokens <= rest
         if fits and self.fleet.is_minority(now):
             fits = self._fits_cut_off(limit.name, own, tokens, allowed, now)
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -11,7 +11,7 @@
 from .loadboard import LoadBoard
 from .logs import Logger
 from .prefixes import PrefixBook
-from .proxying import Verdict
+from .progress import Verdict
 from .routetable import EngineSpec
 from .selection import Candidate, Choice, choose
 
--- a/ebonywell/translators.py
+++ b/ebonywell/translators.py
@@ -5,7 +5,7 @@
 
 from .inventory import Announcement
 from .orderbook import EngineClient
-from .proxying import TargetFormat
+from .progress import TargetFormat
 from .routetable import Configuration
 
 
--- a/lab/plain_host.py
+++ b/lab/plain_host.py
@@ -31,7 +31,7 @@
 from ebonywell.platform.assembly import translators
 from ebonywell.platform.settings import find_file, read_settings
 from ebonywell.platform.store import StoreClient
-from ebonywell.proxying import TargetFormat
+from ebonywell.progress import TargetFormat
 from ebonywell.transport import HttpClient
 from ebonywell.upstream import AnswerHead, Connection, ConnectionPool
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -7,7 +7,8 @@
 PAGE = (ROOT / 'docs/OPERATIONS.md').read_text()
 MODULES = (
     'adapterloads following gateway gossip holderlink hostfeeds '
-    'hostprocess leadership linelog ordering provisioning proxying roster '
+    'attempts hostprocess leadership linelog ordering provisioning '
+    'proxying roster '
     'sharedlimits targeting platform/assembly'
 ).split()
 EVENT = re.compile(
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -32,7 +32,7 @@
     store,
     targets,
 )
-from ebonywell.proxying import Verdict
+from ebonywell.progress import Verdict
 from ebonywell.routetable import RequestKind, Route, WeightedService
 from ebonywell.transport import HttpClient
 from ebonywell.upstream import AnswerHead
