--- /dev/null
+++ b/lab/bench_rows.py
@@ -0,0 +1,31 @@
+"""Measurements in rows, as the benches give and print them."""
+
+import sys
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class BenchRow:
+    """One measurement.
+
+    Attributes
+    ----------
+    what : str
+    case : str
+    value : float
+    unit : str
+    """
+
+    what: str
+    case: str
+    value: float
+    unit: str
+
+
+def print_rows(rows: Iterable[BenchRow]) -> None:
+    """Print measurements, a line each."""
+    for row in rows:
+        sys.stdout.write(
+            f'{row.what:28} {row.case:36} {row.value:10.1f} {row.unit}\n'
+        )
--- a/lab/requests_bench.py
+++ b/lab/requests_bench.py
@@ -1,11 +1,9 @@
 """Measures the request path: routing, isolation, memory, time a decision."""
 
 import random
-import sys
 import time
 import tracemalloc
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import cyclopts
 
@@ -32,6 +30,7 @@
 )
 from ebonywell.types import EntryKind, new_id
 
+from .bench_rows import BenchRow, print_rows
 from .requests_routing import CHOICES, REPORTS, RoutingSimulation
 from .requests_trials import TrialCase, play_trials
 
@@ -49,33 +48,15 @@
 _MICRO = 1e6
 
 
-@dataclass(slots=True, frozen=True)
-class RequestRow:
-    """One measurement.
-
-    Attributes
-    ----------
-    what : str
-    case : str
-    value : float
-    unit : str
-    """
-
-    what: str
-    case: str
-    value: float
-    unit: str
-
-
-def measure_routing(seed: int) -> list[RequestRow]:
+def measure_routing(seed: int) -> list[BenchRow]:
     """Return latencies and cache hits of each way to choose."""
-    rows: list[RequestRow] = []
+    rows: list[BenchRow] = []
     for reports, report in REPORTS.items():
         for name, choose in CHOICES.items():
             case = f'{name}, {reports}'
             result = RoutingSimulation(choose, report, seed).run()
             rows.extend(
-                RequestRow(
+                BenchRow(
                     f'latency p{percent}',
                     case,
                     result.percentile(percent) * _MILLI,
@@ -84,30 +65,28 @@
                 for percent in (50, 95, 99)
             )
             hits = result.hits / len(result.latencies) * _PERCENT
-            rows.append(RequestRow('cache hits', case, hits, '%'))
+            rows.append(BenchRow('cache hits', case, hits, '%'))
     return rows
 
 
-def measure_trials(seed: int) -> list[RequestRow]:
+def measure_trials(seed: int) -> list[BenchRow]:
     """Return what a killer costs by how its retries are isolated."""
-    rows: list[RequestRow] = []
+    rows: list[BenchRow] = []
     for case in TrialCase:
         outcome = play_trials(case, seed)
+        rows.append(BenchRow('targets lost', case, outcome.crashes, 'a killer'))
         rows.append(
-            RequestRow('targets lost', case, outcome.crashes, 'a killer')
-        )
-        rows.append(
-            RequestRow(
+            BenchRow(
                 'innocents quarantined', case, outcome.quarantined, 'a killer'
             )
         )
         rows.append(
-            RequestRow('last innocent done', case, outcome.last_done_s, 's')
+            BenchRow('last innocent done', case, outcome.last_done_s, 's')
         )
     return rows
 
 
-def measure_fairness() -> list[RequestRow]:
+def measure_fairness() -> list[BenchRow]:
     """Return when a small workspace is served beside a large one."""
     rows = []
     for case, is_fair in (('in order of arrival', False), ('fair', True)):
@@ -124,13 +103,11 @@
         places = [
             place for place, name in enumerate(order, 1) if name == 'small'
         ]
-        rows.append(
-            RequestRow('last small call served', case, max(places), 'th')
-        )
+        rows.append(BenchRow('last small call served', case, max(places), 'th'))
     return rows
 
 
-def measure_batch() -> list[RequestRow]:
+def measure_batch() -> list[BenchRow]:
     """Return what batch calls get while interactive ones always wait."""
     queue: FairQueue[Waiting] = FairQueue()
     for _ in range(LARGE):
@@ -139,19 +116,17 @@
     served = [queue.pop(lambda waiting: True) for _ in range(LARGE)]
     batch = sum(one is not None and one.is_batch for one in served)
     share = batch / LARGE * _PERCENT
-    return [
-        RequestRow('batch part of service', 'beside interactive', share, '%')
-    ]
+    return [BenchRow('batch part of service', 'beside interactive', share, '%')]
 
 
-def measure_tables() -> list[RequestRow]:
+def measure_tables() -> list[BenchRow]:
     """Return the memory of the tables that grow with requests."""
     rows = [
-        RequestRow('memory a claim', str(size), _traced(_fill_calls, size), 'B')
+        BenchRow('memory a claim', str(size), _traced(_fill_calls, size), 'B')
         for size in TABLE_SIZES
     ]
     rows.append(
-        RequestRow(
+        BenchRow(
             'memory a suspect',
             str(TABLE_SIZES[0]),
             _traced(_fill_suspects, TABLE_SIZES[0]),
@@ -161,14 +136,14 @@
     return rows
 
 
-def measure_decisions(seed: int) -> list[RequestRow]:
+def measure_decisions(seed: int) -> list[BenchRow]:
     """Return the processor time of picking a target and of the queue."""
     rows = [
-        RequestRow('pick', f'{count} targets', _time_picks(count, seed), 'us')
+        BenchRow('pick', f'{count} targets', _time_picks(count, seed), 'us')
         for count in TARGET_COUNTS
     ]
     rows.append(
-        RequestRow(
+        BenchRow(
             'push and pop',
             f'{WAITING} wait of {WORKSPACES} workspaces',
             _time_queue(),
@@ -178,7 +153,7 @@
     return rows
 
 
-def measure(seed: int = 1) -> list[RequestRow]:
+def measure(seed: int = 1) -> list[BenchRow]:
     """Return all measurements."""
     return [
         *measure_routing(seed),
@@ -281,10 +256,7 @@
     seed
         Of everything random.
     """
-    for row in measure(seed):
-        sys.stdout.write(
-            f'{row.what:24} {row.case:36} {row.value:10.1f} {row.unit}\n'
-        )
+    print_rows(measure(seed))
 
 
 if __name__ == '__main__':
--- a/lab/serving_bench.py
+++ b/lab/serving_bench.py
@@ -1,11 +1,11 @@
 """Measures what callers get under heavy load, by way of serving them."""
 
-import sys
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import cyclopts
 
+from .bench_rows import BenchRow, print_rows
 from .serving_demand import SMALL_SITE, Scenario
 from .serving_play import MakePolicy, bound, play, worth_share
 from .serving_policies import least_recent, product, static
@@ -27,25 +27,7 @@
 _PERCENT = 100
 
 
-@dataclass(slots=True, frozen=True)
-class ServingRow:
-    """One measurement.
-
-    Attributes
-    ----------
-    what : str
-    case : str
-    value : float
-    unit : str
-    """
-
-    what: str
-    case: str
-    value: float
-    unit: str
-
-
-def measure(seed: int) -> Iterator[ServingRow]:
+def measure(seed: int) -> Iterator[BenchRow]:
     """Iterate over the worth that each way earns of what it could."""
     for load, scenario in LOADS.items():
         rounds = [
@@ -62,9 +44,9 @@
                 yield _row(f'{load}: {kind}', way, shares)
 
 
-def _row(what: str, case: str, shares: list[float]) -> ServingRow:
+def _row(what: str, case: str, shares: list[float]) -> BenchRow:
     mean = sum(shares) / len(shares)
-    return ServingRow(what, case, round(mean * _PERCENT, 1), '%')
+    return BenchRow(what, case, round(mean * _PERCENT, 1), '%')
 
 
 @app.default
@@ -76,10 +58,7 @@
     seed
         Of everything random.
     """
-    for row in measure(seed):
-        sys.stdout.write(
-            f'{row.what:28} {row.case:32} {row.value:6.1f} {row.unit}\n'
-        )
+    print_rows(measure(seed))
 
 
 if __name__ == '__main__':
