Logs tell a request cut by a planned stop from one that ran out of time

A request that was cut at the end of a host's grace period ended as `timeout` or `cut_timeout`, the same as one whose caller's deadline had passed, and nothing said whether it had come before the signal to stop or after it. The hypotheses on requests that ended without an answer could not be told apart from logs.

`request_ended` now says `stopped` or `cut_stopped`, with the age of the stop at the request's arrival; `stopped` says how long the stop took and what still ran. The stop's times live in `shutdown.Shutdown`. No decision changes.

--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -22,6 +22,7 @@
 from .progress import Outcome, Progress, Verdict
 from .proxying import MAX_SENDS, Proxy
 from .selection import Choice
+from .shutdown import Shutdown
 from .targeting import Targeting, holder_name
 from .wants import MODEL_S, Wants
 
@@ -36,10 +37,19 @@
 
 @dataclass(slots=True)
 class Active:
-    """A request that is being served, and how to end it."""
+    """A request that is being served, and how to end it.
+
+    Attributes
+    ----------
+    call : InboundCall
+    scope : CancelScope
+    ends_by : str
+        The reason of its end if it does not end by itself.
+    """
 
     call: InboundCall
     scope: anyio.CancelScope
+    ends_by: str = 'timeout'
 
 
 @dataclass(slots=True)
@@ -56,6 +66,8 @@
     wants : Wants
         Asks for missing models and adapters.
     demand : DemandBook
+    shutdown : Shutdown
+        The host's planned stop.
     active : dict of int to Active
         Requests that are being served.
     """
@@ -68,6 +80,7 @@
     demand: DemandBook
     log: Logger
     metrics: Metrics
+    shutdown: Shutdown = field(default_factory=Shutdown)
     active: dict[int, Active] = field(default_factory=dict)
 
     async def serve(
@@ -103,8 +116,9 @@
             self._note(arrival, progress, outcome)
 
     def abort(self) -> None:
-        """End all requests that are still being served."""
+        """End all requests that are still being served, for the stop."""
         for active in self.active.values():
+            active.ends_by = 'stopped'
             active.scope.cancel()
 
     async def _run(
@@ -128,7 +142,8 @@
 
             group.start_soon(watch)
             with anyio.move_on_after(max(0, left_s)) as scope:
-                self.active[id(call)] = Active(call, scope)
+                active = Active(call, scope)
+                self.active[id(call)] = active
                 try:
                     outcome = await self._send(call, responder, progress)
                 except RejectionError as error:
@@ -141,7 +156,7 @@
         if gone.is_set() and outcome is None:
             return Outcome(_CLIENT_CLOSED, 'caller_gone')
         if outcome is None:
-            return _timed_out(progress)
+            return _cut(progress, active.ends_by)
         return outcome
 
     async def _send(
@@ -281,12 +296,13 @@
             target=progress.target or None,
             model=generation.model if generation else None,
             version=self.intake.version,
+            stop_age_s=self.shutdown.age_s(arrival.received_at),
         )
 
 
-def _timed_out(progress: Progress) -> Outcome:
+def _cut(progress: Progress, reason: str) -> Outcome:
     if progress.is_started:
-        return Outcome(0, 'cut_timeout')
+        return Outcome(0, f'cut_{reason}')
     if progress.may_run or progress.is_pending:
-        raise RejectionError(_GATEWAY_TIMEOUT, 'timeout')
-    raise RejectionError(_UNAVAILABLE, 'timeout')
+        raise RejectionError(_GATEWAY_TIMEOUT, reason)
+    raise RejectionError(_UNAVAILABLE, reason)
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -27,8 +27,6 @@
 # For how long after the signal to stop new connections are taken: callers
 # that keep an old answer of the directory still come.
 LINGER_S = 3.2
-# What is left of the grace period when requests that still run are cut.
-STOP_MARGIN_S = 0.6
 # Sockets are closed in this time even if the grace period is over.
 CLOSE_S = 0.2
 
@@ -43,8 +41,7 @@
     metrics : Metrics
     gateway : Gateway
         The request path.
-    stopping : anyio.Event
-        Set when the host begins to stop.
+    shutdown : Shutdown
     reload : callable
         Called when the settings may have changed.
     """
@@ -61,7 +58,6 @@
         self.settings = settings
         self.log = log
         self.rng = rng
-        self.stopping = anyio.Event()
         self.metrics = Metrics()
         self.known = Knowledge(settings, rng)
         self.pool = ConnectionPool()
@@ -120,6 +116,7 @@
             translators,
             Observers(log, self.metrics, rng),
         )
+        self.shutdown = self.gateway.shutdown
         add_host_gauges(
             self.metrics,
             self.known,
@@ -156,19 +153,17 @@
             What is left of the grace period for requests that come between
             then and the closing of the sockets, in seconds.
         """
-        started_at = boot_time()
-        self.stopping.set()
+        self.shutdown.begin(boot_time(), self.settings.bounds.grace_s)
         self.log('stopping', active=len(self.gateway.active))
         await self.leadership.release()
         await anyio.sleep(LINGER_S)
-        grace_s = self.settings.bounds.grace_s - STOP_MARGIN_S
         while self.gateway.active:
-            if boot_time() - started_at > grace_s:
+            if boot_time() > self.shutdown.cut_at:
                 self.log('requests_cut', active=len(self.gateway.active))
                 self.gateway.abort()
                 break
             await anyio.sleep(HOUSEKEEPING_S / 2)
-        return max(CLOSE_S, started_at + grace_s - boot_time())
+        return max(CLOSE_S, self.shutdown.cut_at - boot_time())
 
     async def watch_signals(self) -> None:
         """Return at the first signal to stop; reload at the others."""
@@ -185,7 +180,7 @@
         return (
             self.known.intake.configuration is not None
             and self.known.inventory.is_loaded
-            and not self.stopping.is_set()
+            and not self.shutdown.is_begun
             and self.known.intake.is_fresh(boot_time())
         )
 
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -8,6 +8,7 @@
 import uvicorn
 
 from .. import server
+from ..clock import boot_time
 from ..exceptions import SettingsError
 from ..hostprocess import HostProcess
 from ..hostsettings import HostSettings
@@ -76,7 +77,11 @@
             with anyio.move_on_after(left_s):
                 await closed.wait()
             group.cancel_scope.cancel()
-        log('stopped')
+        log(
+            'stopped',
+            active=len(host.gateway.active),
+            stop_age_s=host.shutdown.age_s(boot_time()),
+        )
         lines.flush()
 
 
@@ -138,7 +143,7 @@
             host.gateway,
             host.metrics,
             host.is_ready,
-            host.stopping.is_set,
+            lambda: host.shutdown.is_begun,
             host.list_addresses,
             ttl_s,
         ),
