Planned stops: tests that cut requests in real hosts

Callers of the grown site saw requests that were read and ended without an answer around planned stops and reloads. These tests play the suspected causes with host processes before the stand-ins.

The callers of the stand-ins move to a module of their own: one may send several requests on its connection, end a body late or read slowly.

--- /dev/null
+++ b/lab/platform_caller.py
@@ -0,0 +1,125 @@
+"""Callers of the platform's hosts, as they see connections and answers."""
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+
+import anyio
+import h11
+from anyio.abc import SocketStream
+
+
+@dataclass
+class Answer:
+    """What a caller got; `is_whole` is False where it was cut."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+@dataclass
+class Caller:
+    """A caller that sends its requests on one connection.
+
+    Attributes
+    ----------
+    stream : SocketStream
+    connection : h11.Connection
+    before_end : callable or None
+        Awaited before the last byte of a request's body is sent.
+    read_bytes : int
+        How much of an answer is read at once.
+    read_gap_s : float
+        Between two reads.
+    """
+
+    stream: SocketStream
+    connection: h11.Connection = field(
+        default_factory=lambda: h11.Connection(h11.CLIENT),
+    )
+    before_end: Callable[[], Awaitable[None]] | None = None
+    read_bytes: int = 65_536
+    read_gap_s: float = 0
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes = b'',
+    ) -> Answer:
+        """Send a request and return its answer."""
+        if self.connection.our_state is h11.DONE:
+            self.connection.start_next_cycle()
+        named = {'Host': 'x', 'Content-Length': str(len(body)), **headers}
+        request = h11.Request(
+            method=method, target=path, headers=list(named.items())
+        )
+        head = self.connection.send(request) or b''
+        try:
+            await self._send(head, body)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return Answer(0, {}, b'', is_whole=False)
+        return await self._read_answer()
+
+    async def _send(self, head: bytes, body: bytes) -> None:
+        last = body
+        if self.before_end is not None:
+            last = body[-1:]
+            data = self.connection.send(h11.Data(data=body[:-1]))
+            await self.stream.send(head + (data or b''))
+            await self.before_end()
+            head = b''
+        data = self.connection.send(h11.Data(data=last)) or b''
+        end = self.connection.send(h11.EndOfMessage()) or b''
+        await self.stream.send(head + data + end)
+
+    async def _read_answer(self) -> Answer:
+        answer = Answer(0, {}, b'', is_whole=False)
+        while True:
+            try:
+                event = self.connection.next_event()
+            except h11.RemoteProtocolError:
+                return answer
+            if event is h11.NEED_DATA:
+                self.connection.receive_data(await self._receive())
+            elif isinstance(event, h11.Response):
+                answer.status = event.status_code
+                answer.headers = {
+                    name.decode(): found.decode()
+                    for name, found in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                answer.body += bytes(event.data)
+            else:
+                answer.is_whole = isinstance(event, h11.EndOfMessage)
+                return answer
+
+    async def _receive(self) -> bytes:
+        if self.read_gap_s:
+            await anyio.sleep(self.read_gap_s)
+        try:
+            return await self.stream.receive(self.read_bytes)
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return b''
+
+
+@contextlib.asynccontextmanager
+async def connect(port: int) -> AsyncIterator[Caller]:
+    """Open a connection to a port of the loopback, and close it after."""
+    async with await anyio.connect_tcp('127.0.0.1', port) as stream:
+        yield Caller(stream)
+
+
+async def get(
+    port: int,
+    method: str,
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes = b'',
+) -> Answer:
+    """Send one request on a connection of its own."""
+    async with connect(port) as caller:
+        return await caller.ask(method, path, headers, body)
--- a/lab/platform_day.py
+++ b/lab/platform_day.py
@@ -20,6 +20,7 @@
 import cyclopts
 from anyio.abc import TaskGroup
 
+from .platform_caller import Answer
 from .platform_history import (
     Call,
     DayHistory,
@@ -31,7 +32,6 @@
 )
 from .platform_world import (
     KEY,
-    Answer,
     Host,
     World,
     configuration,
--- a/lab/platform_world.py
+++ b/lab/platform_world.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 import anyio
-import h11
 import yaml
 from anyio.abc import SocketStream, TaskGroup
 
+from .platform_caller import Answer, Caller, get
 from .standin_platform import PlatformStore, serve_store
 from .standin_replica import Replica, listen, serve_replica
 
@@ -68,6 +68,7 @@
     version: int = 1,
     keys: Iterable[str] = (KEY,),
     rate: float = 10_000,
+    timeout_ms: int = 4000,
 ) -> dict[str, Any]:
     """Return a configuration of two services and one workspace."""
     models = [
@@ -86,15 +87,16 @@
         'slots': 4, 'kvCapacityTokens': 100_000, 'weightsMb': 200 * GB,
         'adapterSlots': 2, 'loadsPerS': 20, 'models': models,
     }  # fmt: skip
+    routes = [
+        route('look', 'idempotent', 'desk'),
+        route('book', 'non_idempotent', 'desk'),
+        route('open', 'idempotent', 'desk', anonymous=True),
+        route('chat', 'streaming', 'pool'),
+        route('batch', 'streaming', 'pool', allowResume=True),
+    ]
     return {
         'version': version,
-        'routes': [
-            route('look', 'idempotent', 'desk'),
-            route('book', 'non_idempotent', 'desk'),
-            route('open', 'idempotent', 'desk', anonymous=True),
-            route('chat', 'streaming', 'pool'),
-            route('batch', 'streaming', 'pool', allowResume=True),
-        ],
+        'routes': [{**one, 'timeoutMs': timeout_ms} for one in routes],
         'services': [
             {'name': 'desk', 'maxConns': 100},
             {'name': 'pool', 'maxConns': 100, 'engine': engine},
@@ -112,16 +114,6 @@
     }  # fmt: skip
 
 
-@dataclass
-class Answer:
-    """What a caller got; `is_whole` is False where it was cut."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    is_whole: bool
-
-
 @dataclass
 class Host:
     """A real host process."""
@@ -153,6 +145,7 @@
     hosts: dict[str, Host] = field(default_factory=dict)
     store_address: str = ''
     ids: int = 0
+    bounds: dict[str, Any] = field(default_factory=lambda: dict(BOUNDS))
 
     async def start_store(self) -> None:
         """Start the store with a configuration in it."""
@@ -186,7 +179,7 @@
         self.store.put('keyed.servers', name, replica.entry())
         return replica
 
-    def launch(self, name: str) -> Host:
+    def launch(self, name: str, **environment: str) -> Host:
         """Start a host on ports of its own."""
         first = free_ports(24)
         path = os.path.join(self.folder, f'{name}.yaml')
@@ -199,7 +192,7 @@
             },
             'portRange': [first, first + 15],
             'limits': {'memoryMb': 300},
-            'bounds': BOUNDS,
+            'bounds': self.bounds,
             'platform': {'address': self.store_address},
         }  # fmt: skip
         with open(path, 'w', encoding='utf-8') as opened:
@@ -209,7 +202,11 @@
             process = subprocess.Popen(
                 [sys.executable, '-m', 'ebonywell.platform'],
                 cwd=ROOT,
-                env={**os.environ, 'EBONYWELL_NODE_FILE': path},
+                env={
+                    **os.environ,
+                    'EBONYWELL_NODE_FILE': path,
+                    **environment,
+                },
                 stdout=log,
                 stderr=log,
             )
@@ -245,6 +242,16 @@
                     return named[0]
                 await anyio.sleep(0.05)
 
+    async def wait_ended(self, host: Host) -> int:
+        """Wait until a host has ended by itself; return its exit code.
+
+        The platform would end it after the grace period.
+        """
+        with anyio.fail_after(self.bounds['graceS']):
+            while host.process.poll() is None:
+                await anyio.sleep(0.05)
+        return host.process.returncode
+
     async def ready(self, host: Host) -> int:
         """Return the status of a readiness check, 0 for no answer."""
         try:
@@ -260,9 +267,13 @@
         *,
         key: str | None = KEY,
         body: bytes = b'',
+        caller: Caller | None = None,
         **headers: str,
     ) -> Answer:
-        """Send a caller's request and return its answer."""
+        """Send a caller's request and return its answer.
+
+        It goes on the caller's connection, else on one of its own.
+        """
         self.ids += 1
         sent = {
             'Host': 'app.example',
@@ -272,6 +283,8 @@
         }
         if key:
             sent['Authorization'] = f'Bearer {key}'
+        if caller is not None:
+            return await caller.ask('POST', path, sent, body)
         return await get(host.front, 'POST', path, sent, body)
 
     async def chat(
@@ -297,65 +310,18 @@
             host.process.wait()
 
 
-async def get(
-    port: int,
-    method: str,
-    path: str,
-    headers: dict[str, str],
-    body: bytes = b'',
-) -> Answer:
-    """Send one request on a connection of its own."""
-    async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-        connection = h11.Connection(h11.CLIENT)
-        named = {'Host': 'x', 'Content-Length': str(len(body)), **headers}
-        request = h11.Request(
-            method=method, target=path, headers=list(named.items())
-        )
-        sent = connection.send(request) or b''
-        sent += connection.send(h11.Data(data=body)) or b''
-        await stream.send(sent + (connection.send(h11.EndOfMessage()) or b''))
-        return await _read_answer(stream, connection)
-
-
-async def _read_answer(
-    stream: SocketStream,
-    connection: h11.Connection,
-) -> Answer:
-    status = 0
-    headers: dict[str, str] = {}
-    body = b''
-    while True:
-        try:
-            event = connection.next_event()
-        except h11.RemoteProtocolError:
-            return Answer(status, headers, body, is_whole=False)
-        if event is h11.NEED_DATA:
-            try:
-                connection.receive_data(await stream.receive())
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                connection.receive_data(b'')
-        elif isinstance(event, h11.Response):
-            status = event.status_code
-            headers = {
-                name.decode(): found.decode() for name, found in event.headers
-            }
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        else:
-            is_whole = isinstance(event, h11.EndOfMessage)
-            return Answer(status, headers, body, is_whole)
-
-
 def play(
     folder: object,
     story: Callable[[World], Awaitable[None]],
     hosts: Iterable[str] = ('host-1',),
+    **bounds: Any,
 ) -> None:
     """Run a story in a world with some replicas and hosts."""
 
     async def run() -> None:
         async with anyio.create_task_group() as group:
             world = World(str(folder), group)
+            world.bounds.update(bounds)
             await world.start_store()
             await world.add('desk-1', 'desk')
             await world.add('desk-2', 'desk')
--- a/lab/standin_platform.py
+++ b/lab/standin_platform.py
@@ -25,6 +25,10 @@
         Key, value and offset by topic and partition.
     is_down : bool
         Whether all calls are answered 503.
+    is_silent : bool
+        Whether calls are read and never answered.
+    append_gap_s : float
+        Between two bytes of the answer to an append, if any.
     calls : int
     """
 
@@ -32,12 +36,16 @@
         default_factory=dict,
     )
     is_down: bool = False
+    is_silent: bool = False
+    append_gap_s: float = 0
     calls: int = 0
     changed: anyio.Event = field(default_factory=anyio.Event)
 
-    async def answer_call(self, request: HttpRequest) -> Reply:
+    async def answer_call(self, request: HttpRequest) -> Reply | None:
         """Answer one call."""
         self.calls += 1
+        if self.is_silent:
+            return None
         if self.is_down:
             return Reply(503)
         parts = urlsplit(request.path)
@@ -108,7 +116,11 @@
             return Reply.json({'end': end}, 412)
         records.extend(_unframe(body))
         self._wake()
-        return Reply.json({'offset': end, 'end': len(records)})
+        done = Reply.json({'offset': end, 'end': len(records)})
+        if self.append_gap_s:
+            letters = tuple(bytes((one,)) for one in done.body)
+            return Reply(200, events=letters, gap_s=self.append_gap_s)
+        return done
 
     def _wake(self) -> None:
         self.changed.set()
--- /dev/null
+++ b/tests/test_planned_stops.py
@@ -0,0 +1,351 @@
+"""Planned stops and reloads of real hosts: no request that was read is cut."""
+
+import contextlib
+import os
+import signal
+import time
+
+import anyio
+import pytest
+
+from lab.platform_caller import connect
+from lab.platform_world import configuration, play
+
+START_S = 10
+EVENTS = 20
+# At once, on a busy machine.
+AT_ONCE_S = 0.5
+# With this grace period the host cuts 5.4 s after the signal.
+GRACE_S = 6
+LONG_TIMEOUT_MS = 20_000
+
+
+def set_streams(world, lasting_s):
+    """Have new streams last so long."""
+    for name in ('pool-1', 'pool-2'):
+        world.replicas[name].events = EVENTS
+        world.replicas[name].gap_s = lasting_s / EVENTS
+
+
+async def allow_long_requests(world):
+    world.store.put(
+        'keyed.op', 'config', configuration(2, timeout_ms=LONG_TIMEOUT_MS)
+    )
+    await world.wait_logged('version=2')
+
+
+def runs_of(world, request_id):
+    return sum(each.ran[request_id] for each in world.replicas.values())
+
+
+def outcome_of(world, request_id, answer, took_s):
+    """Say in a word how a request of a stopping host ended."""
+    if answer.status == 200:
+        return 'whole' if answer.is_whole else 'cut'
+    if answer.status != 503 or not answer.is_whole:
+        return f'status {answer.status}'
+    if runs_of(world, request_id):
+        return 'refused, but ran'
+    if answer.headers.get('connection') != 'close':
+        return 'refused, connection kept'
+    if float(answer.headers.get('retry-after', 0)) <= 0:
+        return 'refused without a time'
+    return 'refused' if took_s < AT_ONCE_S else 'refused late'
+
+
+async def open_for_reader(path):
+    """Open a FIFO for writing once a process reads it."""
+    with anyio.fail_after(START_S):
+        while True:
+            with contextlib.suppress(OSError):
+                return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            await anyio.sleep(0.02)
+
+
+@pytest.mark.parametrize(
+    'number', [signal.SIGHUP, signal.SIGTERM], ids=['reload', 'stop']
+)
+def test_a_signal_during_a_planned_stop_ends_nothing(tmp_path, number):
+    async def story(world):
+        host = world.hosts['host-1']
+        set_streams(world, 2)
+        answers = []
+
+        async def ask():
+            answers.append(await world.chat(host))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0.5)
+            host.process.send_signal(signal.SIGTERM)
+            await world.wait_logged('event=stopping')
+            await anyio.sleep(0.3)
+            host.process.send_signal(number)
+        assert answers[0].status == 200
+        assert answers[0].is_whole
+        assert await world.wait_ended(host) == 0
+        signals = host.log().count('event=signal ')
+        assert signals == 2
+
+    play(tmp_path, story)
+
+
+def test_a_reload_before_the_settings_are_read_does_not_end_the_host(tmp_path):
+    async def story(world):
+        fifo = str(tmp_path / 'held')
+        os.mkfifo(fifo)
+        host = world.launch('host-1', EBONYWELL_NODE_FILE=fifo)
+        settings = (tmp_path / 'host-1.yaml').read_bytes()
+        writer = await open_for_reader(fifo)
+        host.process.send_signal(signal.SIGHUP)
+        await anyio.sleep(0.3)
+        assert host.process.poll() is None
+        # A reload reads a plain file.
+        os.replace(tmp_path / 'host-1.yaml', fifo)
+        os.write(writer, settings)
+        os.close(writer)
+        await world.wait_ready()
+
+    play(tmp_path, story, hosts=())
+
+
+def test_a_reload_while_modules_are_loaded_does_not_end_the_host(tmp_path):
+    (tmp_path / 'sitecustomize.py').write_text(
+        'import os, sys\n'
+        'class Hold:\n'
+        '    def find_spec(self, name, path=None, target=None):\n'
+        "        if name == 'anyio':\n"
+        '            sys.meta_path.remove(self)\n'
+        "            open(os.environ['HELD']).read()\n"
+        'sys.meta_path.insert(0, Hold())\n',
+    )
+
+    async def story(world):
+        fifo = str(tmp_path / 'held')
+        os.mkfifo(fifo)
+        host = world.launch('host-1', HELD=fifo, PYTHONPATH=str(tmp_path))
+        writer = await open_for_reader(fifo)
+        host.process.send_signal(signal.SIGHUP)
+        await anyio.sleep(0.3)
+        assert host.process.poll() is None
+        os.close(writer)
+        await world.wait_ready()
+
+    play(tmp_path, story, hosts=())
+
+
+def test_a_stop_before_the_settings_are_read_is_not_lost(tmp_path):
+    async def story(world):
+        fifo = str(tmp_path / 'held')
+        os.mkfifo(fifo)
+        host = world.launch('host-1', EBONYWELL_NODE_FILE=fifo)
+        settings = (tmp_path / 'host-1.yaml').read_bytes()
+        writer = await open_for_reader(fifo)
+        host.process.send_signal(signal.SIGTERM)
+        with contextlib.suppress(BrokenPipeError):
+            os.write(writer, settings)
+        os.close(writer)
+        await world.wait_ended(host)
+
+    play(tmp_path, story, hosts=())
+
+
+def test_a_reload_of_unreadable_settings_ends_nothing(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        (tmp_path / 'host-1.yaml').write_bytes(b'host: \xff\xfe')
+        host.process.send_signal(signal.SIGHUP)
+        await world.wait_logged('event=settings_unreadable')
+        assert (await world.ask(host, '/look/1')).status == 200
+
+    play(tmp_path, story)
+
+
+def test_no_late_request_of_a_planned_stop_is_cut(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        await allow_long_requests(world)
+        outcomes = {}
+
+        async def ask(name, caller=None, path='/chat/x', deadline_ms=20_000):
+            began_at = time.monotonic()
+            answer = await world.chat(
+                host,
+                path=path,
+                caller=caller,
+                Request_Id=name,
+                Deadline_Ms=str(deadline_ms),
+            )
+            took_s = time.monotonic() - began_at
+            outcomes[name] = outcome_of(world, name, answer, took_s)
+
+        async with (
+            connect(host.front) as first,
+            connect(host.front) as second,
+            anyio.create_task_group() as group,
+        ):
+            for caller in (first, second):
+                early = await world.ask(host, '/look/1', caller=caller)
+                assert early.status == 200
+                assert 'connection' not in early.headers
+            set_streams(world, 4.8)
+            group.start_soon(ask, 'busy')
+            await anyio.sleep(0.5)
+            host.process.send_signal(signal.SIGTERM)
+            await anyio.sleep(3.6)
+            set_streams(world, 3)
+            group.start_soon(ask, 'kept', first)
+            group.start_soon(ask, 'new')
+            group.start_soon(ask, 'resumable', second, '/batch/x')
+            await anyio.sleep(0.2)
+            set_streams(world, 0.3)
+            group.start_soon(ask, 'short', None, '/chat/x', 1000)
+        assert outcomes.pop('busy') == 'whole'
+        assert len(outcomes) == 4
+        assert set(outcomes.values()) <= {'whole', 'refused'}, outcomes
+        assert await world.wait_ended(host) == 0
+
+    play(tmp_path, story, graceS=GRACE_S)
+
+
+def test_a_request_at_the_end_of_the_grace_period_is_not_cut(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        await allow_long_requests(world)
+        outcomes = {}
+
+        async def ask(name):
+            began_at = time.monotonic()
+            try:
+                answer = await world.chat(
+                    host, Request_Id=name, Deadline_Ms='20000'
+                )
+            except OSError:
+                outcomes[name] = 'unread'
+                return
+            took_s = time.monotonic() - began_at
+            outcomes[name] = outcome_of(world, name, answer, took_s)
+            if not answer.status and f'request={name} ' not in host.log():
+                outcomes[name] = 'unread'
+
+        set_streams(world, 8)
+        with anyio.move_on_after(8):
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask, 'busy')
+                await anyio.sleep(0.5)
+                host.process.send_signal(signal.SIGTERM)
+                await anyio.sleep(GRACE_S - 0.7)
+                set_streams(world, 0.6)
+                for number in range(20):
+                    group.start_soon(ask, f'late-{number}')
+                    await anyio.sleep(0.02)
+        # It ran to the end of the grace period.
+        assert outcomes.pop('busy') == 'cut'
+        assert len(outcomes) == 20
+        assert set(outcomes.values()) <= {'whole', 'refused', 'unread'}, (
+            outcomes
+        )
+        assert await world.wait_ended(host) == 0
+
+    play(tmp_path, story, graceS=GRACE_S)
+
+
+def test_a_request_whose_body_ends_late_in_a_planned_stop_is_not_cut(
+    tmp_path,
+):
+    async def story(world):
+        host = world.hosts['host-1']
+        await allow_long_requests(world)
+        set_streams(world, 4)
+        stopping = anyio.Event()
+
+        async def wait_late():
+            host.process.send_signal(signal.SIGTERM)
+            stopping.set()
+            await anyio.sleep(3.7)
+
+        async with connect(host.front) as caller:
+            caller.before_end = wait_late
+            answer = await world.chat(
+                host,
+                caller=caller,
+                body=b'slow',
+                Request_Id='slow',
+                Deadline_Ms='20000',
+            )
+        outcome = outcome_of(world, 'slow', answer, 0)
+        assert outcome in {'whole', 'refused'}, host.log()
+        assert await world.wait_ended(host) == 0
+
+    play(tmp_path, story, graceS=GRACE_S)
+
+
+def test_an_answer_begun_in_a_planned_stop_says_that_it_ends_its_connection(
+    tmp_path,
+):
+    async def story(world):
+        host = world.hosts['host-1']
+        ends = {}
+
+        async def answer_late(request):
+            await anyio.sleep(0.8)
+            replica = request.headers['expect-instance']
+            return world.replicas[replica].run(request)
+
+        for name in ('desk-1', 'desk-2', 'pool-1', 'pool-2'):
+            world.replicas[name].behave = answer_late
+
+        async def note(name, ask):
+            answer = await ask()
+            ends[name] = answer.status, answer.headers.get('connection')
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(note, 'plain', lambda: world.ask(host, '/look/1'))
+            group.start_soon(note, 'stream', lambda: world.chat(host))
+            group.start_soon(
+                note,
+                'too late',
+                lambda: world.ask(host, '/book/1', Deadline_Ms='600'),
+            )
+            await anyio.sleep(0.3)
+            host.process.send_signal(signal.SIGTERM)
+        assert ends == {
+            'plain': (200, 'close'),
+            'stream': (200, 'close'),
+            'too late': (504, 'close'),
+        }
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize(
+    'trouble',
+    [{'is_silent': True}, {'append_gap_s': 0.6}],
+    ids=['silent', 'slow'],
+)
+def test_the_holder_stops_in_time_also_where_the_store_does_not_answer(
+    tmp_path, trouble
+):
+    async def story(world):
+        host = world.hosts['host-1']
+        await world.wait_logged('event=orders_begin')
+        await allow_long_requests(world)
+        set_streams(world, 3)
+        answers = []
+
+        async def ask():
+            answers.append(await world.chat(host, Deadline_Ms='20000'))
+
+        for name, value in trouble.items():
+            setattr(world.store, name, value)
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0.5)
+            host.process.send_signal(signal.SIGTERM)
+            with anyio.fail_after(GRACE_S):
+                while not answers:
+                    await anyio.sleep(0.05)
+        assert answers[0].is_whole
+        assert await world.wait_ended(host) == 0
+
+    play(tmp_path, story, graceS=GRACE_S)
