A signal during a planned stop, or before the receiver is open, ends no host

Callers of a host that was being restarted lost whole requests when its settings were reloaded at the same time: their connections closed in the middle of the answer, or without one.

Cause: the receiver of signals was left at the first signal to stop, so that the stop ran with SIGHUP and SIGTERM at their default, which ends the process at once. The same held while the program was imported and its settings were read. Class: the process ends other than by its planned stop while it holds requests.

In tests/test_planned_stops.py four tests failed: the process ended by the signal (exit code -1 or -15), and the stream in flight was cut.

Change: `signals` blocks a reload until there is a receiver, and all of these signals once it closes; the receiver is the outermost part of the run. A reload in a stop is carried out, a repeated signal to stop is logged. The four tests pass.

--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -2,10 +2,11 @@
 
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
+from . import signals
 from .clock import boot_time
 from .digests import Digest
 from .gossip import Gossip
@@ -42,6 +43,8 @@
     gateway : Gateway
         The request path.
     shutdown : Shutdown
+    told_to_stop : anyio.Event
+        Set by the first signal to stop.
     reload : callable
         Called when the settings may have changed.
     """
@@ -58,6 +61,7 @@
         self.settings = settings
         self.log = log
         self.rng = rng
+        self.told_to_stop = anyio.Event()
         self.metrics = Metrics()
         self.known = Knowledge(settings, rng)
         self.pool = ConnectionPool()
@@ -165,15 +169,22 @@
             await anyio.sleep(HOUSEKEEPING_S / 2)
         return max(CLOSE_S, self.shutdown.cut_at - boot_time())
 
-    async def watch_signals(self) -> None:
-        """Return at the first signal to stop; reload at the others."""
-        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*signals) as received:
-            async for number in received:
-                self.log('signal', number=int(number))
-                if number != signal.SIGHUP:
-                    return
+    async def watch_signals(
+        self,
+        received: AsyncIterator[signal.Signals],
+    ) -> None:
+        """Act on signals until cancelled; a repeated one to stop does nothing.
+
+        Parameters
+        ----------
+        received : iterator of signal.Signals
+        """
+        async for number in received:
+            self.log('signal', number=int(number))
+            if number == signals.RELOAD:
                 self.reload()
+            else:
+                self.told_to_stop.set()
 
     def is_ready(self) -> bool:
         """Return whether callers may come."""
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -3,11 +3,13 @@
 import functools
 import random
 import socket
+from collections.abc import AsyncIterator
+from signal import Signals
 
 import anyio
 import uvicorn
 
-from .. import server
+from .. import server, signals
 from ..clock import boot_time
 from ..exceptions import SettingsError
 from ..hostprocess import HostProcess
@@ -49,6 +51,16 @@
 
 async def run(settings: HostSettings) -> None:
     """Run a host until it is told to stop."""
+    numbers = (signals.RELOAD, *signals.STOPS)
+    with anyio.open_signal_receiver(*numbers) as received:
+        with signals.delivering():
+            await _run(settings, received)
+
+
+async def _run(
+    settings: HostSettings,
+    received: AsyncIterator[Signals],
+) -> None:
     lines = LineLog(host=settings.name)
     log = lines.event
     capture_library_messages(log)
@@ -71,7 +83,8 @@
             group.start_soon(_flush, lines)
             closed = anyio.Event()
             group.start_soon(_serve, web, settings, closed)
-            await host.watch_signals()
+            group.start_soon(host.watch_signals, received)
+            await host.told_to_stop.wait()
             left_s = await host.stop()
             web.should_exit = True
             with anyio.move_on_after(left_s):
