Late in a planned stop, only requests that end before the cut are begun

Callers who reached a stopping host late, on a kept connection or by an old answer of the directory, had their streams cut 0.6 s before the kill.

Cause: a stopping host took every request for as long as anything still ran on it, up to the end of the grace period, and did not ask whether the new one could end in time. One whose body ended late was not even counted as running when the stop decided to close. Class: work is accepted that is already known not to be finished.

Evidence: in tests/test_planned_stops.py streams begun 3.6 s after SIGTERM on a busy host, on kept and on new connections, were cut at the end of the grace period, as was one whose body ended 3.7 s after it; of requests that came after the cut some ran and were cut 0.2 s later.

Change: `Shutdown.may_serve` serves requests of any length for 2.8 s after the signal, but for no more than half of the time until the cut, and after that only those whose deadline lies before the cut. All others are refused at once with 503, `stopping` and a time to come back; they have not run. The time that a stop lingers counts from the signal and not from the release of the lease.

--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -22,7 +22,7 @@
 from .progress import Outcome, Progress, Verdict
 from .proxying import MAX_SENDS, Proxy
 from .selection import Choice
-from .shutdown import Shutdown
+from .shutdown import RETRY_S, Shutdown
 from .targeting import Targeting, holder_name
 from .wants import MODEL_S, Wants
 
@@ -105,7 +105,7 @@
         """
         progress = Progress()
         try:
-            call = self.intake.admit(arrival)
+            call = self._admit(arrival)
             outcome = await self._run(call, responder, wait_gone, progress)
         except RejectionError as error:
             outcome = Outcome(error.status, error.reason)
@@ -121,6 +121,12 @@
             active.ends_by = 'stopped'
             active.scope.cancel()
 
+    def _admit(self, arrival: Arrival) -> InboundCall:
+        call = self.intake.admit(arrival)
+        if self.shutdown.may_serve(boot_time(), call.deadline):
+            return call
+        raise RejectionError(_UNAVAILABLE, 'stopping', RETRY_S)
+
     async def _run(
         self,
         call: InboundCall,
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -157,10 +157,12 @@
             What is left of the grace period for requests that come between
             then and the closing of the sockets, in seconds.
         """
-        self.shutdown.begin(boot_time(), self.settings.bounds.grace_s)
+        begun_at = boot_time()
+        self.shutdown.begin(begun_at, self.settings.bounds.grace_s)
         self.log('stopping', active=len(self.gateway.active))
         await self.leadership.release()
-        await anyio.sleep(LINGER_S)
+        closes_at = min(begun_at + LINGER_S, self.shutdown.cut_at)
+        await anyio.sleep(max(0, closes_at - boot_time()))
         while self.gateway.active:
             if boot_time() > self.shutdown.cut_at:
                 self.log('requests_cut', active=len(self.gateway.active))
--- a/ebonywell/shutdown.py
+++ b/ebonywell/shutdown.py
@@ -1,4 +1,4 @@
-"""How far a host's planned stop has come.
+"""A host's planned stop: how far it has come, and what may still begin.
 
 Pure.
 """
@@ -6,6 +6,13 @@
 import math
 from dataclasses import dataclass
 
+# Callers keep an answer of the directory for up to three lifetimes, and come
+# for that long after the signal; requests of any length are served meanwhile,
+# but at least half of the time until the cut is left for them to end.
+SERVE_ALL_S = 2.8
+SERVE_ALL_SHARE = 0.5
+# A refused caller goes to another host, so it need not wait.
+RETRY_S = 0.05
 # What is left of the grace period when requests that still run are cut.
 STOP_MARGIN_S = 0.6
 
@@ -18,11 +25,14 @@
     ----------
     begun_at : float
         When the host was told to stop; infinite until then.
+    serves_all_until : float
+        From then on, only requests that will have ended by the cut begin.
     cut_at : float
         When requests that still run are cut.
     """
 
     begun_at: float = math.inf
+    serves_all_until: float = math.inf
     cut_at: float = math.inf
 
     @property
@@ -39,8 +49,21 @@
         grace_s : float
             Between the signal to stop and the kill.
         """
+        left_s = max(0, grace_s - STOP_MARGIN_S)
         self.begun_at = now
-        self.cut_at = now + grace_s - STOP_MARGIN_S
+        self.serves_all_until = now + min(SERVE_ALL_S, left_s * SERVE_ALL_SHARE)
+        self.cut_at = now + left_s
+
+    def may_serve(self, now: float, deadline: float) -> bool:
+        """Return whether a request that comes now will not be cut.
+
+        Parameters
+        ----------
+        now : float
+        deadline : float
+            When it ends at the latest.
+        """
+        return now < self.serves_all_until or deadline <= self.cut_at
 
     def age_s(self, now: float) -> float | None:
         """Return how long ago the stop began, None while there is none."""
