An answer that begins in a planned stop ends its connection, whenever its request came

Callers whose requests were read just before the signal to stop got answers without `Connection: close`, kept the connection, and sent their next request on it late in the stop, or into its closing.

Cause: whether an answer is the last of its connection was decided when its request arrived. It is now decided when the answer begins. Evidence: test_an_answer_begun_in_a_planned_stop_says_that_it_ends_its_connection failed for a whole answer, a stream and a 504, and passes.

--- a/ebonywell/platform/app.py
+++ b/ebonywell/platform/app.py
@@ -104,7 +104,7 @@
         send: ingress.Send,
     ) -> None:
         received_at = boot_time()
-        guarded = _closing(send) if self.is_stopping() else send
+        guarded = _closing(send, self.is_stopping)
         try:
             body = await ingress.read_body(receive, self._max_body_bytes())
         except ingress.CallerGoneError:
@@ -128,11 +128,14 @@
         return configuration.limits.max_body_bytes
 
 
-def _closing(send: ingress.Send) -> ingress.Send:
-    """Return what sends the same and ends the connection after it."""
+def _closing(
+    send: ingress.Send,
+    is_stopping: Callable[[], bool],
+) -> ingress.Send:
+    """Return what sends the same; an answer begun in a stop is the last."""
 
     async def send_closing(message: ingress.Message) -> None:
-        if message['type'] == 'http.response.start':
+        if message['type'] == 'http.response.start' and is_stopping():
             message['headers'] = [*message['headers'], _CLOSE]
         await send(message)
 
