A planned stop waits a second at most for the store

Where the store sent its answer a byte at a time, the holder of the lease never went on from giving it back, outlived its grace period, and was killed with the requests that it still ran.

Cause: the transport's timeouts bound each step of an exchange, not the whole; a stop that waits for something outside needs a bound of its own. Evidence: test_the_holder_stops_in_time_also_where_the_store_does_not_answer[slow] failed and passes; with a silent store it passed before.

`lease_released` is no longer logged where the release failed.

--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -49,6 +49,9 @@
 # clocks that run at different speeds.
 WAIT_MARGIN_S = 0.2
 RETRY_S = 0.4
+# A planned stop waits no longer than this for the store; the lease then runs
+# out by itself.
+RELEASE_TIMEOUT_S = 1.0
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
@@ -270,10 +273,12 @@
         record = self._record(is_released=True)
         self.state.may_order_at = math.inf
         try:
-            await self._append(record)
-        except (LogServiceError, ConflictError) as error:
-            self.log('lease_unreleased', why=str(error))
-        self.log('lease_released', fence=self.state.fence)
+            with anyio.fail_after(RELEASE_TIMEOUT_S):
+                await self._append(record)
+        except (LogServiceError, ConflictError, TimeoutError) as error:
+            self.log('lease_unreleased', why=repr(error))
+        else:
+            self.log('lease_released', fence=self.state.fence)
         self.state.note_lost()
 
     async def _step(self) -> None:
