A reload of settings that cannot be read ends no host

A settings file that was not UTF-8, or held a date that does not exist, or an infinite memory, ended a host at its next SIGHUP with all the requests that it served.

Cause: the reader turned two kinds of errors into its own, and others passed it; the reload runs beside the requests, and what it raises ends them all.

--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -12,6 +12,8 @@
 from ..structcheck import find_faults
 
 FILE_VARIABLE = 'EBONYWELL_NODE_FILE'
+# A million gigabytes: more can only be a mistake.
+MAX_MEMORY_MB = 1e9
 _MS = 0.001
 _LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
@@ -40,7 +42,7 @@
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    memory_mb: float = 0
+    memory_mb: Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)] = 0
 
 
 class _File(msgspec.Struct, rename='camel'):
@@ -85,7 +87,7 @@
     try:
         with open(path, encoding='utf-8') as opened:
             text = opened.read()
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f'{path}: {error}') from error
     return parse_settings(text, path)
 
@@ -107,7 +109,8 @@
     """Return all faults of a settings file, each with its place."""
     try:
         given = _split(yaml.load(text, Loader=_LOADER))
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        # A date that does not exist is a plain ValueError, for instance.
         return [' '.join(str(error).split())]
     faults = [
         *find_faults(given.host, _File, given.place),
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -1,5 +1,6 @@
 """The platform's formats: what is read, and what wrong bytes do."""
 
+import contextlib
 import json
 import platform
 import re
@@ -10,7 +11,7 @@
 import msgspec
 import pytest
 import yaml
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from ebonywell.digests import decode_message
@@ -151,6 +152,26 @@
     ).log.is_brief
 
 
+FIELDS = st.sampled_from(
+    ['node', 'listen', 'portRange', 'bounds', 'platform', 'limits'],
+)
+
+
+@given(FIELDS, JSON)
+@example('limits', {'memoryMb': float('inf')})
+@example('portRange', [])
+def test_any_field_of_a_settings_file_is_read_or_refused(name, content):
+    text = yaml.safe_dump(a_file(**{name: content}))
+    with contextlib.suppress(SettingsError):
+        settings.parse_settings(text, 'f')
+
+
+@pytest.mark.parametrize('text', ['host: 2001-13-45', '[' * 10_000])
+def test_settings_that_no_parser_takes_are_refused(text):
+    with pytest.raises(SettingsError):
+        settings.parse_settings(text, 'f')
+
+
 def test_the_template_is_yaml_once_it_is_filled_in():
     root = PACKAGE.parent / 'deploy'
     text = (root / 'settings.yaml').read_text()
