A target whose announced address cannot be used is refused when it is read

Callers got 500, and no line of any log said why, where a record of discovery named a port that does not exist or a host name.

Cause: the check of an announced address and the code that connects to it read addresses differently, so that the error came up in the midst of a request. Found by looking for other errors that reach the request path from outside. Evidence: test_an_announced_address_that_cannot_be_used_ends_no_host got 500 before, and three of the addresses of test_a_target_whose_address_cannot_be_used_is_refused were accepted.

--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-from ..exceptions import RecordError
+from ..exceptions import RecordError, SettingsError
 from ..inventory import Announcement, Resident, TargetState
+from ..misc import split_address
 from ..orderbook import TargetReport
 from ..transport import decode_answer
 
@@ -102,6 +103,7 @@
 
 
 def _check_address(name: str, address: str) -> None:
-    host, colon, port = address.rpartition(':')
-    if not (host and colon and port.isdigit()):
-        raise RecordError(f'target {name}: address {address!r}')
+    try:
+        split_address(address)
+    except SettingsError as error:
+        raise RecordError(f'target {name}: {error}') from error
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -252,6 +252,16 @@
     assert said.address
 
 
+@pytest.mark.parametrize(
+    'address',
+    ['10.0.0.1:99999', '10.0.0.1:\u0663', '10.0.0.1:', ':80', 'name:80', ''],
+)
+def test_a_target_whose_address_cannot_be_used_is_refused(address):
+    entry = {'service': 'pool', 'address': address, 'state': 'ready'}
+    with pytest.raises(RecordError, match='t: '):
+        targets.decode_announcement('t', json.dumps(entry).encode())
+
+
 @given(st.binary(max_size=60) | JSON.map(lambda one: json.dumps(one).encode()))
 def test_any_report_is_read_or_refused(body):
     try:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -325,6 +325,21 @@
     play(tmp_path, story)
 
 
+def test_an_announced_address_that_cannot_be_used_ends_no_host(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        await world.wait_logged('event=orders_begin')
+        odd = world.replicas['pool-1'].entry()
+        odd['address'] = '127.0.0.1:99999'
+        world.store.put('keyed.servers', 'odd', odd)
+        await world.wait_logged('event=target_unreadable')
+        for model in ('m1', 'm4', 'm1/a1', 'm2', 'm3'):
+            assert (await world.chat(host, model)).status == 200
+        assert host.process.poll() is None
+
+    play(tmp_path, story)
+
+
 def test_a_planned_stop_cuts_nothing(tmp_path):
     async def story(world):
         host = world.hosts['host-1']
