A service of a host that fails is started again and ends no request

An error that nobody expected, in a task that follows the store, hears the other hosts, gives orders or keeps house, ended the whole host with all the requests that it served. The same class as a signal at its default: the process ends other than by its planned stop.

Change: `supervise` logs the failure with its trace and starts the service again. The provisioner forgets the loads of its former run, whose outcome the orders' counts make safe; a host joins the others once, however often it begins to lead. The room and the time of a load move to a module of their own.

--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -2,7 +2,7 @@
 
 import random
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 import anyio
 
@@ -21,6 +21,7 @@
 from .requestpath import Observers, make_gateway
 from .roster import Roster
 from .sharedstore import SharedStore
+from .supervision import supervise
 from .translators import Translators
 from .upstream import ConnectionPool
 
@@ -31,6 +32,8 @@
 # Sockets are closed in this time even if the grace period is over.
 CLOSE_S = 0.2
 
+Service = Callable[[], Awaitable[None]]
+
 
 class HostProcess:
     """One host: its services and their life.
@@ -138,13 +141,8 @@
         """Run all services until cancelled."""
         with self.pool:
             async with anyio.create_task_group() as group:
-                group.start_soon(self.feeds.configuration.run)
-                group.start_soon(self.feeds.targets.run)
-                group.start_soon(self.gossip.run)
-                group.start_soon(self._lead)
-                group.start_soon(self.models.provisioner.run)
-                group.start_soon(self.models.link.run)
-                group.start_soon(self._keep_house)
+                for name, service in self._services():
+                    group.start_soon(supervise, name, service, self.log)
 
     async def stop(self) -> float:
         """Finish what callers have begun; new ones are sent elsewhere.
@@ -206,16 +204,27 @@
         self.rng.shuffle(addresses)
         return addresses
 
+    def _services(self) -> Iterator[tuple[str, Service]]:
+        yield 'configuration', self.feeds.configuration.run
+        yield 'targets', self.feeds.targets.run
+        yield 'gossip', self.gossip.run
+        yield 'leadership', self._lead
+        yield 'summary', self._keep_summary
+        yield 'provisioner', self.models.provisioner.run
+        yield 'link', self.models.link.run
+        yield 'housekeeping', self._keep_house
+
     async def _lead(self) -> None:
         """Join the other hosts, then take part in leading them."""
-        self.leadership.life = await self.roster.join()
-        async with anyio.create_task_group() as group:
-            group.start_soon(self.leadership.run)
-            group.start_soon(
-                self.roster.keep_summary,
-                lambda: self.leadership.state.is_proven(boot_time()),
-                self.known.intake.list_limits,
-            )
+        if self.roster.life is None:
+            self.leadership.life = await self.roster.join()
+        await self.leadership.run()
+
+    async def _keep_summary(self) -> None:
+        await self.roster.keep_summary(
+            lambda: self.leadership.state.is_proven(boot_time()),
+            self.known.intake.list_limits,
+        )
 
     def _make_digest(self, number: int) -> Digest | None:
         if self.roster.life is None:
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -12,8 +12,9 @@
 from .clock import boot_time
 from .digests import ModelDemand
 from .inventory import Inventory, KnownTarget
+from .loading import fits, load_s, reserved_adapter_bytes
 from .logs import Logger
-from .orderbook import OrderAnswer, OrderTrack, used_bytes
+from .orderbook import OrderAnswer, OrderTrack
 from .ordering import TAKEN, Ordering, resident_message
 from .orders import Action
 from .routetable import Configuration, EngineSpec
@@ -116,18 +117,13 @@
 
     async def run(self) -> None:
         """Decide and order until cancelled."""
-        async with anyio.create_task_group() as group:
-            self.group = group
-            while True:
-                lease = self.ordering.leadership
-                is_holder = lease.may_order_near()
-                self._note_holder(is_holder=is_holder)
-                if is_holder:
-                    self._decide(only_near=not lease.may_order())
-                await anyio.sleep(MIN_TICK_S)
-                with anyio.move_on_after(TICK_S - MIN_TICK_S):
-                    await self.woken.wait()
-                self.woken = anyio.Event()
+        try:
+            async with anyio.create_task_group() as group:
+                self.group = group
+                await self._decide_often()
+        finally:
+            self.group = None
+            self.adapters.askers.clear()
 
     def want(self, wanted: Wanted, asker: str) -> None:
         """See to a model or an adapter that a host asks for."""
@@ -136,9 +132,11 @@
         if not wanted.adapter:
             self.woken.set()
             return
+        if self.group is None:
+            return
         is_new = wanted not in self.adapters.askers
         self.adapters.askers.setdefault(wanted, set()).add(asker)
-        if is_new and self.group is not None:
+        if is_new:
             self.group.start_soon(self.adapters.bring, wanted)
 
     def list_coming(self) -> tuple[tuple[str, str], ...]:
@@ -153,6 +151,18 @@
         }
         return tuple(pairs)
 
+    async def _decide_often(self) -> None:
+        while True:
+            lease = self.ordering.leadership
+            is_holder = lease.may_order_near()
+            self._note_holder(is_holder=is_holder)
+            if is_holder:
+                self._decide(only_near=not lease.may_order())
+            await anyio.sleep(MIN_TICK_S)
+            with anyio.move_on_after(TICK_S - MIN_TICK_S):
+                await self.woken.wait()
+            self.woken = anyio.Event()
+
     def _note_holder(self, *, is_holder: bool) -> None:
         if is_holder == self.was_holder:
             return
@@ -312,7 +322,7 @@
         """Give the orders of a swap, and return whether all were taken."""
         if not await self.ordering.refresh(known):
             return False
-        if not _fits(known, engine, swap):
+        if not fits(known, engine, swap):
             self.log('load_does_not_fit', target=known.name, model=swap.load)
             return False
         for model in swap.unloads:
@@ -352,7 +362,7 @@
         A load takes the time that its model states, unless it waits behind
         others; the target's own report is some hundred milliseconds old.
         """
-        await anyio.sleep(_load_s(swap.load, known, engine))
+        await anyio.sleep(load_s(swap.load, known, engine))
         known.add(swap.load, '')
         known.confirmed_at = boot_time()
         await self.link.tell(resident_message(known), ())
@@ -364,37 +374,3 @@
             await self.link.tell(resident_message(known), ())
             return
         self.log('order_unfinished', target=known.name, model=swap.load)
-
-
-def reserved_adapter_bytes(engine: EngineSpec) -> int:
-    """Return the memory that adapters of any models may take."""
-    largest = max(
-        (
-            spec.adapter_bytes
-            for spec in engine.models.values()
-            if spec.adapters
-        ),
-        default=0,
-    )
-    return largest * engine.adapter_slots
-
-
-def _fits(known: KnownTarget, engine: EngineSpec, swap: Swap) -> bool:
-    sizes = {name: spec.bytes for name, spec in engine.models.items()}
-    left = {
-        model: resident
-        for model, resident in known.models.items()
-        if model not in swap.unloads
-    }
-    used = used_bytes(left, sizes, engine.weight_bytes)
-    wanted = engine.models[swap.load].bytes + reserved_adapter_bytes(engine)
-    return swap.load not in left and used + wanted <= engine.weight_bytes
-
-
-def _load_s(model: str, known: KnownTarget, engine: EngineSpec) -> float:
-    spec = engine.models[model]
-    if model in known.said.memory_weights:
-        return spec.memory_load_s
-    if model in known.said.disk_weights:
-        return spec.disk_load_s
-    return spec.load_s
