An unexpected error of a request is logged and answered truthfully

Callers got a bare 500 from the HTTP library, which promises nothing, and no log line said why: that library's own log is turned off, since cut answers are ended on purpose. A request that was cancelled with its host left a second error behind.

The gateway now logs `request_failed` with the trace, and answers 503 where nothing was sent to a target, else 502. Found while tracing answers of our own that no log explained (a target with an unusable address). Evidence: test_an_unexpected_error_is_logged_and_answered_as_not_run failed with UnboundLocalError before.

--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -1,6 +1,7 @@
 """Takes requests through admission, limits, routing and to their answers."""
 
 import math
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -30,6 +31,7 @@
 LOOK_GAP_S = 0.02
 # An adapter that takes longer to come to the best target is used elsewhere.
 ADAPTER_WAIT_S = 0.25
+_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _CLIENT_CLOSED = 499
@@ -104,6 +106,7 @@
             If this host answers it; nothing was sent to the caller.
         """
         progress = Progress()
+        outcome = Outcome(0, 'cancelled')
         try:
             call = self._admit(arrival)
             outcome = await self._run(call, responder, wait_gone, progress)
@@ -112,6 +115,10 @@
             if error.status == _UNAVAILABLE and progress.refund is not None:
                 progress.refund()
             raise
+        except Exception as error:
+            outcome = self._note_failed(arrival, progress, error)
+            if not progress.is_started:
+                raise RejectionError(outcome.status, outcome.reason) from error
         finally:
             self._note(arrival, progress, outcome)
 
@@ -276,6 +283,24 @@
                     reason = 'no_target' if is_coming else 'model_not_coming'
                     raise RejectionError(_UNAVAILABLE, reason, pause_s)
 
+    def _note_failed(
+        self,
+        arrival: Arrival,
+        progress: Progress,
+        error: Exception,
+    ) -> Outcome:
+        """Log an error that nobody expected, and return what it means."""
+        self.log(
+            'request_failed',
+            request=arrival.request_id,
+            why=repr(error),
+            trace=''.join(traceback.format_exception(error)),
+        )
+        if progress.is_started:
+            return Outcome(0, 'cut_internal_error')
+        status = _BAD_GATEWAY if progress.sends else _UNAVAILABLE
+        return Outcome(status, 'internal_error')
+
     def _note(
         self,
         arrival: Arrival,
