A signal between the end of a planned stop and the exit of the process is ignored

A host that had stopped as planned ended with -1 or -15, now and then, when one more signal came as it exited; whoever supervises it takes that for a crash.

Cause: anyio's receiver puts signals back to their default as it closes. Blocking them in the main thread does not help, since a second thread (name lookups of the event loop) takes them. The test sends a signal each millisecond from `stopped` on; it passed on the code before as well (2 of 2), so it guards, but did not reproduce the race.

The receiver is now one of our own, whose handlers are replaced by SIG_IGN and never by the default.

--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -51,10 +51,8 @@
 
 async def run(settings: HostSettings) -> None:
     """Run a host until it is told to stop."""
-    numbers = (signals.RELOAD, *signals.STOPS)
-    with anyio.open_signal_receiver(*numbers) as received:
-        with signals.delivering():
-            await _run(settings, received)
+    with signals.open_receiver() as received:
+        await _run(settings, received)
 
 
 async def _run(
--- a/ebonywell/signals.py
+++ b/ebonywell/signals.py
@@ -1,28 +1,47 @@
-"""The signals that a process acts on, from its start to its end.
+"""The signals that a process acts on while it serves.
 
-By default each of them ends the process at once, with all that it serves, so
-they are held back while there is no receiver. Imports nothing that takes long,
-since it is needed first.
+By default each of them ends the process at once, with all that it serves.
 """
 
+import asyncio
+import math
 import signal
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from types import FrameType
+
+import anyio
+from anyio.streams.memory import MemoryObjectReceiveStream
 
 RELOAD = signal.SIGHUP
 STOPS = (signal.SIGTERM, signal.SIGINT)
+Handler = Callable[[int, FrameType | None], None]
 
 
-def hold_reloads() -> None:
-    """Keep a reload pending until there is a receiver."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, (RELOAD,))
+@contextmanager
+def open_receiver() -> Iterator[MemoryObjectReceiveStream[signal.Signals]]:
+    """Receive signals, and ignore them once the context is left.
 
+    anyio's own receiver puts them back to their default when it is closed. A
+    reload that was held back before (see `platform.__main__`) comes first.
+    """
+    loop = asyncio.get_running_loop()
+    sending, received = anyio.create_memory_object_stream[signal.Signals](
+        math.inf,
+    )
 
-@contextmanager
-def delivering() -> Iterator[None]:
-    """Deliver signals to an open receiver, and none after it."""
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, (RELOAD,))
-    try:
-        yield
-    finally:
-        signal.pthread_sigmask(signal.SIG_BLOCK, (RELOAD, *STOPS))
+    def take(number: int, frame: FrameType | None) -> None:
+        loop.call_soon_threadsafe(sending.send_nowait, signal.Signals(number))
+
+    with sending, received:
+        _set_handlers(take)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (RELOAD,))
+        try:
+            yield received
+        finally:
+            _set_handlers(signal.SIG_IGN)
+
+
+def _set_handlers(handler: signal.Handlers | Handler) -> None:
+    for number in (RELOAD, *STOPS):
+        signal.signal(number, handler)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -90,6 +90,20 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_after_a_planned_stop_leaves_the_exit_code(tmp_path, number):
+    async def story(world):
+        host = world.hosts['host-1']
+        host.process.send_signal(signal.SIGTERM)
+        await world.wait_logged('event=stopped')
+        while host.process.poll() is None:
+            host.process.send_signal(number)
+            await anyio.sleep(0.001)
+        assert host.process.returncode == 0
+
+    play(tmp_path, story)
+
+
 def test_a_reload_before_the_settings_are_read_does_not_end_the_host(tmp_path):
     async def story(world):
         fifo = str(tmp_path / 'held')
