--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -222,6 +222,23 @@
     play(tmp_path, story, graceS=GRACE_S)
 
 
+def test_a_stream_sent_over_three_seconds_into_a_stop_is_not_cut(tmp_path):
+    # The platform excuses cuts only of what was sent before.
+    async def story(world):
+        host = world.hosts['host-1']
+        await allow_long_requests(world)
+        set_streams(world, 4)
+        began_at = time.monotonic()
+        host.process.send_signal(signal.SIGTERM)
+        await anyio.sleep(began_at + 3.1 - time.monotonic())
+        answer = await world.chat(host, Request_Id='x', Deadline_Ms='20000')
+        outcome = outcome_of(world, 'x', answer, 0)
+        assert outcome in {'whole', 'refused'}, host.log()
+        assert await world.wait_ended(host) == 0
+
+    play(tmp_path, story, graceS=GRACE_S)
+
+
 def test_a_request_at_the_end_of_the_grace_period_is_not_cut(tmp_path):
     async def story(world):
         host = world.hosts['host-1']
