A caller that connects as the sockets close does not hold up a planned stop

Cause: uvicorn tells its connections once to close when idle, and does not know those yet that were accepted in the same turn of the event loop; it then waits for one on which the caller sends nothing. The server of both doors now tells them again until all are closed.

--- a/ebonywell/server.py
+++ b/ebonywell/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import anyio
 import uvicorn
 
 from .exceptions import SettingsError
@@ -14,16 +15,37 @@
 # Longer than callers keep idle connections, so that a caller's next request
 # does not meet the closing of its connection.
 KEEP_ALIVE_S = 75
+# Between two looks at which connections of a closing server are idle.
+CLOSE_GAP_S = 0.05
 
 
 class Server(uvicorn.Server):
     """uvicorn's server without handlers of its own for signals."""
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Close the sockets, then each connection once it is idle.
+
+        uvicorn tells connections only once, and misses those accepted just
+        before, so that a caller that sends nothing on one holds up the stop.
+        """
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._close_idle_connections)
+            await super().shutdown(sockets)
+            group.cancel_scope.cancel()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave the process's signals to the entry process."""
         yield
 
+    async def _close_idle_connections(self) -> None:
+        while True:
+            await anyio.sleep(CLOSE_GAP_S)
+            for connection in tuple(self.server_state.connections):
+                connection.shutdown()
+
 
 def bind(address: str) -> socket.socket:
     """Return a listening socket.
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -3,11 +3,13 @@
 import contextlib
 import os
 import signal
+import socket
 import time
 
 import anyio
 import pytest
 
+from ebonywell import server
 from lab.platform_caller import connect
 from lab.platform_world import configuration, play
 
@@ -380,3 +382,42 @@
         assert await world.wait_ended(host) == 0
 
     play(tmp_path, story, graceS=GRACE_S)
+
+
+class ClosingServer(server.Server):
+    """Closes its sockets some turns of the loop after a caller connects."""
+
+    def __init__(self, config, caller, address, turns):
+        super().__init__(config)
+        self.caller = caller
+        self.address = address
+        self.turns = turns
+
+    async def on_tick(self, counter):
+        self.caller.connect(self.address)
+        for _ in range(self.turns):
+            await anyio.sleep(0)
+        return True
+
+
+@pytest.mark.parametrize('turns', range(6))
+def test_a_caller_that_connects_as_the_sockets_close_does_not_hold_up_a_stop(
+    turns,
+):
+    async def answer(scope, receive, send):
+        await send({'type': 'http.response.start', 'status': 200})
+        await send({'type': 'http.response.body'})
+
+    async def run():
+        listener = server.bind('127.0.0.1:0')
+        with socket.socket() as caller:
+            web = ClosingServer(
+                server.server_config(answer),
+                caller,
+                listener.getsockname(),
+                turns,
+            )
+            with anyio.fail_after(1):
+                await web.serve([listener])
+
+    anyio.run(run)
