An unreadable answer of the store ends neither a stop nor a service

A 410 of the store whose body is no JSON raised an error of the transport, which those who call the store do not expect.

The store's client turns it into an outage, as it does for all other answers, and a release takes any error of the project for a lease that was not released. Evidence: test_any_body_of_a_gap_is_read_or_an_outage and test_an_unreadable_answer_to_a_release_ends_no_stop; both failed before.

--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -18,7 +18,7 @@
 
 from .clock import boot_time
 from .digests import Digest
-from .exceptions import ConflictError, LogServiceError
+from .exceptions import ConflictError, EbonywellError, LogServiceError
 from .logs import Logger
 from .sharedstore import SharedStore
 
@@ -275,7 +275,7 @@
         try:
             with anyio.fail_after(RELEASE_TIMEOUT_S):
                 await self._append(record)
-        except (LogServiceError, ConflictError, TimeoutError) as error:
+        except (EbonywellError, TimeoutError) as error:
             self.log('lease_unreleased', why=repr(error))
         else:
             self.log('lease_released', fence=self.state.fence)
--- a/ebonywell/platform/store.py
+++ b/ebonywell/platform/store.py
@@ -84,7 +84,7 @@
         while True:
             query = {'topic': topic, 'part': part, **after}
             answer = await self._ask('GET', '/log-newest', query)
-            page = self._decode(answer, _Newest)
+            page = _decode(answer, _Newest)
             if first_end is None:
                 first_end = page.end
             records.extend(_translate_item(one) for one in page.items)
@@ -126,15 +126,9 @@
             query['at'] = at
         framed = b''.join(_frame(key, value) for key, value in records)
         answer = await self._ask('POST', '/log-append', query, 0, framed)
-        appended: _Appended = self._decode(answer, _Appended)
+        appended: _Appended = _decode(answer, _Appended)
         return appended.offset
 
-    def _decode(self, answer: httpcore.Response, kind: type[Any]) -> Any:
-        try:
-            return decode_answer(answer.content, kind)
-        except TransportError as error:
-            raise LogOutageError(str(error)) from error
-
     async def _ask(
         self,
         method: str,
@@ -166,6 +160,13 @@
         self.calls[name] = self.calls.get(name, 0) + 1
 
 
+def _decode(answer: httpcore.Response, kind: type[Any]) -> Any:
+    try:
+        return decode_answer(answer.content, kind)
+    except TransportError as error:
+        raise LogOutageError(str(error)) from error
+
+
 def _check(answer: httpcore.Response, path: str) -> None:
     status = answer.status
     if status == _OK:
@@ -173,7 +174,7 @@
     if status in _NOTHING_DONE:
         raise LogRefusedError(f'{path}: status {status}')
     if status == _GONE:
-        raise LogGapError(decode_answer(answer.content, _Gone).first)
+        raise LogGapError(_decode(answer, _Gone).first)
     if status == _CONFLICT:
         raise ConflictError(f'{path}: the partition has grown')
     raise LogOutageError(f'{path}: status {status}')
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -6,7 +6,11 @@
 import pytest
 
 from ebonywell.digests import Digest
-from ebonywell.exceptions import ConflictError, LogOutageError
+from ebonywell.exceptions import (
+    ConflictError,
+    LogOutageError,
+    TransportError,
+)
 from ebonywell.leadership import (
     FENCED_WAIT_S,
     HOLDER_SILENCE_S,
@@ -220,6 +224,22 @@
     assert anyio.run(play) == (0, 3)
 
 
+def test_an_unreadable_answer_to_a_release_ends_no_stop(monkeypatch):
+    async def play():
+        store = MemoryStore()
+        one = make(store, 'one')
+        await step(one)
+
+        async def append(*args):
+            raise TransportError('unreadable answer')
+
+        monkeypatch.setattr(store, 'append', append)
+        await one.release()
+        return one.state.fence
+
+    assert anyio.run(play) == 0
+
+
 def test_a_conflict_is_no_outage():
     async def play():
         store = MemoryStore()
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import anyio
+import httpcore
 import msgspec
 import pytest
 import yaml
@@ -17,6 +18,7 @@
 from ebonywell.digests import decode_message
 from ebonywell.exceptions import (
     LogRefusedError,
+    LogServiceError,
     MalformedFrameError,
     RecordError,
     SettingsError,
@@ -383,6 +385,15 @@
 # The store
 
 
+@given(st.binary(max_size=40))
+@example(b'gone')
+def test_any_body_of_a_gap_is_read_or_an_outage(body):
+    answer = httpcore.Response(410, content=body)
+    answer.read()
+    with pytest.raises(LogServiceError):
+        store._check(answer, '/log-read')
+
+
 def test_the_store_client_against_the_stand_in():
     async def play():
         platform_store = PlatformStore()
