Requests and answers with odd numbers get an answer that says what happened

A caller whose Token-Count held a superscript digit, or more digits than Python converts, got a bare 500 with no log line; a caller whose target answered with a status beyond 599 had its connection closed without a byte.

Cause: `isdigit` takes characters that `int` does not; a status that HTTP does not define was passed on to a library that does not know it, after the answer counted as begun. Counts are now plain digits, at most twelve; such a status means that the outcome is unclear (502); an answer counts as begun once its head is written. A peer's unusable address is a datagram that was not sent.

Evidence: the new examples of test_any_headers_are_read_and_ours_never_passed_on and test_an_answer_that_cannot_be_passed_on_is_no_silent_close failed before.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -232,9 +232,9 @@
         if body is None:
             raise TryError('cut_short', has_run=True)
         progress.first_byte_s = boot_time() - call.received_at
-        progress.is_started = True
         headers = frame(self.format.answer_headers(head), body)
         await responder.start(head.status, headers)
+        progress.is_started = True
         await responder.send(body)
         await responder.finish()
         return Outcome(head.status, 'answered')
@@ -266,9 +266,9 @@
         if call.route.is_resumable and progress.splitter is None:
             progress.splitter = EventSplitter()
         if not progress.is_started:
-            progress.is_started = True
             progress.first_byte_s = boot_time() - call.received_at
             await responder.start(head.status, self.format.answer_headers(head))
+            progress.is_started = True
         part = await sending.connection.receive(exchange)
         while isinstance(part, bytes):
             await _forward(responder, progress, part)
--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -18,7 +18,7 @@
     decode_message,
     encode_message,
 )
-from .exceptions import MalformedFrameError
+from .exceptions import MalformedFrameError, SettingsError
 from .fleetview import SILENT_S, FleetView, Peer
 from .logs import Logger
 from .misc import split_address
@@ -93,11 +93,11 @@
         """Send a message; it may be lost."""
         if self.socket is None:
             return
-        host, port = split_address(address)
         try:
+            host, port = split_address(address)
             async with self.turn_to_send:
                 await self.socket.sendto(encode_message(message), host, port)
-        except (OSError, anyio.BrokenResourceError) as error:
+        except (OSError, anyio.BrokenResourceError, SettingsError) as error:
             self.log('datagram_unsent', to=address, why=repr(error))
 
     async def tell_all(self, message: Message) -> None:
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -9,6 +9,8 @@
 _CRLF = b'\r\n'
 _MS_PER_S = 1000
 _MISDIRECTED = 421
+# What HTTP does not define cannot be passed on.
+_LAST_STATUS = 599
 _SERVER_ERROR = 500
 # Statuses that promise that the request has not run.
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -77,7 +79,7 @@
         return Verdict.other_target if is_other else Verdict.absent
     if head.get(headers.NOT_EXECUTED) is not None:
         return Verdict.not_run
-    if head.status in _PROMISES:
+    if head.status in _PROMISES or head.status > _LAST_STATUS:
         return Verdict.unclear
     if head.status >= _SERVER_ERROR:
         return Verdict.failed
--- a/ebonywell/platform/ingress.py
+++ b/ebonywell/platform/ingress.py
@@ -16,6 +16,8 @@
 
 READY_PATH = '/ready'
 DIRECTORY_PATH = '/resolution'
+# Of a count of tokens; what is longer is no count.
+MAX_DIGITS = 12
 _BEARER = 'bearer '
 _ENCODING = 'latin-1'
 _MS = 0.001
@@ -179,14 +181,14 @@
         return Generation(model, adapter)
     prompt, most = counts
     hint = _text(found.get(headers.LENGTH_HINT, b''))
-    likely = min(int(hint), most) if hint.isdigit() else most
+    likely = min(int(hint), most) if _is_number(hint) else most
     prefix = tuple(_read_parts(_text(found.get(headers.PROMPT_PREFIX, b''))))
     return Generation(model, adapter, prompt, most, likely, prefix)
 
 
 def _read_counts(raw: bytes | None) -> tuple[int, int] | None:
     prompt, _, most = _text(raw or b'').partition(',')
-    if prompt.strip().isdigit() and most.strip().isdigit():
+    if _is_number(prompt.strip()) and _is_number(most.strip()):
         return int(prompt), int(most)
     return None
 
@@ -195,7 +197,11 @@
     parts = []
     for one in raw.split(','):
         part_id, _, tokens = one.strip().partition(':')
-        if not tokens.isdigit():
+        if not _is_number(tokens):
             break
         parts.append(PromptPart(part_id, int(tokens)))
     return parts
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -139,10 +139,10 @@
         assert error.head is not None
         if progress.is_started:
             return Outcome(0, f'cut_{error.reason}')
-        progress.is_started = True
         answer_headers = self.attempts.format.answer_headers(error.head)
         headers = frame(answer_headers, error.body)
         await responder.start(error.head.status, headers)
+        progress.is_started = True
         await responder.send(error.body)
         await responder.finish()
         return Outcome(error.head.status, 'target_failed')
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -289,7 +289,7 @@
     stated = (head.get(_KEEP_ALIVE) or b'').decode('latin-1')
     for part in stated.split(','):
         name, _, seconds = part.strip().partition('=')
-        if name == _TIMEOUT and seconds.isdigit():
+        if name == _TIMEOUT and seconds.isascii() and seconds.isdigit():
             return float(seconds)
     return None
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -308,6 +308,14 @@
         max_size=12,
     ),
 )  # fmt: skip
+@example([(b'model', b'm1'), (b'token-count', b'\xb2,5')])
+@example([(b'model', b'm1'), (b'token-count', b'%s,5' % (b'9' * 5000))])
+@example(
+    [(b'model', b'm'), (b'token-count', b'5,5'), (b'length-hint', b'\xb3')]
+)
+@example(
+    [(b'model', b'm'), (b'token-count', b'5,5'), (b'prompt-prefix', b'a:\xb9')]
+)
 def test_any_headers_are_read_and_ours_never_passed_on(raw):
     arrival = ingress.read_arrival(a_scope(raw), b'', 0)
     passed = {name for name, _ in arrival.headers}
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -325,6 +325,24 @@
     play(tmp_path, story)
 
 
+def test_an_answer_that_cannot_be_passed_on_is_no_silent_close(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+
+        async def answer(request):
+            head = (
+                'HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n'
+                f'Request-Id: {request.headers["request-id"]}\r\n\r\nhi'
+            )
+            return Reply(200, raw=head.encode())
+
+        for name in ('desk-1', 'desk-2'):
+            world.replicas[name].behave = answer
+        assert (await world.ask(host, '/book/1')).status == 502
+
+    play(tmp_path, story)
+
+
 def test_an_announced_address_that_cannot_be_used_ends_no_host(tmp_path):
     async def story(world):
         host = world.hosts['host-1']
