SIGHUP no longer ends an entry process with its calls

Callers saw: a stream that ran on an entry process that got SIGHUP ended without its last event (incomplete chunked read), and so did one that a planned stop was waiting for.

Cause: the receiver of signals took SIGTERM and SIGINT only, so that SIGHUP kept its default, the end of the process. Who reloads all processes of a host by SIGHUP ended this one.

The receiver now takes SIGHUP from before the first service starts to after the last has stopped, logs it and goes on; there is nothing to read again.

--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -11,6 +11,8 @@
 from .types import HostId, new_incarnation
 from .web import Web, stopping_refusal
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 def run(settings: Settings) -> None:
     """Run an entry process until SIGTERM or SIGINT.
@@ -40,12 +42,16 @@
 
 
 async def _watch_signals(kernel: Kernel, stopping: anyio.Event) -> None:
-    """Stop gracefully at the first signal, and at once at the second."""
+    """Stop gracefully at the first signal, and at once at the second.
+
+    SIGHUP changes nothing: there is no file to read again.
+    """
     log = assembly.find_log(kernel)
-    signals = (signal.SIGTERM, signal.SIGINT)
-    with anyio.open_signal_receiver(*signals) as received:
+    with anyio.open_signal_receiver(*SIGNALS) as received:
         async for number in received:
             log('signal', number=int(number))
+            if number == signal.SIGHUP:
+                continue
             if stopping.is_set():
                 kernel.find(assembly.WEB, Web).server.should_exit = True
                 calls = kernel.find(assembly.CALLS, Calls)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -5,6 +5,7 @@
 
 import anyio
 import msgspec
+import pytest
 
 from lab.client import bearer
 from lab.deployment import Deployment
@@ -47,6 +48,16 @@
     assert code == 0
 
 
+@pytest.mark.parametrize(
+    'signals',
+    [[signal.SIGHUP, signal.SIGTERM], [signal.SIGTERM, signal.SIGHUP]],
+)
+def test_a_hangup_before_or_in_a_stop_cuts_no_stream(signals):
+    text, code = anyio.run(stop_in_mid_stream, signals)
+    assert text.endswith(b'data: [DONE]\n\n')
+    assert code == 0
+
+
 def check_cut(text, code):
     """Check that a stream ends with a true word about the stop."""
     assert b'[DONE]' not in text
