A signal at the end of a stop leaves the exit code at 0

Operators saw: a planned stop that had gone well ended with -15 or -1 when another signal came as the process exited, which a supervisor reads as a failure.

Cause: the receiver of signals closes once the last service has stopped and puts the defaults back while the process still tidies up.

Evidence: one signal sent once the process had logged `stopped` gave -1 (SIGHUP) and -15 (SIGTERM) in two of two runs each before, and 0 in five of five runs each after.

Signals are ignored from the closing of the receiver on. Between the two lie some instructions: with a signal every 2 ms for the whole stop, 2 of 12 stops still ended with -1.

--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -1,6 +1,8 @@
 """Runs an entry process from its start to its planned stop."""
 
 import signal
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 
@@ -47,8 +49,8 @@
     SIGHUP changes nothing: there is no file to read again.
     """
     log = assembly.find_log(kernel)
-    with anyio.open_signal_receiver(*SIGNALS) as received:
-        async for number in received:
+    with _ignored_afterwards(), anyio.open_signal_receiver(*SIGNALS) as taken:
+        async for number in taken:
             log('signal', number=int(number))
             if number == signal.SIGHUP:
                 continue
@@ -57,3 +59,13 @@
                 calls = kernel.find(assembly.CALLS, Calls)
                 calls.abort(stopping_refusal())
             stopping.set()
+
+
+@contextmanager
+def _ignored_afterwards() -> Iterator[None]:
+    """Ignore signals from here on, which would else change the exit code."""
+    try:
+        yield
+    finally:
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,6 +1,7 @@
 """Stops of an entry process by signals, with a call that still runs."""
 
 import functools
+import os
 import signal
 
 import anyio
@@ -12,6 +13,8 @@
 from lab.processes import wait
 from lab.shape import Shape
 
+STOP_S = 10
+LOOK_GAP_S = 0.002
 LONG_CALL = {
     'model': 'quote',
     'stream': True,
@@ -81,3 +84,21 @@
         token_ms=100,
     )
     check_cut(*anyio.run(stop, [signal.SIGTERM]))
+
+
+async def signal_as_it_exits(number):
+    """Stop an entry process, signal it once it says so; return its code."""
+    async with Deployment(Shape(entries=1, hosts_ttl_s=0)) as deployment:
+        member = deployment.entries['entry-1']
+        member.send_signal(signal.SIGTERM)
+        with anyio.fail_after(STOP_S):
+            while 'event=stopped' not in member.read_log():
+                await anyio.sleep(LOOK_GAP_S)
+        # Popen's own method may reap the process and lose its code.
+        os.kill(member.pid, number)
+        return await wait(member)
+
+
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_at_the_end_of_a_stop_leaves_its_exit_code(number):
+    assert anyio.run(signal_as_it_exits, number) == 0
