A line of the host list without an address no longer ends every entry process

Callers saw: all calls on all entry processes broken off at once, and refused connections from then on, after somebody had listed one host with an address such as `127.0.0.1:http`.

Cause: the lines of the host list went unchecked into URLs and sockets. A port that is none raised ValueError in the polls of the targets, and one above 65535 OverflowError in the links to the peers; either ends its service, and with it the process. All entry processes read the same list.

The test's three lines (a service name for a port, an IPv6 number without brackets, a peer's port 99999) ended the process before; now it runs on.

A line whose addresses are not ip:port is passed over and logged once, as `host_line_unusable`; ports above 65535, and digits that are no decimals, are no longer taken for ports.

--- a/ebonywell/misc.py
+++ b/ebonywell/misc.py
@@ -7,6 +7,8 @@
 
 # Addresses
 
+MAX_PORT = 65_535
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP number and port of ``ip:port``.
@@ -21,7 +23,7 @@
         ipaddress.ip_address(number.strip('[]'))
     except ValueError as error:
         raise SettingsError(f'{address!r} is not ip:port') from error
-    if not colon or not port.isdigit():
+    if not colon or not port.isdecimal() or int(port) > MAX_PORT:
         raise SettingsError(f'{address!r} is not ip:port')
     return number.strip('[]'), int(port)
 
--- a/ebonywell/targets.py
+++ b/ebonywell/targets.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TypeVar
+from urllib.parse import urlsplit
 
 import anyio
 import msgspec
 
-from .exceptions import TargetError, TransportError
+from .exceptions import SettingsError, TargetError, TransportError
 from .logs import Logger
+from .misc import split_address
 from .transport import HttpClient, check_status, decode_answer
 from .types import HostState
 
@@ -112,6 +114,8 @@
         Read by every service of the process, changed by this one only.
     listed : tuple of ListedHost
         The newest host list, entry hosts among it.
+    unusable : set of ListedHost
+        Its lines whose addresses are none; they are passed over.
     """
 
     def __init__(
@@ -125,6 +129,7 @@
         self.clock = clock
         self.table = TargetTable()
         self.listed: tuple[ListedHost, ...] = ()
+        self.unusable: set[ListedHost] = set()
         self.client = HttpClient()
 
     async def run(self, ready: Callable[[], None]) -> None:
@@ -170,12 +175,26 @@
     async def _poll_hosts(self) -> None:
         url = f'{self.host_list_url}/hosts'
         try:
-            self.listed = (await self._get(url, HostList)).hosts
+            self._take_list(await self._get(url, HostList))
         except TargetError as error:
             # The last list stands: a list that is down ejects nobody.
             self.log('host_list_unreadable', reason=str(error))
         update_listed(self.table, self.listed)
 
+    def _take_list(self, answer: HostList) -> None:
+        unusable = {line for line in answer.hosts if not _is_usable(line)}
+        for line in unusable - self.unusable:
+            self.log(
+                'host_line_unusable',
+                name=line.name,
+                address=line.address,
+                peer_address=line.peer_address,
+            )
+        self.unusable = unusable
+        self.listed = tuple(
+            host for host in answer.hosts if host not in unusable
+        )
+
     async def _get(self, url: str, kind: type[_Answer]) -> _Answer:
         try:
             response = await self.client.ask('GET', url, POLL_TIMEOUT_S)
@@ -184,6 +203,17 @@
             raise TargetError(str(error)) from error
 
 
+def _is_usable(line: ListedHost) -> bool:
+    try:
+        split_address(line.address)
+        if line.peer_address:
+            split_address(line.peer_address)
+        # An IPv6 number without brackets is no part of a URL.
+        return urlsplit(f'//{line.address}').port is not None
+    except (SettingsError, ValueError):
+        return False
+
+
 def update_listed(
     table: TargetTable,
     listed: tuple[ListedHost, ...],
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,11 +1,14 @@
 """Separate processes under faults, and the checks of what they did."""
 
+import functools
+
 import anyio
 import pytest
 
 from lab import faults
 from lab.arrivals import CallKind
 from lab.callers import Observation, Outcome
+from lab.deployment import Deployment, wait_until
 from lab.history import (
     History,
     Leaving,
@@ -15,6 +18,7 @@
     Withdrawal,
     find_faults,
 )
+from lab.shape import Shape
 
 ADDRESS = '10.0.0.1:80'
 
@@ -171,3 +175,35 @@
         if seen.started_at > recovered
     }
     assert codes == {''}, faults.describe(history)
+
+
+async def list_line(**fields):
+    """Put a line into the host list; return the log and exit code of a host."""
+    async with Deployment(Shape(entries=1)) as deployment:
+        member = deployment.entries['entry-1']
+        line = {'name': 'odd', 'address': '127.0.0.1:80', **fields}
+        url = f'{deployment.platform["hosts"].url}/hosts/odd'
+        await deployment.client.ask('PUT', url, body=line)
+
+        async def is_noted():
+            is_over = not member.is_running()
+            return is_over or 'host_line_unusable' in member.read_log()
+
+        await wait_until(is_noted, 'line noted')
+        # Two rounds of polls, of the list and of the links to peers.
+        await anyio.sleep(2)
+        return member.read_log(), member.process.returncode
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'role': 'engine', 'address': '127.0.0.1:http'},
+        {'role': 'engine', 'address': '::1:80'},
+        {'role': 'entry', 'peer_address': '127.0.0.1:99999'},
+    ],
+)
+def test_an_unusable_line_of_the_host_list_ends_no_host(fields):
+    log, code = anyio.run(functools.partial(list_line, **fields))
+    assert code is None, log
+    assert log.count('host_line_unusable') == 1
