A caller that stands still no longer holds a planned stop

Operators saw: a stopping entry process that went on long after its grace period, until it was killed, and with it the handover of its limits and its lease.

Cause: after the grace period the calls were cut, but the stop then waited for every connection to close. A caller that never sent the rest of its body, or never read its answer, kept one open.

Now both stops end by themselves, with 0.

Connections that are still open 1 s after the cut are cut as well, and counted in `connections_cut`; the second lets the answers of cut calls out first.

--- a/ebonywell/server.py
+++ b/ebonywell/server.py
@@ -24,6 +24,13 @@
         """Leave the process's signals to the entry process."""
         yield
 
+    def cut(self) -> int:
+        """Cut the connections that are still open, and say how many."""
+        connections = list(self.server_state.connections)
+        for connection in connections:
+            connection.transport.abort()
+        return len(connections)
+
 
 def bind(address: str) -> socket.socket:
     """Return a listening socket.
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -34,6 +34,8 @@
 from .types import EntryKind, RunState, new_id
 
 START_POLL_S = 0.01
+# For callers to take the answers of calls that a stop has cut.
+CLOSE_S = 1.0
 _STATUS_UNAVAILABLE = 503
 _STATUS_NOT_FOUND = 404
 _STATUS_INTERNAL = 500
@@ -174,6 +176,11 @@
         with anyio.move_on_after(self.settings.grace_s):
             await self.finished.wait()
         self.calls.abort(stopping_refusal())
+        with anyio.move_on_after(CLOSE_S):
+            await self.finished.wait()
+        count = self.server.cut()
+        if count:
+            self.log('connections_cut', count=count)
         await self.finished.wait()
 
     def answer_headers(self) -> list[tuple[bytes, bytes]]:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -3,11 +3,13 @@
 import functools
 import os
 import signal
+import socket
 
 import anyio
 import msgspec
 import pytest
 
+from ebonywell.misc import split_address
 from lab.client import bearer
 from lab.deployment import Deployment
 from lab.processes import wait
@@ -15,6 +17,17 @@
 
 STOP_S = 10
 LOOK_GAP_S = 0.002
+LARGE_BODY = b'x' * 8_000_000
+REQUEST_HEAD = b'\r\n'.join(
+    [
+        b'POST /v1/services/stock/count HTTP/1.1',
+        b'host: entry',
+        b'authorization: Bearer %b',
+        b'content-length: %d',
+        b'',
+        b'',
+    ],
+)
 LONG_CALL = {
     'model': 'quote',
     'stream': True,
@@ -102,3 +115,32 @@
 @pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
 def test_a_signal_at_the_end_of_a_stop_leaves_its_exit_code(number):
     assert anyio.run(signal_as_it_exits, number) == 0
+
+
+async def stop_with_a_caller(body, length):
+    """Stop an entry process while a caller stands still; return its code."""
+    shape = Shape(entries=1, hosts_ttl_s=0, entry_flags=('--grace-s', '1'))
+    async with Deployment(shape) as deployment:
+        await deployment.fill()
+        issued = await deployment.operator.issue_key('counter')
+        member = deployment.entries['entry-1']
+        ip, port = split_address(member.address)
+        async with await anyio.connect_tcp(ip, port) as caller:
+            raw = caller.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+            head = REQUEST_HEAD % (issued.key.encode(), length)
+            await caller.send(head + body)
+            await anyio.sleep(1)
+            member.send_signal(signal.SIGTERM)
+            return await wait(member, STOP_S), member.read_log()
+
+
+@pytest.mark.parametrize(
+    ('body', 'length'),
+    [(b'', 9), (LARGE_BODY, len(LARGE_BODY))],
+    ids=['does not send', 'does not read'],
+)
+def test_a_caller_that_stands_still_does_not_hold_a_stop(body, length):
+    code, log = anyio.run(stop_with_a_caller, body, length)
+    assert code == 0
+    assert 'event=connections_cut' in log
