--- a/ebonywell/server.py
+++ b/ebonywell/server.py
@@ -40,6 +40,13 @@
         """Leave the process's signals to the entry process."""
         yield
 
+    def cut(self) -> int:
+        """Cut the connections that are still open, and say how many."""
+        connections = list(self.server_state.connections)
+        for connection in connections:
+            connection.transport.abort()
+        return len(connections)
+
     async def _close_idle_connections(self) -> None:
         while True:
             await anyio.sleep(CLOSE_GAP_S)
