Both doors receive signals in the same way

The entry process had a receiver of its own kind, with some instructions between the receiver's end and the moment from which signals are ignored: with a signal every 2 ms, 2 of 12 stops ended with -1. It now uses `signals.open_receiver`, which never puts a signal back to its default. tests/test_stop.py, test_planned_stops.py and test_processes.py pass.

--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -1,20 +1,14 @@
 """Runs an entry process from its start to its planned stop."""
 
-import signal
-from collections.abc import Iterator
-from contextlib import contextmanager
-
 import anyio
 
-from . import assembly, logs
+from . import assembly, logs, signals
 from .calls import Calls
 from .config import Settings
 from .kernel import Kernel
 from .types import HostId, new_incarnation
 from .web import Web, stopping_refusal
 
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-
 
 def run(settings: Settings) -> None:
     """Run an entry process until SIGTERM or SIGINT.
@@ -49,23 +43,13 @@
     SIGHUP changes nothing: there is no file to read again.
     """
     log = assembly.find_log(kernel)
-    with _ignored_afterwards(), anyio.open_signal_receiver(*SIGNALS) as taken:
-        async for number in taken:
+    with signals.open_receiver() as received:
+        async for number in received:
             log('signal', number=int(number))
-            if number == signal.SIGHUP:
+            if number == signals.RELOAD:
                 continue
             if stopping.is_set():
                 kernel.find(assembly.WEB, Web).server.should_exit = True
                 calls = kernel.find(assembly.CALLS, Calls)
                 calls.abort(stopping_refusal())
             stopping.set()
-
-
-@contextmanager
-def _ignored_afterwards() -> Iterator[None]:
-    """Ignore signals from here on, which would else change the exit code."""
-    try:
-        yield
-    finally:
-        for number in SIGNALS:
-            signal.signal(number, signal.SIG_IGN)
