Logs bound the lines of each status by itself

Each status has a bound of its own now. test_many_answers_of_one_status_do_not_hide_the_cut_ones failed before.

--- a/ebonywell/linelog.py
+++ b/ebonywell/linelog.py
@@ -13,8 +13,8 @@
 
 # Lines that wait while nobody reads the output; the oldest are dropped.
 MAX_PENDING_LINES = 2000
-# Under load each event is written so many times a second at the most, and
-# what was left out is counted.
+# Under load each event is written so many times a second at the most, with each
+# status, and what was left out is counted.
 MAX_LINES_PER_S = 100
 # A pipe that is ready takes this much without blocking (PIPE_BUF).
 PIPE_BYTES = 4096
@@ -46,6 +46,10 @@
     return event not in ROUTINE
 
 
+# An event and its status, if it has one.
+Kind = tuple[str, int | None]
+
+
 class LineLog:
     """The log of one process; `event` is its `Logger`.
 
@@ -74,7 +78,7 @@
         self.is_brief = False
         self.dropped = 0
         self.second = 0
-        self.counts: collections.Counter[str] = collections.Counter()
+        self.counts: collections.Counter[Kind] = collections.Counter()
         self.poll = select.poll()
         self.poll.register(self.descriptor, select.POLLOUT)
 
@@ -83,8 +87,10 @@
         if self.is_brief and not is_trouble(event, fields):
             return
         self._begin_second()
-        self.counts[event] += 1
-        if self.counts[event] <= self.lines_per_s:
+        # Many answers of one status must not hide the few of another.
+        kind = (event, fields.get('status'))
+        self.counts[kind] += 1
+        if self.counts[kind] <= self.lines_per_s:
             self._add(event, fields)
             self.flush()
 
@@ -110,14 +116,15 @@
         if second == self.second:
             return
         left_out = {
-            event: count - self.lines_per_s
-            for event, count in self.counts.items()
+            kind: count - self.lines_per_s
+            for kind, count in self.counts.items()
             if count > self.lines_per_s
         }
         self.second = second
         self.counts.clear()
-        for event, count in left_out.items():
-            self._add('lines_left_out', {'of': event, 'count': count})
+        for (event, status), count in left_out.items():
+            left = {'of': event, 'status': status, 'count': count}
+            self._add('lines_left_out', left)
 
     def _add(self, event: str, fields: dict[str, Any]) -> None:
         if len(self.pending) >= MAX_PENDING_LINES:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -59,6 +59,19 @@
     os.close(writer)
 
 
+def test_many_answers_of_one_status_do_not_hide_the_cut_ones():
+    reader, writer = os.pipe()
+    log = LineLog(writer)
+    log.lines_per_s = 5
+    for status in (*[200] * 12, 0, 503, 0):
+        log.event('request_ended', status=status)
+    lines = read(reader).splitlines()
+    assert sum('status=200' in line for line in lines) == 5
+    assert sum('status=0' in line for line in lines) == 2
+    os.close(reader)
+    os.close(writer)
+
+
 @pytest.fixture
 def root_logger():
     """Give the root logger back its handlers after a test."""
