A message that cannot be sent fails no service of its sender

It is logged as `datagram_unsent` like all others, and there is no socket to send on while that service is away.

--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -31,6 +31,13 @@
 FANOUT = 10
 # Of one datagram, without the need for fragments.
 MAX_DATAGRAM_BYTES = 1350
+# What keeps a datagram from being sent; there will be another.
+UNSENT = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    SettingsError,
+)
 
 
 class Gossip:
@@ -82,12 +89,10 @@
             local_port=port,
         ) as sock:
             self.socket = sock
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._receive, sock)
-                while True:
-                    await self._tell()
-                    self._note_silent()
-                    await anyio.sleep(PERIOD_S)
+            try:
+                await self._exchange(sock)
+            finally:
+                self.socket = None
 
     async def send(self, address: str, message: Message) -> None:
         """Send a message; it may be lost."""
@@ -97,7 +102,7 @@
             host, port = split_address(address)
             async with self.turn_to_send:
                 await self.socket.sendto(encode_message(message), host, port)
-        except (OSError, anyio.BrokenResourceError, SettingsError) as error:
+        except UNSENT as error:
             self.log('datagram_unsent', to=address, why=repr(error))
 
     async def tell_all(self, message: Message) -> None:
@@ -105,6 +110,14 @@
         for peer in list(self.fleet.peers.values()):
             await self.send(peer.address, message)
 
+    async def _exchange(self, sock: UDPSocket) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._receive, sock)
+            while True:
+                await self._tell()
+                self._note_silent()
+                await anyio.sleep(PERIOD_S)
+
     async def _tell(self) -> None:
         self.number += 1
         digest = self.make_digest(self.number)
