The times of a planned stop stand together

How long a stop serves all requests and how long it takes connections both follow from the directory's time to live, and stood in two modules; `Shutdown` has both now, with the relation.

--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -26,9 +26,6 @@
 from .upstream import ConnectionPool
 
 HOUSEKEEPING_S = 0.1
-# For how long after the signal to stop new connections are taken: callers
-# that keep an old answer of the directory still come.
-LINGER_S = 3.2
 # Sockets are closed in this time even if the grace period is over.
 CLOSE_S = 0.2
 
@@ -155,12 +152,10 @@
             What is left of the grace period for requests that come between
             then and the closing of the sockets, in seconds.
         """
-        begun_at = boot_time()
-        self.shutdown.begin(begun_at, self.settings.bounds.grace_s)
+        self.shutdown.begin(boot_time(), self.settings.bounds.grace_s)
         self.log('stopping', active=len(self.gateway.active))
         await self.leadership.release()
-        closes_at = min(begun_at + LINGER_S, self.shutdown.cut_at)
-        await anyio.sleep(max(0, closes_at - boot_time()))
+        await anyio.sleep(max(0, self.shutdown.closes_at - boot_time()))
         while self.gateway.active:
             if boot_time() > self.shutdown.cut_at:
                 self.log('requests_cut', active=len(self.gateway.active))
--- a/ebonywell/shutdown.py
+++ b/ebonywell/shutdown.py
@@ -6,9 +6,12 @@
 import math
 from dataclasses import dataclass
 
-# Callers keep an answer of the directory for up to three lifetimes, and come
-# for that long after the signal; requests of any length are served meanwhile,
-# but at least half of the time until the cut is left for them to end.
+# Callers keep an answer of the directory for up to three of its lifetimes, a
+# second each, so new connections are taken a little longer than that after the
+# signal.
+LINGER_S = 3.2
+# Until then requests of any length are served, less the time that one may be on
+# its way, and with at least half of the time until the cut left to end in.
 SERVE_ALL_S = 2.8
 SERVE_ALL_SHARE = 0.5
 # A refused caller goes to another host, so it need not wait.
@@ -28,12 +31,15 @@
         When the host was told to stop; infinite until then.
     serves_all_until : float
         From then on, only requests that will have ended by the cut begin.
+    closes_at : float
+        When the sockets may be closed, if nothing runs.
     cut_at : float
         When requests that still run are cut.
     """
 
     begun_at: float = math.inf
     serves_all_until: float = math.inf
+    closes_at: float = math.inf
     cut_at: float = math.inf
 
     @property
@@ -53,6 +59,7 @@
         left_s = grace_s * (1 - STOP_MARGIN_SHARE)
         self.begun_at = now
         self.serves_all_until = now + min(SERVE_ALL_S, left_s * SERVE_ALL_SHARE)
+        self.closes_at = now + min(LINGER_S, left_s)
         self.cut_at = now + left_s
 
     def may_serve(self, now: float, deadline: float) -> bool:
