Tests fix how long a planned stop serves all requests and new callers

The tests name when either ends, for a long and for a short grace period; the second runs the stop of a host by a clock of its own.

Evidence, on a copy: with `min(3.0, left_s * 1.0)`, with a share of 1 and with 3 s in place of 2.8 s the first fails; with the linger counted from the release, or not bounded by the cut, the second fails (104.2 for 103.2).

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,14 +1,34 @@
 """A planned stop: which requests may still begin in it."""
 
+import random
+
+import anyio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ebonywell import hostprocess
+from ebonywell.hostsettings import Bounds, HostSettings
+from ebonywell.logs import discard_event
+from ebonywell.platform.assembly import translators
 from ebonywell.shutdown import STOP_MARGIN_SHARE, Shutdown
 
 SECONDS = st.floats(0, 60)
 
 
+class Clock:
+    """A clock that only sleep moves."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def read(self):
+        return self.now
+
+    async def sleep(self, lasting_s):
+        self.now += lasting_s
+
+
 def test_before_a_stop_all_requests_are_served():
     shutdown = Shutdown()
     assert shutdown.may_serve(1e9, 2e9)
@@ -47,3 +67,37 @@
     shutdown = Shutdown()
     shutdown.begin(100, 8)
     assert shutdown.cut_at == 107
+
+
+@pytest.mark.parametrize(('grace_s', 'lasting_s'), [(8, 2.8), (4, 1.75)])
+def test_half_of_a_short_grace_period_is_left_for_late_requests_to_end(
+    grace_s, lasting_s
+):
+    shutdown = Shutdown()
+    shutdown.begin(100, grace_s)
+    assert shutdown.serves_all_until == 100 + lasting_s
+
+
+@pytest.mark.parametrize(('grace_s', 'lasting_s'), [(8, 3.2), (2, 1.75)])
+def test_a_slow_release_of_the_lease_does_not_prolong_a_stop(
+    monkeypatch, grace_s, lasting_s
+):
+    clock = Clock()
+    monkeypatch.setattr(hostprocess, 'boot_time', clock.read)
+    settings = HostSettings(
+        name='one', ip='127.0.0.1', zone='z', region='r',
+        caller_address='127.0.0.1:1', ready_address='127.0.0.1:2',
+        directory_address='127.0.0.1:3', first_inner_port=4, memory_bytes=5,
+        store_address='127.0.0.1:6', bounds=Bounds(grace_s=grace_s),
+    )  # fmt: skip
+    host = hostprocess.HostProcess(
+        settings, None, translators(None), discard_event, random.Random(1)
+    )
+
+    async def release():
+        await clock.sleep(1)
+
+    host.leadership.release = release
+    monkeypatch.setattr(anyio, 'sleep', clock.sleep)
+    anyio.run(host.stop)
+    assert clock.now == pytest.approx(100 + lasting_s)
