Tests tell a failed request that was sent from one that was not

Three more cases: 502 after a send, no answer but a logged cut once the answer has begun, and a request that is cancelled with its host, which is logged and raises nothing else. The case before any send stays as it was.

Evidence, on a copy: with 503 always, without either look at whether the answer has begun, and without the outcome of a cancelled request (here UnboundLocalError) one of them fails.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,10 +1,13 @@
 """The request path of a host, with its parts replaced."""
 
+from types import SimpleNamespace
+
 import anyio
 import pytest
 
+from ebonywell.clock import boot_time
 from ebonywell.gateway import Gateway
-from ebonywell.inbound import RejectionError
+from ebonywell.inbound import InboundCall, RejectionError
 from ebonywell.intake import Arrival
 from ebonywell.metrics import Metrics
 from ebonywell.modeldemand import DemandBook
@@ -23,17 +26,101 @@
         raise ZeroDivisionError
 
 
-def test_an_unexpected_error_is_logged_and_answered_as_not_run():
-    events = []
+class OpenIntake:
+    """Admits what comes, for some seconds."""
+
+    version = 1
+
+    def admit(self, arrival):
+        now = boot_time()
+        route = SimpleNamespace(goal_s=1)
+        return InboundCall(
+            arrival.request_id, arrival.method, arrival.path, (), b'', route,
+            'desk', None, None, now, now + 5,
+        )  # fmt: skip
+
+
+class OneTarget:
+    """Has the same place for each request."""
+
+    def place(self, call, avoided):
+        return 'target-1', SimpleNamespace(wait_s=0)
 
+
+class Proxy:
+    """Serves as it is told to."""
+
+    def __init__(self, serve):
+        self.serve = serve
+
+
+def make(events, intake, serve=None):
     def log(event, /, **fields):
         events.append((event, fields))
 
-    gateway = Gateway(
-        FailingIntake(), None, None, None, None, DemandBook(), log, Metrics(),
+    return Gateway(
+        intake, OneTarget(), Proxy(serve), None, None, DemandBook(), log,
+        Metrics(),
     )  # fmt: skip
+
+
+async def serve(gateway):
+    await gateway.serve(ARRIVAL, None, anyio.sleep_forever)
+
+
+def fail_after(**steps):
+    """Return what raises once a request has come so far."""
+
+    async def fail(call, responder, progress, placed):
+        for name, value in steps.items():
+            setattr(progress, name, value)
+        raise ZeroDivisionError
+
+    return fail
+
+
+def test_an_unexpected_error_is_logged_and_answered_as_not_run():
+    events = []
     with pytest.raises(RejectionError) as caught:
-        anyio.run(gateway.serve, ARRIVAL, None, anyio.sleep_forever)
+        anyio.run(serve, make(events, FailingIntake()))
     assert caught.value.status == 503
     assert [event for event, _ in events] == ['request_failed', 'request_ended']
     assert 'ZeroDivisionError' in events[0][1]['trace']
+
+
+@pytest.mark.parametrize(('sends', 'status'), [(0, 503), (1, 502), (2, 502)])
+def test_an_unexpected_error_after_a_send_is_not_answered_as_not_run(
+    sends, status
+):
+    events = []
+    with pytest.raises(RejectionError) as caught:
+        anyio.run(serve, make(events, OpenIntake(), fail_after(sends=sends)))
+    assert caught.value.status == status
+    assert [event for event, _ in events] == ['request_failed', 'request_ended']
+    assert events[1][1]['status'] == status
+
+
+def test_an_unexpected_error_within_an_answer_sends_no_second_answer():
+    events = []
+    fail = fail_after(sends=1, is_started=True)
+    anyio.run(serve, make(events, OpenIntake(), fail))
+    assert [event for event, _ in events] == ['request_failed', 'request_ended']
+    ended = events[1][1]
+    assert (ended['status'], ended['reason']) == (0, 'cut_internal_error')
+
+
+def test_a_request_that_is_cancelled_with_its_host_raises_no_second_error():
+    events = []
+
+    async def stall(call, responder, progress, placed):
+        await anyio.sleep_forever()
+
+    async def run():
+        with anyio.move_on_after(0.05) as scope:
+            await serve(make(events, OpenIntake(), stall))
+        return scope.cancelled_caught
+
+    assert anyio.run(run)
+    assert [event for event, _ in events] == ['request_ended']
+    ended = events[0][1]
+    assert (ended['status'], ended['reason']) == (0, 'cancelled')
