Tests of what a provisioner and a host do again after a failure

What hosts asked for as the orders failed is asked for again and brought, and what they ask for before the next start is not kept; a host whose leadership fails twice joins once.

Evidence, on a copy: each of the following fails a test: askers that are kept, a group that is kept, `want` without a look at the group, and a host that joins each time (2 for 1). In a run askers are left over only if a load ends without its clean-up, which was not seen; the test puts such a one there.

--- a/tests/test_adapterloads.py
+++ b/tests/test_adapterloads.py
@@ -14,6 +14,7 @@
 from ebonywell.orderbook import EngineClient, OrderAnswer, TargetReport
 from ebonywell.ordering import Ordering
 from ebonywell.orders import Action
+from ebonywell.provisioning import Provisioner
 from ebonywell.routetable import EngineSpec, ModelSpec
 
 SLOTS = 3
@@ -173,3 +174,42 @@
     anyio.run(play)
     assert not engine.is_broken
     assert len(engine.adapters) == SLOTS
+
+
+@pytest.mark.parametrize('is_begun', [True, False])
+def test_what_was_asked_for_as_orders_failed_is_asked_for_again(
+    monkeypatch, is_begun
+):
+    async def play():
+        provisioner.want(wanted('a0'), 'two')
+        with pytest.raises(ExceptionGroup):
+            await provisioner.run()
+        provisioner.want(wanted('a1'), 'two')
+        assert not loads.askers
+        async with anyio.create_task_group() as group:
+            group.start_soon(provisioner.run)
+            await anyio.sleep(0)
+            await anyio.sleep(0)
+            provisioner.want(wanted('a1'), 'two')
+            with anyio.move_on_after(1):
+                while 'a1' not in engine.adapters:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+    def fail_once():
+        if fails:
+            fails.pop()
+            loads.askers[wanted('a1')] = {'two'}
+            if is_begun:
+                provisioner.group.start_soon(loads.bring, wanted('a1'))
+            raise ZeroDivisionError
+
+    fails = [True]
+    engine = Engine(())
+    loads, state = make(engine)
+    lead(state, monkeypatch, 1)
+    provisioner = Provisioner(
+        loads.inventory, loads.ordering, loads, fail_once, discard_event
+    )
+    anyio.run(play)
+    assert engine.adapters == {'a1'}
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -107,6 +107,7 @@
         for name in SERVICES:
             failed = f'event=service_failed host=host-1 service={name} '
             assert host.log().count(failed) == 2, name
+        assert host.log().count('event=joined ') == 1
         for model in ('m4', 'm1/a1'):
             assert (await world.chat(host, model)).status == 200
         assert host.process.poll() is None
