Stand-ins: kept connections, silence, crashes and runs of a wanted length

The store can be silent or slow, a replica can crash, drop idle connections without notice, and work for as long as a request asks. When a run ended is noted.

--- a/lab/platform_world.py
+++ b/lab/platform_world.py
@@ -8,15 +8,16 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
-import h11
 import yaml
 from anyio.abc import SocketStream, TaskGroup
 
+from .platform_link import Answer, get
 from .standin_platform import PlatformStore, serve_store
 from .standin_replica import Replica, listen, serve_replica
 
@@ -112,35 +113,53 @@
     }  # fmt: skip
 
 
-@dataclass
-class Answer:
-    """What a caller got; `is_whole` is False where it was cut."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    is_whole: bool
-
-
 @dataclass
 class Host:
-    """A real host process."""
+    """A real host process.
+
+    Attributes
+    ----------
+    name : str
+    first_port : int
+    process : subprocess.Popen
+    log_path : str
+    log_start : int
+        Where in its log this process began, in bytes.
+    began_at : float
+    stop_at, kill_at : float or None
+        When it was first told to stop, and when it was killed.
+    """
 
     name: str
     first_port: int
     process: subprocess.Popen[bytes]
     log_path: str
+    log_start: int = 0
+    began_at: float = field(default_factory=time.monotonic)
+    stop_at: float | None = None
+    kill_at: float | None = None
 
     @property
     def front(self) -> int:
         """The port for callers."""
         return self.first_port + 20
 
+    @property
+    def directory(self) -> int:
+        """The port that tells callers where to connect."""
+        return self.first_port + 22
+
     def log(self) -> str:
-        """Return what it has written."""
+        """Return what the host has written."""
         with open(self.log_path, encoding='utf-8') as opened:
             return opened.read()
 
+    def own_log(self) -> str:
+        """Return what this process has written."""
+        with open(self.log_path, 'rb') as opened:
+            opened.seek(self.log_start)
+            return opened.read().decode(errors='replace')
+
 
 @dataclass
 class World:
@@ -151,6 +170,7 @@
     store: PlatformStore = field(default_factory=PlatformStore)
     replicas: dict[str, Replica] = field(default_factory=dict)
     hosts: dict[str, Host] = field(default_factory=dict)
+    fronts: dict[int, Host] = field(default_factory=dict)
     store_address: str = ''
     ids: int = 0
 
@@ -206,6 +226,7 @@
             yaml.safe_dump({'host': settings}, opened)
         log_path = os.path.join(self.folder, f'{name}.log')
         with open(log_path, 'a', encoding='utf-8') as log:
+            log_start = log.tell()
             process = subprocess.Popen(
                 [sys.executable, '-m', 'ebonywell.platform'],
                 cwd=ROOT,
@@ -213,8 +234,10 @@
                 stdout=log,
                 stderr=log,
             )
-        self.hosts[name] = Host(name, first, process, log_path)
-        return self.hosts[name]
+        host = Host(name, first, process, log_path, log_start)
+        self.hosts[name] = host
+        self.fronts[host.front] = host
+        return host
 
     def set_log(self, host: Host, **log: Any) -> None:
         """Change a host's own settings; it reads them at a reload."""
@@ -297,55 +320,6 @@
             host.process.wait()
 
 
-async def get(
-    port: int,
-    method: str,
-    path: str,
-    headers: dict[str, str],
-    body: bytes = b'',
-) -> Answer:
-    """Send one request on a connection of its own."""
-    async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-        connection = h11.Connection(h11.CLIENT)
-        named = {'Host': 'x', 'Content-Length': str(len(body)), **headers}
-        request = h11.Request(
-            method=method, target=path, headers=list(named.items())
-        )
-        sent = connection.send(request) or b''
-        sent += connection.send(h11.Data(data=body)) or b''
-        await stream.send(sent + (connection.send(h11.EndOfMessage()) or b''))
-        return await _read_answer(stream, connection)
-
-
-async def _read_answer(
-    stream: SocketStream,
-    connection: h11.Connection,
-) -> Answer:
-    status = 0
-    headers: dict[str, str] = {}
-    body = b''
-    while True:
-        try:
-            event = connection.next_event()
-        except h11.RemoteProtocolError:
-            return Answer(status, headers, body, is_whole=False)
-        if event is h11.NEED_DATA:
-            try:
-                connection.receive_data(await stream.receive())
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                connection.receive_data(b'')
-        elif isinstance(event, h11.Response):
-            status = event.status_code
-            headers = {
-                name.decode(): found.decode() for name, found in event.headers
-            }
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        else:
-            is_whole = isinstance(event, h11.EndOfMessage)
-            return Answer(status, headers, body, is_whole)
-
-
 def play(
     folder: object,
     story: Callable[[World], Awaitable[None]],
--- a/lab/standin_http.py
+++ b/lab/standin_http.py
@@ -1,15 +1,20 @@
 """A small HTTP/1.1 server for stand-ins that must also misbehave."""
 
 import json
+import socket
+import struct
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 import h11
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 CHUNK_BYTES = 65_536
+# Closes at once, so that the other side meets a reset.
+_RESET = struct.pack('ii', 1, 0)
 
 
 @dataclass
@@ -42,6 +47,8 @@
         Sent as they are, in place of all else.
     at_end : callable or None
         Called once the answer has ended or was broken off.
+    delay_s : float
+        Before the answer begins.
     """
 
     status: int
@@ -52,6 +59,7 @@
     cut_after: int | None = None
     raw: bytes | None = None
     at_end: Callable[[], None] | None = None
+    delay_s: float = 0
 
     @classmethod
     def json(cls, content: Any, status: int = 200) -> 'Reply':
@@ -62,22 +70,49 @@
 AnswerCall = Callable[[HttpRequest], Awaitable[Reply | None]]
 
 
-async def serve_http(stream: SocketStream, answer_call: AnswerCall) -> None:
+async def serve_http(
+    stream: SocketStream,
+    answer_call: AnswerCall,
+    idle_s: Callable[[], float] | None = None,
+) -> None:
     """Serve requests on a connection until either side closes it.
 
-    A handler that returns None leaves its request without an answer.
+    A handler that returns None leaves its request without an answer. A
+    connection that was idle for longer than `idle_s` says is reset at the
+    next byte, without notice before.
     """
     async with stream:
         connection = h11.Connection(h11.SERVER)
         try:
             while await _serve_one(stream, connection, answer_call):
                 connection.start_next_cycle()
+                if idle_s and await _is_dropped(stream, connection, idle_s):
+                    return
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             return
         except h11.ProtocolError:
             return
 
 
+async def _is_dropped(
+    stream: SocketStream,
+    connection: h11.Connection,
+    idle_s: Callable[[], float],
+) -> bool:
+    """Wait for the next request; reset the connection if it came late."""
+    idle_since = time.monotonic()
+    try:
+        received = await stream.receive(CHUNK_BYTES)
+    except anyio.EndOfStream:
+        return True
+    if time.monotonic() - idle_since > idle_s():
+        raw = stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        return True
+    connection.receive_data(received)
+    return False
+
+
 async def _serve_one(
     stream: SocketStream,
     connection: h11.Connection,
@@ -90,10 +125,8 @@
     if reply is None:
         await anyio.sleep_forever()
         return False
-    if reply.raw is not None:
-        await stream.send(reply.raw)
-        return False
     try:
+        await anyio.sleep(reply.delay_s)
         return await _answer(stream, connection, reply)
     finally:
         if reply.at_end is not None:
@@ -144,6 +177,9 @@
     connection: h11.Connection,
     reply: Reply,
 ) -> bool:
+    if reply.raw is not None:
+        await stream.send(reply.raw)
+        return False
     headers = list(reply.headers.items())
     if reply.events:
         headers.append(('transfer-encoding', 'chunked'))
--- a/lab/standin_platform.py
+++ b/lab/standin_platform.py
@@ -25,6 +25,10 @@
         Key, value and offset by topic and partition.
     is_down : bool
         Whether all calls are answered 503.
+    is_silent : bool
+        Whether calls are read and never answered.
+    delay_s : float
+        Before each answer.
     calls : int
     """
 
@@ -32,27 +36,21 @@
         default_factory=dict,
     )
     is_down: bool = False
+    is_silent: bool = False
+    delay_s: float = 0
     calls: int = 0
     changed: anyio.Event = field(default_factory=anyio.Event)
 
-    async def answer_call(self, request: HttpRequest) -> Reply:
-        """Answer one call."""
+    async def answer_call(self, request: HttpRequest) -> Reply | None:
+        """Answer one call, or leave it without an answer."""
         self.calls += 1
+        await anyio.sleep(self.delay_s)
+        if self.is_silent:
+            return None
         if self.is_down:
             return Reply(503)
-        parts = urlsplit(request.path)
-        query = {
-            name: found[0] for name, found in parse_qs(parts.query).items()
-        }
-        where = (query.get('topic', ''), int(query.get('part', '0')))
-        match parts.path:
-            case '/log-newest':
-                return self.newest(where)
-            case '/log-read':
-                return await self.read(where, query)
-            case '/log-append':
-                return self.append(where, query, request.body)
-        return Reply(404)
+        reply = await self._serve(request)
+        return None if self.is_silent else reply
 
     def put(self, topic: str, key: str, value: Any) -> None:
         """Write a record as the operator or a replica would."""
@@ -110,6 +108,21 @@
         self._wake()
         return Reply.json({'offset': end, 'end': len(records)})
 
+    async def _serve(self, request: HttpRequest) -> Reply:
+        parts = urlsplit(request.path)
+        query = {
+            name: found[0] for name, found in parse_qs(parts.query).items()
+        }
+        where = (query.get('topic', ''), int(query.get('part', '0')))
+        match parts.path:
+            case '/log-newest':
+                return self.newest(where)
+            case '/log-read':
+                return await self.read(where, query)
+            case '/log-append':
+                return self.append(where, query, request.body)
+        return Reply(404)
+
     def _wake(self) -> None:
         self.changed.set()
         self.changed = anyio.Event()
--- a/lab/standin_replica.py
+++ b/lab/standin_replica.py
@@ -1,6 +1,7 @@
 """Stands in for the platform's replicas: model engines and plain services."""
 
 import json
+import math
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -13,6 +14,11 @@
 from .standin_http import HttpRequest, Reply, serve_http
 
 MS_PER_S = 1000
+# Headers in which a caller asks for how long a run works before it answers,
+# and for how many events of a stream in which distance.
+WORK_S = 'work-s'
+EVENTS = 'event-count'
+GAP_S = 'event-gap-s'
 Behave = Callable[[HttpRequest], Awaitable[Reply | None]]
 
 
@@ -36,6 +42,16 @@
         How often each request ran here.
     runs : list of (float, HttpRequest)
         When each run began.
+    ends : dict of int to float
+        When runs ended, by their place in `runs`.
+    broken : set of str
+        Requests that it broke off itself.
+    is_down : bool
+        Whether it ends each connection as soon as something comes on it.
+    idle_s : float
+        After which it drops an idle connection without notice.
+    working : dict of CancelScope to list of str
+        Requests under way, by connection.
     seen : list of HttpRequest
     orders : list of dict
         That it accepted.
@@ -59,6 +75,11 @@
     behave: Behave | None = None
     ran: Counter[str] = field(default_factory=Counter)
     runs: list[tuple[float, HttpRequest]] = field(default_factory=list)
+    ends: dict[int, float] = field(default_factory=dict)
+    broken: set[str] = field(default_factory=set)
+    is_down: bool = False
+    idle_s: float = math.inf
+    working: dict[anyio.CancelScope, list[str]] = field(default_factory=dict)
     seen: list[HttpRequest] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     fence: int = 0
@@ -92,37 +113,52 @@
             return Reply(421, headers={'Instance-Id': self.name})
         if not self._holds(request.headers.get('model', '')):
             return Reply(421, headers={'Instance-Id': self.name})
-        if self.behave is not None:
-            return await self.behave(request)
-        return self.run(request)
+        if self.behave is None:
+            return self.run(request)
+        reply = await self.behave(request)
+        if reply and (reply.raw or reply.cut_after is not None):
+            self.broken.add(request.headers['request-id'])
+        return reply
 
     def run(self, request: HttpRequest) -> Reply:
         """Run a request and return its answer."""
         request_id = request.headers['request-id']
         self.ran[request_id] += 1
         self.runs.append((time.monotonic(), request))
-        headers = {'Request-Id': request_id, 'Response-Seal': self.name}
-        if 'model' not in request.headers:
-            return Reply(200, b'done', headers)
-        first = int(request.headers.get('last-event-id', '0'))
-        events = tuple(
-            b'id: %d\ndata: token\n\n' % number
-            for number in range(first + 1, self.events + 1)
-        )
-        named = request.headers['model']
+        named = request.headers.get('model', '')
         self.in_use[named] += 1
+        place = len(self.runs) - 1
 
         def end() -> None:
             self.in_use[named] -= 1
+            self.ends[place] = time.monotonic()
 
+        headers = {'Request-Id': request_id, 'Response-Seal': self.name}
+        delay_s = float(request.headers.get(WORK_S, '0'))
+        if not named:
+            return Reply(200, b'done', headers, at_end=end, delay_s=delay_s)
+        first = int(request.headers.get('last-event-id', '0'))
+        count = int(request.headers.get(EVENTS, self.events))
+        events = tuple(
+            b'id: %d\ndata: token\n\n' % number
+            for number in range(first + 1, count + 1)
+        )
         return Reply(
             200,
             headers=headers,
             events=events,
-            gap_s=self.gap_s,
+            gap_s=float(request.headers.get(GAP_S, self.gap_s)),
             at_end=end,
+            delay_s=delay_s,
         )
 
+    def crash(self) -> None:
+        """Break all connections off."""
+        self.is_down = True
+        for scope, request_ids in self.working.items():
+            self.broken.update(request_ids)
+            scope.cancel()
+
     def _holds(self, named: str) -> bool:
         model, _, adapter = named.partition('/')
         if not model or self.models is None:
@@ -177,7 +213,22 @@
 
 async def serve_replica(replica: Replica, stream: SocketStream) -> None:
     """Serve one connection to a replica."""
-    await serve_http(stream, replica.answer_call)
+    under_way: list[str] = []
+
+    async def answer_call(request: HttpRequest) -> Reply | None:
+        under_way.clear()
+        under_way.append(request.headers.get('request-id', ''))
+        return await replica.answer_call(request)
+
+    if replica.is_down:
+        await stream.aclose()
+        return
+    with anyio.CancelScope() as scope:
+        replica.working[scope] = under_way
+        try:
+            await serve_http(stream, answer_call, lambda: replica.idle_s)
+        finally:
+            del replica.working[scope]
 
 
 async def listen(
