--- /dev/null
+++ b/lab/platform_callers.py
@@ -0,0 +1,311 @@
+"""Callers of a day: they ask a directory and call hosts at random moments.
+
+Some open a connection for each request. Others keep one until its host ends
+it, and of these some never look at the directory again while it lasts.
+"""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import msgspec
+
+from .platform_history import Call
+from .platform_link import Answer, Link, get
+from .platform_stage import (
+    LONG_KIND,
+    LONG_TIMEOUT_S,
+    SECOND_KEY,
+    TIMEOUT_S,
+    Day,
+)
+from .platform_world import KEY, Host, events_of
+from .standin_replica import EVENTS, GAP_S, WORK_S
+
+CALLERS = 8
+CALLS_PER_S = 2.5
+KEEPERS = 32
+STUBBORN_SHARE = 0.5
+# Between two requests on a kept connection.
+PAUSE_S = 0.6
+LONG_PAUSE_S = (1.0, 7.0)
+LONG_PAUSE_SHARE = 0.3
+STREAM_TOKENS = 120
+PLAIN_TOKENS = 10
+STREAM_EVENTS = 5
+LONG_EVENTS = (6, 40)
+LONG_STREAM_S = (0.3, 6.5)
+WORK_SPAN_S = (0.005, 0.1)
+LONG_WORK_S = (0.5, 3.0)
+LONG_WORK_SHARE = 0.1
+# A caller that has no answer so long after its deadline has left.
+LEAVES_LATE_S = 1.0
+LEAVES_AFTER_S = 0.03
+LEAVING_SHARE = 0.04
+DIRECTORY_S = 1.0
+DIRECTORY_TRIES = 3
+# How many times the directory's own time its answer is kept.
+KEPT_TIMES = (1, 3)
+KINDS = (
+    ('look', True),
+    ('book', False),
+    ('open', True),
+    ('chat', False),
+    ('batch', True),
+    (LONG_KIND, False),
+)
+KEYS = (KEY, KEY, KEY, SECOND_KEY)
+STREAMS = frozenset(('chat', 'batch', LONG_KIND))
+MODELS = ('m1', 'm2', 'm3', 'm4')
+_OK = 200
+_CLOSE = 'close'
+
+
+@dataclass(slots=True, frozen=True)
+class Draft:
+    """A request that is about to be sent.
+
+    Attributes
+    ----------
+    request_id, kind, key : str
+    is_repeatable : bool
+    event_count : int
+        Of the stream that it asks for; 0 for none.
+    limit_s : float
+    patience_s : float
+        After which its caller leaves.
+    headers : dict of str to str
+    """
+
+    request_id: str
+    kind: str
+    key: str
+    is_repeatable: bool
+    event_count: int
+    limit_s: float
+    patience_s: float
+    headers: dict[str, str]
+
+    @property
+    def path(self) -> str:
+        """The path that it is sent to."""
+        return f'/{self.kind}/{self.request_id}'
+
+
+@dataclass(slots=True, eq=False)
+class Caller:
+    """A caller and what it knows of the hosts.
+
+    Attributes
+    ----------
+    day : Day
+    rng : random.Random
+    addresses : list of str
+        Of the hosts' sockets, without those that failed.
+    known_until : float
+        When the directory is to be asked again.
+    """
+
+    day: Day
+    rng: random.Random
+    addresses: list[str] = field(default_factory=list)
+    known_until: float = 0
+
+    async def find_hosts(self) -> list[str]:
+        """Return addresses, from the directory if the last ones are old."""
+        if time.monotonic() < self.known_until and self.addresses:
+            return self.addresses
+        hosts = list(self.day.world.hosts.values())
+        self.rng.shuffle(hosts)
+        for host in hosts[:DIRECTORY_TRIES]:
+            with anyio.move_on_after(DIRECTORY_S):
+                if await self._ask_directory(host):
+                    break
+        return self.addresses
+
+    async def connect(self) -> tuple[Host, Link] | None:
+        """Connect to one of the hosts; None if that failed."""
+        addresses = await self.find_hosts()
+        if not addresses:
+            return None
+        address = self.rng.choice(addresses)
+        port = int(address.rpartition(':')[2])
+        try:
+            link = await Link.open(port)
+        except OSError:
+            self.addresses = [one for one in addresses if one != address]
+            return None
+        return self.day.world.fronts[port], link
+
+    async def _ask_directory(self, host: Host) -> bool:
+        path = '/resolution?name=app.example&region=r&zone=z1'
+        try:
+            answer = await get(host.directory, 'GET', path, {})
+        except (OSError, anyio.BrokenResourceError):
+            return False
+        if answer.status != _OK or not answer.is_whole:
+            return False
+        found = msgspec.json.decode(answer.body)
+        self.addresses = found['addresses']
+        kept_s = found['ttlS'] * self.rng.uniform(*KEPT_TIMES)
+        self.known_until = time.monotonic() + kept_s
+        return bool(self.addresses)
+
+
+def draw_call(day: Day, rng: random.Random) -> Draft:
+    """Draw the next request."""
+    day.calls += 1
+    kind, is_repeatable = rng.choice(KINDS)
+    headers = {}
+    event_count = 0
+    if kind in STREAMS:
+        event_count = STREAM_EVENTS
+        headers['Model'] = rng.choice(MODELS)
+        headers['Token-Count'] = f'{STREAM_TOKENS - 20},20'
+    else:
+        is_long = rng.random() < LONG_WORK_SHARE
+        work_s = rng.uniform(*(LONG_WORK_S if is_long else WORK_SPAN_S))
+        headers[WORK_S] = f'{work_s:.3f}'
+    limit_s = TIMEOUT_S
+    if kind == LONG_KIND:
+        limit_s = LONG_TIMEOUT_S
+        event_count = rng.randint(*LONG_EVENTS)
+        gap_s = rng.uniform(*LONG_STREAM_S) / event_count
+        headers[EVENTS] = str(event_count)
+        headers[GAP_S] = f'{gap_s:.4f}'
+    is_leaving = rng.random() < LEAVING_SHARE
+    return Draft(
+        f'call-{day.calls}',
+        kind,
+        '' if kind == 'open' else rng.choice(KEYS),
+        is_repeatable,
+        event_count,
+        limit_s,
+        LEAVES_AFTER_S if is_leaving else limit_s + LEAVES_LATE_S,
+        headers,
+    )
+
+
+async def send_call(day: Day, draft: Draft, host: Host, link: Link) -> bool:
+    """Send a request, note what came of it, tell if the link can be kept."""
+    headers: dict[str, Any] = {
+        'Host': 'app.example',
+        'Request-Id': draft.request_id,
+        'Deadline-Ms': f'{draft.limit_s * 1000:.0f}',
+        **draft.headers,
+    }
+    if draft.key:
+        headers['Authorization'] = f'Bearer {draft.key}'
+    answer = Answer(0, {}, b'', is_whole=False)
+    is_kept = link.asked > 0
+    sent_at = time.monotonic()
+    left_at: float | None = time.monotonic()
+    with anyio.move_on_after(draft.patience_s):
+        try:
+            answer = await link.ask('POST', draft.path, headers)
+        except anyio.BrokenResourceError:
+            answer = Answer(0, {}, b'', is_whole=False)
+        left_at = None
+    span = (sent_at, time.monotonic())
+    call = _make_call(draft, host, answer, span, left_at, is_kept)
+    day.history.calls.append(call)
+    if not call.status or not call.is_whole:
+        return False
+    return answer.headers.get('connection', '').lower() != _CLOSE
+
+
+def _make_call(
+    draft: Draft,
+    host: Host,
+    answer: Answer,
+    span: tuple[float, float],
+    left_at: float | None,
+    is_kept: bool,
+) -> Call:
+    is_stream = draft.event_count > 0
+    return Call(
+        draft.request_id,
+        draft.path,
+        draft.key,
+        host.name,
+        draft.is_repeatable,
+        STREAM_TOKENS if is_stream else PLAIN_TOKENS,
+        *span,
+        answer.status,
+        answer.headers.get('response-seal', ''),
+        answer.headers.get('request-id', ''),
+        answer.body,
+        tuple(events_of(answer.body)) if is_stream else (),
+        is_stream and answer.status == _OK,
+        answer.is_whole,
+        left_at,
+        draft.limit_s,
+        draft.event_count,
+        is_kept,
+    )
+
+
+async def call_anew(day: Day, rng: random.Random) -> None:
+    """Send requests on new connections until the day ends."""
+    caller = Caller(day, rng)
+
+    async def call_once() -> None:
+        found = await caller.connect()
+        if found is None:
+            return
+        host, link = found
+        try:
+            await send_call(day, draw_call(day, rng), host, link)
+        finally:
+            await link.close()
+
+    while not day.is_over:
+        day.group.start_soon(call_once)
+        await anyio.sleep(rng.expovariate(CALLS_PER_S))
+
+
+async def call_kept(day: Day, rng: random.Random) -> None:
+    """Send one request after the other on a connection that is kept."""
+    caller = Caller(day, rng)
+    is_stubborn = rng.random() < STUBBORN_SHARE
+    pause = _draw_pause(rng)
+    while not day.is_over:
+        await anyio.sleep(pause())
+        found = await caller.connect()
+        if found is None:
+            continue
+        host, link = found
+        try:
+            while await send_call(day, draw_call(day, rng), host, link):
+                await anyio.sleep(pause())
+                if day.is_over or await link.is_closed():
+                    break
+                address = f'127.0.0.1:{host.front}'
+                if not is_stubborn and address not in await caller.find_hosts():
+                    break
+                if not link.take_again():
+                    break
+        finally:
+            await link.close()
+
+
+def _draw_pause(rng: random.Random) -> Callable[[], float]:
+    def pause() -> float:
+        if rng.random() < LONG_PAUSE_SHARE:
+            return rng.uniform(*LONG_PAUSE_S)
+        return rng.expovariate(1 / PAUSE_S)
+
+    return pause
+
+
+def start_callers(day: Day, seed: int) -> None:
+    """Start all callers of a day."""
+    for number in range(CALLERS):
+        rng = random.Random(f'{seed} new {number}')
+        day.group.start_soon(call_anew, day, rng)
+    for number in range(KEEPERS):
+        rng = random.Random(f'{seed} kept {number}')
+        day.group.start_soon(call_kept, day, rng)
--- /dev/null
+++ b/lab/platform_faults.py
@@ -0,0 +1,226 @@
+"""Faults and planned work of a day: on hosts, the store, configurations."""
+
+import random
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+
+from .platform_history import Window
+from .platform_spoilers import (
+    drop_idle,
+    flap_replica,
+    move_replica,
+    silence_replica,
+    spoil_answers,
+)
+from .platform_stage import (
+    AFTER_S,
+    CONFIG_S,
+    GRACE_S,
+    POLL_S,
+    SECOND_KEY,
+    Day,
+)
+from .platform_world import KEY, Host
+
+SETTLE_S = 1.0
+FAULT_GAP_S = (0.7, 2.2)
+WORK_GAP_S = (0.3, 1.7)
+SUSPEND_S = (0.5, 4)
+OUTAGE_S = (0.3, 2)
+# A store that is silent or slow stays so for longer than its callers wait.
+SILENCE_S = (1, 4)
+STORE_DELAY_S = (0.2, 1.5)
+ROLL_GAP_S = (0.7, 2.5)
+RELOAD_GAP_S = (0.3, 2)
+RELOADS = 3
+# Until a second signal comes to a host that stops.
+SECOND_SIGNAL_S = (0.05, 5)
+STORM_COUNT = 6
+STORM_GAP_S = (0.02, 0.4)
+_STARTED = 'event=started '
+
+
+async def kill_host(day: Day) -> None:
+    """Kill a host; it starts again at other ports."""
+    host = day.pick_host()
+    with day.fault(host.name, 'killed'):
+        host.kill_at = time.monotonic()
+        host.process.kill()
+        await anyio.sleep(SETTLE_S)
+
+
+async def suspend_host(day: Day) -> None:
+    """Suspend a host for some seconds."""
+    host = day.pick_host()
+    with day.fault(host.name, 'suspended'):
+        host.process.send_signal(signal.SIGSTOP)
+        await anyio.sleep(day.rng.uniform(*SUSPEND_S))
+        host.process.send_signal(signal.SIGCONT)
+
+
+async def stop_host(day: Day) -> None:
+    """Stop a host as planned; it starts again at other ports."""
+    await _stop(day, day.pick_host())
+
+
+async def stop_and_signal(day: Day) -> None:
+    """Stop a host, and send it another signal before it has ended."""
+    host = day.pick_host()
+    number = day.rng.choice((signal.SIGHUP, signal.SIGTERM))
+    async with anyio.create_task_group() as group:
+        group.start_soon(_stop, day, host)
+        await anyio.sleep(day.rng.uniform(*SECOND_SIGNAL_S))
+        if number == signal.SIGHUP:
+            _reload(day, host)
+        else:
+            _signal(day, host, number)
+
+
+async def roll_hosts(day: Day) -> None:
+    """Stop all hosts one soon after the other, maybe with reloads."""
+    hosts = list(day.world.hosts.values())
+    day.rng.shuffle(hosts)
+    gap_s = day.rng.uniform(*ROLL_GAP_S)
+    with_reloads = day.rng.random() < 1 / 2
+    async with anyio.create_task_group() as group:
+        if with_reloads:
+            group.start_soon(reload_hosts, day)
+        for host in hosts:
+            group.start_soon(_stop, day, host)
+            await anyio.sleep(gap_s)
+
+
+async def reload_host(day: Day) -> None:
+    """Have a host read its settings again."""
+    _reload(day, day.pick_host())
+
+
+async def reload_hosts(day: Day) -> None:
+    """Have all hosts read their settings again, more than once."""
+    for _ in range(RELOADS):
+        for host in list(day.world.hosts.values()):
+            _reload(day, host)
+        await anyio.sleep(day.rng.uniform(*RELOAD_GAP_S))
+
+
+async def lose_store(day: Day) -> None:
+    """Have the store refuse all calls for a while."""
+    with day.fault('store', 'down'):
+        day.world.store.is_down = True
+        await anyio.sleep(day.rng.uniform(*OUTAGE_S))
+        day.world.store.is_down = False
+
+
+async def silence_store(day: Day) -> None:
+    """Have the store read calls and answer none for a while."""
+    with day.fault('store', 'silent'):
+        day.world.store.is_silent = True
+        await anyio.sleep(day.rng.uniform(*SILENCE_S))
+        day.world.store.is_silent = False
+
+
+async def slow_store(day: Day) -> None:
+    """Have the store answer late for a while."""
+    with day.fault('store', 'slow'):
+        day.world.store.delay_s = day.rng.uniform(*STORE_DELAY_S)
+        await anyio.sleep(day.rng.uniform(*SILENCE_S))
+        day.world.store.delay_s = 0
+
+
+async def change_quickly(day: Day) -> None:
+    """Put configurations into the store in quick succession."""
+    for _ in range(STORM_COUNT):
+        day.configure()
+        await anyio.sleep(day.rng.uniform(*STORM_GAP_S))
+
+
+async def withdraw_key(day: Day) -> None:
+    """Take the second key away."""
+    if SECOND_KEY not in day.keys:
+        return
+    day.keys = (KEY,)
+    day.configure()
+    day.history.withdrawn[SECOND_KEY] = time.monotonic()
+
+
+async def _stop(day: Day, host: Host) -> None:
+    """Stop a host; what does not end in the grace period is killed."""
+    _signal(day, host, signal.SIGTERM)
+    if host.stop_at is None:
+        return
+    due_at = host.stop_at + GRACE_S
+    while host.process.poll() is None:
+        if time.monotonic() >= due_at:
+            day.note(f'{host.name} overran its grace period')
+            host.kill_at = time.monotonic()
+            host.process.kill()
+            return
+        await anyio.sleep(POLL_S)
+
+
+def _reload(day: Day, host: Host) -> None:
+    _signal(day, host, signal.SIGHUP)
+
+
+def _signal(day: Day, host: Host, number: signal.Signals) -> None:
+    """Send a signal to a host that takes them: it has begun its log."""
+    if host.process.poll() is not None or _STARTED not in host.own_log():
+        return
+    now = time.monotonic()
+    day.note(f'{host.name} {number.name}')
+    if number == signal.SIGHUP:
+        window = Window(host.name, now, now + CONFIG_S)
+        day.history.reloads.append(window)
+    elif host.stop_at is None:
+        host.stop_at = now
+        window = Window(host.name, now, now + GRACE_S + AFTER_S)
+        day.history.stops.append(window)
+    host.process.send_signal(number)
+
+
+Fault = Callable[[Day], Coroutine[Any, Any, None]]
+WORK: tuple[Fault, ...] = (
+    stop_host,
+    stop_host,
+    stop_and_signal,
+    stop_and_signal,
+    roll_hosts,
+    reload_host,
+    reload_hosts,
+    change_quickly,
+    withdraw_key,
+    move_replica,
+)
+FAULTS: tuple[Fault, ...] = (
+    kill_host,
+    suspend_host,
+    lose_store,
+    silence_store,
+    slow_store,
+    spoil_answers,
+    spoil_answers,
+    silence_replica,
+    drop_idle,
+    flap_replica,
+)
+
+
+async def trouble(day: Day) -> None:
+    """Begin planned work and faults by and by; they overlap."""
+    day.group.start_soon(_begin, day, WORK, WORK_GAP_S)
+    day.group.start_soon(_begin, day, FAULTS, FAULT_GAP_S)
+
+
+async def _begin(
+    day: Day,
+    faults: tuple[Fault, ...],
+    gap_s: tuple[float, float],
+) -> None:
+    rng = random.Random(day.rng.random())
+    while not day.is_over:
+        await anyio.sleep(rng.uniform(*gap_s))
+        day.group.start_soon(rng.choice(faults), day)
--- a/lab/platform_history.py
+++ b/lab/platform_history.py
@@ -1,20 +1,9 @@
-"""What callers and replicas saw of a day, and whether the rules were kept.
+"""What callers, replicas and the operator saw of a day."""
 
-Pure. Each check takes the history and yields a sentence for each fault.
-"""
-
-import itertools
-from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+import math
+from collections import defaultdict
 from dataclasses import dataclass, field
 
-# Statuses that promise that a request has not run and never will.
-PROMISES = frozenset((408, 421, 429, 503))
-# A request that was not passed on may be refused by a closing socket so soon
-# after it was sent; the deployments' bound.
-LOSS_SLACK_S = 0.2
-_OK = 200
-
 
 @dataclass(slots=True, frozen=True)
 class Call:
@@ -38,6 +27,12 @@
     is_stream, is_whole : bool
     left_at : float or None
         When the caller closed its connection before the answer's end.
+    limit_s : float
+        The lesser of its deadline and its route's timeout.
+    event_count : int
+        That its whole stream has.
+    is_kept : bool
+        Whether it was not the first on its connection.
     """
 
     request_id: str
@@ -56,11 +51,26 @@
     is_stream: bool = False
     is_whole: bool = True
     left_at: float | None = None
+    limit_s: float = math.inf
+    event_count: int = 5
+    is_kept: bool = False
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether its connection ended without a whole answer."""
+        is_whole = self.is_whole and self.status
+        return not is_whole and self.left_at is None
 
 
 @dataclass(slots=True, frozen=True)
 class ReplicaRun:
-    """A request that a replica began to run."""
+    """A request that a replica began to run.
+
+    Attributes
+    ----------
+    ended_at : float
+        When the replica had no more work with it.
+    """
 
     request_id: str
     replica: str
@@ -69,6 +79,7 @@
     path: str
     workspace: str
     has_key: bool
+    ended_at: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
@@ -80,6 +91,28 @@
     end: float
 
 
+@dataclass(slots=True, frozen=True)
+class ProcessEnd:
+    """The end of a host's process.
+
+    Attributes
+    ----------
+    host : str
+    began_at, ended_at : float
+    code : int
+        What it ended with; the signal below 0.
+    stop_at, kill_at : float or None
+        When it was told to stop, and when it was killed.
+    """
+
+    host: str
+    began_at: float
+    ended_at: float
+    code: int
+    stop_at: float | None = None
+    kill_at: float | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class Terms:
     """What the operator allowed on the day.
@@ -94,8 +127,10 @@
     revoke_s : float
     retry_ratio, retry_slack : float
     retry_window_s : float
-    stream_events : int
-        That a whole stream has.
+    grace_s : float
+        In which a host that was told to stop ends.
+    config_s : float
+        In which a configuration or a reload takes effect.
     """
 
     workspace: str
@@ -108,7 +143,8 @@
     retry_ratio: float = 0.2
     retry_slack: float = 56
     retry_window_s: float = 10
-    stream_events: int = 5
+    grace_s: float = 8
+    config_s: float = 2
 
 
 @dataclass(slots=True)
@@ -125,9 +161,17 @@
     withdrawn : dict of str to float
         When each key was taken away.
     stops : list of Window
-        Planned stops, by host.
+        Planned stops by host, from the signal until what they may cut counts
+        no more.
+    reloads : list of Window
+        The same of reloads.
+    changes : list of Window
+        The same of configurations.
     faults : list of Window
-        Of hosts, links and the store.
+        Of hosts, links and the store, and what it takes to get over them.
+    ends : list of ProcessEnd
+    broken : set of str
+        Requests that a replica broke off.
     overfull : list of str
         Engines that were ordered to load more than they hold.
     fences : dict of str to list of (int, str)
@@ -140,7 +184,11 @@
     services: dict[str, str] = field(default_factory=dict)
     withdrawn: dict[str, float] = field(default_factory=dict)
     stops: list[Window] = field(default_factory=list)
+    reloads: list[Window] = field(default_factory=list)
+    changes: list[Window] = field(default_factory=list)
     faults: list[Window] = field(default_factory=list)
+    ends: list[ProcessEnd] = field(default_factory=list)
+    broken: set[str] = field(default_factory=set)
     overfull: list[str] = field(default_factory=list)
     fences: dict[str, list[tuple[int, str]]] = field(default_factory=dict)
 
@@ -150,193 +198,3 @@
         for run in self.runs:
             found[run.request_id].append(run)
         return found
-
-
-def check_answers(history: DayHistory) -> Iterator[str]:
-    """Check that a success is the answer of a replica that ran it, whole."""
-    runs = history.runs_of()
-    expected = tuple(range(1, history.terms.stream_events + 1))
-    for call in history.calls:
-        if call.status != _OK or not call.is_whole:
-            continue
-        ran_on = {run.replica for run in runs[call.request_id]}
-        if call.seal not in ran_on:
-            yield f'{call.request_id}: answered by {call.seal}, ran on {ran_on}'
-        if call.echoed_id != call.request_id:
-            yield f'{call.request_id}: got the answer to {call.echoed_id}'
-        if call.is_stream and call.events != expected:
-            yield f'{call.request_id}: whole stream has events {call.events}'
-
-
-def check_order(history: DayHistory) -> Iterator[str]:
-    """Check that no event of a stream is missing or comes twice."""
-    for call in history.calls:
-        wanted = tuple(range(1, len(call.events) + 1))
-        if call.is_stream and call.events != wanted:
-            yield f'{call.request_id}: events {call.events}'
-
-
-def check_once(history: DayHistory) -> Iterator[str]:
-    """Check that what may not be repeated runs at most once."""
-    runs = history.runs_of()
-    for call in history.calls:
-        count = len(runs[call.request_id])
-        if not call.is_repeatable and count > 1:
-            yield f'{call.request_id}: ran {count} times'
-
-
-def check_promises(history: DayHistory) -> Iterator[str]:
-    """Check that requests that were said not to have run have not."""
-    runs = history.runs_of()
-    for call in history.calls:
-        is_promised = call.status in PROMISES and not call.is_repeatable
-        if is_promised and runs[call.request_id]:
-            yield f'{call.request_id}: answered {call.status} and ran'
-
-
-def check_asked(history: DayHistory) -> Iterator[str]:
-    """Check that replicas run what was asked, for whom, without the key."""
-    calls = {call.request_id: call for call in history.calls}
-    for run in history.runs:
-        call = calls.get(run.request_id)
-        if call is None or call.path != run.path:
-            yield f'{run.request_id}: nobody asked for {run.path}'
-            continue
-        if run.service != history.services[_first_part(run.path)]:
-            yield f'{run.request_id}: ran on {run.service}'
-        if run.has_key:
-            yield f'{run.request_id}: its key went to {run.replica}'
-        if call.key and run.workspace != history.terms.workspace:
-            yield f'{run.request_id}: ran for {run.workspace!r}'
-
-
-def check_withdrawn(history: DayHistory) -> Iterator[str]:
-    """Check that a key that was taken away no longer works in time."""
-    runs = history.runs_of()
-    for call in history.calls:
-        gone_at = history.withdrawn.get(call.key)
-        if gone_at is None or not runs[call.request_id]:
-            continue
-        if call.sent_at > gone_at + history.terms.revoke_s:
-            yield f'{call.request_id}: ran with a key that was gone'
-
-
-def check_limit(history: DayHistory) -> Iterator[str]:
-    """Check that no window holds more than a workspace's limit."""
-    terms = history.terms
-    bound = (terms.rate * terms.window_s + terms.burst) * (1 + terms.overshoot)
-    bound += terms.slack
-    first_run = {}
-    for run in sorted(history.runs, key=lambda one: one.at, reverse=True):
-        first_run[run.request_id] = run.at
-    charged = sorted(
-        (call.sent_at, call.tokens)
-        for call in history.calls
-        if call.request_id in first_run and call.key
-    )
-    begin = 0
-    used = 0
-    for sent_at, tokens in charged:
-        used += tokens
-        while charged[begin][0] < sent_at - terms.window_s:
-            used -= charged[begin][1]
-            begin += 1
-        if used > bound:
-            yield f'{used} tokens in a window at {sent_at:.1f}, over {bound}'
-            return
-
-
-def check_retries(history: DayHistory) -> Iterator[str]:
-    """Check that runs beyond each request's first keep to the budget."""
-    terms = history.terms
-    for service in set(history.services.values()):
-        seen: set[str] = set()
-        again: list[float] = []
-        asked: list[float] = []
-        for run in sorted(history.runs, key=lambda one: one.at):
-            if run.service != service:
-                continue
-            (again if run.request_id in seen else asked).append(run.at)
-            seen.add(run.request_id)
-        for end in again:
-            begin = end - terms.retry_window_s
-            retries = sum(begin <= at <= end for at in again)
-            requests = sum(begin <= at <= end for at in asked)
-            if retries > terms.retry_ratio * requests + terms.retry_slack:
-                yield f'{service}: {retries} retries for {requests} requests'
-                break
-
-
-def check_engines(history: DayHistory) -> Iterator[str]:
-    """Check that engines get what they hold, from one holder at a time."""
-    for engine in history.overfull:
-        yield f'{engine}: was ordered to load more than it holds'
-    for engine, orders in history.fences.items():
-        holders: dict[int, str] = {}
-        for token, holder in orders:
-            if holders.setdefault(token, holder) != holder:
-                yield f'{engine}: two holders with token {token}'
-        for before, after in itertools.pairwise(orders):
-            if after[0] < before[0]:
-                yield f'{engine}: took token {after[0]} after {before[0]}'
-
-
-def check_stops(history: DayHistory) -> Iterator[str]:
-    """Check that a planned stop cuts no request."""
-    runs = history.runs_of()
-    for call in history.calls:
-        if call.is_whole and call.status:
-            continue
-        if call.left_at is not None or _is_disturbed(history, call):
-            continue
-        took_s = call.ended_at - call.sent_at
-        if took_s <= LOSS_SLACK_S and not runs[call.request_id]:
-            # It met the closing of the socket, and was not read.
-            continue
-        for stop in history.stops:
-            if stop.what == call.host and _overlaps(stop, call):
-                got = f'{call.status}, events {call.events}'
-                yield f'{call.request_id}: cut by the stop ({got})'
-
-
-Check = Callable[[DayHistory], Iterator[str]]
-CHECKS: dict[str, Check] = {
-    'answers': check_answers,
-    'order': check_order,
-    'once': check_once,
-    'promises': check_promises,
-    'asked': check_asked,
-    'withdrawn': check_withdrawn,
-    'limit': check_limit,
-    'retries': check_retries,
-    'engines': check_engines,
-    'stops': check_stops,
-}
-
-
-def find_faults(history: DayHistory) -> list[str]:
-    """Return a line for each broken rule."""
-    return [
-        f'{name}: {fault}'
-        for name, check in CHECKS.items()
-        for fault in check(history)
-    ]
-
-
-def count_outcomes(history: DayHistory) -> Counter[str]:
-    """Return how the calls ended, by status; ``cut`` for broken answers."""
-    return Counter(
-        str(call.status) if call.is_whole else 'cut' for call in history.calls
-    )
-
-
-def _first_part(path: str) -> str:
-    return path.split('/')[1]
-
-
-def _overlaps(window: Window, call: Call) -> bool:
-    return window.begin <= call.ended_at and call.sent_at <= window.end
-
-
-def _is_disturbed(history: DayHistory, call: Call) -> bool:
-    return any(_overlaps(fault, call) for fault in history.faults)
--- /dev/null
+++ b/lab/platform_spoilers.py
@@ -0,0 +1,128 @@
+"""Replicas of a day that leave, or whose answers are spoiled for a while."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import anyio
+
+from .platform_stage import Day
+from .standin_http import HttpRequest, Reply
+from .standin_replica import Replica
+
+SPOIL_SHARE = 0.5
+SPOIL_S = (0.5, 2)
+SILENT_S = (0.5, 3)
+SLOW_S = 1.5
+SETTLE_S = 1.0
+IDLE_S = 0.1
+FLAPS = 3
+FLAP_S = (0.2, 0.8)
+Spoil = Callable[[Replica, HttpRequest], Reply | None]
+
+
+async def move_replica(day: Day) -> None:
+    """Replace a plain replica by another one; the old one drains."""
+    old = next(
+        one
+        for one in day.world.replicas.values()
+        if one.service == 'desk' and one.address
+    )
+    day.note(f'{old.name} drains')
+    await day.world.add(f'desk-{len(day.world.replicas)}', 'desk')
+    day.world.store.put('keyed.servers', old.name, old.entry('draining'))
+    await anyio.sleep(SETTLE_S)
+    day.world.store.put('keyed.servers', old.name, None)
+    old.address = ''
+
+
+async def spoil_answers(day: Day) -> None:
+    """Have a replica spoil or reject some of its answers for a while."""
+    await _spoil(day, day.rng.choice(SPOILERS), SPOIL_SHARE)
+
+
+async def silence_replica(day: Day) -> None:
+    """Have a replica that says it is ready answer nothing, or late."""
+    await _spoil(day, day.rng.choice((_say_nothing, _answer_late)), 1)
+
+
+async def drop_idle(day: Day) -> None:
+    """Have a replica drop its idle connections soon, without notice."""
+    replica = _pick_replica(day)
+    day.note(f'{replica.name} drops idle connections')
+    usual_s = replica.idle_s
+    replica.idle_s = IDLE_S
+    await anyio.sleep(day.rng.uniform(*SILENT_S))
+    replica.idle_s = usual_s
+
+
+async def flap_replica(day: Day) -> None:
+    """Have a replica crash and come back by turns."""
+    replica = _pick_replica(day)
+    for _ in range(FLAPS):
+        day.note(f'{replica.name} crashes')
+        replica.crash()
+        await anyio.sleep(day.rng.uniform(*FLAP_S))
+        replica.is_down = False
+        await anyio.sleep(day.rng.uniform(*FLAP_S))
+
+
+async def _spoil(day: Day, spoil: Spoil, share: float) -> None:
+    replica = _pick_replica(day)
+    day.note(f'{replica.name} {spoil.__name__}')
+
+    async def behave(request: HttpRequest) -> Reply | None:
+        if day.rng.random() > share:
+            return replica.run(request)
+        return spoil(replica, request)
+
+    replica.behave = behave
+    await anyio.sleep(day.rng.uniform(*SPOIL_S))
+    replica.behave = None
+    day.note(f'{replica.name} {spoil.__name__} over')
+
+
+def _pick_replica(day: Day) -> Replica:
+    return day.rng.choice(list(day.world.replicas.values()))
+
+
+def _say_nothing(replica: Replica, request: HttpRequest) -> Reply | None:
+    reply = replica.run(request)
+    return None if reply.status else reply
+
+
+def _answer_late(replica: Replica, request: HttpRequest) -> Reply | None:
+    return replace(replica.run(request), delay_s=SLOW_S)
+
+
+def _reject(replica: Replica, request: HttpRequest) -> Reply | None:
+    return Reply(503, headers={'Not-Executed': '1'})
+
+
+def _cut_off(replica: Replica, request: HttpRequest) -> Reply | None:
+    head = b'HTTP/1.1 200 OK\r\nContent-Len'
+    return replace(replica.run(request), raw=head)
+
+
+def _add_answer(replica: Replica, request: HttpRequest) -> Reply | None:
+    """Send a second answer, of nobody's, right behind the first."""
+    reply = replica.run(request)
+    head = (
+        f'HTTP/1.1 200 OK\r\nRequest-Id: {request.headers["request-id"]}\r\n'
+        f'Response-Seal: {replica.name}\r\nContent-Length: 4\r\n\r\n'
+    )
+    other = 'HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx'
+    if 'model' in request.headers:
+        return replace(reply, raw=head[:20].encode())
+    return replace(reply, raw=f'{head}done{other}'.encode())
+
+
+def _cross(replica: Replica, request: HttpRequest) -> Reply | None:
+    return replace(
+        replica.run(request),
+        body=b'other',
+        headers={'Request-Id': 'other', 'Response-Seal': 'x'},
+        events=(),
+    )
+
+
+SPOILERS: tuple[Spoil, ...] = (_reject, _cut_off, _add_answer, _cross)
