--- a/lab/platform_history.py
+++ b/lab/platform_history.py
@@ -33,6 +33,8 @@
         That its whole stream has.
     is_kept : bool
         Whether it was not the first on its connection.
+    whole_at : float or None
+        When its last byte was sent; None if that never was.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     limit_s: float = math.inf
     event_count: int = 5
     is_kept: bool = False
+    whole_at: float | None = None
 
     @property
     def is_cut(self) -> bool:
--- a/lab/platform_link.py
+++ b/lab/platform_link.py
@@ -1,5 +1,6 @@
 """A caller's connection to a host, kept for as long as the host allows."""
 
+import time
 from dataclasses import dataclass, field
 
 import anyio
@@ -30,6 +31,8 @@
     connection : h11.Connection
     asked : int
         How many requests were sent on it.
+    whole_at : float or None
+        When the last byte of the last one was sent.
     """
 
     stream: SocketStream
@@ -37,6 +40,7 @@
         default_factory=lambda: h11.Connection(h11.CLIENT),
     )
     asked: int = 0
+    whole_at: float | None = None
 
     @classmethod
     async def open(cls, port: int) -> 'Link':
@@ -49,8 +53,9 @@
         path: str,
         headers: dict[str, str],
         body: bytes = b'',
+        pause_s: float = 0,
     ) -> Answer:
-        """Send a request and return its answer.
+        """Send a request, with a pause before its last byte if asked for.
 
         Raises
         ------
@@ -58,6 +63,7 @@
             If the connection was reset before the request was sent.
         """
         self.asked += 1
+        self.whole_at = None
         connection = self.connection
         named = {'Host': 'x', 'Content-Length': str(len(body)), **headers}
         request = h11.Request(
@@ -66,7 +72,12 @@
         sent = connection.send(request) or b''
         sent += connection.send(h11.Data(data=body)) or b''
         sent += connection.send(h11.EndOfMessage()) or b''
+        if pause_s:
+            await self.stream.send(sent[:-1])
+            await anyio.sleep(pause_s)
+            sent = sent[-1:]
         await self.stream.send(sent)
+        self.whole_at = time.monotonic()
         return await self._read_answer()
 
     def take_again(self) -> bool:
