--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -1,6 +1,7 @@
 """Takes requests through admission, limits, routing and to their answers."""
 
 import math
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -22,6 +23,7 @@
 from .progress import Outcome, Progress, Verdict
 from .proxying import MAX_SENDS, Proxy
 from .selection import Choice
+from .shutdown import RETRY_S, Shutdown
 from .targeting import Targeting, holder_name
 from .wants import MODEL_S, Wants
 
@@ -29,6 +31,7 @@
 LOOK_GAP_S = 0.02
 # An adapter that takes longer to come to the best target is used elsewhere.
 ADAPTER_WAIT_S = 0.25
+_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _CLIENT_CLOSED = 499
@@ -36,10 +39,19 @@
 
 @dataclass(slots=True)
 class Active:
-    """A request that is being served, and how to end it."""
+    """A request that is being served, and how to end it.
+
+    Attributes
+    ----------
+    call : InboundCall
+    scope : CancelScope
+    ends_by : str
+        The reason of its end if it does not end by itself.
+    """
 
     call: InboundCall
     scope: anyio.CancelScope
+    ends_by: str = 'timeout'
 
 
 @dataclass(slots=True)
@@ -56,6 +68,8 @@
     wants : Wants
         Asks for missing models and adapters.
     demand : DemandBook
+    shutdown : Shutdown
+        The host's planned stop.
     active : dict of int to Active
         Requests that are being served.
     """
@@ -68,6 +82,7 @@
     demand: DemandBook
     log: Logger
     metrics: Metrics
+    shutdown: Shutdown = field(default_factory=Shutdown)
     active: dict[int, Active] = field(default_factory=dict)
 
     async def serve(
@@ -91,22 +106,34 @@
             If this host answers it; nothing was sent to the caller.
         """
         progress = Progress()
+        outcome = Outcome(0, 'cancelled')
         try:
-            call = self.intake.admit(arrival)
+            call = self._admit(arrival)
             outcome = await self._run(call, responder, wait_gone, progress)
         except RejectionError as error:
             outcome = Outcome(error.status, error.reason)
             if error.status == _UNAVAILABLE and progress.refund is not None:
                 progress.refund()
             raise
+        except Exception as error:
+            outcome = self._note_failed(arrival, progress, error)
+            if not progress.is_started:
+                raise RejectionError(outcome.status, outcome.reason) from error
         finally:
             self._note(arrival, progress, outcome)
 
     def abort(self) -> None:
-        """End all requests that are still being served."""
+        """End all requests that are still being served, for the stop."""
         for active in self.active.values():
+            active.ends_by = 'stopped'
             active.scope.cancel()
 
+    def _admit(self, arrival: Arrival) -> InboundCall:
+        call = self.intake.admit(arrival)
+        if self.shutdown.may_serve(boot_time(), call.deadline):
+            return call
+        raise RejectionError(_UNAVAILABLE, 'stopping', RETRY_S)
+
     async def _run(
         self,
         call: InboundCall,
@@ -128,7 +155,8 @@
 
             group.start_soon(watch)
             with anyio.move_on_after(max(0, left_s)) as scope:
-                self.active[id(call)] = Active(call, scope)
+                active = Active(call, scope)
+                self.active[id(call)] = active
                 try:
                     outcome = await self._send(call, responder, progress)
                 except RejectionError as error:
@@ -141,7 +169,7 @@
         if gone.is_set() and outcome is None:
             return Outcome(_CLIENT_CLOSED, 'caller_gone')
         if outcome is None:
-            return _timed_out(progress)
+            return _cut(progress, active.ends_by)
         return outcome
 
     async def _send(
@@ -255,6 +283,24 @@
                     reason = 'no_target' if is_coming else 'model_not_coming'
                     raise RejectionError(_UNAVAILABLE, reason, pause_s)
 
+    def _note_failed(
+        self,
+        arrival: Arrival,
+        progress: Progress,
+        error: Exception,
+    ) -> Outcome:
+        """Log an error that nobody expected, and return what it means."""
+        self.log(
+            'request_failed',
+            request=arrival.request_id,
+            why=repr(error),
+            trace=''.join(traceback.format_exception(error)),
+        )
+        if progress.is_started:
+            return Outcome(0, 'cut_internal_error')
+        status = _BAD_GATEWAY if progress.sends else _UNAVAILABLE
+        return Outcome(status, 'internal_error')
+
     def _note(
         self,
         arrival: Arrival,
@@ -281,12 +327,13 @@
             target=progress.target or None,
             model=generation.model if generation else None,
             version=self.intake.version,
+            stop_age_s=self.shutdown.age_s(arrival.received_at),
         )
 
 
-def _timed_out(progress: Progress) -> Outcome:
+def _cut(progress: Progress, reason: str) -> Outcome:
     if progress.is_started:
-        return Outcome(0, 'cut_timeout')
+        return Outcome(0, f'cut_{reason}')
     if progress.may_run or progress.is_pending:
-        raise RejectionError(_GATEWAY_TIMEOUT, 'timeout')
-    raise RejectionError(_UNAVAILABLE, 'timeout')
+        raise RejectionError(_GATEWAY_TIMEOUT, reason)
+    raise RejectionError(_UNAVAILABLE, reason)
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -2,10 +2,11 @@
 
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 import anyio
 
+from . import signals
 from .clock import boot_time
 from .digests import Digest
 from .gossip import Gossip
@@ -20,6 +21,7 @@
 from .requestpath import Observers, make_gateway
 from .roster import Roster
 from .sharedstore import SharedStore
+from .supervision import supervise
 from .translators import Translators
 from .upstream import ConnectionPool
 
@@ -27,11 +29,11 @@
 # For how long after the signal to stop new connections are taken: callers
 # that keep an old answer of the directory still come.
 LINGER_S = 3.2
-# What is left of the grace period when requests that still run are cut.
-STOP_MARGIN_S = 0.6
 # Sockets are closed in this time even if the grace period is over.
 CLOSE_S = 0.2
 
+Service = Callable[[], Awaitable[None]]
+
 
 class HostProcess:
     """One host: its services and their life.
@@ -43,8 +45,9 @@
     metrics : Metrics
     gateway : Gateway
         The request path.
-    stopping : anyio.Event
-        Set when the host begins to stop.
+    shutdown : Shutdown
+    told_to_stop : anyio.Event
+        Set by the first signal to stop.
     reload : callable
         Called when the settings may have changed.
     """
@@ -61,7 +64,7 @@
         self.settings = settings
         self.log = log
         self.rng = rng
-        self.stopping = anyio.Event()
+        self.told_to_stop = anyio.Event()
         self.metrics = Metrics()
         self.known = Knowledge(settings, rng)
         self.pool = ConnectionPool()
@@ -120,6 +123,7 @@
             translators,
             Observers(log, self.metrics, rng),
         )
+        self.shutdown = self.gateway.shutdown
         add_host_gauges(
             self.metrics,
             self.known,
@@ -137,13 +141,8 @@
         """Run all services until cancelled."""
         with self.pool:
             async with anyio.create_task_group() as group:
-                group.start_soon(self.feeds.configuration.run)
-                group.start_soon(self.feeds.targets.run)
-                group.start_soon(self.gossip.run)
-                group.start_soon(self._lead)
-                group.start_soon(self.models.provisioner.run)
-                group.start_soon(self.models.link.run)
-                group.start_soon(self._keep_house)
+                for name, service in self._services():
+                    group.start_soon(supervise, name, service, self.log)
 
     async def stop(self) -> float:
         """Finish what callers have begun; new ones are sent elsewhere.
@@ -156,36 +155,43 @@
             What is left of the grace period for requests that come between
             then and the closing of the sockets, in seconds.
         """
-        started_at = boot_time()
-        self.stopping.set()
+        begun_at = boot_time()
+        self.shutdown.begin(begun_at, self.settings.bounds.grace_s)
         self.log('stopping', active=len(self.gateway.active))
         await self.leadership.release()
-        await anyio.sleep(LINGER_S)
-        grace_s = self.settings.bounds.grace_s - STOP_MARGIN_S
+        closes_at = min(begun_at + LINGER_S, self.shutdown.cut_at)
+        await anyio.sleep(max(0, closes_at - boot_time()))
         while self.gateway.active:
-            if boot_time() - started_at > grace_s:
+            if boot_time() > self.shutdown.cut_at:
                 self.log('requests_cut', active=len(self.gateway.active))
                 self.gateway.abort()
                 break
             await anyio.sleep(HOUSEKEEPING_S / 2)
-        return max(CLOSE_S, started_at + grace_s - boot_time())
+        return max(CLOSE_S, self.shutdown.cut_at - boot_time())
 
-    async def watch_signals(self) -> None:
-        """Return at the first signal to stop; reload at the others."""
-        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*signals) as received:
-            async for number in received:
-                self.log('signal', number=int(number))
-                if number != signal.SIGHUP:
-                    return
+    async def watch_signals(
+        self,
+        received: AsyncIterator[signal.Signals],
+    ) -> None:
+        """Act on signals until cancelled; a repeated one to stop does nothing.
+
+        Parameters
+        ----------
+        received : iterator of signal.Signals
+        """
+        async for number in received:
+            self.log('signal', number=int(number))
+            if number == signals.RELOAD:
                 self.reload()
+            else:
+                self.told_to_stop.set()
 
     def is_ready(self) -> bool:
         """Return whether callers may come."""
         return (
             self.known.intake.configuration is not None
             and self.known.inventory.is_loaded
-            and not self.stopping.is_set()
+            and not self.shutdown.is_begun
             and self.known.intake.is_fresh(boot_time())
         )
 
@@ -198,16 +204,27 @@
         self.rng.shuffle(addresses)
         return addresses
 
+    def _services(self) -> Iterator[tuple[str, Service]]:
+        yield 'configuration', self.feeds.configuration.run
+        yield 'targets', self.feeds.targets.run
+        yield 'gossip', self.gossip.run
+        yield 'leadership', self._lead
+        yield 'summary', self._keep_summary
+        yield 'provisioner', self.models.provisioner.run
+        yield 'link', self.models.link.run
+        yield 'housekeeping', self._keep_house
+
     async def _lead(self) -> None:
         """Join the other hosts, then take part in leading them."""
-        self.leadership.life = await self.roster.join()
-        async with anyio.create_task_group() as group:
-            group.start_soon(self.leadership.run)
-            group.start_soon(
-                self.roster.keep_summary,
-                lambda: self.leadership.state.is_proven(boot_time()),
-                self.known.intake.list_limits,
-            )
+        if self.roster.life is None:
+            self.leadership.life = await self.roster.join()
+        await self.leadership.run()
+
+    async def _keep_summary(self) -> None:
+        await self.roster.keep_summary(
+            lambda: self.leadership.state.is_proven(boot_time()),
+            self.known.intake.list_limits,
+        )
 
     def _make_digest(self, number: int) -> Digest | None:
         if self.roster.life is None:
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -3,11 +3,14 @@
 import functools
 import random
 import socket
+from collections.abc import AsyncIterator
+from signal import Signals
 
 import anyio
 import uvicorn
 
-from .. import server
+from .. import server, signals
+from ..clock import boot_time
 from ..exceptions import SettingsError
 from ..hostprocess import HostProcess
 from ..hostsettings import HostSettings
@@ -48,6 +51,16 @@
 
 async def run(settings: HostSettings) -> None:
     """Run a host until it is told to stop."""
+    numbers = (signals.RELOAD, *signals.STOPS)
+    with anyio.open_signal_receiver(*numbers) as received:
+        with signals.delivering():
+            await _run(settings, received)
+
+
+async def _run(
+    settings: HostSettings,
+    received: AsyncIterator[Signals],
+) -> None:
     lines = LineLog(host=settings.name)
     log = lines.event
     capture_library_messages(log)
@@ -70,13 +83,18 @@
             group.start_soon(_flush, lines)
             closed = anyio.Event()
             group.start_soon(_serve, web, settings, closed)
-            await host.watch_signals()
+            group.start_soon(host.watch_signals, received)
+            await host.told_to_stop.wait()
             left_s = await host.stop()
             web.should_exit = True
             with anyio.move_on_after(left_s):
                 await closed.wait()
             group.cancel_scope.cancel()
-        log('stopped')
+        log(
+            'stopped',
+            active=len(host.gateway.active),
+            stop_age_s=host.shutdown.age_s(boot_time()),
+        )
         lines.flush()
 
 
@@ -138,7 +156,7 @@
             host.gateway,
             host.metrics,
             host.is_ready,
-            host.stopping.is_set,
+            lambda: host.shutdown.is_begun,
             host.list_addresses,
             ttl_s,
         ),
--- a/lab/platform_day.py
+++ b/lab/platform_day.py
@@ -16,7 +16,6 @@
 import anyio
 import cyclopts
 
-from .platform_callers import STREAMS, start_callers
 from .platform_checks import count_outcomes, find_faults
 from .platform_faults import trouble
 from .platform_history import DayHistory, ReplicaRun, Terms
@@ -31,6 +30,7 @@
     day_configuration,
     keep_host,
 )
+from .platform_traffic import STREAMS, start_callers
 from .platform_world import KEY, World
 from .standin_replica import Replica
 
--- a/lab/platform_callers.py
+++ b/lab/platform_traffic.py
@@ -4,6 +4,7 @@
 it, and of these some never look at the directory again while it lasts.
 """
 
+import functools
 import random
 import time
 from collections.abc import Callable
@@ -13,8 +14,8 @@
 import anyio
 import msgspec
 
+from .platform_caller import Answer, Caller, get
 from .platform_history import Call
-from .platform_link import Answer, Link, get
 from .platform_stage import (
     LONG_KIND,
     LONG_TIMEOUT_S,
@@ -104,8 +105,8 @@
 
 
 @dataclass(slots=True, eq=False)
-class Caller:
-    """A caller and what it knows of the hosts.
+class Client:
+    """A client and what it knows of the hosts.
 
     Attributes
     ----------
@@ -134,7 +135,7 @@
                     break
         return self.addresses
 
-    async def connect(self) -> tuple[Host, Link] | None:
+    async def connect(self) -> tuple[Host, Caller] | None:
         """Connect to one of the hosts; None if that failed."""
         addresses = await self.find_hosts()
         if not addresses:
@@ -142,11 +143,11 @@
         address = self.rng.choice(addresses)
         port = int(address.rpartition(':')[2])
         try:
-            link = await Link.open(port)
+            caller = await Caller.open(port)
         except OSError:
             self.addresses = [one for one in addresses if one != address]
             return None
-        return self.day.world.fronts[port], link
+        return self.day.world.fronts[port], caller
 
     async def _ask_directory(self, host: Host) -> bool:
         path = '/resolution?name=app.example&region=r&zone=z1'
@@ -199,8 +200,13 @@
     )
 
 
-async def send_call(day: Day, draft: Draft, host: Host, link: Link) -> bool:
-    """Send a request, note what came of it, tell if the link can be kept."""
+async def send_call(
+    day: Day,
+    draft: Draft,
+    host: Host,
+    caller: Caller,
+) -> bool:
+    """Send a request, note what came of it, tell if its caller goes on."""
     headers: dict[str, Any] = {
         'Host': 'app.example',
         'Request-Id': draft.request_id,
@@ -209,24 +215,22 @@
     }
     if draft.key:
         headers['Authorization'] = f'Bearer {draft.key}'
+    caller.before_end = None
+    if draft.upload_s:
+        caller.before_end = functools.partial(anyio.sleep, draft.upload_s)
     answer = Answer(0, {}, b'', is_whole=False)
-    is_kept = link.asked > 0
+    is_kept = caller.asked > 0
     sent_at = time.monotonic()
     left_at: float | None = time.monotonic()
     with anyio.move_on_after(draft.patience_s):
-        try:
-            answer = await link.ask(
-                'POST', draft.path, headers, BODY, draft.upload_s
-            )
-        except anyio.BrokenResourceError:
-            answer = Answer(0, {}, b'', is_whole=False)
+        answer = await caller.ask('POST', draft.path, headers, BODY)
         left_at = None
     span = (sent_at, time.monotonic())
     call = replace(
         _make_call(draft, host, answer, span),
         left_at=left_at,
         is_kept=is_kept,
-        whole_at=link.whole_at,
+        whole_at=caller.whole_at,
     )
     day.history.calls.append(call)
     if not call.status or not call.is_whole:
@@ -263,17 +267,17 @@
 
 async def call_anew(day: Day, rng: random.Random) -> None:
     """Send requests on new connections until the day ends."""
-    caller = Caller(day, rng)
+    client = Client(day, rng)
 
     async def call_once() -> None:
-        found = await caller.connect()
+        found = await client.connect()
         if found is None:
             return
-        host, link = found
+        host, caller = found
         try:
-            await send_call(day, draw_call(day, rng), host, link)
+            await send_call(day, draw_call(day, rng), host, caller)
         finally:
-            await link.close()
+            await caller.close()
 
     while not day.is_over:
         day.group.start_soon(call_once)
@@ -282,27 +286,25 @@
 
 async def call_kept(day: Day, rng: random.Random) -> None:
     """Send one request after the other on a connection that is kept."""
-    caller = Caller(day, rng)
+    client = Client(day, rng)
     is_stubborn = rng.random() < STUBBORN_SHARE
     pause = _draw_pause(rng)
     while not day.is_over:
         await anyio.sleep(pause())
-        found = await caller.connect()
+        found = await client.connect()
         if found is None:
             continue
-        host, link = found
+        host, caller = found
         try:
-            while await send_call(day, draw_call(day, rng), host, link):
+            while await send_call(day, draw_call(day, rng), host, caller):
                 await anyio.sleep(pause())
-                if day.is_over or await link.is_closed():
+                if day.is_over or await caller.is_closed():
                     break
                 address = f'127.0.0.1:{host.front}'
-                if not is_stubborn and address not in await caller.find_hosts():
-                    break
-                if not link.take_again():
+                if not is_stubborn and address not in await client.find_hosts():
                     break
         finally:
-            await link.close()
+            await caller.close()
 
 
 def _draw_pause(rng: random.Random) -> Callable[[], float]:
--- a/lab/standin_platform.py
+++ b/lab/standin_platform.py
@@ -29,6 +29,8 @@
         Whether calls are read and never answered.
     delay_s : float
         Before each answer.
+    append_gap_s : float
+        Between two bytes of the answer to an append, if any.
     calls : int
     """
 
@@ -38,6 +40,7 @@
     is_down: bool = False
     is_silent: bool = False
     delay_s: float = 0
+    append_gap_s: float = 0
     calls: int = 0
     changed: anyio.Event = field(default_factory=anyio.Event)
 
@@ -106,7 +109,11 @@
             return Reply.json({'end': end}, 412)
         records.extend(_unframe(body))
         self._wake()
-        return Reply.json({'offset': end, 'end': len(records)})
+        done = Reply.json({'offset': end, 'end': len(records)})
+        if self.append_gap_s:
+            letters = tuple(bytes((one,)) for one in done.body)
+            return Reply(200, events=letters, gap_s=self.append_gap_s)
+        return done
 
     async def _serve(self, request: HttpRequest) -> Reply:
         parts = urlsplit(request.path)
