--- a/lab/platform_day.py
+++ b/lab/platform_day.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 
@@ -39,6 +40,7 @@
 ENGINES = (('pool-1', 'm1 m2'), ('pool-2', 'm1 m3'))
 NOTES = 'day.txt'
 FOUND = 'broken.txt'
+CALLS = 'calls.txt'
 # Of the lines on broken rules.
 SHOWN = 12
 
@@ -125,7 +127,7 @@
 def play_seed(seed: int, seconds: float, logs: Path | None) -> list[str]:
     """Play a day, print a line on it and what broke; return all of that.
 
-    With `logs`, what broke also goes to a file there.
+    With `logs`, what broke and how calls ended also go to files there.
     """
     with tempfile.TemporaryDirectory() as folder:
         kept = folder
@@ -138,6 +140,8 @@
     faults = find_faults(history)
     if logs is not None:
         Path(logs, FOUND).write_text('\n'.join(faults), encoding='utf-8')
+        told = '\n'.join(_tell_calls(history))
+        Path(logs, CALLS).write_text(told, encoding='utf-8')
     sys.stdout.write(
         f'seed {seed}: {len(faults)} broken, {len(history.stops)} stops, '
         f'{len(history.reloads)} reloads, {len(history.calls)} calls, '
@@ -151,6 +155,19 @@
     return faults
 
 
+def _tell_calls(history: DayHistory) -> Iterator[str]:
+    """Yield a line for each call, with the times that logs bear."""
+    shift_s = time.time() - time.monotonic()
+    for call in history.calls:
+        yield (
+            f'{call.sent_at + shift_s:.3f} {call.ended_at + shift_s:.3f} '
+            f'{call.request_id} {call.path.split("/")[1]} {call.host} '
+            f'{call.status} events {len(call.events)}/{call.event_count} '
+            f'whole {call.is_whole} left {call.left_at is not None} '
+            f'kept {call.is_kept}'
+        )
+
+
 @app.default
 def main(
     *,
--- a/lab/platform_faults.py
+++ b/lab/platform_faults.py
@@ -42,6 +42,7 @@
 STORM_COUNT = 6
 STORM_GAP_S = (0.02, 0.4)
 _STARTED = 'event=started '
+_HELD = 1 << (signal.SIGHUP - 1)
 
 
 async def kill_host(day: Day) -> None:
@@ -167,8 +168,8 @@
 
 
 def _signal(day: Day, host: Host, number: signal.Signals) -> None:
-    """Send a signal to a host that takes them: it has begun its log."""
-    if host.process.poll() is not None or _STARTED not in host.own_log():
+    """Send a signal to a host that runs and takes it."""
+    if host.process.poll() is not None or not _is_taken(host, number):
         return
     now = time.monotonic()
     day.note(f'{host.name} {number.name}')
@@ -182,6 +183,18 @@
     host.process.send_signal(number)
 
 
+def _is_taken(host: Host, number: signal.Signals) -> bool:
+    """Return whether a host has come so far that a signal does not end it.
+
+    That is when it has begun its log; a reload it takes once it holds it back.
+    """
+    if _STARTED in host.own_log():
+        return True
+    with open(f'/proc/{host.process.pid}/status', encoding='ascii') as opened:
+        held = next(line for line in opened if line.startswith('SigBlk'))
+    return number == signal.SIGHUP and bool(int(held[7:], 16) & _HELD)
+
+
 Fault = Callable[[Day], Coroutine[Any, Any, None]]
 WORK: tuple[Fault, ...] = (
     stop_host,
