--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -1,6 +1,7 @@
 """Runs a host on the platform: its client, its sockets and its services."""
 
 import functools
+import os
 import random
 import socket
 from collections.abc import AsyncIterator
@@ -12,6 +13,7 @@
 from .. import server, signals
 from ..clock import boot_time
 from ..exceptions import SettingsError
+from ..exitcodes import ExitCode
 from ..hostprocess import HostProcess
 from ..hostsettings import HostSettings
 from ..linelog import LineLog, capture_library_messages
@@ -51,10 +53,11 @@
 
 async def run(settings: HostSettings) -> None:
     """Run a host until it is told to stop."""
-    numbers = (signals.RELOAD, *signals.STOPS)
-    with anyio.open_signal_receiver(*numbers) as received:
-        with signals.delivering():
-            await _run(settings, received)
+    with signals.open_receiver() as received:
+        await _run(settings, received)
+        # Everything is closed; the interpreter's own clean-up can take longer
+        # than what is left of the grace period.
+        os._exit(ExitCode.ok)  # noqa: WPS437 - skips the clean-up
 
 
 async def _run(
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -3,11 +3,13 @@
 import contextlib
 import os
 import signal
+import socket
 import time
 
 import anyio
 import pytest
 
+from ebonywell import server
 from lab.platform_caller import connect
 from lab.platform_world import configuration, play
 
@@ -90,6 +92,20 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_after_a_planned_stop_leaves_the_exit_code(tmp_path, number):
+    async def story(world):
+        host = world.hosts['host-1']
+        host.process.send_signal(signal.SIGTERM)
+        await world.wait_logged('event=stopped')
+        while host.process.poll() is None:
+            host.process.send_signal(number)
+            await anyio.sleep(0.001)
+        assert host.process.returncode == 0
+
+    play(tmp_path, story)
+
+
 def test_a_reload_before_the_settings_are_read_does_not_end_the_host(tmp_path):
     async def story(world):
         fifo = str(tmp_path / 'held')
@@ -208,6 +224,23 @@
     play(tmp_path, story, graceS=GRACE_S)
 
 
+def test_a_stream_sent_over_three_seconds_into_a_stop_is_not_cut(tmp_path):
+    # The platform excuses cuts only of what was sent before.
+    async def story(world):
+        host = world.hosts['host-1']
+        await allow_long_requests(world)
+        set_streams(world, 4)
+        began_at = time.monotonic()
+        host.process.send_signal(signal.SIGTERM)
+        await anyio.sleep(began_at + 3.1 - time.monotonic())
+        answer = await world.chat(host, Request_Id='x', Deadline_Ms='20000')
+        outcome = outcome_of(world, 'x', answer, 0)
+        assert outcome in {'whole', 'refused'}, host.log()
+        assert await world.wait_ended(host) == 0
+
+    play(tmp_path, story, graceS=GRACE_S)
+
+
 def test_a_request_at_the_end_of_the_grace_period_is_not_cut(tmp_path):
     async def story(world):
         host = world.hosts['host-1']
@@ -349,3 +382,42 @@
         assert await world.wait_ended(host) == 0
 
     play(tmp_path, story, graceS=GRACE_S)
+
+
+class ClosingServer(server.Server):
+    """Closes its sockets some turns of the loop after a caller connects."""
+
+    def __init__(self, config, caller, address, turns):
+        super().__init__(config)
+        self.caller = caller
+        self.address = address
+        self.turns = turns
+
+    async def on_tick(self, counter):
+        self.caller.connect(self.address)
+        for _ in range(self.turns):
+            await anyio.sleep(0)
+        return True
+
+
+@pytest.mark.parametrize('turns', range(6))
+def test_a_caller_that_connects_as_the_sockets_close_does_not_hold_up_a_stop(
+    turns,
+):
+    async def answer(scope, receive, send):
+        await send({'type': 'http.response.start', 'status': 200})
+        await send({'type': 'http.response.body'})
+
+    async def run():
+        listener = server.bind('127.0.0.1:0')
+        with socket.socket() as caller:
+            web = ClosingServer(
+                server.server_config(answer),
+                caller,
+                listener.getsockname(),
+                turns,
+            )
+            with anyio.fail_after(1):
+                await web.serve([listener])
+
+    anyio.run(run)
