--- a/lab/platform_spoilers.py
+++ b/lab/platform_spoilers.py
@@ -1,5 +1,6 @@
 """Replicas of a day that leave, or whose answers are spoiled for a while."""
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -17,7 +18,7 @@
 IDLE_S = 0.1
 FLAPS = 3
 FLAP_S = (0.2, 0.8)
-Spoil = Callable[[Replica, HttpRequest], Reply | None]
+Spoil = Callable[[Replica, HttpRequest], Reply]
 
 
 async def move_replica(day: Day) -> None:
@@ -85,25 +86,24 @@
     return day.rng.choice(list(day.world.replicas.values()))
 
 
-def _say_nothing(replica: Replica, request: HttpRequest) -> Reply | None:
-    reply = replica.run(request)
-    return None if reply.status else reply
+def _say_nothing(replica: Replica, request: HttpRequest) -> Reply:
+    return replace(replica.run(request), delay_s=math.inf)
 
 
-def _answer_late(replica: Replica, request: HttpRequest) -> Reply | None:
+def _answer_late(replica: Replica, request: HttpRequest) -> Reply:
     return replace(replica.run(request), delay_s=SLOW_S)
 
 
-def _reject(replica: Replica, request: HttpRequest) -> Reply | None:
+def _reject(replica: Replica, request: HttpRequest) -> Reply:
     return Reply(503, headers={'Not-Executed': '1'})
 
 
-def _cut_off(replica: Replica, request: HttpRequest) -> Reply | None:
+def _cut_off(replica: Replica, request: HttpRequest) -> Reply:
     head = b'HTTP/1.1 200 OK\r\nContent-Len'
     return replace(replica.run(request), raw=head)
 
 
-def _add_answer(replica: Replica, request: HttpRequest) -> Reply | None:
+def _add_answer(replica: Replica, request: HttpRequest) -> Reply:
     """Send a second answer, of nobody's, right behind the first."""
     reply = replica.run(request)
     head = (
@@ -116,7 +116,7 @@
     return replace(reply, raw=f'{head}done{other}'.encode())
 
 
-def _cross(replica: Replica, request: HttpRequest) -> Reply | None:
+def _cross(replica: Replica, request: HttpRequest) -> Reply:
     return replace(
         replica.run(request),
         body=b'other',
--- a/lab/platform_stage.py
+++ b/lab/platform_stage.py
@@ -58,6 +58,8 @@
         Of the configuration.
     keys : tuple of str
     calls : int
+    noted : list of str
+        What was done to the deployment, with the time that logs bear.
     """
 
     world: World
--- a/lab/standin_http.py
+++ b/lab/standin_http.py
@@ -48,7 +48,7 @@
     at_end : callable or None
         Called once the answer has ended or was broken off.
     delay_s : float
-        Before the answer begins.
+        Before the answer begins, for as long as the caller stays.
     """
 
     status: int
@@ -126,13 +126,29 @@
         await anyio.sleep_forever()
         return False
     try:
-        await anyio.sleep(reply.delay_s)
+        if reply.delay_s:
+            await _work(stream, connection, reply.delay_s)
         return await _answer(stream, connection, reply)
     finally:
         if reply.at_end is not None:
             reply.at_end()
 
 
+async def _work(
+    stream: SocketStream,
+    connection: h11.Connection,
+    work_s: float,
+) -> None:
+    """Work on a request until its answer begins or its caller has gone."""
+    with anyio.move_on_after(work_s):
+        while True:
+            try:
+                received = await stream.receive(CHUNK_BYTES)
+            except anyio.EndOfStream as gone:
+                raise anyio.BrokenResourceError from gone
+            connection.receive_data(received)
+
+
 async def _read(
     stream: SocketStream,
     connection: h11.Connection,
--- a/lab/standin_replica.py
+++ b/lab/standin_replica.py
@@ -50,8 +50,8 @@
         Whether it ends each connection as soon as something comes on it.
     idle_s : float
         After which it drops an idle connection without notice.
-    working : dict of CancelScope to list of str
-        Requests under way, by connection.
+    connections : set of CancelScope
+        Of its open connections.
     seen : list of HttpRequest
     orders : list of dict
         That it accepted.
@@ -79,7 +79,7 @@
     broken: set[str] = field(default_factory=set)
     is_down: bool = False
     idle_s: float = math.inf
-    working: dict[anyio.CancelScope, list[str]] = field(default_factory=dict)
+    connections: set[anyio.CancelScope] = field(default_factory=set)
     seen: list[HttpRequest] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     fence: int = 0
@@ -155,8 +155,12 @@
     def crash(self) -> None:
         """Break all connections off."""
         self.is_down = True
-        for scope, request_ids in self.working.items():
-            self.broken.update(request_ids)
+        self.broken.update(
+            request.headers['request-id']
+            for place, (_, request) in enumerate(self.runs)
+            if place not in self.ends
+        )
+        for scope in self.connections:
             scope.cancel()
 
     def _holds(self, named: str) -> bool:
@@ -213,22 +217,17 @@
 
 async def serve_replica(replica: Replica, stream: SocketStream) -> None:
     """Serve one connection to a replica."""
-    under_way: list[str] = []
-
-    async def answer_call(request: HttpRequest) -> Reply | None:
-        under_way.clear()
-        under_way.append(request.headers.get('request-id', ''))
-        return await replica.answer_call(request)
-
     if replica.is_down:
         await stream.aclose()
         return
     with anyio.CancelScope() as scope:
-        replica.working[scope] = under_way
+        replica.connections.add(scope)
         try:
-            await serve_http(stream, answer_call, lambda: replica.idle_s)
+            await serve_http(
+                stream, replica.answer_call, lambda: replica.idle_s
+            )
         finally:
-            del replica.working[scope]
+            replica.connections.discard(scope)
 
 
 async def listen(
