--- a/lab/platform_caller.py
+++ b/lab/platform_caller.py
@@ -41,6 +41,8 @@
         How many requests were sent.
     whole_at : float or None
         When the last byte of the last one was sent.
+    is_reset : bool
+        Whether the host reset the connection while an answer was awaited.
     """
 
     stream: SocketStream
@@ -52,6 +54,7 @@
     read_gap_s: float = 0
     asked: int = 0
     whole_at: float | None = None
+    is_reset: bool = False
 
     @classmethod
     async def open(cls, port: int) -> 'Caller':
@@ -141,7 +144,10 @@
             await anyio.sleep(self.read_gap_s)
         try:
             return await self.stream.receive(self.read_bytes)
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
+        except anyio.EndOfStream:
+            return b''
+        except anyio.BrokenResourceError:
+            self.is_reset = True
             return b''
 
 
--- a/lab/platform_day.py
+++ b/lab/platform_day.py
@@ -164,7 +164,7 @@
             f'{call.request_id} {call.path.split("/")[1]} {call.host} '
             f'{call.status} events {len(call.events)}/{call.event_count} '
             f'whole {call.is_whole} left {call.left_at is not None} '
-            f'kept {call.is_kept}'
+            f'kept {call.is_kept} reset {call.is_reset}'
         )
 
 
--- a/lab/platform_history.py
+++ b/lab/platform_history.py
@@ -35,6 +35,8 @@
         Whether it was not the first on its connection.
     whole_at : float or None
         When its last byte was sent; None if that never was.
+    is_reset : bool
+        Whether its connection was reset, and not closed.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     event_count: int = 5
     is_kept: bool = False
     whole_at: float | None = None
+    is_reset: bool = False
 
     @property
     def is_cut(self) -> bool:
@@ -104,6 +107,8 @@
     began_at, ended_at : float
     code : int
         What it ended with; the signal below 0.
+    seen_at : float
+        When it was last seen running.
     stop_at, kill_at : float or None
         When it was told to stop, and when it was killed.
     """
@@ -112,6 +117,7 @@
     began_at: float
     ended_at: float
     code: int
+    seen_at: float
     stop_at: float | None = None
     kill_at: float | None = None
 
--- a/lab/platform_stage.py
+++ b/lab/platform_stage.py
@@ -115,7 +115,9 @@
     """Note each end of a host's process, and start it again."""
     while True:
         host = day.world.hosts[name]
+        seen_at = host.began_at
         while host.process.poll() is None:
+            seen_at = time.monotonic()
             await anyio.sleep(POLL_S)
         day.history.ends.append(
             ProcessEnd(
@@ -123,6 +125,7 @@
                 host.began_at,
                 time.monotonic(),
                 host.process.returncode,
+                seen_at,
                 host.stop_at,
                 host.kill_at,
             ),
--- a/lab/platform_traffic.py
+++ b/lab/platform_traffic.py
@@ -231,6 +231,7 @@
         left_at=left_at,
         is_kept=is_kept,
         whole_at=caller.whole_at,
+        is_reset=caller.is_reset,
     )
     day.history.calls.append(call)
     if not call.status or not call.is_whole:
