--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -1,10 +1,8 @@
 """Runs an entry process from its start to its planned stop."""
 
-import signal
-
 import anyio
 
-from . import assembly, logs
+from . import assembly, logs, signals
 from .calls import Calls
 from .config import Settings
 from .kernel import Kernel
@@ -40,12 +38,16 @@
 
 
 async def _watch_signals(kernel: Kernel, stopping: anyio.Event) -> None:
-    """Stop gracefully at the first signal, and at once at the second."""
+    """Stop gracefully at the first signal, and at once at the second.
+
+    SIGHUP changes nothing: there is no file to read again.
+    """
     log = assembly.find_log(kernel)
-    signals = (signal.SIGTERM, signal.SIGINT)
-    with anyio.open_signal_receiver(*signals) as received:
+    with signals.open_receiver() as received:
         async for number in received:
             log('signal', number=int(number))
+            if number == signals.RELOAD:
+                continue
             if stopping.is_set():
                 kernel.find(assembly.WEB, Web).server.should_exit = True
                 calls = kernel.find(assembly.CALLS, Calls)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import anyio
+import httpcore
 import msgspec
 import pytest
 import yaml
@@ -17,6 +18,7 @@
 from ebonywell.digests import decode_message
 from ebonywell.exceptions import (
     LogRefusedError,
+    LogServiceError,
     MalformedFrameError,
     RecordError,
     SettingsError,
@@ -166,7 +168,10 @@
         settings.parse_settings(text, 'f')
 
 
-@pytest.mark.parametrize('text', ['host: 2001-13-45', '[' * 10_000])
+@pytest.mark.parametrize(
+    'text',
+    ['host: 2001-13-45', 'host: !!bool x', 'host: !!timestamp x', '[' * 10_000],
+)
 def test_settings_that_no_parser_takes_are_refused(text):
     with pytest.raises(SettingsError):
         settings.parse_settings(text, 'f')
@@ -303,6 +308,14 @@
         max_size=12,
     ),
 )  # fmt: skip
+@example([(b'model', b'm1'), (b'token-count', b'\xb2,5')])
+@example([(b'model', b'm1'), (b'token-count', b'%s,5' % (b'9' * 5000))])
+@example(
+    [(b'model', b'm'), (b'token-count', b'5,5'), (b'length-hint', b'\xb3')]
+)
+@example(
+    [(b'model', b'm'), (b'token-count', b'5,5'), (b'prompt-prefix', b'a:\xb9')]
+)
 def test_any_headers_are_read_and_ours_never_passed_on(raw):
     arrival = ingress.read_arrival(a_scope(raw), b'', 0)
     passed = {name for name, _ in arrival.headers}
@@ -380,6 +393,15 @@
 # The store
 
 
+@given(st.binary(max_size=40))
+@example(b'gone')
+def test_any_body_of_a_gap_is_read_or_an_outage(body):
+    answer = httpcore.Response(410, content=body)
+    answer.read()
+    with pytest.raises(LogServiceError):
+        store._check(answer, '/log-read')
+
+
 def test_the_store_client_against_the_stand_in():
     async def play():
         platform_store = PlatformStore()
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,16 +1,33 @@
 """Stops of an entry process by signals, with a call that still runs."""
 
 import functools
+import os
 import signal
+import socket
 
 import anyio
 import msgspec
+import pytest
 
+from ebonywell.misc import split_address
 from lab.client import bearer
 from lab.deployment import Deployment
 from lab.processes import wait
 from lab.shape import Shape
 
+STOP_S = 10
+LOOK_GAP_S = 0.002
+LARGE_BODY = b'x' * 8_000_000
+REQUEST_HEAD = b'\r\n'.join(
+    [
+        b'POST /v1/services/stock/count HTTP/1.1',
+        b'host: entry',
+        b'authorization: Bearer %b',
+        b'content-length: %d',
+        b'',
+        b'',
+    ],
+)
 LONG_CALL = {
     'model': 'quote',
     'stream': True,
@@ -47,6 +64,16 @@
     assert code == 0
 
 
+@pytest.mark.parametrize(
+    'signals',
+    [[signal.SIGHUP, signal.SIGTERM], [signal.SIGTERM, signal.SIGHUP]],
+)
+def test_a_hangup_before_or_in_a_stop_cuts_no_stream(signals):
+    text, code = anyio.run(stop_in_mid_stream, signals)
+    assert text.endswith(b'data: [DONE]\n\n')
+    assert code == 0
+
+
 def check_cut(text, code):
     """Check that a stream ends with a true word about the stop."""
     assert b'[DONE]' not in text
@@ -70,3 +97,50 @@
         token_ms=100,
     )
     check_cut(*anyio.run(stop, [signal.SIGTERM]))
+
+
+async def signal_as_it_exits(number):
+    """Stop an entry process, signal it once it says so; return its code."""
+    async with Deployment(Shape(entries=1, hosts_ttl_s=0)) as deployment:
+        member = deployment.entries['entry-1']
+        member.send_signal(signal.SIGTERM)
+        with anyio.fail_after(STOP_S):
+            while 'event=stopped' not in member.read_log():
+                await anyio.sleep(LOOK_GAP_S)
+        # Popen's own method may reap the process and lose its code.
+        os.kill(member.pid, number)
+        return await wait(member)
+
+
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_at_the_end_of_a_stop_leaves_its_exit_code(number):
+    assert anyio.run(signal_as_it_exits, number) == 0
+
+
+async def stop_with_a_caller(body, length):
+    """Stop an entry process while a caller stands still; return its code."""
+    shape = Shape(entries=1, hosts_ttl_s=0, entry_flags=('--grace-s', '1'))
+    async with Deployment(shape) as deployment:
+        await deployment.fill()
+        issued = await deployment.operator.issue_key('counter')
+        member = deployment.entries['entry-1']
+        ip, port = split_address(member.address)
+        async with await anyio.connect_tcp(ip, port) as caller:
+            raw = caller.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+            head = REQUEST_HEAD % (issued.key.encode(), length)
+            await caller.send(head + body)
+            await anyio.sleep(1)
+            member.send_signal(signal.SIGTERM)
+            return await wait(member, STOP_S), member.read_log()
+
+
+@pytest.mark.parametrize(
+    ('body', 'length'),
+    [(b'', 9), (LARGE_BODY, len(LARGE_BODY))],
+    ids=['does not send', 'does not read'],
+)
+def test_a_caller_that_stands_still_does_not_hold_a_stop(body, length):
+    code, log = anyio.run(stop_with_a_caller, body, length)
+    assert code == 0
+    assert 'event=connections_cut' in log
