--- a/lab/platform_caller.py
+++ b/lab/platform_caller.py
@@ -1,6 +1,7 @@
 """Callers of the platform's hosts, as they see connections and answers."""
 
 import contextlib
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -8,6 +9,9 @@
 import h11
 from anyio.abc import SocketStream
 
+# For so long a connection is asked whether its other end has closed it.
+_LOOK_S = 0.001
+
 
 @dataclass
 class Answer:
@@ -33,6 +37,12 @@
         How much of an answer is read at once.
     read_gap_s : float
         Between two reads.
+    asked : int
+        How many requests were sent.
+    whole_at : float or None
+        When the last byte of the last one was sent.
+    is_reset : bool
+        Whether the host reset the connection while an answer was awaited.
     """
 
     stream: SocketStream
@@ -42,6 +52,20 @@
     before_end: Callable[[], Awaitable[None]] | None = None
     read_bytes: int = 65_536
     read_gap_s: float = 0
+    asked: int = 0
+    whole_at: float | None = None
+    is_reset: bool = False
+
+    @classmethod
+    async def open(cls, port: int) -> 'Caller':
+        """Connect to a port of the loopback.
+
+        Raises
+        ------
+        OSError
+            If nobody listens.
+        """
+        return cls(await anyio.connect_tcp('127.0.0.1', port))
 
     async def ask(
         self,
@@ -51,6 +75,8 @@
         body: bytes = b'',
     ) -> Answer:
         """Send a request and return its answer."""
+        self.asked += 1
+        self.whole_at = None
         if self.connection.our_state is h11.DONE:
             self.connection.start_next_cycle()
         named = {'Host': 'x', 'Content-Length': str(len(body)), **headers}
@@ -62,8 +88,24 @@
             await self._send(head, body)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             return Answer(0, {}, b'', is_whole=False)
+        self.whole_at = time.monotonic()
         return await self._read_answer()
 
+    async def is_closed(self) -> bool:
+        """Return whether the host has closed it, or sent what is no answer."""
+        with anyio.move_on_after(_LOOK_S):
+            try:
+                await self.stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return True
+            return True
+        return False
+
+    async def close(self) -> None:
+        """Close the connection, also while a request is under way."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
+
     async def _send(self, head: bytes, body: bytes) -> None:
         last = body
         if self.before_end is not None:
@@ -102,7 +144,10 @@
             await anyio.sleep(self.read_gap_s)
         try:
             return await self.stream.receive(self.read_bytes)
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
+        except anyio.EndOfStream:
+            return b''
+        except anyio.BrokenResourceError:
+            self.is_reset = True
             return b''
 
 
--- a/lab/platform_world.py
+++ b/lab/platform_world.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -116,23 +117,51 @@
 
 @dataclass
 class Host:
-    """A real host process."""
+    """A real host process.
+
+    Attributes
+    ----------
+    name : str
+    first_port : int
+    process : subprocess.Popen
+    log_path : str
+    log_start : int
+        Where in its log this process began, in bytes.
+    began_at : float
+    stop_at, kill_at : float or None
+        When it was first told to stop, and when it was killed.
+    """
 
     name: str
     first_port: int
     process: subprocess.Popen[bytes]
     log_path: str
+    log_start: int = 0
+    began_at: float = field(default_factory=time.monotonic)
+    stop_at: float | None = None
+    kill_at: float | None = None
 
     @property
     def front(self) -> int:
         """The port for callers."""
         return self.first_port + 20
 
+    @property
+    def directory(self) -> int:
+        """The port that tells callers where to connect."""
+        return self.first_port + 22
+
     def log(self) -> str:
-        """Return what it has written."""
+        """Return what the host has written."""
         with open(self.log_path, encoding='utf-8') as opened:
             return opened.read()
 
+    def own_log(self) -> str:
+        """Return what this process has written."""
+        with open(self.log_path, 'rb') as opened:
+            opened.seek(self.log_start)
+            return opened.read().decode(errors='replace')
+
 
 @dataclass
 class World:
@@ -143,6 +172,7 @@
     store: PlatformStore = field(default_factory=PlatformStore)
     replicas: dict[str, Replica] = field(default_factory=dict)
     hosts: dict[str, Host] = field(default_factory=dict)
+    fronts: dict[int, Host] = field(default_factory=dict)
     store_address: str = ''
     ids: int = 0
     bounds: dict[str, Any] = field(default_factory=lambda: dict(BOUNDS))
@@ -199,6 +229,7 @@
             yaml.safe_dump({'host': settings}, opened)
         log_path = os.path.join(self.folder, f'{name}.log')
         with open(log_path, 'a', encoding='utf-8') as log:
+            log_start = log.tell()
             process = subprocess.Popen(
                 [sys.executable, '-m', 'ebonywell.platform'],
                 cwd=ROOT,
@@ -210,8 +241,10 @@
                 stdout=log,
                 stderr=log,
             )
-        self.hosts[name] = Host(name, first, process, log_path)
-        return self.hosts[name]
+        host = Host(name, first, process, log_path, log_start)
+        self.hosts[name] = host
+        self.fronts[host.front] = host
+        return host
 
     def set_log(self, host: Host, **log: Any) -> None:
         """Change a host's own settings; it reads them at a reload."""
