--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,5 +1,6 @@
 """Logs that never block, and the way from a request's id to its cause."""
 
+import itertools
 import logging
 import os
 import signal
@@ -63,7 +64,7 @@
     reader, writer = os.pipe()
     log = LineLog(writer)
     log.lines_per_s = 5
-    for status in (*[200] * 12, 0, 503, 0):
+    for status in (*itertools.repeat(200, 12), 0, 503, 0):
         log.event('request_ended', status=status)
     lines = read(reader).splitlines()
     assert sum('status=200' in line for line in lines) == 5
