A request that failed before it was sent does not count against its limit

An internal error was answered 503, not run, but its tokens stayed charged to the workspace, unlike those of every other refusal. test_a_request_that_failed_before_it_was_sent_is_not_charged failed before.

--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -23,7 +23,7 @@
 from .progress import Outcome, Progress, Verdict
 from .proxying import MAX_SENDS, Proxy
 from .selection import Choice
-from .shutdown import RETRY_S, Shutdown
+from .shutdown import STOPPING_RETRY_S, Shutdown
 from .targeting import Targeting, holder_name
 from .wants import MODEL_S, Wants
 
@@ -112,11 +112,11 @@
             outcome = await self._run(call, responder, wait_gone, progress)
         except RejectionError as error:
             outcome = Outcome(error.status, error.reason)
-            if error.status == _UNAVAILABLE and progress.refund is not None:
-                progress.refund()
+            _refund(progress, outcome)
             raise
         except Exception as error:
             outcome = self._note_failed(arrival, progress, error)
+            _refund(progress, outcome)
             if not progress.is_started:
                 raise RejectionError(outcome.status, outcome.reason) from error
         finally:
@@ -132,7 +132,7 @@
         call = self.intake.admit(arrival)
         if self.shutdown.may_serve(boot_time(), call.deadline):
             return call
-        raise RejectionError(_UNAVAILABLE, 'stopping', RETRY_S)
+        raise RejectionError(_UNAVAILABLE, 'stopping', STOPPING_RETRY_S)
 
     async def _run(
         self,
@@ -331,6 +331,12 @@
         )
 
 
+def _refund(progress: Progress, outcome: Outcome) -> None:
+    """Take the charge back of a request that was said not to have run."""
+    if outcome.status == _UNAVAILABLE and progress.refund is not None:
+        progress.refund()
+
+
 def _cut(progress: Progress, reason: str) -> Outcome:
     if progress.is_started:
         return Outcome(0, f'cut_{reason}')
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -100,6 +100,14 @@
     assert events[1][1]['status'] == status
 
 
+def test_a_request_that_failed_before_it_was_sent_is_not_charged():
+    refunds = []
+    fail = fail_after(refund=lambda: refunds.append(1))
+    with pytest.raises(RejectionError):
+        anyio.run(serve, make([], OpenIntake(), fail))
+    assert refunds == [1]
+
+
 def test_an_unexpected_error_within_an_answer_sends_no_second_answer():
     events = []
     fail = fail_after(sends=1, is_started=True)
