What a target counts fits into the messages between hosts

A report or an entry with a count beyond 64 bits was read and could not be passed on to the other hosts; a socket that went away while a message waited for its turn raised in the sender's service. Both shown by the review; such records are refused, and the socket is looked at when it is the message's turn.

--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -96,12 +96,12 @@
 
     async def send(self, address: str, message: Message) -> None:
         """Send a message; it may be lost."""
-        if self.socket is None:
-            return
         try:
             host, port = split_address(address)
+            datagram = encode_message(message)
             async with self.turn_to_send:
-                await self.socket.sendto(encode_message(message), host, port)
+                if self.socket is not None:
+                    await self.socket.sendto(datagram, host, port)
         except UNSENT as error:
             self.log('datagram_unsent', to=address, why=repr(error))
 
--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -1,5 +1,7 @@
 """What the platform's replicas say of themselves."""
 
+from typing import Annotated
+
 import msgspec
 
 from ..exceptions import RecordError, SettingsError
@@ -9,7 +11,10 @@
 from ..transport import decode_answer
 
 TOPIC = 'keyed.servers'
+# Of milliseconds or orders; other hosts are told of both.
+MAX_COUNT = 1_000_000_000_000_000
 _MS = 0.001
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
 class _Held(msgspec.Struct, rename='camel'):
@@ -29,7 +34,7 @@
     state: str
     zone: str = ''
     slots: int = 1
-    born: int = 0
+    born: _Count = 0
     models: tuple[_Held, ...] = ()
     remaining_ms: float | None = None
     # Weights that it need not fetch from the weight store.
@@ -39,9 +44,9 @@
 class _Report(msgspec.Struct, rename='camel'):
     # The orders that it accepted; in its entry the same name counts its
     # heartbeats.
-    seq: int
+    seq: _Count
     busy: bool = False
-    born: int = 0
+    born: _Count = 0
     models: tuple[_Held, ...] = ()
     # Adapters on their way from the weight store, as MODEL/NAME@VERSION.
     coming: tuple[str, ...] = ()
