A record that breaks its reader keeps no host from starting

A port has five digits at most, and whatever else reading one record raises is logged as `target_unreadable` or `configuration_unreadable` and the feed goes on. test_a_record_that_breaks_its_reader_keeps_no_host_from_starting failed before.

--- a/ebonywell/hostfeeds.py
+++ b/ebonywell/hostfeeds.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from .clock import boot_time
-from .exceptions import RecordError
 from .following import Feed, Follower
 from .intake import Intake
 from .inventory import Announcement, Inventory
@@ -105,11 +104,12 @@
     def _adopt(self, record: KeyedRecord, body: bytes) -> None:
         try:
             found = self.translators.decode_configuration(body)
-        except RecordError as error:
+        except Exception as error:
+            # Whoever wrote it, the feed has to go on.
             self.log(
                 'configuration_unreadable',
                 offset=record.offset,
-                why=str(error),
+                why=repr(error),
             )
             return
         if self.intake.adopt(found):
@@ -130,9 +130,10 @@
                 continue
             try:
                 yield decode(record.key, record.value)
-            except RecordError as error:
+            except Exception as error:
+                # One record must not keep all others from being read.
                 self.log(
                     'target_unreadable',
                     offset=record.offset,
-                    why=str(error),
+                    why=repr(error),
                 )
--- a/ebonywell/misc.py
+++ b/ebonywell/misc.py
@@ -23,7 +23,8 @@
         ipaddress.ip_address(number.strip('[]'))
     except ValueError as error:
         raise SettingsError(f'{address!r} is not ip:port') from error
-    if not (colon and port.isascii() and port.isdigit()):
+    is_number = port.isascii() and port.isdigit()
+    if not (colon and is_number and len(port) <= len(str(MAX_PORT))):
         raise SettingsError(f'{address!r} is not ip:port')
     if int(port) > MAX_PORT:
         raise SettingsError(f'{address!r} names no port')
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -259,8 +259,11 @@
 
 @pytest.mark.parametrize(
     'address',
-    ['10.0.0.1:99999', '10.0.0.1:\u0663', '10.0.0.1:', ':80', 'name:80', ''],
-)
+    [
+        '10.0.0.1:99999', f'10.0.0.1:{"9" * 5000}', '10.0.0.1:\u0663',
+        '10.0.0.1:', ':80', 'name:80', '',
+    ],
+)  # fmt: skip
 def test_a_target_whose_address_cannot_be_used_is_refused(address):
     entry = {'service': 'pool', 'address': address, 'state': 'ready'}
     with pytest.raises(RecordError, match='t: '):
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -325,6 +325,18 @@
     play(tmp_path, story)
 
 
+def test_a_record_that_breaks_its_reader_keeps_no_host_from_starting(tmp_path):
+    async def story(world):
+        odd = world.replicas['pool-1'].entry()
+        odd['address'] = f'127.0.0.1:{"9" * 5000}'
+        world.store.put('keyed.servers', 'odd', odd)
+        world.launch('host-2')
+        await world.wait_ready()
+        assert (await world.chat(world.hosts['host-2'])).status == 200
+
+    play(tmp_path, story)
+
+
 def test_an_answer_that_cannot_be_passed_on_is_no_silent_close(tmp_path):
     async def story(world):
         host = world.hosts['host-1']
