Each datagram carries the newest word of the lease's holder

The holder renewed in time (the partition grew by one each 1.05-1.25 s) and the store answered in some 10 ms; but claimers knew an end that was up to 7 renewals old. A host hears another one directly each 1.6 s there, and the digests passed on are drawn at random from 79, so that word of the holder came later than HOLDER_SILENCE_S.

Now all hosts pass on at once the part of the holder's digest that tells of the lease: five integers beside the digests, in the datagrams that were sent anyway. No time is changed.

Before, the new tests for 30, 80 and 300 hosts fail.

--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -104,11 +104,31 @@
     coming: tuple[tuple[str, str], ...] = ()
 
 
+class HolderWord(msgspec.Struct, frozen=True, array_like=True):
+    """The part of a digest that tells of the lease, if its sender holds it.
+
+    Small enough for every datagram, whatever else is in it.
+    """
+
+    fence: int
+    number: int
+    is_proven: bool
+    is_ordering: bool
+    lease_end: int
+
+    def is_newer(self, other: 'HolderWord | None') -> bool:
+        """Return whether it came later than another, or is the first."""
+        if other is None:
+            return True
+        return (self.fence, self.number) > (other.fence, other.number)
+
+
 class DigestMessage(msgspec.Struct, frozen=True, array_like=True, tag='d'):
-    """A host's own digest, and those of others that it passes on."""
+    """A host's own digest, those of others, and the newest holder's word."""
 
     own: Digest
     relayed: tuple[Digest, ...] = ()
+    holder: HolderWord | None = None
 
 
 class WantMessage(msgspec.Struct, frozen=True, array_like=True, tag='w'):
@@ -139,6 +159,19 @@
     models: dict[str, tuple[str, ...]]
 
 
+def holder_word(digest: Digest) -> HolderWord | None:
+    """Return what a digest tells of the lease that its sender holds."""
+    if not digest.fence:
+        return None
+    return HolderWord(
+        digest.fence,
+        digest.number,
+        digest.is_proven,
+        digest.is_ordering,
+        digest.lease_end,
+    )
+
+
 Message = DigestMessage | WantMessage | ResidentMessage
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -4,6 +4,7 @@
 datagrams fit better than connections, which a cut path would stall.
 """
 
+import math
 import random
 from collections.abc import Callable, Iterator
 
@@ -14,9 +15,11 @@
 from .digests import (
     Digest,
     DigestMessage,
+    HolderWord,
     Message,
     decode_message,
     encode_message,
+    holder_word,
 )
 from .exceptions import MalformedFrameError, SettingsError
 from .fleetview import SILENT_S, FleetView, Peer
@@ -45,6 +48,8 @@
         Takes the number of the digest; returns None while there is none.
     note_digest : callable
         Told of each new digest.
+    note_holder : callable
+        Told of each newer word of a holder of the lease.
     take_message : callable
         Gets messages of other kinds.
     malformed : int
@@ -67,6 +72,9 @@
         self.log = log
         self.rng = rng
         self.take_message: Callable[[Message], None] = _ignore
+        self.note_holder: Callable[[HolderWord], None] = _ignore
+        self.holder: HolderWord | None = None
+        self.holder_heard_at = -math.inf
         self.socket: UDPSocket | None = None
         self.number = 0
         self.malformed = 0
@@ -111,8 +119,9 @@
         if digest is None:
             return
         peers = list(self._pick_peers())
-        relayed = tuple(self._pick_relayed(digest))
-        message = DigestMessage(digest, relayed)
+        word = self._pick_word(digest)
+        relayed = tuple(self._pick_relayed(DigestMessage(digest, (), word)))
+        message = DigestMessage(digest, relayed, word)
         for peer in peers:
             await self.send(peer.address, message)
 
@@ -127,7 +136,21 @@
         for _ in range(FANOUT):
             yield self.turn.pop()
 
-    def _pick_relayed(self, own: Digest) -> Iterator[Digest]:
+    def _pick_word(self, own: Digest) -> HolderWord | None:
+        """Return the newest word of a holder, which all pass on at once.
+
+        The digests that fit beside a host's own are too few for each to reach
+        all hosts of a large fleet before the holder seems silent.
+        """
+        now = boot_time()
+        word = holder_word(own)
+        if word is not None and word.is_newer(self.holder):
+            self.holder = word
+            self.holder_heard_at = now
+        is_young = now - self.holder_heard_at < SILENT_S
+        return self.holder if is_young else None
+
+    def _pick_relayed(self, message: DigestMessage) -> Iterator[Digest]:
         """Yield digests to pass on, as many as fit.
 
         While all hosts hear each other directly there is no need to.
@@ -135,7 +158,7 @@
         now = boot_time()
         if self.fleet.size <= FANOUT and not self.fleet.silent(now):
             return
-        room = MAX_DATAGRAM_BYTES - len(encode_message(DigestMessage(own)))
+        room = MAX_DATAGRAM_BYTES - len(encode_message(message))
         heard = list(self.fleet.heard(now))
         self.rng.shuffle(heard)
         for digest in heard:
@@ -162,6 +185,15 @@
         for digest in (message.own, *message.relayed):
             if self.fleet.take(digest, now):
                 self.note_digest(digest)
+                self._take_word(holder_word(digest), now)
+        self._take_word(message.holder, now)
+
+    def _take_word(self, word: HolderWord | None, now: float) -> None:
+        if word is None or not word.is_newer(self.holder):
+            return
+        self.holder = word
+        self.holder_heard_at = now
+        self.note_holder(word)
 
     def _note_silent(self) -> None:
         now = boot_time()
@@ -179,5 +211,5 @@
             self.log('peer_forgotten', peer=name)
 
 
-def _ignore(message: Message) -> None:
+def _ignore(message: Message | HolderWord) -> None:
     """Do nothing."""
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -8,7 +8,7 @@
 
 from . import signals
 from .clock import boot_time
-from .digests import Digest
+from .digests import Digest, HolderWord
 from .gossip import Gossip
 from .hostfeeds import HostFeeds
 from .hostgauges import add_host_gauges, add_traffic_gauges
@@ -107,6 +107,7 @@
             log,
             rng,
         )
+        self.gossip.note_holder = self._note_holder
         self.models = make_model_services(
             settings.name,
             self.known,
@@ -253,8 +254,9 @@
 
     def _note_digest(self, digest: Digest) -> None:
         self.roster.note_digest(digest)
-        if digest.fence:
-            self.leadership.state.note_heard(digest, boot_time())
+
+    def _note_holder(self, word: HolderWord) -> None:
+        self.leadership.state.note_heard(word, boot_time())
 
     def _rank(self) -> int:
         heard = self.known.fleet.heard(boot_time())
--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from .clock import boot_time
-from .digests import Digest
+from .digests import HolderWord
 from .exceptions import ConflictError, EbonywellError, LogServiceError
 from .logs import Logger
 from .sharedstore import SharedStore
@@ -114,7 +114,7 @@
     heard_at: float = -math.inf
     newest_fence: int = 0
 
-    def note_heard(self, heard: Digest, now: float) -> None:
+    def note_heard(self, heard: HolderWord, now: float) -> None:
         """Take over what a holder says of itself.
 
         A holder that has lost its proof goes on with some orders until the
--- /dev/null
+++ b/tests/gossipworld.py
@@ -0,0 +1,196 @@
+"""Hosts that gossip and look after the lease on a virtual clock."""
+
+import heapq
+import random
+
+from ebonywell.digests import Digest, LoadShare, encode_message
+from ebonywell.exceptions import LogServiceError
+from ebonywell.fleetview import FleetView
+from ebonywell.gossip import PERIOD_S, Gossip
+from ebonywell.leadership import TICK_S, Leadership, LeaseState, Standing
+from ebonywell.loadboard import LoadBoard
+from ebonywell.logs import discard_event
+from tests.memorystore import MemoryStore
+
+LEASE_S = 3
+# Between two hosts, from the least to the most.
+WAY_S = (0.001, 0.02)
+# How much later than planned a loop comes to a turn at most.
+LAG_S = 0.02
+# Of each host's digest, which makes it some 250 bytes long.
+LOADS = (LoadShare('target', {4096: 2000}, 1, 2, 9000, ('model' * 36,)),)
+
+
+def _agree():
+    return True
+
+
+def finish(coroutine):
+    """Run a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    raise AssertionError('it waits')
+
+
+class GossipingHost:
+    """One host, as far as the lease goes.
+
+    Attributes
+    ----------
+    claimed_at : list of float
+    gaps : list of float
+        Between one sign of the holder's life and the next.
+    ordered : list of (float, int)
+        When it gave an order, and with which fencing token.
+    """
+
+    def __init__(self, world, index):
+        self.world = world
+        self.name = f'host-{index:03}'
+        self.is_alive = True
+        self.gaps = []
+        self.ordered = []
+        self.claimed_at = []
+        self.rng = random.Random(f'{world.seed}/{index}')
+        self.fleet = FleetView(self.name, LoadBoard())
+        self.state = LeaseState(LEASE_S, is_fenced=True)
+        self.leadership = Leadership(
+            world.store,
+            'own',
+            self.name,
+            self.state,
+            Standing(_agree, self._rank, bool),
+            self._note_event,
+            self.rng,
+        )
+        self.gossip = Gossip(
+            self.name,
+            self.fleet,
+            self._make_digest,
+            lambda digest: None,
+            discard_event,
+            self.rng,
+        )
+        self.gossip.note_holder = self._note_holder
+        self.gossip.send = self._send
+
+    def tell(self):
+        finish(self.gossip._tell())
+
+    def lead(self):
+        try:
+            finish(self.leadership._step())
+        except LogServiceError:
+            return
+        if self.leadership.may_order():
+            self.ordered.append((self.world.now, self.state.fence))
+
+    def _rank(self):
+        heard = self.fleet.heard(self.world.now)
+        return sum(1 for one in heard if one.name < self.name)
+
+    def _make_digest(self, number):
+        now = self.world.now
+        return Digest(
+            self.name, 1, number, self.name, self.name, 'a', True, 1,
+            self.state.fence, self.state.is_proven(now),
+            self.state.may_order_near(now), self.state.end or 0, LOADS,
+        )  # fmt: skip
+
+    def _note_holder(self, word):
+        before = self.state.heard_at
+        self.state.note_heard(word, self.world.now)
+        if before > 0 and self.state.heard_at > before:
+            self.gaps.append(self.state.heard_at - before)
+
+    def _note_event(self, event, **fields):
+        if event == 'lease_claimed':
+            self.claimed_at.append(self.world.now)
+
+    async def _send(self, address, message):
+        if self is self.world.first:
+            self.world.sizes.append(len(encode_message(message)))
+        self.world.carry(address, message)
+
+
+class GossipWorld:
+    """The hosts, the store, and the ways between them.
+
+    Attributes
+    ----------
+    now : float
+    lost : float
+        The share of datagrams that is lost.
+    hosts : dict of str to GossipingHost
+        The first holds the lease from the start.
+    sizes : list of int
+        Of the datagrams that the first host sent.
+    """
+
+    def __init__(self, size, *, lost=0.0, seed=1):
+        self.now = 1000.0
+        self.lost = lost
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.store = MemoryStore()
+        self.events = []
+        self.sizes = []
+        self.count = 0
+        hosts = [GossipingHost(self, index) for index in range(size)]
+        self.hosts = {one.name: one for one in hosts}
+        for one in hosts:
+            for other in hosts:
+                one.fleet.enlist(other.name, other.name, 1, self.now)
+            one.state.heard_at = self.now
+            one.state.newest_fence = 1
+            one.state.end = 0
+            self._repeat(one, one.tell, PERIOD_S)
+            self._repeat(one, one.lead, TICK_S)
+
+    @property
+    def first(self):
+        return next(iter(self.hosts.values()))
+
+    def begin(self, monkeypatch):
+        """Let all go by the virtual clock, and the first take the lease."""
+        for module in 'gossip', 'leadership':
+            monkeypatch.setattr(f'ebonywell.{module}.boot_time', self._clock)
+        finish(self.first.leadership._claim())
+
+    def run(self, seconds):
+        """Play for so many virtual seconds."""
+        until = self.now + seconds
+        while self.events[0][0] <= until:
+            event = heapq.heappop(self.events)
+            self.now = event[0]
+            event[-1]()
+        self.now = until
+
+    def carry(self, address, message):
+        """Bring a datagram to a host, or lose it."""
+        if self.rng.random() < self.lost:
+            return
+        host = self.hosts[address]
+
+        def arrive():
+            if host.is_alive:
+                host.gossip._take(message)
+
+        self._plan(self.rng.uniform(*WAY_S), arrive)
+
+    def _clock(self):
+        return self.now
+
+    def _repeat(self, host, act, period_s):
+        def turn():
+            if host.is_alive:
+                act()
+                self._plan(period_s + self.rng.uniform(0, LAG_S), turn)
+
+        self._plan(self.rng.uniform(0, period_s), turn)
+
+    def _plan(self, delay, act):
+        self.count += 1
+        heapq.heappush(self.events, (self.now + delay, self.count, act))
--- /dev/null
+++ b/tests/test_holder_word.py
@@ -0,0 +1,69 @@
+"""Word of the lease's holder in fleets of several sizes."""
+
+import pytest
+
+from ebonywell.digests import Digest, HolderWord
+from ebonywell.gossip import MAX_DATAGRAM_BYTES
+from ebonywell.leadership import HOLDER_SILENCE_S
+from tests.gossipworld import GossipWorld
+
+
+@pytest.mark.parametrize(
+    ('size', 'seconds'), [(8, 60), (30, 60), (80, 60), (300, 5)]
+)
+def test_in_a_fleet_of_any_size_nobody_claims_a_live_holders_lease(
+    monkeypatch, size, seconds
+):
+    world = GossipWorld(size, lost=0.03)
+    world.begin(monkeypatch)
+    world.run(seconds)
+    others = list(world.hosts.values())[1:]
+    assert not any(one.claimed_at for one in others)
+    assert max(max(one.gaps) for one in others) < HOLDER_SILENCE_S
+    assert max(world.sizes) <= MAX_DATAGRAM_BYTES
+
+
+@pytest.mark.parametrize('size', [8, 80])
+@pytest.mark.parametrize('seed', [1, 2])
+def test_in_a_fleet_of_any_size_a_dead_holder_has_a_successor_soon(
+    monkeypatch, size, seed
+):
+    world = GossipWorld(size, lost=0.03, seed=seed)
+    world.begin(monkeypatch)
+    world.run(4 + seed / 3)
+    died_at = world.now
+    world.first.is_alive = False
+    world.run(4)
+    others = list(world.hosts.values())[1:]
+    first = min(one.ordered[0][0] for one in others if one.ordered)
+    assert first - died_at < 2.2
+
+
+def test_an_older_word_does_not_replace_a_newer_one():
+    words = [HolderWord(5, 9, True, True, 7), HolderWord(5, 8, True, True, 6)]
+    assert words[0].is_newer(None)
+    assert words[0].is_newer(words[1])
+    assert not words[1].is_newer(words[0])
+    assert not words[0].is_newer(words[0])
+    assert HolderWord(6, 1, True, True, 8).is_newer(words[0])
+
+
+def test_a_host_passes_on_the_word_of_the_newer_of_two_holders(monkeypatch):
+    world = GossipWorld(2)
+    world.begin(monkeypatch)
+    gossip = world.first.gossip
+    newer = HolderWord(9, 1, True, False, 9)
+    gossip._take_word(newer, world.now)
+    own = world.first._make_digest(50)
+    assert own.fence == 1
+    assert gossip._pick_word(own) == newer
+
+
+def test_a_silent_holders_word_is_not_passed_on(monkeypatch):
+    world = GossipWorld(2)
+    world.begin(monkeypatch)
+    gossip = world.first.gossip
+    gossip._take_word(HolderWord(9, 1, True, True, 9), world.now)
+    world.now += 10
+    other = Digest('a', 1, 1, '', '', '', True, 1, 0, False, False, 0)
+    assert gossip._pick_word(other) is None
