A former holder of the lease gives no order within the lease's time of its last

A host now notes when it gave an order, and neither claims the lease nor gives orders under a new one before lease_s and the margin for clocks have passed since. Others, who need not wait, claim meanwhile; a host without orders in that time is not held up. A claim that was under way when the lease was lost is held to it too.

Before, the tests for a former holder fail: 3.1 s after its last order, less than lease_s and the margin, it claims, or orders under a claim that was made 0.2 s after that order. They pass now.

--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -102,6 +102,8 @@
         since it may have been written just before the holder stopped.
     newest_fence : int
         The newest fencing token that this host has heard of.
+    ordered_at : float
+        When this host last gave an order, under any of its leases.
     """
 
     lease_s: float
@@ -113,6 +115,7 @@
     other_at: float = -math.inf
     heard_at: float = -math.inf
     newest_fence: int = 0
+    ordered_at: float = -math.inf
 
     def note_heard(self, heard: HolderWord, now: float) -> None:
         """Take over what a holder says of itself.
@@ -164,6 +167,7 @@
         else:
             run_out_at = self.other_at + self.lease_s + WAIT_MARGIN_S
             self.may_order_at = max(now, run_out_at)
+        self.may_order_at = max(self.may_order_at, self.back_at)
 
     def note_renewed(self, offset: int, sent_at: float) -> None:
         """Take over that this host's renewal succeeded."""
@@ -175,6 +179,14 @@
         self.fence = 0
         self.may_order_at = math.inf
 
+    @property
+    def back_at(self) -> float:
+        """From when on this host may have the lease again, once lost.
+
+        Orders of the holder between may arrive among its own until then.
+        """
+        return self.ordered_at + self.lease_s + WAIT_MARGIN_S
+
     def is_proven(self, now: float) -> bool:
         """Return whether nobody else can have claimed the lease by now."""
         is_young = now - self.renewed_at < min(PROOF_S, self.lease_s)
@@ -194,6 +206,8 @@
 
     def may_claim(self, now: float, rank: int) -> bool:
         """Return whether no holder has been heard of for long enough."""
+        if now < self.back_at:
+            return False
         silence_s = HOLDER_SILENCE_S + min(rank, MAX_RANK) * RANK_GAP_S
         return now - self.heard_at >= silence_s
 
@@ -266,6 +280,10 @@
         """Return whether it may give orders that ask no weight store."""
         return self.state.may_order_near(boot_time())
 
+    def note_order(self) -> None:
+        """Take over that this host gives an order now, or just gave one."""
+        self.state.ordered_at = boot_time()
+
     async def release(self) -> None:
         """Give the lease up on a planned stop."""
         if not self.state.fence:
--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -122,7 +122,9 @@
             self.name,
             self.leadership.state.fence,
         )
+        self.leadership.note_order()
         answer = await self.client.order(known, order)
+        self.leadership.note_order()
         _note_answer(known, track, order, answer)
         if answer is OrderAnswer.unreachable:
             known.refused_at = boot_time()
--- a/tests/gossipworld.py
+++ b/tests/gossipworld.py
@@ -85,6 +85,7 @@
         except LogServiceError:
             return
         if self.leadership.may_order():
+            self.leadership.note_order()
             self.ordered.append((self.world.now, self.state.fence))
 
     def _rank(self):
--- a/tests/test_adapterloads.py
+++ b/tests/test_adapterloads.py
@@ -105,6 +105,20 @@
     assert not engine.is_broken
 
 
+def test_an_order_keeps_its_sender_from_a_later_lease_for_a_time(monkeypatch):
+    async def play():
+        loads.askers[wanted('a1')] = set()
+        await loads.bring(wanted('a1'))
+
+    loads, state = make(Engine(()))
+    lead(state, monkeypatch, 1)
+    assert state.back_at < 100
+    anyio.run(play)
+    state.note_lost()
+    assert not state.may_claim(102.9, 0)
+    assert state.may_claim(103.3, 0)
+
+
 def test_an_engine_that_refuses_connections_is_left_out(monkeypatch):
     async def play():
         loads.askers[wanted('a1')] = set()
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -122,6 +122,29 @@
     assert not state.may_claim(101.5, 0)
 
 
+def test_a_former_holder_leaves_the_lease_to_others_for_its_time():
+    state = holder(is_fenced=True)
+    state.ordered_at = 100.5
+    state.note_heard(digest(9), 101)
+    assert state.fence == 0
+    assert not state.may_claim(103.6, 0)
+    assert state.may_claim(103.8, 0)
+
+
+@pytest.mark.parametrize('is_fenced', [True, False])
+def test_holders_take_no_turns_within_the_time_of_the_lease(is_fenced):
+    state = holder(is_fenced=is_fenced)
+    state.ordered_at = 101.5
+    state.note_heard(digest(9), 101.6)
+    # The claim was under way already.
+    state.note_claimed(12, 101.7, 101.7)
+    state.note_renewed(13, 104)
+    assert not state.may_order(104.6)
+    assert not state.may_order_near(104.6)
+    state.note_renewed(14, 104.7)
+    assert state.may_order(104.9)
+
+
 def make(store, name, state=None, *, is_cut_off=False):
     return Leadership(
         store,
@@ -212,6 +235,25 @@
     assert anyio.run(play) == (0, 2)
 
 
+def test_a_former_holder_does_not_follow_its_successor_at_once(monkeypatch):
+    def claim_at(leadership, now):
+        monkeypatch.setattr('ebonywell.leadership.boot_time', lambda: now)
+        leadership.state.heard_at = float('-inf')
+        anyio.run(step, leadership)
+        return leadership.state.fence
+
+    store = MemoryStore()
+    one, other = make(store, 'one'), make(store, 'other')
+    assert claim_at(one, 100) == 1
+    one.note_order()
+    assert claim_at(other, 101) == 0
+    assert claim_at(other, 101.2) == 2
+    assert claim_at(one, 101.4) == 0
+    # Its successor has stopped.
+    assert claim_at(one, 103.1) == 0
+    assert claim_at(one, 103.3) == 3
+
+
 def test_a_released_lease_is_free():
     async def play():
         store = MemoryStore()
