A holder that hears of a newer claim does not renew its lease after it

The holder before had heard of that claim, before the new one gave orders, and took over where the partition ends from it. Its renewal was then appended behind the claim, as if nobody had claimed; the new holder's renewal met a conflict and found the older fencing token.

A holder now keeps the end that it knows from its own records, so that its next renewal meets a conflict and it steps down. As before it may give its uncounted orders until the next one begins.

Before, the new test ends with the older holder in place, and the newer without the lease; now the other way round.

--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -121,7 +121,8 @@
         """Take over what a holder says of itself.
 
         A holder that has lost its proof goes on with some orders until the
-        one after it begins.
+        one after it begins. It keeps the end that it knows, so that no
+        renewal of its own can follow the other's claim.
         """
         if heard.fence < self.newest_fence:
             return
@@ -129,7 +130,8 @@
         if heard.is_proven:
             self.other_at = now
             self.heard_at = now
-            self.end = max(self.end or 0, heard.lease_end)
+            if not self.fence:
+                self.end = max(self.end or 0, heard.lease_end)
         if heard.is_ordering and self.fence and self.fence < heard.fence:
             self.note_lost()
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -235,6 +235,25 @@
     assert anyio.run(play) == (0, 2)
 
 
+def test_a_holder_that_hears_of_a_claim_does_not_renew_after_it():
+    async def play():
+        store = MemoryStore()
+        one, other = make(store, 'one'), make(store, 'other')
+        await step(one)
+        await other._read()
+        other.state.heard_at = float('-inf')
+        await step(other)
+        word = digest(other.state.fence, is_ordering=False, end=2)
+        one.state.note_heard(word, other.state.renewed_at)
+        one.state.renewed_at = 0
+        await step(one)
+        other.state.renewed_at = 0
+        await step(other)
+        return one.state.fence, other.state.fence
+
+    assert anyio.run(play) == (0, 2)
+
+
 def test_a_former_holder_does_not_follow_its_successor_at_once(monkeypatch):
     def claim_at(leadership, now):
         monkeypatch.setattr('ebonywell.leadership.boot_time', lambda: now)
