--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from .clock import boot_time
-from .digests import Digest
+from .digests import HolderWord
 from .exceptions import ConflictError, EbonywellError, LogServiceError
 from .logs import Logger
 from .sharedstore import SharedStore
@@ -102,6 +102,8 @@
         since it may have been written just before the holder stopped.
     newest_fence : int
         The newest fencing token that this host has heard of.
+    ordered_at : float
+        When this host last gave an order, under any of its leases.
     """
 
     lease_s: float
@@ -113,12 +115,14 @@
     other_at: float = -math.inf
     heard_at: float = -math.inf
     newest_fence: int = 0
+    ordered_at: float = -math.inf
 
-    def note_heard(self, heard: Digest, now: float) -> None:
+    def note_heard(self, heard: HolderWord, now: float) -> None:
         """Take over what a holder says of itself.
 
         A holder that has lost its proof goes on with some orders until the
-        one after it begins.
+        one after it begins. It keeps the end that it knows, so that no
+        renewal of its own can follow the other's claim.
         """
         if heard.fence < self.newest_fence:
             return
@@ -126,7 +130,8 @@
         if heard.is_proven:
             self.other_at = now
             self.heard_at = now
-            self.end = max(self.end or 0, heard.lease_end)
+            if not self.fence:
+                self.end = max(self.end or 0, heard.lease_end)
         if heard.is_ordering and self.fence and self.fence < heard.fence:
             self.note_lost()
 
@@ -164,6 +169,7 @@
         else:
             run_out_at = self.other_at + self.lease_s + WAIT_MARGIN_S
             self.may_order_at = max(now, run_out_at)
+        self.may_order_at = max(self.may_order_at, self.back_at)
 
     def note_renewed(self, offset: int, sent_at: float) -> None:
         """Take over that this host's renewal succeeded."""
@@ -175,6 +181,14 @@
         self.fence = 0
         self.may_order_at = math.inf
 
+    @property
+    def back_at(self) -> float:
+        """From when on this host may have the lease again, once lost.
+
+        Orders of the holder between may arrive among its own until then.
+        """
+        return self.ordered_at + self.lease_s + WAIT_MARGIN_S
+
     def is_proven(self, now: float) -> bool:
         """Return whether nobody else can have claimed the lease by now."""
         is_young = now - self.renewed_at < min(PROOF_S, self.lease_s)
@@ -194,6 +208,8 @@
 
     def may_claim(self, now: float, rank: int) -> bool:
         """Return whether no holder has been heard of for long enough."""
+        if now < self.back_at:
+            return False
         silence_s = HOLDER_SILENCE_S + min(rank, MAX_RANK) * RANK_GAP_S
         return now - self.heard_at >= silence_s
 
@@ -266,6 +282,10 @@
         """Return whether it may give orders that ask no weight store."""
         return self.state.may_order_near(boot_time())
 
+    def note_order(self) -> None:
+        """Take over that this host gives an order now, or just gave one."""
+        self.state.ordered_at = boot_time()
+
     async def release(self) -> None:
         """Give the lease up on a planned stop."""
         if not self.state.fence:
