A stop that cuts takes no more calls, and a second signal ends its waits

Callers saw: a call whose body arrived after the second signal to stop ran for as long as its deadline let it; one whose body never came got no answer. Operators saw: an idle process that took the whole time to live of the host list to end after the second signal.

Cause: the second signal, and the end of the grace period, cut the calls that ran at that moment, but neither those that were still being read nor those that came later; and nothing ended the pause for the time to live or the wait for connections.

Evidence: with separate processes, a stream whose body came after the second signal ran for 6.2 s and was answered with 200; with a time to live of 15 s the second signal took 15.0 s. Of the new test's cases one got no answer and two still ran after 10 s before; now each request is refused with `host_stopping`, not run and when to come back, and the process ends with 0.

One method, `Web.cut`, refuses what is read and what comes, cuts what runs and ends the waits; the second signal and the end of the grace period call it. The test of a caller that sends nothing, which asked for its connection to be cut, asks for this answer instead.

--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -7,11 +7,10 @@
 import anyio
 
 from . import assembly, logs
-from .calls import Calls
 from .config import Settings
 from .kernel import Kernel
 from .types import HostId, new_incarnation
-from .web import Web, stopping_refusal
+from .web import Web
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
@@ -55,9 +54,7 @@
             if number == signal.SIGHUP:
                 continue
             if stopping.is_set():
-                kernel.find(assembly.WEB, Web).server.should_exit = True
-                calls = kernel.find(assembly.CALLS, Calls)
-                calls.abort(stopping_refusal())
+                kernel.find(assembly.WEB, Web).cut()
             stopping.set()
 
 
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -2,7 +2,8 @@
 
 import socket
 import traceback
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from contextlib import contextmanager
 from typing import Any
 
 import anyio
@@ -86,13 +87,16 @@
 
     async def _read_call(self, request_id: str) -> Call:
         self.web.check_serving()
-        call = await self.read(
-            self.request,
-            self.web.replica.state.catalogue,
-            self.web.settings.max_body_bytes,
-            request_id,
-            self.web.settings.deadline_s,
-        )
+        with self.web.reading_scope():
+            call = await self.read(
+                self.request,
+                self.web.replica.state.catalogue,
+                self.web.settings.max_body_bytes,
+                request_id,
+                self.web.settings.deadline_s,
+            )
+        if self.web.cutting.is_set():
+            raise RefusedError(stopping_refusal())
         self.web.check_call(call)
         return call
 
@@ -126,6 +130,10 @@
     leave : callable
         Called first on a planned stop; returns when callers no longer come.
     is_leaving : bool
+    cutting : anyio.Event
+        Set when calls are no longer taken, and those that ran are cut.
+    reading : set of CancelScope
+        Of the requests that are still being read.
     check_call : callable
         Raises RefusedError for a call that the catalogue still allows.
     app : Starlette
@@ -150,6 +158,8 @@
         self.hosts = hosts
         self.log = log
         self.is_leaving = False
+        self.cutting = anyio.Event()
+        self.reading: set[anyio.CancelScope] = set()
         self.check_call: CheckCall = _allow_call
         self.read_service: ReadCall = edge.read_service_call
         self.app = Starlette(
@@ -171,11 +181,10 @@
     async def stop(self) -> None:
         """Let running calls end, take no new connections, and close."""
         self.is_leaving = True
-        await anyio.sleep(self.settings.hosts_ttl_s)
-        self.server.should_exit = True
-        with anyio.move_on_after(self.settings.grace_s):
-            await self.finished.wait()
-        self.calls.abort(stopping_refusal())
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._let_end)
+            await self.cutting.wait()
+            group.cancel_scope.cancel()
         with anyio.move_on_after(CLOSE_S):
             await self.finished.wait()
         count = self.server.cut()
@@ -183,10 +192,36 @@
             self.log('connections_cut', count=count)
         await self.finished.wait()
 
+    def cut(self) -> None:
+        """Take no more calls, and cut those that run or are being read."""
+        self.is_leaving = True
+        self.cutting.set()
+        self.server.should_exit = True
+        for scope in self.reading:
+            scope.cancel()
+        self.calls.abort(stopping_refusal())
+
+    @contextmanager
+    def reading_scope(self) -> Iterator[None]:
+        """Leave the block when calls are cut."""
+        with anyio.CancelScope() as scope:
+            self.reading.add(scope)
+            try:
+                yield
+            finally:
+                self.reading.remove(scope)
+
     def answer_headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers that every answer carries now."""
         return [(b'connection', b'close')] if self.is_leaving else []
 
+    async def _let_end(self) -> None:
+        await anyio.sleep(self.settings.hosts_ttl_s)
+        self.server.should_exit = True
+        with anyio.move_on_after(self.settings.grace_s):
+            await self.finished.wait()
+        self.cut()
+
     async def _serve(self, bound: socket.socket) -> None:
         try:
             await self.server.serve([bound])
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import socket
+from contextlib import asynccontextmanager
 
 import anyio
 import msgspec
@@ -117,10 +118,10 @@
     assert anyio.run(signal_as_it_exits, number) == 0
 
 
-async def stop_with_a_caller(body, length):
-    """Stop an entry process while a caller stands still; return its code."""
-    shape = Shape(entries=1, hosts_ttl_s=0, entry_flags=('--grace-s', '1'))
-    async with Deployment(shape) as deployment:
+@asynccontextmanager
+async def call_by_hand(body, length, **shape):
+    """Send a request's head and some of its body; yield host and stream."""
+    async with Deployment(Shape(entries=1, **shape)) as deployment:
         await deployment.fill()
         issued = await deployment.operator.issue_key('counter')
         member = deployment.entries['entry-1']
@@ -131,16 +132,60 @@
             head = REQUEST_HEAD % (issued.key.encode(), length)
             await caller.send(head + body)
             await anyio.sleep(1)
-            member.send_signal(signal.SIGTERM)
-            return await wait(member, STOP_S), member.read_log()
+            yield member, caller
+
+
+async def stop_while_nothing_is_read():
+    """Stop an entry process whose caller does not read; return its code."""
+    flags = ('--grace-s', '1')
+    shape = {'hosts_ttl_s': 0, 'entry_flags': flags}
+    length = len(LARGE_BODY)
+    async with call_by_hand(LARGE_BODY, length, **shape) as (member, _):
+        member.send_signal(signal.SIGTERM)
+        return await wait(member, STOP_S), member.read_log()
+
+
+def test_a_caller_that_does_not_read_does_not_hold_a_stop():
+    code, log = anyio.run(stop_while_nothing_is_read)
+    assert code == 0
+    assert 'event=connections_cut' in log
+
+
+async def stop_while_a_body_is_missing(signals, **shape):
+    """Stop an entry process that reads a request; return code and answer."""
+    async with call_by_hand(b'', 9, **shape) as (member, caller):
+        for number in signals:
+            member.send_signal(number)
+            await anyio.sleep(0.2)
+        code = await wait(member, STOP_S)
+        parts = [part async for part in caller]
+        return code, b''.join(parts)
 
 
 @pytest.mark.parametrize(
-    ('body', 'length'),
-    [(b'', 9), (LARGE_BODY, len(LARGE_BODY))],
-    ids=['does not send', 'does not read'],
+    ('signals', 'grace_s', 'hosts_ttl_s'),
+    [
+        ([signal.SIGTERM], 1, 0),
+        ([signal.SIGTERM, signal.SIGTERM], 60, 0),
+        ([signal.SIGTERM, signal.SIGTERM], 60, 60),
+    ],
+    ids=['end of grace', 'second signal', 'second signal in the pause'],
 )
-def test_a_caller_that_stands_still_does_not_hold_a_stop(body, length):
-    code, log = anyio.run(stop_with_a_caller, body, length)
+def test_a_request_still_being_read_is_refused_when_a_stop_cuts(
+    signals,
+    grace_s,
+    hosts_ttl_s,
+):
+    stop = functools.partial(
+        stop_while_a_body_is_missing,
+        signals,
+        entry_flags=('--grace-s', str(grace_s)),
+        hosts_ttl_s=hosts_ttl_s,
+    )
+    code, answer = anyio.run(stop)
     assert code == 0
-    assert 'event=connections_cut' in log
+    head, _, body = answer.partition(b'\r\n\r\n')
+    assert b'retry-after: 1' in head
+    error = msgspec.json.decode(body)['error']
+    assert error['code'] == 'host_stopping'
+    assert error['run_state'] == 'not_run'
