Every answer of a leaving host closes its connection

Callers saw: a leaving host that answered `GET /v1/hosts` and a request that was being read when the stop began without `Connection: close`, so that their next request met a connection that was about to be closed.

Cause: only calls carried the header, and as it stood when the request arrived, not when its answer began.

Evidence: in the pause of a stop the answers to /v1/hosts, /v1/models and a path that there is none of lacked the header, as did the refusal of a request that was read across the signal; the four tests failed before and pass now.

The application is wrapped, so that the header is decided as each answer begins.

--- a/ebonywell/reply.py
+++ b/ebonywell/reply.py
@@ -40,13 +40,13 @@
         withdrawn meanwhile, so it is asked before each part is sent.
     """
 
-    def __init__(self, send: Send, request_id: str, headers: Headers) -> None:
+    def __init__(self, send: Send, request_id: str) -> None:
         self.send = send
         self.request_id = request_id
         self.status = 0
         self.is_started = False
         self.is_events = False
-        self.headers = [*headers, (b'x-request-id', request_id.encode())]
+        self.headers = [(b'x-request-id', request_id.encode())]
         self.check: Callable[[], None] = _check_nothing
 
     async def whole(self, status: int, headers: Headers, body: bytes) -> None:
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -13,7 +13,7 @@
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 from starlette.routing import BaseRoute, Route
-from starlette.types import Receive, Scope, Send
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from . import edge
 from .answers import (
@@ -69,7 +69,7 @@
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Answer as ASGI asks."""
-        reply = Reply(send, new_id(), self.web.answer_headers())
+        reply = Reply(send, new_id())
         reply.check = self.web.check_serving
         try:
             call = await self._read_call(reply.request_id)
@@ -166,7 +166,7 @@
             routes=[*self._routes(), *routes],
             exception_handlers={HTTPException: answer_http_error},
         )
-        self.server = Server(server_config(self.app))
+        self.server = Server(server_config(_closing_when_leaving(self)))
         self.finished = anyio.Event()
 
     async def run(self, ready: Callable[[], None]) -> None:
@@ -211,10 +211,6 @@
             finally:
                 self.reading.remove(scope)
 
-    def answer_headers(self) -> list[tuple[bytes, bytes]]:
-        """Return the headers that every answer carries now."""
-        return [(b'connection', b'close')] if self.is_leaving else []
-
     async def _let_end(self) -> None:
         await anyio.sleep(self.settings.hosts_ttl_s)
         self.server.should_exit = True
@@ -291,6 +287,21 @@
     )
 
 
+def _closing_when_leaving(web: Web) -> ASGIApp:
+    """Return the application; while the host leaves, connections close."""
+
+    async def serve(scope: Scope, receive: Receive, send: Send) -> None:
+        async def send_marked(message: Message) -> None:
+            if web.is_leaving and message['type'] == 'http.response.start':
+                closing = (b'connection', b'close')
+                message['headers'] = [*message['headers'], closing]
+            await send(message)
+
+        await web.app(scope, receive, send_marked)
+
+    return serve
+
+
 def _allow_call(call: Call) -> None:
     """Allow what the catalogue allows."""
 
--- a/tests/onceworld.py
+++ b/tests/onceworld.py
@@ -275,7 +275,7 @@
             self.check_alive()
             sent.append(message)
 
-        reply = Reply(send, 'r', [])
+        reply = Reply(send, 'r')
         call = _call(key, body)
         try:
             with anyio.move_on_after(leaves_after or DEADLINE_S * 2):
--- a/tests/test_reply.py
+++ b/tests/test_reply.py
@@ -16,7 +16,7 @@
     def __init__(self):
         self.sent = []
         self.is_stale = False
-        self.reply = Reply(self.receive, 'r1', [])
+        self.reply = Reply(self.receive, 'r1')
         self.reply.check = self.check
 
     async def receive(self, message):
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -185,7 +185,26 @@
     code, answer = anyio.run(stop)
     assert code == 0
     head, _, body = answer.partition(b'\r\n\r\n')
+    assert b'connection: close' in head
     assert b'retry-after: 1' in head
     error = msgspec.json.decode(body)['error']
     assert error['code'] == 'host_stopping'
     assert error['run_state'] == 'not_run'
+
+
+async def ask_a_leaving_host(path):
+    """Return the answer of an entry process in the pause before it closes."""
+    async with Deployment(Shape(entries=1, hosts_ttl_s=10)) as deployment:
+        member = deployment.entries['entry-1']
+        member.send_signal(signal.SIGTERM)
+        with anyio.fail_after(STOP_S):
+            while 'event=signal' not in member.read_log():
+                await anyio.sleep(LOOK_GAP_S)
+        await anyio.sleep(0.5)
+        return await deployment.client.ask('GET', f'{member.url}{path}')
+
+
+@pytest.mark.parametrize('path', ['/v1/hosts', '/v1/models', '/v1/none'])
+def test_a_leaving_host_keeps_no_connection_after_any_answer(path):
+    answer = anyio.run(ask_a_leaving_host, path)
+    assert answer.headers['connection'] == 'close'
