--- a/ebonywell/entry.py
+++ b/ebonywell/entry.py
@@ -3,11 +3,10 @@
 import anyio
 
 from . import assembly, logs, signals
-from .calls import Calls
 from .config import Settings
 from .kernel import Kernel
 from .types import HostId, new_incarnation
-from .web import Web, stopping_refusal
+from .web import Web
 
 
 def run(settings: Settings) -> None:
@@ -49,7 +48,5 @@
             if number == signals.RELOAD:
                 continue
             if stopping.is_set():
-                kernel.find(assembly.WEB, Web).server.should_exit = True
-                calls = kernel.find(assembly.CALLS, Calls)
-                calls.abort(stopping_refusal())
+                kernel.find(assembly.WEB, Web).cut()
             stopping.set()
