--- a/lab/platform_day.py
+++ b/lab/platform_day.py
@@ -53,7 +53,7 @@
     history = DayHistory(terms, services=services)
     async with anyio.create_task_group() as outer:
         world = World(folder, outer)
-        await _furnish(world)
+        await _start_deployment(world)
         try:
             await world.wait_ready()
             day = await _run(world, history, seed, seconds)
@@ -66,7 +66,7 @@
     return history
 
 
-async def _furnish(world: World) -> None:
+async def _start_deployment(world: World) -> None:
     """Start the stand-ins and the hosts before them."""
     await world.start_store()
     content = day_configuration(1, (KEY, SECOND_KEY))
@@ -88,17 +88,17 @@
     seconds: float,
 ) -> Day:
     """Have callers call and faults happen, and wait for what they began."""
-    async with anyio.create_task_group() as keepers:
+    async with anyio.create_task_group() as host_group:
         async with anyio.create_task_group() as group:
             ends_at = time.monotonic() + seconds
             rng = random.Random(seed)
             day = Day(world, history, rng, ends_at, group)
             for name in HOSTS:
-                keepers.start_soon(keep_host, day, name)
+                host_group.start_soon(keep_host, day, name)
             start_callers(day, seed)
             group.start_soon(trouble, day)
         await anyio.sleep(SETTLE_S)
-        keepers.cancel_scope.cancel()
+        host_group.cancel_scope.cancel()
     return day
 
 
