Test deployments on one machine never share a port

Cause: two places of the lab drew ports at random from overlapping ranges and looked once whether they were free; between that look and the start of the process, a deployment of another test process could take them. Today's tests start more hosts, of 24 ports each, so that it came up. Class: check, then use.

--- a/lab/platform_world.py
+++ b/lab/platform_world.py
@@ -3,9 +3,7 @@
 import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -18,6 +16,7 @@
 from anyio.abc import SocketStream, TaskGroup
 
 from .platform_caller import Answer, Caller, get
+from .ports import free_ports
 from .standin_platform import PlatformStore, serve_store
 from .standin_replica import Replica, listen, serve_replica
 
@@ -26,7 +25,6 @@
 GB = 1000
 SIZES = {'m1': 70, 'm2': 70, 'm3': 70, 'm4': 70}
 START_S = 10
-PORTS = range(10_000, 32_000)
 BOUNDS = {
     'drainMs': 2000, 'configMs': 2000, 'revokeMs': 5000, 'graceS': 8,
     'leaseMs': 1000, 'requireFence': True, 'retryBudgetRatio': 0.2,
@@ -36,26 +34,6 @@
 }  # fmt: skip
 
 
-def free_ports(count: int) -> int:
-    """Return the first of some ports in a row that are free now.
-
-    They lie below those that the system gives to outgoing connections.
-    """
-    while True:
-        first = random.randrange(PORTS.start, PORTS.stop - count)
-        if all(_is_free(port) for port in range(first, first + count)):
-            return first
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(('127.0.0.1', port))
-        except OSError:
-            return False
-    return True
-
-
 def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
     """Return a route of a configuration."""
     return {
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -1,9 +1,7 @@
 """Starts, signals and stops the separate processes of a deployment."""
 
 import os
-import random
 import signal
-import socket
 import sys
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -19,8 +17,6 @@
 STOP_TIMEOUT_S = 30.0
 KILL_TIMEOUT_S = 5.0
 _LINE_BYTES = 4096
-LOOPBACK = '127.0.0.1'
-PORTS = range(12_000, 32_000)
 
 
 class ProcessError(Exception):
@@ -74,22 +70,6 @@
     address: str
 
 
-def free_address() -> str:
-    """Return an ip:port of the loopback network that was free just now.
-
-    The port lies below those from which outgoing connections are dealt, since
-    one of them could take it before the process that it is for.
-    """
-    while True:
-        port = random.choice(PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-        return f'{LOOPBACK}:{port}'
-
-
 async def start(
     name: str,
     arguments: Sequence[str],
--- a/lab/shape.py
+++ b/lab/shape.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from .processes import free_address
+from .ports import free_address
 
 ENGINE_MEMORY_BYTES = 16_000_000_000
 SAMPLE_CATALOGUE = Path(__file__).with_name('sample.toml')
