Limits: what hosts told, and the charge of a request, in modules of their own

sharedlimits.py decided, kept the records of the digests and the summary, and refused requests. It decides now; limitusage.py has the records, charging.py the charge. No line of logic changes.

--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from .attempts import Attempts
+from .charging import make_charge
 from .gateway import Gateway
 from .hostknowledge import Knowledge
 from .hostsettings import HostSettings
@@ -12,7 +13,6 @@
 from .prefixes import PrefixBook
 from .proxying import Proxy
 from .retries import RetryBudgets
-from .sharedlimits import make_charge
 from .targeting import Targeting
 from .translators import Translators
 from .upstream import ConnectionPool
--- a/ebonywell/roster.py
+++ b/ebonywell/roster.py
@@ -10,9 +10,10 @@
 from .digests import Digest
 from .exceptions import LogServiceError
 from .fleetview import FleetView
+from .limitusage import Summary
 from .logs import Logger
 from .routetable import WorkspaceLimit
-from .sharedlimits import SharedLimits, Summary
+from .sharedlimits import SharedLimits
 from .sharedstore import SharedStore
 
 # Of the topic, the partitions for hosts and for the summary.
--- a/ebonywell/sharedlimits.py
+++ b/ebonywell/sharedlimits.py
@@ -17,18 +17,19 @@
 hosts die, are cut off or start again, and the others stay below their limits.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from functools import partial
 
-import msgspec
-
-from .clock import boot_time
 from .digests import UsageShare
 from .fleetview import FleetView, Peer
-from .inbound import Charge, InboundCall, Refund, RejectionError
+from .limitusage import (
+    FormerUsage,
+    HostUsage,
+    Summary,
+    find_share,
+    last_count,
+)
 from .limitwindow import PARTS, STEP_S, Window
-from .logs import Logger
 from .routetable import WorkspaceLimit
 
 # What the others admitted since their last digests is not known; below this
@@ -49,54 +50,11 @@
 # A restart is known a digest late.
 RESTART_LAG_S = 0.3
 MIN_RETRY_S = 0.2
-# What a host admitted after it was last heard of, by its rate then.
-UNTOLD_S = 0.6
 # The summary in the store is for workspaces near their limits; it is written
 # anew when so much of a limit has been used since.
 SUMMARY_SHARE = 0.6
 SUMMARY_STEP_SHARE = 0.06
 SUMMARY_GAP_S = 0.3
-_TOO_MANY = 429
-
-
-@dataclass(slots=True, frozen=True)
-class FormerUsage:
-    """What a host had admitted before it started again.
-
-    Attributes
-    ----------
-    usage : sequence of UsageShare
-    told_at : float
-        When that was so, or later.
-    """
-
-    usage: Sequence[UsageShare]
-    told_at: float
-
-    def count(self, workspace: str, span_s: float, now: float) -> float:
-        """Return what of it is still in the window."""
-        share = _find(self.usage, workspace)
-        age = (now - self.told_at) * PARTS / span_s
-        told = sum(
-            tokens
-            for index, tokens in enumerate(share.parts)
-            if index + age < PARTS
-        )
-        return told + share.lately * UNTOLD_S
-
-
-class HostUsage(msgspec.Struct, frozen=True, array_like=True):
-    """One host's counts in the summary."""
-
-    name: str
-    life: int
-    usage: tuple[UsageShare, ...]
-
-
-class Summary(msgspec.Struct, frozen=True, array_like=True):
-    """The counts of all hosts, as the store keeps them."""
-
-    hosts: tuple[HostUsage, ...]
 
 
 @dataclass(slots=True, frozen=True)
@@ -331,7 +289,7 @@
         # A part that may hold later tokens counts as later.
         first_part = int((now - until) * PARTS / self.span_s) + 1
         heard = sum(
-            sum(_find(digest.usage, workspace).parts[first_part:])
+            sum(find_share(digest.usage, workspace).parts[first_part:])
             for digest in self.fleet.heard(now)
         )
         return own + heard
@@ -351,11 +309,11 @@
             for one in self.former.values()
         )
         heard = sum(
-            _find(digest.usage, workspace).in_window
+            find_share(digest.usage, workspace).in_window
             for digest in self.fleet.heard(now)
         )
         silent = self.fleet.silent(now)
-        told = sum(_last_count(peer, workspace) for peer in silent)
+        told = sum(last_count(peer, workspace) for peer in silent)
         used = former + heard + told
         growth = self._cut_growth(allowed, own + used)
         return used + growth * len(silent)
@@ -375,7 +333,7 @@
         """Return whether a request fits what the others set aside."""
         before = self.before_cut.get(workspace, 0)
         others = sum(
-            _last_count(peer, workspace) for peer in self.fleet.peers.values()
+            last_count(peer, workspace) for peer in self.fleet.peers.values()
         )
         growth = self._cut_growth(allowed, before + others)
         return own + tokens <= before + growth
@@ -392,7 +350,7 @@
         """Return whether a request fits this host's part of the rest."""
         lately = window.since(now - RECENT_S) / RECENT_S
         others = sum(
-            _find(digest.usage, workspace).lately
+            find_share(digest.usage, workspace).lately
             for digest in self.fleet.heard(now)
         )
         share = 1 / self.fleet.size
@@ -404,61 +362,3 @@
         # One small request at a time does no harm, though all hosts admit one.
         is_small = tokens * self.fleet.size <= SMALL_SHARE * limit_total
         return not untold and is_small and tokens + others * LAG_S <= rest
-
-
-_NOTHING = UsageShare('', (), 0)
-
-
-def _find(usage: Sequence[UsageShare], workspace: str) -> UsageShare:
-    for share in usage:
-        if share.workspace == workspace:
-            return share
-    return _NOTHING
-
-
-def _last_count(peer: Peer, workspace: str) -> int:
-    if peer.digest is None:
-        return 0
-    return _find(peer.digest.usage, workspace).in_window
-
-
-def make_charge(limits: SharedLimits, log: Logger) -> Charge:
-    """Return what counts a request against its workspace's limit.
-
-    It raises `RejectionError` for a request beyond the limit, and returns
-    what takes the charge back if the request is refused after all.
-    """
-
-    def charge(limit: WorkspaceLimit, call: InboundCall) -> Refund:
-        generation = call.generation
-        tokens = None
-        if generation is not None:
-            tokens = generation.prompt_tokens + generation.max_output_tokens
-        charged = charge_of(limit, tokens)
-        admitted_at = boot_time()
-        verdict = limits.admit(limit, charged, admitted_at)
-        if verdict.is_admitted:
-            return partial(limits.refund, limit, charged, admitted_at)
-        log(
-            'limit_refused',
-            request=call.request_id,
-            workspace=limit.name,
-            tokens=tokens,
-            allowed=verdict.allowed,
-            used=verdict.used,
-            silent=verdict.silent,
-        )
-        raise RejectionError(
-            _TOO_MANY,
-            'workspace_limit',
-            verdict.retry_after_s,
-        )
-
-    return charge
-
-
-def charge_of(limit: WorkspaceLimit, tokens: int | None) -> int:
-    """Return what a request counts against its workspace's limit."""
-    if not limit.is_in_tokens:
-        return 1
-    return limit.plain_tokens if tokens is None else tokens
--- a/tests/limitsworld.py
+++ b/tests/limitsworld.py
@@ -4,9 +4,10 @@
 
 from ebonywell.digests import Digest
 from ebonywell.fleetview import FleetView
+from ebonywell.limitusage import HostUsage, Summary
 from ebonywell.loadboard import LoadBoard
 from ebonywell.routetable import WorkspaceLimit
-from ebonywell.sharedlimits import HostUsage, SharedLimits, Summary
+from ebonywell.sharedlimits import SharedLimits
 
 SPAN_S = 8.0
 PERIOD_S = 0.2
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,7 +9,7 @@
     'adapterloads following gateway gossip holderlink hostfeeds '
     'attempts hostprocess leadership linelog ordering provisioning '
     'proxying roster '
-    'sharedlimits supervision targeting platform/assembly'
+    'charging supervision targeting platform/assembly'
 ).split()
 EVENT = re.compile(
     r"(?:\blog|self\._add)\(\s*'(\w+)'|'(orders_\w+)' (?:if|else)|"
--- a/tests/test_sharedlimits.py
+++ b/tests/test_sharedlimits.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from ebonywell.limitusage import FormerUsage
 from ebonywell.limitwindow import Window
-from ebonywell.sharedlimits import FormerUsage
 from tests.limitsworld import ALLOWED, LIMIT, MOST, World
 
 LOWER = replace(LIMIT, rate=LIMIT.rate * 0.3, burst=LIMIT.burst * 0.3)
