--- a/ebonywell/platform/app.py
+++ b/ebonywell/platform/app.py
@@ -13,13 +13,13 @@
 from ..intake import Arrival, Intake
 from ..metrics import Metrics
 from ..misc import split_address
+from ..server import Message, Receive, Send, closing
 from . import ingress
 
 METRICS_PATH = '/metrics'
 _READY = 200
 _NOT_READY = 503
 _NOT_FOUND = 404
-_CLOSE = (b'connection', b'close')
 # Bodies beyond the operator's own bound are refused by it; before the first
 # configuration this bound holds.
 _MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -66,9 +66,9 @@
 
     async def __call__(
         self,
-        scope: ingress.Message,
-        receive: ingress.Receive,
-        send: ingress.Send,
+        scope: Message,
+        receive: Receive,
+        send: Send,
     ) -> None:
         """Serve one request on whichever socket it came."""
         port = scope['server'][1]
@@ -88,7 +88,7 @@
 
     async def _serve_directory(
         self,
-        send: ingress.Send,
+        send: Send,
     ) -> None:
         addresses = self.list_addresses()
         if not addresses:
@@ -99,12 +99,12 @@
 
     async def _serve_caller(
         self,
-        scope: ingress.Message,
-        receive: ingress.Receive,
-        send: ingress.Send,
+        scope: Message,
+        receive: Receive,
+        send: Send,
     ) -> None:
         received_at = boot_time()
-        guarded = _closing(send, self.is_stopping)
+        guarded = closing(send, self.is_stopping)
         try:
             body = await ingress.read_body(receive, self._max_body_bytes())
         except ingress.CallerGoneError:
@@ -128,20 +128,6 @@
         return configuration.limits.max_body_bytes
 
 
-def _closing(
-    send: ingress.Send,
-    is_stopping: Callable[[], bool],
-) -> ingress.Send:
-    """Return what sends the same; an answer begun in a stop is the last."""
-
-    async def send_closing(message: ingress.Message) -> None:
-        if message['type'] == 'http.response.start' and is_stopping():
-            message['headers'] = [*message['headers'], _CLOSE]
-        await send(message)
-
-    return send_closing
-
-
 def silence_server_log() -> None:
     """Keep uvicorn from writing lines of its own.
 
--- a/ebonywell/platform/ingress.py
+++ b/ebonywell/platform/ingress.py
@@ -1,17 +1,15 @@
 """Callers' requests and the answers to them, as ASGI messages."""
 
-from collections.abc import Awaitable, Callable, MutableMapping, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
 
 from ..inbound import Generation, PromptPart, RejectionError
 from ..intake import Arrival, count_header_bytes
+from ..server import Message, Receive, Send
 from . import headers
 
-Message = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[Message]]
-Send = Callable[[Message], Awaitable[None]]
 Headers = Sequence[tuple[bytes, bytes]]
 
 READY_PATH = '/ready'
--- a/ebonywell/server.py
+++ b/ebonywell/server.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, MutableMapping
 from typing import Any
 
 import anyio
@@ -17,6 +17,11 @@
 KEEP_ALIVE_S = 75
 # Between two looks at which connections of a closing server are idle.
 CLOSE_GAP_S = 0.05
+_CLOSE = (b'connection', b'close')
+
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
 
 
 class Server(uvicorn.Server):
@@ -54,6 +59,21 @@
                 connection.shutdown()
 
 
+def closing(send: Send, is_stopping: Callable[[], bool]) -> Send:
+    """Return what sends the same; an answer begun in a stop is the last.
+
+    Whether the host stops is asked when the answer begins, not when its request
+    came.
+    """
+
+    async def send_closing(message: Message) -> None:
+        if message['type'] == 'http.response.start' and is_stopping():
+            message['headers'] = [*message['headers'], _CLOSE]
+        await send(message)
+
+    return send_closing
+
+
 def bind(address: str) -> socket.socket:
     """Return a listening socket.
 
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -13,7 +13,7 @@
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 from starlette.routing import BaseRoute, Route
-from starlette.types import ASGIApp, Message, Receive, Scope, Send
+from starlette.types import ASGIApp, Receive, Scope, Send
 
 from . import edge
 from .answers import (
@@ -31,7 +31,7 @@
 from .messages import Call
 from .replica import Replica
 from .reply import Reply
-from .server import Server, bind, server_config
+from .server import Server, bind, closing, server_config
 from .types import EntryKind, RunState, new_id
 
 START_POLL_S = 0.01
@@ -291,13 +291,7 @@
     """Return the application; while the host leaves, connections close."""
 
     async def serve(scope: Scope, receive: Receive, send: Send) -> None:
-        async def send_marked(message: Message) -> None:
-            if web.is_leaving and message['type'] == 'http.response.start':
-                closing = (b'connection', b'close')
-                message['headers'] = [*message['headers'], closing]
-            await send(message)
-
-        await web.app(scope, receive, send_marked)
+        await web.app(scope, receive, closing(send, lambda: web.is_leaving))
 
     return serve
 
