A body behind a request to upgrade is refused and not run as empty

Such a request is answered 501, not run, and its connection ends. test_a_body_behind_an_upgrade_is_not_run_as_empty got 200 before.

--- a/ebonywell/intake.py
+++ b/ebonywell/intake.py
@@ -20,6 +20,7 @@
 _NOT_FOUND = 404
 _TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
+_NOT_IMPLEMENTED = 501
 _UNAVAILABLE = 503
 _HEADER_OVERHEAD_BYTES = 4
 
@@ -44,6 +45,8 @@
         How long the caller said that it waits.
     generation : Generation or None
     received_at : float
+    is_body_lost : bool
+        Whether a body came that was not read.
     """
 
     request_id: str
@@ -57,6 +60,7 @@
     patience_s: float | None
     generation: Generation | None
     received_at: float
+    is_body_lost: bool = False
 
 
 @dataclass(slots=True)
@@ -133,6 +137,8 @@
     ) -> None:
         if not arrival.request_id:
             raise RejectionError(_BAD_REQUEST, 'no_request_id')
+        if arrival.is_body_lost:
+            raise RejectionError(_NOT_IMPLEMENTED, 'upgrade_with_body')
         if arrival.header_bytes > configuration.limits.max_header_bytes:
             raise RejectionError(_HEADERS_TOO_LARGE, 'headers_too_large')
         if len(arrival.body) > configuration.limits.max_body_bytes:
--- a/ebonywell/platform/app.py
+++ b/ebonywell/platform/app.py
@@ -104,12 +104,15 @@
         send: Send,
     ) -> None:
         received_at = boot_time()
-        guarded = closing(send, self.is_stopping)
         try:
             body = await ingress.read_body(receive, self._max_body_bytes())
         except ingress.CallerGoneError:
             return
         arrival = ingress.read_arrival(scope, body, received_at)
+        guarded = closing(
+            send,
+            lambda: arrival.is_body_lost or self.is_stopping(),
+        )
 
         async def wait_gone() -> None:
             while (await receive())['type'] != 'http.disconnect':
--- a/ebonywell/platform/ingress.py
+++ b/ebonywell/platform/ingress.py
@@ -97,6 +97,7 @@
         patience_s=_read_ms(found.get(headers.DEADLINE_MS)),
         generation=_read_generation(found),
         received_at=received_at,
+        is_body_lost=_is_body_lost(found),
     )
 
 
@@ -201,5 +202,12 @@
     return parts
 
 
+def _is_body_lost(found: dict[bytes, bytes]) -> bool:
+    """Return whether the parser took the body for another protocol's bytes."""
+    length = found.get(b'content-length', b'0').strip()
+    has_body = length.strip(b'0') != b'' or b'transfer-encoding' in found
+    return b'upgrade' in found and has_body
+
+
 def _is_number(text: str) -> bool:
     return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -337,6 +337,20 @@
     play(tmp_path, story)
 
 
+def test_a_body_behind_an_upgrade_is_not_run_as_empty(tmp_path):
+    async def story(world):
+        host = world.hosts['host-1']
+        answer = await world.ask(
+            host, '/book/1', body=b'body', Upgrade='h2c', Connection='Upgrade'
+        )
+        assert answer.status == 501
+        assert answer.headers['connection'] == 'close'
+        assert not any(each.ran for each in world.replicas.values())
+        assert 'reason=upgrade_with_body' in host.log()
+
+    play(tmp_path, story)
+
+
 def test_an_answer_that_cannot_be_passed_on_is_no_silent_close(tmp_path):
     async def story(world):
         host = world.hosts['host-1']
