A target whose name fits no header is refused when it is read

A record of discovery with a line break in its key would have put headers of its own into every request to that target. Found by reading, in the review of the incident. test_a_target_whose_name_fits_no_header_is_refused failed before.

--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -65,6 +65,7 @@
         state = TargetState(entry.state)
     except (msgspec.MsgspecError, ValueError) as error:
         raise RecordError(f'target {name}: {error}') from error
+    _check_name(name)
     _check_address(name, entry.address)
     left_ms = entry.remaining_ms
     return Announcement(
@@ -107,6 +108,12 @@
     }
 
 
+def _check_name(name: str) -> None:
+    # It goes into the head of each request to the target.
+    if not (name and name.isascii() and name.isprintable()):
+        raise RecordError(f'target {name!r}: not a name')
+
+
 def _check_address(name: str, address: str) -> None:
     try:
         split_address(address)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -257,6 +257,15 @@
     assert said.address
 
 
+@pytest.mark.parametrize('name', ['i-1\r\nHold: x', '', 'i-\u0663'])
+def test_a_target_whose_name_fits_no_header_is_refused(name):
+    entry = {'service': 'pool', 'address': '10.0.0.1:80', 'state': 'ready'}
+    body = json.dumps(entry).encode()
+    assert targets.decode_announcement('i-1', body).name == 'i-1'
+    with pytest.raises(RecordError):
+        targets.decode_announcement(name, body)
+
+
 @pytest.mark.parametrize(
     'address',
     [
