Logs tell a slow pace of loads from late decisions and an unheard fleet

The log of a decision on placement had its swaps and nothing of what kept others from it. It now says how many models are asked for and absent, what the weight store allowed, what was used and is under way, how many engines are busy, of how many hosts the demand is known, and how long it took; it is written also where nothing was decided while models are absent. Every 5 s each host says how many others are silent and what its datagrams hold. No logic is changed.

--- a/ebonywell/adapterloads.py
+++ b/ebonywell/adapterloads.py
@@ -63,6 +63,9 @@
     def used_adapters(self) -> set[str]:
         """Return the adapters that any host's callers used of late."""
 
+    def count_heard(self) -> int:
+        """Return of how many hosts the demand is known, this one included."""
+
 
 @dataclass(slots=True)
 class AdapterLoads:
--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -7,6 +7,7 @@
 import math
 import random
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 import anyio
 from anyio.abc import UDPSocket
@@ -34,6 +35,8 @@
 FANOUT = 10
 # Of one datagram, without the need for fragments.
 MAX_DATAGRAM_BYTES = 1350
+# Between two lines of the log on what digests bring.
+REPORT_GAP_S = 5.0
 # What keeps a datagram from being sent; there will be another.
 UNSENT = (
     OSError,
@@ -43,6 +46,24 @@
 )
 
 
+@dataclass(slots=True, frozen=True)
+class Told:
+    """What a datagram with a digest held.
+
+    Attributes
+    ----------
+    own_bytes : int
+        Of the digest alone.
+    datagram_bytes : int
+    relayed : int
+        Digests of other hosts.
+    """
+
+    own_bytes: int = 0
+    datagram_bytes: int = 0
+    relayed: int = 0
+
+
 class Gossip:
     """Sends this host's digest, and takes those of the others.
 
@@ -61,6 +82,8 @@
         Gets messages of other kinds.
     malformed : int
         Datagrams that held no message.
+    told : Told
+        What the last datagram held.
     """
 
     def __init__(
@@ -85,6 +108,8 @@
         self.socket: UDPSocket | None = None
         self.number = 0
         self.malformed = 0
+        self.told = Told()
+        self.reported_at = -math.inf
         self.silent: set[str] = set()
         self.turn: list[Peer] = []
         self.turn_to_send = anyio.Lock()
@@ -135,6 +160,11 @@
         word = self._pick_word(digest)
         relayed = tuple(self._pick_relayed(DigestMessage(digest, (), word)))
         message = DigestMessage(digest, relayed, word)
+        self.told = Told(
+            len(encode_message(DigestMessage(digest))),
+            len(encode_message(message)),
+            len(relayed),
+        )
         for peer in peers:
             await self.send(peer.address, message)
 
@@ -222,6 +252,16 @@
         self.silent = silent
         for name in self.fleet.expire(now):
             self.log('peer_forgotten', peer=name)
+        if now - self.reported_at >= REPORT_GAP_S:
+            self.reported_at = now
+            self.log(
+                'fleet_heard',
+                hosts=self.fleet.size,
+                silent=len(silent),
+                own_bytes=self.told.own_bytes,
+                told_bytes=self.told.datagram_bytes,
+                relayed=self.told.relayed,
+            )
 
 
 def _ignore(message: Message | HolderWord) -> None:
--- a/ebonywell/holderlink.py
+++ b/ebonywell/holderlink.py
@@ -125,6 +125,10 @@
             used.update(digest.adapters)
         return used
 
+    def count_heard(self) -> int:
+        """Return of how many hosts the demand is known, this one included."""
+        return 1 + sum(1 for _ in self.fleet.heard(boot_time()))
+
     def _find(self) -> Digest | None:
         holders = [
             one for one in self.fleet.heard(boot_time()) if one.is_ordering
--- a/ebonywell/hostgauges.py
+++ b/ebonywell/hostgauges.py
@@ -68,5 +68,8 @@
         )
         sink.gauge('digests_sent', gossip.number)
         sink.gauge('datagrams_malformed', gossip.malformed)
+        sink.gauge('digest_bytes', gossip.told.own_bytes)
+        sink.gauge('datagram_bytes', gossip.told.datagram_bytes)
+        sink.gauge('digests_relayed', gossip.told.relayed)
 
     metrics.sources.append(ask_traffic)
--- a/ebonywell/linelog.py
+++ b/ebonywell/linelog.py
@@ -30,6 +30,7 @@
         'joined',
         'limit_refused',
         'peer_heard',
+        'fleet_heard',
     )
 )
 _CUT = 0
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -18,7 +18,14 @@
 from .ordering import TAKEN, Ordering, resident_message
 from .orders import Action
 from .routetable import Configuration, EngineSpec
-from .turnover import Budget, EngineState, Fleet, ModelState, Swap
+from .turnover import (
+    Budget,
+    EngineState,
+    Fleet,
+    ModelState,
+    Swap,
+    count_absent,
+)
 
 # The demand is a few hundred milliseconds old when it comes.
 TICK_S = 0.25
@@ -202,13 +209,28 @@
         ]
         fleet = Fleet(engines, self._view_models(engine, demand, now), now)
         budget = Budget(pace.refill(engine.loads_per_s, now))
+        allowed = budget.loads
+        absent = count_absent(fleet)
         swaps = fleet.decide(budget)
-        if swaps:
-            self._note_decision(fleet, swaps)
+        if swaps or absent:
+            self._note_decision(
+                fleet,
+                swaps,
+                absent=absent,
+                loads_allowed=allowed,
+                loads_used=allowed - budget.loads,
+                loads_under_way=pace.under_way,
+                took_s=boot_time() - now,
+            )
         for swap in swaps:
             self._start(swap, engine, pace)
 
-    def _note_decision(self, fleet: Fleet, swaps: list[Swap]) -> None:
+    def _note_decision(
+        self,
+        fleet: Fleet,
+        swaps: list[Swap],
+        **inputs: float,
+    ) -> None:
         asked = sorted(fleet.models.values(), key=lambda one: -one.demand)
         self.log(
             'placement_decided',
@@ -217,8 +239,11 @@
                 f':{len(fleet.holders(one.name))}'
                 for one in asked[:LOGGED_MODELS]
             ),
-            load=max(one.load for one in fleet.engines.values()),
+            load=max((one.load for one in fleet.engines.values()), default=0),
+            engines_busy=sum(one.is_busy for one in fleet.engines.values()),
             swaps=len(swaps),
+            hosts=self.link.count_heard(),
+            **inputs,
         )
 
     def _pace(self, service: str) -> LoadPace:
--- a/ebonywell/turnover.py
+++ b/ebonywell/turnover.py
@@ -353,6 +353,14 @@
                 yield swap
 
 
+def count_absent(fleet: Fleet) -> int:
+    """Return how many models are asked for that no engine holds."""
+    return sum(
+        one.demand > 0 and not fleet.shares[one.name]
+        for one in fleet.models.values()
+    )
+
+
 def _find_room(
     engines: Iterable[EngineState],
     model: ModelState,
