Tests for slow loads and for live hosts that seem silent, failing

On a deployment with 70 engines whose weight store allows 21 loads a second the holder begins about two: models that callers ask for stay absent.

In a fleet of 72 hosts under traffic each takes live hosts for silent. The test plays the hosts' digests on a virtual clock.

--- /dev/null
+++ b/tests/engineworld.py
@@ -0,0 +1,230 @@
+"""Engines before a weight store, and the host that gives them orders.
+
+All goes by a virtual clock.
+"""
+
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+import anyio
+from trio.testing import MockClock
+
+from ebonywell.adapterloads import AdapterLoads
+from ebonywell.digests import ModelDemand
+from ebonywell.inventory import Announcement, Inventory, Resident, TargetState
+from ebonywell.leadership import Leadership, LeaseState, Standing
+from ebonywell.loadboard import LoadBoard
+from ebonywell.logs import discard_event
+from ebonywell.orderbook import EngineClient, OrderAnswer, TargetReport
+from ebonywell.ordering import Ordering
+from ebonywell.orders import Action
+from ebonywell.provisioning import Provisioner
+from ebonywell.routetable import EngineSpec, ModelSpec
+
+GB = 1_000_000_000
+ENGINE_BYTES = 200 * GB
+MODEL_BYTES = 65 * GB
+LOAD_S = 1.2
+DISK_LOAD_S = 0.7
+SERVICE = 'pool'
+# Until an order's answer or a report has come.
+ANSWER_S = 0.004
+# How old a report is.
+REPORT_LAG_S = 0.2
+TIMED_MODULES = 'provisioning', 'adapterloads', 'ordering', 'leadership'
+
+
+def make_spec(model_count, loads_per_s, load_s=LOAD_S):
+    models = {
+        f'm{number}': ModelSpec(
+            f'm{number}', MODEL_BYTES, load_s, DISK_LOAD_S, DISK_LOAD_S, 0, 0
+        )
+        for number in range(model_count)
+    }
+    return EngineSpec(64, 10**5, ENGINE_BYTES, 0, loads_per_s, models)
+
+
+class WeightStore:
+    """Loads at full speed up to a number at once, slower beyond it.
+
+    Attributes
+    ----------
+    begun : list of float
+        When each load began.
+    most_under_way : int
+    """
+
+    def __init__(self, spec):
+        load_s = max(one.load_s for one in spec.models.values())
+        self.full_speed = max(1, round(spec.loads_per_s * load_s))
+        self.under_way = 0
+        self.most_under_way = 0
+        self.begun = []
+
+    async def fetch(self, load_s):
+        self.begun.append(anyio.current_time())
+        self.under_way += 1
+        self.most_under_way = max(self.most_under_way, self.under_way)
+        await anyio.sleep(load_s * max(1, self.under_way / self.full_speed))
+        self.under_way -= 1
+
+    def most_in(self, window_s):
+        """Return the most loads that began within a span of that length."""
+        return max(
+            sum(start <= one < start + window_s for one in self.begun)
+            for start in self.begun
+        )
+
+
+class Engine:
+    """Carries out one order at a time; its reports lag."""
+
+    def __init__(self, name, spec, store, group):
+        self.name = name
+        self.spec = spec
+        self.store = store
+        self.group = group
+        self.models = {}
+        self.disk = set()
+        self.orders = 0
+        self.is_busy = False
+        self.reports = [(0, self._report())]
+
+    async def report(self):
+        await anyio.sleep(ANSWER_S)
+        seen = anyio.current_time() - REPORT_LAG_S
+        past = [one for at, one in self.reports if at <= seen]
+        return past[-1] if past else self.reports[0][1]
+
+    async def order(self, order):
+        await anyio.sleep(ANSWER_S)
+        if self.is_busy or order.order_count != self.orders:
+            return OrderAnswer.conflict
+        self.orders += 1
+        self.is_busy = True
+        self._note()
+        self.group.start_soon(self._carry_out, order)
+        return OrderAnswer.accepted
+
+    async def _carry_out(self, order):
+        if order.action is Action.unload:
+            self.models.pop(order.model)
+        elif order.model in self.disk:
+            await anyio.sleep(DISK_LOAD_S)
+        else:
+            await self.store.fetch(self.spec.models[order.model].load_s)
+        if order.action is Action.load:
+            self.disk.add(order.model)
+            self.models[order.model] = Resident(order.model)
+            assert len(self.models) * MODEL_BYTES <= ENGINE_BYTES
+        self.is_busy = False
+        self._note()
+
+    def _note(self):
+        self.reports.append((anyio.current_time(), self._report()))
+
+    def _report(self):
+        return TargetReport(1, self.orders, self.is_busy, dict(self.models))
+
+
+class World:
+    """The holder's provisioner before a number of empty engines.
+
+    Attributes
+    ----------
+    demand : dict
+        By service and model; what callers ask for.
+    events : Counter
+        Lines of the log by event.
+    """
+
+    def __init__(self, spec, engine_count, group):
+        self.spec = spec
+        self.store = WeightStore(spec)
+        self.demand = {}
+        self.events = Counter()
+        self.inventory = Inventory()
+        self.engines = {}
+        for number in range(engine_count):
+            name = f'e{number}'
+            self.engines[name] = Engine(name, spec, self.store, group)
+            self.inventory.announce(
+                Announcement(
+                    name, 1, SERVICE, 'ip:1', 'zone', TargetState.ready, 64
+                ),
+                0,
+            )
+        state = LeaseState(3, is_fenced=True)
+        state.note_claimed(0, 0, 0)
+        state.renewed_at = float('inf')
+        leadership = Leadership(
+            None, 'own', 'one', state, Standing(bool, int, bool),
+            discard_event, random.Random(1),
+        )  # fmt: skip
+        client = EngineClient(
+            lambda known: self.engines[known.name].report(),
+            lambda known, order: self.engines[known.name].order(order),
+        )
+        ordering = Ordering('one', leadership, client, discard_event)
+        adapters = AdapterLoads(
+            self.inventory, LoadBoard(), ordering, lambda name: spec
+        )
+        self.provisioner = Provisioner(
+            self.inventory,
+            ordering,
+            adapters,
+            lambda: SimpleNamespace(engines={SERVICE: spec}),
+            self._note,
+        )
+        self.provisioner.link = self
+        adapters.link = self
+
+    # As the link to the other hosts.
+
+    async def tell(self, message, names):
+        """Other hosts do not matter here."""
+
+    def total_demand(self):
+        return self.demand
+
+    def used_adapters(self):
+        return set()
+
+    def count_heard(self):
+        return 1
+
+    def ask_for(self, models, work_ms=60, waiting=1):
+        """Let callers ask for models, one request waiting for each."""
+        for model in models:
+            self.demand[SERVICE, model] = ModelDemand(
+                SERVICE, model, work_ms, waiting
+            )
+
+    def served(self):
+        """Return the models that an engine holds or has held."""
+        return set().union(*(one.disk for one in self.engines.values()))
+
+    def _note(self, event, **fields):
+        self.events[event] += 1
+
+
+def play(monkeypatch, spec, engine_count, seconds, prepare):
+    """Play for so many virtual seconds, and return the world as it is then."""
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            world = World(spec, engine_count, group)
+            prepare(world)
+            group.start_soon(world.provisioner.run)
+            await anyio.sleep(seconds)
+            group.cancel_scope.cancel()
+        return world
+
+    for module in TIMED_MODULES:
+        monkeypatch.setattr(f'ebonywell.{module}.boot_time', anyio.current_time)
+    return anyio.run(
+        run,
+        backend='trio',
+        backend_options={'clock': MockClock(autojump_threshold=0)},
+    )
--- a/tests/gossipworld.py
+++ b/tests/gossipworld.py
@@ -3,7 +3,13 @@
 import heapq
 import random
 
-from ebonywell.digests import Digest, LoadShare, encode_message
+from ebonywell.digests import (
+    Digest,
+    LoadShare,
+    ModelDemand,
+    UsageShare,
+    encode_message,
+)
 from ebonywell.exceptions import LogServiceError
 from ebonywell.fleetview import FleetView
 from ebonywell.gossip import PERIOD_S, Gossip
@@ -19,6 +25,20 @@
 LAG_S = 0.02
 # Of each host's digest, which makes it some 250 bytes long.
 LOADS = (LoadShare('target', {4096: 2000}, 1, 2, 9000, ('model' * 36,)),)
+# What a host tells that has ten requests under way for many models.
+BUSY_LOADS = tuple(
+    LoadShare(
+        f'i-{number:010}', {3: 2300}, 1, 1, 5000, ('model-000001', 'model-2/a1')
+    )
+    for number in range(8)
+)
+BUSY_USAGE = tuple(
+    UsageShare(f'workspace-{number}', (9000,) * 8, 9000) for number in range(10)
+)
+BUSY_DEMAND = tuple(
+    ModelDemand('service-1', f'model-{number:06}', 300, 1)
+    for number in range(40)
+)
 
 
 def _agree():
@@ -97,7 +117,8 @@
         return Digest(
             self.name, 1, number, self.name, self.name, 'a', True, 1,
             self.state.fence, self.state.is_proven(now),
-            self.state.may_order_near(now), self.state.end or 0, LOADS,
+            self.state.may_order_near(now), self.state.end or 0,
+            *self.world.told,
         )  # fmt: skip
 
     def _note_holder(self, word):
@@ -126,13 +147,16 @@
         The share of datagrams that is lost.
     hosts : dict of str to GossipingHost
         The first holds the lease from the start.
+    told : tuple
+        The loads, usage and demand in each digest.
     sizes : list of int
         Of the datagrams that the first host sent.
     """
 
-    def __init__(self, size, *, lost=0.0, seed=1):
+    def __init__(self, size, *, lost=0.0, seed=1, told=(LOADS,)):
         self.now = 1000.0
         self.lost = lost
+        self.told = told
         self.seed = seed
         self.rng = random.Random(seed)
         self.store = MemoryStore()
