Absent models are tried for a place however many busy ones come first

Seen by callers as refusals of models that nobody brings. A decision tried the four models that wanted another copy most, and for each the five least loaded engines. Those are figures of nine engines: where four or more busy models are everywhere already, or cannot gain, an absent one behind them was never tried; where the five least loaded engines had no room, no other was.

A decision now goes through the models in the order of the most that each could gain and stops where that is less than the best swap found; engines without room do not count as tried.

Both tests failed before.

--- a/ebonywell/turnover.py
+++ b/ebonywell/turnover.py
@@ -10,8 +10,11 @@
 more on their disks and load them in less than a second.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping, Set
 from dataclasses import dataclass, field
+from itertools import islice
+from operator import itemgetter
 
 # Work that no engine can take costs its callers their answers; an engine that
 # is loaded as far as it can costs waiting only.
@@ -30,13 +33,14 @@
 LEAST_FREE_GAIN = 0.004
 # A model stays at least that long after it came.
 MIN_RESIDENCE_S = 2.5
-# Models and engines that are tried in one decision.
-MODELS_TRIED = 4
+# Engines with room that are tried for a model.
 ENGINES_TRIED = 5
+# Of one decision; a holder with more to do decides again at once.
 SWAPS_AT_ONCE = 3
 # Loads from the weight store that serve models nobody asks for leave this
 # many for those that somebody does.
 KEPT_LOADS = 1
+_NOWHERE: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
@@ -138,6 +142,8 @@
     models : dict of str to ModelState
     shares : dict of str to dict of str to float
         Work by model and engine.
+    homes : dict of str to set of str
+        Engines by the models that they hold.
     """
 
     def __init__(
@@ -150,26 +156,24 @@
         self.models = {one.name: one for one in models}
         self.now = now
         self.shares: dict[str, dict[str, float]] = {}
+        self.homes: defaultdict[str, set[str]] = defaultdict(set)
+        for engine in self.engines.values():
+            for held in engine.models:
+                self.homes[held].add(engine.name)
         order = sorted(self.models.values(), key=lambda one: -one.demand)
         for _ in range(2):
             for model in order:
                 self._respread(model)
 
-    def holders(self, model: str) -> list[str]:
+    def holders(self, model: str) -> Set[str]:
         """Return the engines that hold a model."""
-        return [
-            name for name, one in self.engines.items() if model in one.models
-        ]
+        return self.homes.get(model, _NOWHERE)
 
     def decide(self, budget: Budget) -> list[Swap]:
         """Return the swaps to begin now, the best first."""
         swaps: list[Swap] = []
         for _ in range(SWAPS_AT_ONCE):
-            best = max(
-                self._trials(budget),
-                key=lambda trial: trial.gain,
-                default=None,
-            )
+            best = self._find_best(budget)
             if best is None:
                 break
             self._apply(best, budget)
@@ -189,51 +193,61 @@
             self.engines[taking].load += taken
         self.shares[model.name] = shares
 
-    def _trials(self, budget: Budget) -> Iterator[Trial]:
-        for model in self._wanting():
-            for engine in self._takers(model, budget):
-                trial = self._try(model, engine)
-                if trial is not None:
-                    yield trial
+    def _find_best(self, budget: Budget) -> Trial | None:
+        """Return the swap that gains most, None if none is worth its while.
 
-    def _wanting(self) -> list[ModelState]:
-        """Return the models that would gain most from another copy."""
-        asked = [one for one in self.models.values() if one.demand]
-        asked.sort(key=self._want_of, reverse=True)
-        return asked[:MODELS_TRIED]
+        Models that could gain more than any swap found so far are tried, and
+        no others.
+        """
+        bounds = [
+            (self._most_gain(model), model)
+            for model in self.models.values()
+            if model.demand
+        ]
+        bounds.sort(key=itemgetter(0), reverse=True)
+        best: Trial | None = None
+        for most_gain, model in bounds:
+            if best is not None and most_gain < best.gain:
+                break
+            trials = islice(self._trials(model, budget), ENGINES_TRIED)
+            for trial in filter(_is_worth_it, trials):
+                best = max(best or trial, trial, key=_gain_of)
+        return best
 
-    def _want_of(self, model: ModelState) -> float:
+    def _most_gain(self, model: ModelState) -> float:
+        """Return a bound of what another copy of a model could gain."""
         shares = self.shares[model.name]
         if not shares:
             return UNSERVED_WEIGHT * model.demand
-        worst = max(self.engines[name].load for name in shares)
-        return model.demand / len(shares) * worst
+        return 2 * sum(
+            self.engines[name].load * share for name, share in shares.items()
+        )
+
+    def _trials(self, model: ModelState, budget: Budget) -> Iterator[Trial]:
+        """Try engines that could get a model, those on whose disk it is first.
 
-    def _takers(self, model: ModelState, budget: Budget) -> list[EngineState]:
-        """Return the least loaded engines that could get a model."""
+        Among these the least loaded come first.
+        """
         takers = [
-            engine
+            (model.name not in engine.near_weights, engine.load, engine)
             for engine in self.engines.values()
             if not engine.is_busy
             and model.name not in engine.models
             and (budget.loads > 0 or model.name in engine.near_weights)
         ]
-        takers.sort(key=lambda engine: engine.load)
-        near = [one for one in takers if model.name in one.near_weights]
-        far = [one for one in takers if model.name not in one.near_weights]
-        return near[:ENGINES_TRIED] + far[: ENGINES_TRIED - len(near)]
+        takers.sort(key=itemgetter(0, 1))
+        for _, _, engine in takers:
+            trial = self._try(model, engine)
+            if trial is not None:
+                yield trial
 
     def _try(self, model: ModelState, engine: EngineState) -> Trial | None:
         unloads = self._make_room(model, engine)
         if unloads is None:
             return None
-        gain = self._gain(model, engine, unloads)
-        least = LEAST_GAIN if unloads else LEAST_FREE_GAIN
-        if gain < least:
-            return None
         return Trial(
             Swap(engine.name, unloads, model.name),
-            gain,
+            self._gain(model, engine, unloads),
             model.name in engine.near_weights,
         )
 
@@ -286,11 +300,17 @@
         engine: EngineState,
         unloads: list[str],
     ) -> float:
-        """Return by how much a swap lowers the cost of the whole spread."""
-        loads = {name: one.load for name, one in self.engines.items()}
-        before = _cost(loads)
+        """Return by how much a swap lowers the cost of the whole spread.
+
+        Only the engines that hold one of its models are looked at.
+        """
         changed = [self.models[name] for name in unloads if name in self.models]
         changed.append(model)
+        touched = {engine.name}.union(
+            *(self.holders(one.name) for one in changed)
+        )
+        loads = {name: self.engines[name].load for name in touched}
+        before = _cost(loads)
         for moved in changed:
             shares = self.shares[moved.name]
             for holder, share in shares.items():
@@ -324,12 +344,14 @@
         engine = self.engines[swap.target]
         for unloaded in swap.unloads:
             engine.models.pop(unloaded)
+            self.homes[unloaded].discard(engine.name)
             known = self.models.get(unloaded)
             if known is not None:
                 engine.free_bytes += known.bytes
                 self._respread(known)
         loaded = self.models[swap.load]
         engine.models[swap.load] = self.now
+        self.homes[swap.load].add(engine.name)
         engine.free_bytes -= loaded.bytes
         engine.is_busy = True
         self._respread(loaded)
@@ -361,6 +383,15 @@
     )
 
 
+def _is_worth_it(trial: Trial) -> bool:
+    least = LEAST_GAIN if trial.swap.unloads else LEAST_FREE_GAIN
+    return trial.gain >= least
+
+
+def _gain_of(trial: Trial) -> float:
+    return trial.gain
+
+
 def _find_room(
     engines: Iterable[EngineState],
     model: ModelState,
--- a/tests/test_turnover.py
+++ b/tests/test_turnover.py
@@ -85,6 +85,25 @@
     assert (swap.unloads, swap.load) == (['y'], 'asked')
 
 
+@pytest.mark.parametrize('busy', [4, 9])
+def test_busy_models_that_gain_nothing_keep_no_absent_one_from_coming(busy):
+    names = [f'busy-{number}' for number in range(busy)]
+    engines = [engine(f'e{n}', [*names, 'idle']) for n in range(12)]
+    models = [model(name, 21 / busy, size=15) for name in names]
+    models += [model('idle', size=15), model('asked', waiting=1, size=15)]
+    swap = decide(engines, models, loads=1)[0]
+    assert (swap.unloads, swap.load) == (['idle'], 'asked')
+
+
+def test_engines_without_room_keep_none_with_room_from_being_tried():
+    crowded = [
+        EngineState(f'e{n}', 0, {'x': NOW - 1}, frozenset()) for n in range(9)
+    ]
+    engines = [*crowded, engine('last', ['idle'])]
+    models = [model('x'), model('idle', 0.01), model('asked', waiting=1)]
+    assert [one.target for one in decide(engines, models, 1)] == ['last']
+
+
 def test_without_the_weight_store_only_near_weights_are_loaded():
     engines = [engine('a', ['x']), engine('b', ['y'], near=['asked'])]
     models = [model('x'), model('y'), model('asked', 0.3, waiting=1)]
