Loads from the weight store go at the rate that the configuration states

Three loads at once was the figure of the small sites. It stood for two things: how many loads the store serves at full speed, and how many may begin at once after a pause. A load counts from when its order may have been taken until its time is over, not from the decision to the engine's report. A decision that found as many swaps as it makes at once is followed by the next without a pause.

--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -106,7 +106,7 @@
         )
         self.gossip.note_holder = self._note_holder
         self.models = make_model_services(
-            settings.name,
+            settings,
             self.known,
             self.leadership,
             self.gossip,
--- a/ebonywell/hostsettings.py
+++ b/ebonywell/hostsettings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from .loadpace import LoadWindow
+
 
 @dataclass(slots=True, frozen=True)
 class Bounds:
@@ -24,6 +26,8 @@
         Over how long limits are counted.
     max_directory_ttl_s : float
         The longest that a directory's answer may be kept.
+    loads : LoadWindow
+        Over what loads from the weight store are counted.
     """
 
     revoke_s: float = 5
@@ -35,6 +39,7 @@
     retry_slack: float = 0
     quota_window_s: float = 8
     max_directory_ttl_s: float = 5
+    loads: LoadWindow = LoadWindow()
 
 
 @dataclass(slots=True, frozen=True)
--- a/ebonywell/modelservices.py
+++ b/ebonywell/modelservices.py
@@ -6,6 +6,7 @@
 from .gossip import Gossip
 from .holderlink import HolderLink
 from .hostknowledge import Knowledge
+from .hostsettings import HostSettings
 from .leadership import Leadership
 from .logs import Logger
 from .ordering import Ordering
@@ -34,7 +35,7 @@
 
 
 def make_model_services(
-    name: str,
+    settings: HostSettings,
     known: Knowledge,
     leadership: Leadership,
     gossip: Gossip,
@@ -42,7 +43,7 @@
     log: Logger,
 ) -> ModelServices:
     """Return the services of one host, linked with each other."""
-    ordering = Ordering(name, leadership, translators.engines, log)
+    ordering = Ordering(settings.name, leadership, translators.engines, log)
     adapters = AdapterLoads(
         known.inventory,
         known.board,
@@ -55,9 +56,10 @@
         adapters,
         lambda: known.intake.configuration,
         log,
+        settings.bounds.loads,
     )
     link = HolderLink(
-        name,
+        settings.name,
         gossip,
         known.fleet,
         known.inventory,
--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import SettingsError
 from ..hostsettings import Bounds, HostSettings, LogSettings
+from ..loadpace import LoadWindow
 from ..structcheck import find_faults
 
 FILE_VARIABLE = 'EBONYWELL_NODE_FILE'
@@ -33,6 +34,9 @@
     budget_window_s: float = 10
     budget_slack: float = 0
     quota_window_s: float = 8
+    # Of the weight store's stated rate, what may begin in a window.
+    ceiling_overshoot: float = 1.1
+    ceiling_window_s: float = 5
     # Named in snake case on the platform, unlike all others.
     ttl_max_s: float = msgspec.field(default=5, name='ttl_max_s')
 
@@ -182,4 +186,5 @@
         retry_slack=found.budget_slack,
         quota_window_s=found.quota_window_s,
         max_directory_ttl_s=found.ttl_max_s,
+        loads=LoadWindow(found.ceiling_window_s, found.ceiling_overshoot),
     )
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -13,12 +13,14 @@
 from .digests import ModelDemand
 from .inventory import Inventory, KnownTarget
 from .loading import fits, load_s, reserved_adapter_bytes
+from .loadpace import LoadPace, LoadWindow
 from .logs import Logger
 from .orderbook import OrderAnswer, OrderTrack
 from .ordering import TAKEN, Ordering, resident_message
 from .orders import Action
 from .routetable import Configuration, EngineSpec
 from .turnover import (
+    SWAPS_AT_ONCE,
     Budget,
     EngineState,
     Fleet,
@@ -31,11 +33,6 @@
 TICK_S = 0.25
 # A host that asks for a model wakes the holder, though not more often.
 MIN_TICK_S = 0.06
-# Loads that the weight store serves at full speed side by side.
-LOADS_AT_ONCE = 3
-# Loads are counted over a window with some tolerance; this stays inside it
-# whatever came right before.
-RATE_SHARE = 0.98
 # Between two looks at whether an order has been carried out.
 LOOK_GAP_S = 0.2
 # A load that takes longer waits behind others, or the engine has crashed.
@@ -52,43 +49,16 @@
 # carried out, but then the engine refuses the second, as it names the same
 # number of orders before it.
 _PASSING = frozenset((OrderAnswer.conflict, OrderAnswer.unknown))
+# An order with such an answer is being carried out, or may be yet.
+_MAY_RUN = frozenset((OrderAnswer.accepted, OrderAnswer.unknown))
 # Of the models that callers ask for most, in one line of the log.
 LOGGED_MODELS = 8
 
+NoteAnswer = Callable[[OrderAnswer], None]
 
-@dataclass(slots=True)
-class LoadPace:
-    """The loads that the weight store may be asked for.
-
-    Attributes
-    ----------
-    loads : float
-        That may start now.
-    refilled_at : float
-        In seconds.
-    under_way : int
-    """
 
-    refilled_at: float
-    loads: float = 0
-    under_way: int = 0
-
-    def refill(self, loads_per_s: float, now: float) -> int:
-        """Return how many loads may start now."""
-        earned = (now - self.refilled_at) * loads_per_s * RATE_SHARE
-        self.loads = min(self.loads + earned, LOADS_AT_ONCE)
-        self.refilled_at = now
-        return min(int(self.loads), LOADS_AT_ONCE - self.under_way)
-
-    @contextmanager
-    def loading(self, *, is_far: bool) -> Iterator[None]:
-        """Count a load while it lasts, if it asks the weight store."""
-        self.loads -= is_far
-        self.under_way += is_far
-        try:
-            yield
-        finally:
-            self.under_way -= is_far
+def _ignore_answer(answer: OrderAnswer) -> None:
+    """Count nothing."""
 
 
 @dataclass(slots=True)
@@ -102,6 +72,8 @@
     adapters : AdapterLoads
     configuration : callable
         Returns the one in force, None before the first.
+    window : LoadWindow
+        Over what loads are counted.
     link : Link
         To the other hosts; set before it runs.
     asked_at : dict of str to float
@@ -115,6 +87,7 @@
     adapters: AdapterLoads
     configuration: Callable[[], Configuration | None]
     log: Logger
+    window: LoadWindow = LoadWindow()
     link: Link = field(init=False)
     asked_at: dict[str, float] = field(default_factory=dict)
     paces: dict[str, LoadPace] = field(default_factory=dict)
@@ -208,7 +181,7 @@
             if known.is_reachable(now)
         ]
         fleet = Fleet(engines, self._view_models(engine, demand, now), now)
-        budget = Budget(pace.refill(engine.loads_per_s, now))
+        budget = Budget(pace.refill(engine, now))
         allowed = budget.loads
         absent = count_absent(fleet)
         swaps = fleet.decide(budget)
@@ -219,11 +192,13 @@
                 absent=absent,
                 loads_allowed=allowed,
                 loads_used=allowed - budget.loads,
-                loads_under_way=pace.under_way,
+                loads_under_way=len(pace.ends) + pace.planned,
                 took_s=boot_time() - now,
             )
         for swap in swaps:
             self._start(swap, engine, pace)
+        if len(swaps) >= SWAPS_AT_ONCE:
+            self.woken.set()
 
     def _note_decision(
         self,
@@ -248,7 +223,10 @@
 
     def _pace(self, service: str) -> LoadPace:
         # The holder before may have used up what the window allows.
-        return self.paces.setdefault(service, LoadPace(boot_time()))
+        return self.paces.setdefault(
+            service,
+            LoadPace(self.window, boot_time()),
+        )
 
     def _view_models(
         self,
@@ -322,15 +300,16 @@
         engine: EngineSpec,
         pace: LoadPace,
     ) -> None:
-        is_far = swap.load not in known.said.near_weights
-        with pace.loading(is_far=is_far), track.swapping(swap):
-            async with track.turn:
-                is_ordered = await self._order_swap(
-                    swap,
-                    known,
-                    track,
-                    engine,
-                )
+        with track.swapping(swap):
+            with _plan_load(swap, known, engine, pace) as note_load:
+                async with track.turn:
+                    is_ordered = await self._order_swap(
+                        swap,
+                        known,
+                        track,
+                        engine,
+                        note_load,
+                    )
             if is_ordered:
                 await self._await_swap(swap, known, engine)
             else:
@@ -343,6 +322,7 @@
         known: KnownTarget,
         track: OrderTrack,
         engine: EngineSpec,
+        note_load: NoteAnswer,
     ) -> bool:
         """Give the orders of a swap, and return whether all were taken."""
         if not await self.ordering.refresh(known):
@@ -357,7 +337,13 @@
             await self.link.tell(resident_message(known), ())
             if not await self._order_next(known, track, Action.unload, model):
                 return False
-        return await self._order_next(known, track, Action.load, swap.load)
+        return await self._order_next(
+            known,
+            track,
+            Action.load,
+            swap.load,
+            note_load,
+        )
 
     async def _order_next(
         self,
@@ -365,10 +351,12 @@
         track: OrderTrack,
         action: Action,
         model: str,
+        note_answer: NoteAnswer = _ignore_answer,
     ) -> bool:
         """Give an order once the one before it has been carried out."""
         for _ in range(BUSY_TRIES):
             answer = await self.ordering.order(known, track, action, model)
+            note_answer(answer)
             if answer in TAKEN:
                 return True
             if answer not in _PASSING:
@@ -399,3 +387,23 @@
             await self.link.tell(resident_message(known), ())
             return
         self.log('order_unfinished', target=known.name, model=swap.load)
+
+
+@contextmanager
+def _plan_load(
+    swap: Swap,
+    known: KnownTarget,
+    engine: EngineSpec,
+    pace: LoadPace,
+) -> Iterator[NoteAnswer]:
+    """Count a load that asks the weight store, once it may have begun."""
+    if swap.load in known.said.near_weights:
+        yield _ignore_answer
+        return
+    with pace.planning(load_s(swap.load, known, engine)) as load:
+
+        def note(answer: OrderAnswer) -> None:
+            if answer in _MAY_RUN:
+                load.begin(boot_time())
+
+        yield note
--- a/tests/test_load_pace.py
+++ b/tests/test_load_pace.py
@@ -1,8 +1,11 @@
 """Loads from the weight store on deployments of several sizes."""
 
+import random
+
 import pytest
 
-from tests.engineworld import make_spec, play
+from ebonywell.loadpace import LoadPace, LoadWindow, full_speed_loads
+from tests.engineworld import LOAD_S, make_spec, play
 
 WINDOW_S = 5.0
 OVERSHOOT = 1.1
@@ -26,3 +29,36 @@
     allowed = loads_per_s * WINDOW_S * OVERSHOOT + SPARE_LOADS
     assert world.store.most_in(WINDOW_S) <= allowed
     assert world.store.most_under_way <= world.store.full_speed
+
+
+@pytest.mark.parametrize(
+    ('loads_per_s', 'at_once'), [(2.1, 3), (2.4, 3), (9.0, 11), (21.0, 25)]
+)
+def test_as_many_loads_run_at_once_as_the_rate_begins_in_one_of_them(
+    loads_per_s, at_once
+):
+    assert full_speed_loads(make_spec(31, loads_per_s)) == at_once
+    assert full_speed_loads(make_spec(31, loads_per_s, 2 * LOAD_S)) >= at_once
+    assert full_speed_loads(make_spec(0, loads_per_s)) == 1
+
+
+@pytest.mark.parametrize('loads_per_s', [0.3, 2.1, 21.0, 80.0])
+@pytest.mark.parametrize('seed', range(5))
+def test_no_window_holds_more_loads_than_its_tolerance(loads_per_s, seed):
+    rng = random.Random(seed)
+    spec = make_spec(9, loads_per_s)
+    pace = LoadPace(LoadWindow(WINDOW_S, OVERSHOOT), 0)
+    begun = []
+    now = 0.0
+    while now < 40:
+        now += rng.choice((0.06, 0.25, rng.expovariate(1)))
+        for _ in range(pace.refill(spec, now)):
+            with pace.planning(LOAD_S) as load:
+                if rng.random() < 0.9:
+                    load.begin(now)
+                    load.begin(now)
+                    begun.append(now)
+    allowed = loads_per_s * WINDOW_S * OVERSHOOT + SPARE_LOADS
+    for start in begun:
+        assert sum(start <= at < start + WINDOW_S for at in begun) <= allowed
+    assert len(begun) >= min(0.5 * loads_per_s * 40, 30)
