A datagram costs no turns of the event loop, a look at a load no walk over the fleet

- Datagrams go over a plain socket that never blocks and is read in batches.
- The loads of peers are added up when they come; they count for one and a half turns of a large fleet, no longer for 1.5 s, which is less than a turn.
- Targets of a service are listed once until one changes; those that hold the model are looked for first.
- Parsed addresses are kept; the server's layer for proxies before us is left out.

--- a/ebonywell/adapterloads.py
+++ b/ebonywell/adapterloads.py
@@ -50,7 +50,7 @@
 class Link(Protocol):
     """How the holder of the lease tells the other hosts."""
 
-    async def tell(
+    def tell(
         self,
         message: ResidentMessage | ComingMessage,
         names: tuple[str, ...],
@@ -91,7 +91,7 @@
         finally:
             askers = self.askers.pop(wanted)
         if known is not None:
-            await self.link.tell(resident_message(known), tuple(askers))
+            self.link.tell(resident_message(known), tuple(askers))
 
     async def _place(self, wanted: Wanted) -> KnownTarget | None:
         """Return a target that holds an adapter, once there is one."""
@@ -119,7 +119,7 @@
         return _full_name(wanted) in track.adapters
 
     def _load_of(self, known: KnownTarget) -> int:
-        return self.board.total(known.name, boot_time()).held_tokens
+        return self.board.total(known.name).held_tokens
 
     def _engines_with(self, wanted: Wanted) -> Iterator[KnownTarget]:
         now = boot_time()
--- /dev/null
+++ b/ebonywell/datagrams.py
@@ -0,0 +1,81 @@
+"""A socket for datagrams that neither waits nor wakes a task for each.
+
+A host of a large fleet takes and sends some hundred datagrams a second; several
+turns of the event loop for each were its largest cost.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from .logs import Logger
+from .misc import split_address
+
+# Datagrams that are read before others get their turn.
+BATCH = 16
+MAX_BYTES = 65_536
+
+
+@dataclass(slots=True, frozen=True)
+class DatagramSocket:
+    """Sends datagrams, and hands over those that come.
+
+    Attributes
+    ----------
+    sock : socket.socket
+        It never blocks.
+    take : callable
+        Gets the bytes of each datagram.
+    """
+
+    sock: socket.socket
+    take: Callable[[bytes], None]
+    log: Logger
+
+    def send(self, address: str, datagram: bytes) -> None:
+        """Send a datagram to an ip:port; it may be lost.
+
+        Raises
+        ------
+        SettingsError
+            If the address is none.
+        """
+        try:
+            self.sock.sendto(datagram, split_address(address))
+        except OSError as error:
+            # There will be others; what is full now drops this one.
+            self.log('datagram_unsent', to=address, why=repr(error))
+
+    def read(self) -> None:
+        """Hand over what has come, a bounded number at a time."""
+        for _ in range(BATCH):
+            try:
+                datagram = self.sock.recv(MAX_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # The system tells here of one that could not be delivered.
+                self.log('datagram_unsent', why=repr(error))
+                return
+            self.take(datagram)
+
+
+@contextmanager
+def open_datagrams(
+    address: str,
+    take: Callable[[bytes], None],
+    log: Logger,
+) -> Iterator[DatagramSocket]:
+    """Open a socket at an ip:port, and close it on leaving the context."""
+    loop = asyncio.get_running_loop()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.setblocking(False)
+        sock.bind(split_address(address))
+        opened = DatagramSocket(sock, take, log)
+        loop.add_reader(sock, opened.read)
+        try:
+            yield opened
+        finally:
+            loop.remove_reader(sock)
--- a/ebonywell/fleetview.py
+++ b/ebonywell/fleetview.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from .digests import Digest
-from .loadboard import LoadBoard, PeerLoads, TargetLoad
+from .loadboard import LoadBoard, TargetLoad
 
 # A host that was silent for this long, several digests, may be dead or cut.
 SILENT_S = 1.2
@@ -72,7 +72,7 @@
         gone = self.peers.pop(name, None)
         if gone is not None:
             self.by_life.pop(gone.life, None)
-        self.board.peers.pop(name, None)
+        self.board.drop(name)
 
     def take(self, digest: Digest, now: float) -> bool:
         """Take over a digest, and return whether it brought anything new."""
@@ -90,7 +90,8 @@
         if known.digest is not None and known.digest.number >= digest.number:
             return False
         known.digest = digest
-        self.board.peers[digest.name] = PeerLoads(
+        self.board.take(
+            digest.name,
             {
                 load.target: TargetLoad(
                     dict(load.waiting_tokens),
--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -12,9 +12,9 @@
 
 import anyio
 import msgspec
-from anyio.abc import UDPSocket
 
 from .clock import boot_time
+from .datagrams import DatagramSocket, open_datagrams
 from .digests import (
     Digest,
     DigestMessage,
@@ -27,7 +27,6 @@
 from .exceptions import MalformedFrameError, SettingsError
 from .fleetview import SILENT_S, FleetView, Peer
 from .logs import Logger
-from .misc import split_address
 
 # Loads and counts are useful only while they are young: the choice of a
 # target and the limits both reckon with this delay.
@@ -38,17 +37,13 @@
 # Hosts whose counts go with each digest; with the fan-out they reach every host
 # of a fleet of a thousand several times a second.
 MOST_COUNTS = 120
+# Loads count until the next are overdue; see `loads_life_s`.
+MIN_LOADS_LIFE_S = 1.5
+LOADS_LIFE_TURNS = 1.5
 # Of one datagram, without the need for fragments.
 MAX_DATAGRAM_BYTES = 1350
 # Between two lines of the log on what digests bring.
 REPORT_GAP_S = 5.0
-# What keeps a datagram from being sent; there will be another.
-UNSENT = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    SettingsError,
-)
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,70 +105,68 @@
         self.note_holder: Callable[[HolderWord], None] = _ignore
         self.holder: HolderWord | None = None
         self.holder_heard_at = -math.inf
-        self.socket: UDPSocket | None = None
+        self.socket: DatagramSocket | None = None
         self.number = 0
         self.malformed = 0
         self.told = Told()
         self.reported_at = -math.inf
         self.silent: set[str] = set()
         self.turn: dict[str, None] = {}
-        self.turn_to_send = anyio.Lock()
 
     async def run(self) -> None:
         """Exchange messages until cancelled."""
-        host, port = split_address(self.address)
-        async with await anyio.create_udp_socket(
-            local_host=host,
-            local_port=port,
-        ) as sock:
+        with open_datagrams(self.address, self.receive, self.log) as sock:
             self.socket = sock
             try:
-                await self._exchange(sock)
+                await self._tell_often()
             finally:
                 self.socket = None
 
-    async def send(self, address: str, message: Message) -> None:
+    def send(self, address: str, message: Message) -> None:
         """Send a message; it may be lost."""
-        await self.send_each((address,), message)
+        self.send_each((address,), message)
 
-    async def tell_all(self, message: Message) -> None:
+    def tell_all(self, message: Message) -> None:
         """Send a message to all hosts; it may be lost."""
         peers = self.fleet.peers.values()
-        await self.send_each([one.address for one in peers], message)
+        self.send_each([one.address for one in peers], message)
 
-    async def send_each(
-        self,
-        addresses: Iterable[str],
-        message: Message,
-    ) -> None:
+    def send_each(self, addresses: Iterable[str], message: Message) -> None:
         """Send a message to several hosts; any of them may be lost."""
+        if self.socket is None:
+            return
         datagram = encode_message(message)
         for address in addresses:
             try:
-                await self._send(address, datagram)
-            except UNSENT as error:
+                self.socket.send(address, datagram)
+            except SettingsError as error:
                 self.log('datagram_unsent', to=address, why=repr(error))
 
+    def receive(self, datagram: bytes) -> None:
+        """Take what another host sent."""
+        try:
+            message = decode_message(datagram)
+        except MalformedFrameError as error:
+            self.malformed += 1
+            self.log('datagram_malformed', why=str(error))
+            return
+        if isinstance(message, DigestMessage):
+            self._take(message)
+        else:
+            self.take_message(message)
+
     def young_word(self, now: float) -> HolderWord | None:
         """Return the newest word of a holder, unless it has fallen silent."""
         is_young = now - self.holder_heard_at < SILENT_S
         return self.holder if is_young else None
 
-    async def _send(self, address: str, datagram: bytes) -> None:
-        host, port = split_address(address)
-        async with self.turn_to_send:
-            if self.socket is not None:
-                await self.socket.sendto(datagram, host, port)
-
-    async def _exchange(self, sock: UDPSocket) -> None:
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._receive, sock)
-            while True:
-                await self._tell()
-                self._note_silent()
-                await anyio.sleep(PERIOD_S)
-
-    async def _tell(self) -> None:
+    async def _tell_often(self) -> None:
+        while True:
+            self._tell()
+            self._note_silent()
+            await anyio.sleep(PERIOD_S)
+
+    def _tell(self) -> None:
         self.number += 1
         digest = self.make_digest(self.number)
         if digest is None:
@@ -192,7 +185,7 @@
             len(encode_message(message)),
             len(relayed),
         )
-        await self.send_each([one.address for one in peers], message)
+        self.send_each([one.address for one in peers], message)
 
     def _pick_peers(self) -> Iterator[Peer]:
         """Yield the hosts whose turn it is, each as often as any other."""
@@ -238,19 +231,6 @@
             if room >= 0:
                 yield digest
 
-    async def _receive(self, sock: UDPSocket) -> None:
-        async for datagram, _ in sock:
-            try:
-                message = decode_message(datagram)
-            except MalformedFrameError as error:
-                self.malformed += 1
-                self.log('datagram_malformed', why=str(error))
-                continue
-            if isinstance(message, DigestMessage):
-                self._take(message)
-            else:
-                self.take_message(message)
-
     def _take(self, message: DigestMessage) -> None:
         now = boot_time()
         for digest in (message.own, *message.relayed):
@@ -293,6 +273,16 @@
             )
 
 
+def loads_life_s(fleet_size: int) -> float:
+    """Return for how long a host counts the loads that another told it.
+
+    Half as long again as until it hears the next directly, so that one lost
+    datagram in a large fleet does not outlive its truth by much.
+    """
+    turns = math.ceil(fleet_size / FANOUT)
+    return max(MIN_LOADS_LIFE_S, LOADS_LIFE_TURNS * turns * PERIOD_S)
+
+
 def pick_counts(
     fleet: FleetView,
     rng: random.Random,
--- a/ebonywell/holderlink.py
+++ b/ebonywell/holderlink.py
@@ -43,8 +43,6 @@
         Sees to a question where this host is the holder.
     own_coming : callable
         Models with loads under way where this host is the holder.
-    outbox : list of Wanted
-        Questions that are to be asked.
     holder_name : str
         Of the host that was last heard to give orders.
     coming_at : dict of (str, str) to float
@@ -60,22 +58,10 @@
     demand: FleetDemand
     serve_want: Callable[[Wanted, str], None]
     own_coming: Callable[[], tuple[ModelKey, ...]]
-    outbox: list[Wanted] = field(default_factory=list)
-    asked: anyio.Event = field(default_factory=anyio.Event)
     holder_changed: anyio.Event = field(default_factory=anyio.Event)
     holder_name: str = ''
     coming_at: dict[ModelKey, float] = field(default_factory=dict)
 
-    async def run(self) -> None:
-        """Pass questions on until cancelled."""
-        while True:
-            await self.asked.wait()
-            self.asked = anyio.Event()
-            wants = tuple(self.outbox)
-            self.outbox.clear()
-            for wanted in wants:
-                await self._pass_on(wanted)
-
     async def tell_demand(self) -> None:
         """Tell the holder of this host's demand until cancelled."""
         while True:
@@ -85,7 +71,7 @@
             holder = self._find()
             if holder is not None:
                 message = self.demand.own_message(boot_time())
-                await self.gossip.send(holder.address, message)
+                self.gossip.send(holder.address, message)
 
     def note_holder(self, name: str) -> None:
         """Tell a new holder of this host's demand at once."""
@@ -95,8 +81,19 @@
 
     def ask(self, wanted: Wanted) -> None:
         """Ask the holder for a model or an adapter."""
-        self.outbox.append(wanted)
-        self.asked.set()
+        if self.leadership.may_order_near():
+            self.serve_want(wanted, self.name)
+            return
+        holder = self._find()
+        if holder is not None:
+            message = WantMessage(
+                self.name,
+                wanted.service,
+                wanted.model,
+                wanted.adapter,
+                wanted.target,
+            )
+            self.gossip.send(holder.address, message)
 
     def has_holder(self) -> bool:
         """Return whether some host gives orders, as far as is known."""
@@ -135,19 +132,19 @@
             case ResidentMessage():
                 self._take_resident(message)
 
-    async def tell(
+    def tell(
         self,
         message: ResidentMessage | ComingMessage,
         names: tuple[str, ...],
     ) -> None:
         """Tell hosts of a target or a load; all of them if none is named."""
         if not names:
-            await self.gossip.tell_all(message)
+            self.gossip.tell_all(message)
             return
         for name in names:
             peer = self.fleet.peers.get(name)
             if peer is not None:
-                await self.gossip.send(peer.address, message)
+                self.gossip.send(peer.address, message)
 
     def _find(self) -> Peer | None:
         """Return the host that gives orders, by the newest word of one."""
@@ -156,21 +153,6 @@
             return None
         return self.fleet.peers.get(word.name)
 
-    async def _pass_on(self, wanted: Wanted) -> None:
-        if self.leadership.may_order_near():
-            self.serve_want(wanted, self.name)
-            return
-        holder = self._find()
-        if holder is not None:
-            message = WantMessage(
-                self.name,
-                wanted.service,
-                wanted.model,
-                wanted.adapter,
-                wanted.target,
-            )
-            await self.gossip.send(holder.address, message)
-
     def _take_resident(self, message: ResidentMessage) -> None:
         known = self.inventory.targets.get(message.target)
         if known is None or known.said.born != message.born:
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -9,7 +9,7 @@
 from . import signals
 from .clock import boot_time
 from .digests import Digest, HolderWord
-from .gossip import Gossip
+from .gossip import Gossip, loads_life_s
 from .hostfeeds import HostFeeds
 from .hostgauges import add_host_gauges, add_traffic_gauges
 from .hostknowledge import Knowledge
@@ -207,7 +207,6 @@
         yield 'leadership', self._lead
         yield 'summary', self._keep_summary
         yield 'provisioner', self.models.provisioner.run
-        yield 'link', self.models.link.run
         yield 'demand', self.models.link.tell_demand
         yield 'housekeeping', self._keep_house
 
@@ -264,6 +263,8 @@
             self.feeds.refresh(now)
             self.models.wants.expire(now)
             self.models.link.expire(now)
+            life_s = loads_life_s(self.known.fleet.size)
+            self.known.board.expire(now, life_s)
             self.known.limits.note_limits(self.known.intake.list_limits(), now)
             self.known.limits.expire(now)
             targets = self.known.inventory.targets.values()
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -175,14 +175,18 @@
         When the store answered again after an outage.
     is_loaded : bool
         Whether all entries have been read once.
+    ready : dict of str to list of KnownTarget
+        By service, those that take new requests; kept until a target changes.
     """
 
     targets: dict[str, KnownTarget] = field(default_factory=dict)
     store_back_at: float = -RETURN_GRACE_S
     is_loaded: bool = False
+    ready: dict[str, list[KnownTarget]] = field(default_factory=dict)
 
     def announce(self, said: Announcement, now: float) -> KnownTarget:
         """Take over an announcement, and return the target."""
+        self.ready.clear()
         known = self.targets.get(said.name)
         if known is None or known.said.born != said.born:
             known = KnownTarget(said, dict(said.models))
@@ -206,7 +210,7 @@
         if now - self.store_back_at < RETURN_GRACE_S:
             known.vanished_at = now
         else:
-            self.targets.pop(name)
+            self._remove(name)
 
     def replace_all(self, said: Iterable[Announcement], now: float) -> None:
         """Take over a whole list; what is missing from it is withdrawn."""
@@ -224,13 +228,21 @@
             if known.vanished_at is None:
                 continue
             if now - self.store_back_at >= RETURN_GRACE_S:
-                self.targets.pop(name)
+                self._remove(name)
 
     def of_service(self, service: str) -> list[KnownTarget]:
         """Return the targets of a service that take new requests."""
-        return [
-            known
-            for known in self.targets.values()
-            if known.said.service == service
-            and known.said.state is TargetState.ready
-        ]
+        ready = self.ready.get(service)
+        if ready is None:
+            ready = [
+                known
+                for known in self.targets.values()
+                if known.said.service == service
+                and known.said.state is TargetState.ready
+            ]
+            self.ready[service] = ready
+        return ready
+
+    def _remove(self, name: str) -> None:
+        self.targets.pop(name)
+        self.ready.clear()
--- a/ebonywell/loadboard.py
+++ b/ebonywell/loadboard.py
@@ -5,10 +5,6 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-# A peer's figures count for this long after they came; they are sent several
-# times a second.
-PEER_LIFE_S = 1.5
-
 
 @dataclass(slots=True)
 class TargetLoad:
@@ -30,13 +26,13 @@
     running: int = 0
     held_tokens: int = 0
 
-    def add(self, other: 'TargetLoad') -> None:
-        """Add another host's part."""
+    def add(self, other: 'TargetLoad', sign: int = 1) -> None:
+        """Add another host's part, or take it off again."""
         for rank, tokens in other.waiting_tokens.items():
-            self.count(rank, tokens)
-        self.waiting += other.waiting
-        self.running += other.running
-        self.held_tokens += other.held_tokens
+            self.count(rank, sign * tokens)
+        self.waiting += sign * other.waiting
+        self.running += sign * other.running
+        self.held_tokens += sign * other.held_tokens
 
     def count(self, rank: int, tokens: int) -> None:
         """Add waiting tokens of one rank, or take them off again."""
@@ -47,6 +43,9 @@
             self.waiting_tokens.pop(rank, None)
 
 
+_NO_LOAD = TargetLoad()
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """A request that this host has on a target now.
@@ -94,11 +93,14 @@
         This host's requests by model, and by ``model/adapter``, by target.
     peers : dict of str to PeerLoads
         By host; some hundred milliseconds old.
+    peer_totals : dict of str to TargetLoad
+        Over all peers, by target.
     """
 
     own: dict[str, TargetLoad] = field(default_factory=dict)
     runs: dict[str, collections.Counter[str]] = field(default_factory=dict)
     peers: dict[str, PeerLoads] = field(default_factory=dict)
+    peer_totals: dict[str, TargetLoad] = field(default_factory=dict)
 
     @contextmanager
     def running(self, run: Run) -> Iterator[None]:
@@ -136,18 +138,43 @@
         runs = self.runs.get(target)
         return {name for name in runs if runs[name]} if runs else set()
 
-    def total(self, target: str, now: float) -> TargetLoad:
+    def total(self, target: str) -> TargetLoad:
         """Return a target's load from all hosts."""
         total = TargetLoad()
-        own = self.own.get(target)
-        if own is not None:
-            total.add(own)
-        for peer in self.peers.values():
-            load = peer.by_target.get(target)
-            if load is not None and now - peer.received_at < PEER_LIFE_S:
-                total.add(load)
+        for part in (self.own.get(target), self.peer_totals.get(target)):
+            if part is not None:
+                total.add(part)
         return total
 
+    def take(
+        self,
+        peer: str,
+        by_target: dict[str, TargetLoad],
+        now: float,
+    ) -> None:
+        """Take over the loads that a peer reports, in place of its last."""
+        self.drop(peer)
+        self.peers[peer] = PeerLoads(by_target, now)
+        for target, load in by_target.items():
+            self.peer_totals.setdefault(target, TargetLoad()).add(load)
+
+    def drop(self, peer: str) -> None:
+        """Forget a peer's loads."""
+        before = self.peers.pop(peer, None)
+        if before is None:
+            return
+        for target, load in before.by_target.items():
+            total = self.peer_totals[target]
+            total.add(load, -1)
+            if total == _NO_LOAD:
+                self.peer_totals.pop(target)
+
+    def expire(self, now: float, life_s: float) -> None:
+        """Forget the loads of peers that have reported none for so long."""
+        for peer, loads in list(self.peers.items()):
+            if now - loads.received_at >= life_s:
+                self.drop(peer)
+
     def _end(self, run: Run, load: TargetLoad) -> None:
         load.held_tokens -= run.held_tokens
         if run.is_started:
--- a/ebonywell/misc.py
+++ b/ebonywell/misc.py
@@ -1,5 +1,6 @@
 """Small helpers, grouped by use."""
 
+import functools
 import hashlib
 import ipaddress
 
@@ -8,8 +9,11 @@
 # Addresses
 
 MAX_PORT = 65_535
+# Hosts and targets of a fleet; each is sent to many times a second.
+KNOWN_ADDRESSES = 20_000
 
 
+@functools.lru_cache(maxsize=KNOWN_ADDRESSES)
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP number and port of ``ip:port``.
 
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -168,6 +168,7 @@
         ws='none',
         lifespan='off',
         access_log=False,
+        proxy_headers=False,
         log_config=None,
         date_header=False,
         server_header=False,
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -122,7 +122,7 @@
             self.woken.set()
             if key in self.list_coming():
                 message = ComingMessage(wanted.service, wanted.model)
-                self.group.start_soon(self.link.tell, message, (asker,))
+                self.link.tell(message, (asker,))
             return
         is_new = wanted not in self.adapters.askers
         self.adapters.askers.setdefault(wanted, set()).add(asker)
@@ -341,7 +341,7 @@
             # Hosts stop sending it requests for the model before it goes.
             known.drop(model, '')
             known.confirmed_at = boot_time()
-            await self.link.tell(resident_message(known), ())
+            self.link.tell(resident_message(known), ())
             if not await self._order_next(known, track, Action.unload, model):
                 return False
         return await self._order_next(
@@ -385,13 +385,13 @@
         await anyio.sleep(load_s(swap.load, known, engine))
         known.add(swap.load, '')
         known.confirmed_at = boot_time()
-        await self.link.tell(resident_message(known), ())
+        self.link.tell(resident_message(known), ())
         with anyio.move_on_after(LOAD_TIMEOUT_S):
             while True:
                 await anyio.sleep(LOOK_GAP_S)
                 if await self.ordering.refresh(known):
                     break
-            await self.link.tell(resident_message(known), ())
+            self.link.tell(resident_message(known), ())
             return
         self.log('order_unfinished', target=known.name, model=swap.load)
 
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -48,16 +48,15 @@
     ) -> list[KnownTarget]:
         """Return the targets that hold what a request needs."""
         now = boot_time()
+        ready = self.inventory.of_service(call.service)
         generation = call.generation
+        if generation is not None:
+            model, adapter = generation.model, generation.adapter
+            ready = [known for known in ready if known.holds(model, adapter)]
         return [
             known
-            for known in self.inventory.of_service(call.service)
-            if known.name not in avoided
-            and known.is_reachable(now)
-            and (
-                generation is None
-                or known.holds(generation.model, generation.adapter)
-            )
+            for known in ready
+            if known.name not in avoided and known.is_reachable(now)
         ]
 
     def place(
@@ -120,7 +119,7 @@
     ) -> Candidate:
         now = boot_time()
         generation = call.generation
-        load = self.board.total(known.name, now)
+        load = self.board.total(known.name)
         health = self.health.look(known.name, now)
         is_near = known.said.zone == self.zone
         if generation is None or engine is None:
--- a/lab/serving_policies.py
+++ b/lab/serving_policies.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from ebonywell.health import TargetHealth
-from ebonywell.loadboard import LoadBoard, PeerLoads, Run, TargetLoad
+from ebonywell.loadboard import LoadBoard, Run, TargetLoad
 from ebonywell.modeldemand import DemandBook
 from ebonywell.overload import ABSENT_RETRY_S, absent_refusal_s, refusal_s
 from ebonywell.selection import Candidate, choose
@@ -155,11 +155,9 @@
             for board in self.boards
         ]
         for place, board in enumerate(self.boards):
-            board.peers = {
-                str(other): PeerLoads(shares, now)
-                for other, shares in enumerate(snapshots)
-                if other != place
-            }
+            for other, shares in enumerate(snapshots):
+                if other != place:
+                    board.take(str(other), shares, now)
 
     def choose(
         self,
@@ -178,7 +176,7 @@
             [
                 Candidate(
                     engine.name,
-                    board.total(engine.name, now),
+                    board.total(engine.name),
                     TargetHealth(),
                     SLOTS,
                     CACHE_TOKENS,
--- a/tests/engineworld.py
+++ b/tests/engineworld.py
@@ -185,7 +185,7 @@
 
     # As the link to the other hosts.
 
-    async def tell(self, message, names):
+    def tell(self, message, names):
         """Other hosts do not matter here."""
 
     def ask_for(self, models, work_ms=60, waiting=1):
--- a/tests/gossipworld.py
+++ b/tests/gossipworld.py
@@ -90,7 +90,7 @@
         self.gossip.send_each = self._send_each
 
     def tell(self):
-        finish(self.gossip._tell())
+        self.gossip._tell()
 
     def lead(self):
         try:
@@ -124,7 +124,7 @@
         if event == 'lease_claimed':
             self.claimed_at.append(self.world.now)
 
-    async def _send_each(self, addresses, message):
+    def _send_each(self, addresses, message):
         if self is self.world.first:
             self.world.sizes.append(len(encode_message(message)))
         for address in addresses:
--- a/tests/test_adapterloads.py
+++ b/tests/test_adapterloads.py
@@ -59,7 +59,7 @@
 
 
 class Link:
-    async def tell(self, message, names):
+    def tell(self, message, names):
         self.told = message
 
 
--- a/tests/test_holderlink.py
+++ b/tests/test_holderlink.py
@@ -31,7 +31,6 @@
 from ebonywell.loadboard import LoadBoard, Run
 from ebonywell.logs import discard_event
 from ebonywell.modeldemand import DemandBook
-from tests.gossipworld import finish
 
 
 class LinkedHost:
@@ -63,7 +62,7 @@
             lambda: self.coming,
         )
 
-    async def _send_each(self, addresses, message):
+    def _send_each(self, addresses, message):
         self.sent.extend((address, message) for address in addresses)
 
 
@@ -88,7 +87,7 @@
     assert not host.link.has_holder()
     note_word(host, clock, word('c'))
     assert host.link.has_holder()
-    finish(host.link._pass_on(Wanted('pool', 'm', '')))
+    host.link.ask(Wanted('pool', 'm', ''))
     assert host.sent == [('c', WantMessage('a', 'pool', 'm', '', ''))]
     clock.at += 5
     assert not host.link.has_holder()
--- a/tests/test_request_decisions.py
+++ b/tests/test_request_decisions.py
@@ -19,7 +19,7 @@
     Resident,
     TargetState,
 )
-from ebonywell.loadboard import LoadBoard, PeerLoads, Run, TargetLoad
+from ebonywell.loadboard import LoadBoard, Run, TargetLoad
 from ebonywell.prefixes import PARTS_PER_TARGET, PrefixBook
 from ebonywell.retries import RetryBudgets, WindowBudget
 from ebonywell.routetable import (
@@ -312,17 +312,48 @@
 
 def test_loads_of_peers_count_while_they_are_young():
     board = LoadBoard()
-    board.peers['p'] = PeerLoads({'t': TargetLoad({0: 500}, 1, 2, 900)}, 10)
+    board.take('p', {'t': TargetLoad({0: 500}, 1, 2, 900)}, 10)
     run = Run('t', 100, 120, 1)
     with board.running(run):
-        assert board.total('t', 10.5).waiting_tokens == {0: 500, 1: 100}
+        assert board.total('t').waiting_tokens == {0: 500, 1: 100}
         board.start(run)
-        assert board.total('t', 10.5).running == 3
-        assert board.total('t', 10.5).waiting_tokens == {0: 500}
-        assert board.total('t', 20).held_tokens == 120
+        assert board.total('t').running == 3
+        assert board.total('t').waiting_tokens == {0: 500}
+        board.expire(11, 1.5)
+        assert board.total('t').held_tokens == 1020
+        board.expire(20, 1.5)
+        assert board.total('t').held_tokens == 120
     assert board.own == {}
 
 
+def test_sums_over_peers_are_those_of_what_each_told_last():
+    rng = random.Random(4)
+    board = LoadBoard()
+    told = {}
+    for now in range(300):
+        peer = rng.choice('abcde')
+        loads = {
+            target: TargetLoad(
+                {rng.randrange(3): rng.randrange(1, 900)},
+                rng.randrange(3),
+                rng.randrange(3),
+                rng.randrange(5000),
+            )
+            for target in rng.sample('tuvw', rng.randrange(4))
+        }
+        if rng.random() < 0.2:
+            board.drop(peer)
+            told.pop(peer, None)
+        else:
+            board.take(peer, loads, now)
+            told[peer] = loads
+        for target in 'tuvw':
+            sums = TargetLoad()
+            for parts in told.values():
+                sums.add(parts.get(target, TargetLoad()))
+            assert board.total(target) == sums
+
+
 def test_a_prompt_is_kept_up_to_its_first_unknown_part():
     book = PrefixBook()
     parts = [PromptPart(str(n), 10) for n in range(3)]
