Replies without end, in a head or a body, are given up at a bound

Targets in trouble may send bytes that are no answer until their caller closes. A host kept all of them: header lines, interim answers, trailers and chunk extensions were collected by the parser, the body of an answer that is passed on whole (and that of a rejection, which nobody reads) in memory, until the request's deadline; a report, an order's answer or one of the store had a timeout for each read alone, which each further byte renews. On a machine of 200 MB one such target ends the host.

A reply that has sent 64 KiB since its last part of head or body is broken and its connection closed; an answer to be passed on whole ends at 16 MiB, the body of a rejection at 64 KiB and 0.1 s; answers to the host itself have a bound of time and of size as a whole, those of engines at the product's own door too. A failure whose body is not whole is answered by this host, not passed on without it.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -27,6 +27,12 @@
 # Of the time that is left, what a try of an idempotent request may take
 # before another target is asked; the goal is what its caller looks for.
 TRY_GOALS = 2.5
+# Of an answer that is passed on whole, and of one that is not passed on;
+# targets in trouble send bodies without end.
+MAX_ANSWER_BYTES = 16_777_216
+MAX_REJECTION_BYTES = 65_536
+# The body of a rejection is read only to keep the connection.
+REJECTION_BODY_S = 0.1
 # What is left of a deadline must allow at least a round trip and the work.
 MIN_LEFT_S = 0.03
 
@@ -189,9 +195,12 @@
         head: AnswerHead,
     ) -> TryError:
         """Return the error of a try whose answer is not to be passed on."""
-        body = b''
-        if verdict is not Verdict.crossed:
-            body = await self._read_body(sending) or b''
+        body: bytes | None = None
+        if verdict is Verdict.failed:
+            body = await self._read_body(sending, MAX_ANSWER_BYTES)
+        elif verdict is not Verdict.crossed:
+            with anyio.move_on_after(REJECTION_BODY_S):
+                await self._read_body(sending, MAX_REJECTION_BYTES)
         if verdict in {Verdict.absent, Verdict.other_target}:
             self.placer.note_absent(call, sending.target, verdict)
         if verdict in {Verdict.unclear, Verdict.crossed}:
@@ -208,8 +217,8 @@
         return TryError(
             verdict.value,
             has_run=has_run,
-            head=head if verdict is Verdict.failed else None,
-            body=body,
+            head=None if body is None else head,
+            body=body or b'',
         )
 
     async def _pass_on(
@@ -228,7 +237,7 @@
                 sending,
                 head,
             )
-        body = await self._read_body(sending)
+        body = await self._read_body(sending, MAX_ANSWER_BYTES)
         if body is None:
             raise TryError('cut_short', has_run=True)
         progress.first_byte_s = boot_time() - call.received_at
@@ -239,8 +248,12 @@
         await responder.finish()
         return Outcome(head.status, 'answered')
 
-    async def _read_body(self, sending: 'Sending') -> bytes | None:
-        """Return a whole body, None if it is not whole."""
+    async def _read_body(
+        self,
+        sending: 'Sending',
+        most_bytes: int,
+    ) -> bytes | None:
+        """Return a whole body, None if it is not whole or too long."""
         exchange = sending.connection.exchange
         assert exchange is not None
         body = bytearray()
@@ -252,6 +265,13 @@
                 return bytes(body)
             if isinstance(part, bytes):
                 body += part
+            if len(body) > most_bytes:
+                self.log(
+                    'answer_too_long',
+                    target=sending.target.name,
+                    read=len(body),
+                )
+                return None
 
     async def _pass_stream(
         self,
--- a/ebonywell/opclient.py
+++ b/ebonywell/opclient.py
@@ -4,7 +4,6 @@
 from typing import TypeVar
 
 import anyio
-import httpcore
 import msgspec
 
 from . import opmessages
@@ -18,7 +17,7 @@
     TransportError,
 )
 from .timeline import Event, merge
-from .transport import STATUS_OK, HttpClient
+from .transport import STATUS_OK, HttpClient, WholeAnswer
 from .types import RunState
 
 TIMEOUT_S = 6.0
@@ -227,7 +226,7 @@
         return response.content
 
 
-def _read_failure(url: str, response: httpcore.Response) -> Exception:
+def _read_failure(url: str, response: WholeAnswer) -> Exception:
     try:
         answer = msgspec.json.decode(
             response.content,
--- a/ebonywell/platform/store.py
+++ b/ebonywell/platform/store.py
@@ -5,7 +5,6 @@
 from typing import Any
 from urllib.parse import urlencode
 
-import httpcore
 import msgspec
 
 from ..exceptions import (
@@ -16,7 +15,7 @@
     TransportError,
 )
 from ..sharedstore import KeyedRecord, StorePage
-from ..transport import HttpClient, decode_answer
+from ..transport import HttpClient, WholeAnswer, decode_answer
 
 # The store answers within 4 ms when it is well, and fifty times as late when
 # it is slow; what takes longer is on a dead connection.
@@ -136,7 +135,7 @@
         query: dict[str, Any],
         wait_s: float = 0,
         content: bytes | None = None,
-    ) -> httpcore.Response:
+    ) -> WholeAnswer:
         url = '?'.join((self.url + path, urlencode(query)))
         try:
             answer = await self.client.ask(
@@ -160,14 +159,14 @@
         self.calls[name] = self.calls.get(name, 0) + 1
 
 
-def _decode(answer: httpcore.Response, kind: type[Any]) -> Any:
+def _decode(answer: WholeAnswer, kind: type[Any]) -> Any:
     try:
         return decode_answer(answer.content, kind)
     except TransportError as error:
         raise LogOutageError(str(error)) from error
 
 
-def _check(answer: httpcore.Response, path: str) -> None:
+def _check(answer: WholeAnswer, path: str) -> None:
     status = answer.status
     if status == _OK:
         return
--- a/ebonywell/transport.py
+++ b/ebonywell/transport.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from types import TracebackType
 from typing import Any, Self, TypeVar
 
+import anyio
 import httpcore
 import msgspec
 
@@ -23,7 +25,11 @@
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
+    TimeoutError,
 )
+# The longest answer is a page of the store's records, of a megabyte or so;
+# servers in trouble send bytes without end.
+MAX_CONTENT_BYTES = 16_777_216
 _Answer = TypeVar('_Answer')
 
 
@@ -60,6 +66,14 @@
         raise TransportError(f'{what}: {broken!r}') from broken
 
 
+@dataclass(slots=True, frozen=True)
+class WholeAnswer:
+    """An answer that has been read to its end."""
+
+    status: int
+    content: bytes
+
+
 class PooledClient:
     """A connection pool, closed on leaving the context.
 
@@ -98,14 +112,14 @@
         content: bytes | None = None,
         headers: tuple[tuple[str, str], ...] = (),
         connect_s: float = 0,
-    ) -> httpcore.Response:
+    ) -> WholeAnswer:
         """Send a request and return the whole answer.
 
         Parameters
         ----------
         method, url : str
         timeout_s : float
-            Of each step, in seconds.
+            Of the answer from the connection on, in seconds.
         content : bytes or None
         headers : tuple of (str, str)
         connect_s : float
@@ -114,19 +128,56 @@
         Raises
         ------
         TransportError
-            If there was no whole answer.
+            If there was no whole answer, or it is longer than any may be.
         """
-        with turned_errors(f'{method} {url}'):
-            return await self.pool.request(
+        return await ask_whole(
+            self.pool,
+            method,
+            url,
+            content,
+            headers,
+            timeout_s,
+            connect_s,
+        )
+
+
+async def ask_whole(
+    sender: httpcore.AsyncConnectionPool | httpcore.AsyncHTTPConnection,
+    method: str,
+    url: str,
+    content: bytes | None,
+    headers: tuple[tuple[str, str], ...],
+    timeout_s: float,
+    connect_s: float = 0,
+) -> WholeAnswer:
+    """Send a request by a connection or a pool; see `HttpClient.ask`."""
+    what = f'{method} {url}'
+    with turned_errors(what):
+        # Each read has its own timeout, which bytes without end renew.
+        with anyio.fail_after((connect_s or timeout_s) + timeout_s):
+            async with sender.stream(
                 method,
                 url,
                 headers=list(headers),
                 content=content,
                 extensions=timeout_extension(timeout_s, connect_s),
-            )
+            ) as response:
+                return WholeAnswer(
+                    response.status,
+                    await _read_content(response, what),
+                )
+
+
+async def _read_content(response: httpcore.Response, what: str) -> bytes:
+    content = bytearray()
+    async for part in response.aiter_stream():
+        content += part
+        if len(content) > MAX_CONTENT_BYTES:
+            raise TransportError(f'{what}: answer too long')
+    return bytes(content)
 
 
-def check_status(response: httpcore.Response, what: str) -> bytes:
+def check_status(response: WholeAnswer, what: str) -> bytes:
     """Return the body of an answer that reports success.
 
     Raises
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -37,6 +37,9 @@
 IDLE_SHARE = 0.6
 # Reading from the target pauses while its caller has this much to take.
 MAX_BUFFERED_BYTES = 262_144
+# Of a head, or of what frames a body; targets in trouble send such bytes until
+# their caller closes.
+MAX_BYTES_WITHOUT_PART = 65_536
 _CONTINUE = 200
 _KEEP_ALIVE = b'keep-alive'
 _TIMEOUT = 'timeout'
@@ -89,6 +92,8 @@
     parts : deque
     buffered : int
         Bytes in `parts`.
+    bare_bytes : int
+        That came since the last part.
     head : AnswerHead or None
     ending : Ending or None
         Set once the last part is in `parts`.
@@ -98,6 +103,7 @@
         default_factory=collections.deque,
     )
     buffered: int = 0
+    bare_bytes: int = 0
     head: AnswerHead | None = None
     ending: Ending | None = None
     changed: anyio.Event = field(default_factory=anyio.Event)
@@ -105,6 +111,7 @@
     def add(self, part: AnswerPart) -> None:
         """Add a part and wake who waits for it."""
         self.parts.append(part)
+        self.bare_bytes = 0
         self.changed.set()
 
 
@@ -202,10 +209,14 @@
             self.is_reusable = False
             self.close()
             return
+        exchange.bare_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
             self._end(Ending.broken)
+        if exchange.bare_bytes > MAX_BYTES_WITHOUT_PART:
+            self._end(Ending.broken)
+            self.close()
         if exchange.buffered > MAX_BUFFERED_BYTES and self.transport:
             self.transport.pause_reading()
 
--- a/ebonywell/visits.py
+++ b/ebonywell/visits.py
@@ -13,17 +13,12 @@
 from .orders import Settlement
 from .outstanding import Evidence, OrderState, Step, next_step
 from .targets import Report
-from .transport import (
-    check_status,
-    decode_answer,
-    timeout_extension,
-    turned_errors,
-)
+from .transport import WholeAnswer, ask_whole, check_status, decode_answer
 
 VISIT_TIMEOUT_S = 1.0
 _STATUS_NOT_FOUND = 404
 _Answer = TypeVar('_Answer')
-Ask = Callable[[str, str, bytes], Awaitable[httpcore.Response]]
+Ask = Callable[[str, str, bytes], Awaitable[WholeAnswer]]
 
 
 class SentOrder(msgspec.Struct, frozen=True):
@@ -96,21 +91,22 @@
     host, port = split_address(address)
     origin = httpcore.Origin(b'http', host.encode(), port)
     try:
-        with turned_errors(address):
-            async with httpcore.AsyncHTTPConnection(origin) as connection:
-                ask = _bind(connection, f'http://{address}')
-                return await see_to(ask, fencing, unsettled)
+        async with httpcore.AsyncHTTPConnection(origin) as connection:
+            ask = _bind(connection, f'http://{address}')
+            return await see_to(ask, fencing, unsettled)
     except TransportError as error:
         raise TargetError(str(error)) from error
 
 
 def _bind(connection: httpcore.AsyncHTTPConnection, url: str) -> Ask:
-    async def ask(method: str, path: str, content: bytes) -> httpcore.Response:
-        return await connection.request(
+    async def ask(method: str, path: str, content: bytes) -> WholeAnswer:
+        return await ask_whole(
+            connection,
             method,
             url + path,
-            content=content,
-            extensions=timeout_extension(VISIT_TIMEOUT_S),
+            content,
+            (),
+            VISIT_TIMEOUT_S,
         )
 
     return ask
@@ -174,5 +170,5 @@
     )
 
 
-def _read(answer: httpcore.Response, kind: type[_Answer]) -> _Answer:
+def _read(answer: WholeAnswer, kind: type[_Answer]) -> _Answer:
     return decode_answer(check_status(answer, 'visit'), kind)
