--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -148,6 +148,9 @@
             self._note_holder(is_holder=is_holder)
             if is_holder and _knows_demand(self):
                 self._decide(only_near=not lease.may_order())
+            if not is_holder:
+                await anyio.sleep(TICK_S)
+                continue
             await anyio.sleep(MIN_TICK_S)
             with anyio.move_on_after(TICK_S - MIN_TICK_S):
                 await self.woken.wait()
--- a/ebonywell/roster.py
+++ b/ebonywell/roster.py
@@ -23,6 +23,8 @@
 # Hosts that start together do not all come back to the store at once.
 RETRY_S = 0.3
 LOOK_GAP_S = 0.1
+# Of a host that does not keep the summary, until it looks whether it is to.
+IDLE_GAP_S = 0.5
 
 
 class HostRecord(msgspec.Struct, frozen=True):
@@ -99,9 +101,10 @@
         list_limits : callable
         """
         while True:
-            await anyio.sleep(LOOK_GAP_S)
             if self.life is None or not is_due():
+                await anyio.sleep(IDLE_GAP_S)
                 continue
+            await anyio.sleep(LOOK_GAP_S)
             summary = self.limits.summarize(
                 list_limits(),
                 self.life,
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -97,6 +97,8 @@
     head : AnswerHead or None
     ending : Ending or None
         Set once the last part is in `parts`.
+    waiter : asyncio.Future or None
+        Done when a part comes; each event of each stream waits for one.
     """
 
     parts: collections.deque[AnswerPart] = field(
@@ -106,13 +108,14 @@
     bare_bytes: int = 0
     head: AnswerHead | None = None
     ending: Ending | None = None
-    changed: anyio.Event = field(default_factory=anyio.Event)
+    waiter: asyncio.Future[None] | None = None
 
     def add(self, part: AnswerPart) -> None:
         """Add a part and wake who waits for it."""
         self.parts.append(part)
         self.bare_bytes = 0
-        self.changed.set()
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
 
 
 class Connection(asyncio.Protocol):
@@ -163,8 +166,8 @@
         The last one is an `Ending`.
         """
         while not exchange.parts:
-            exchange.changed = anyio.Event()
-            await exchange.changed.wait()
+            exchange.waiter = asyncio.get_running_loop().create_future()
+            await exchange.waiter
         part = exchange.parts.popleft()
         if isinstance(part, bytes):
             exchange.buffered -= len(part)
