--- a/ebonywell/assembly.py
+++ b/ebonywell/assembly.py
@@ -17,6 +17,7 @@
 from .logclient import LogClient
 from .logs import Logger, bind, write_event
 from .metrics import Metrics
+from .moves import make_pace
 from .operations import Operations
 from .peers import Peers
 from .planner import Planner
@@ -104,7 +105,9 @@
     usage = Usage(replica, kernel.find(PEERS, Peers), count_running, log)
     kernel.add(USAGE, usage)
     targets = kernel.find(TARGETS, Targets)
-    kernel.add(PLANNER, Planner(replica, targets, usage.observe, log))
+    planner = Planner(replica, targets, usage.observe, log)
+    planner.notes.pace = make_pace(settings.loads_per_s, settings.load_s)
+    kernel.add(PLANNER, planner)
     kernel.add(
         CHECKPOINTER,
         Checkpointer(
--- a/ebonywell/config.py
+++ b/ebonywell/config.py
@@ -8,9 +8,19 @@
 
 from .exceptions import SettingsError
 from .misc import split_address
+from .moves import LOADS_PER_S
 
 _MIB = 1024 * 1024
-_POSITIVE = ('max_body_bytes', 'deadline_s', 'grace_s', 'log_retention_s')
+# Of a model of common size.
+LOAD_S = 1.5
+_POSITIVE = (
+    'max_body_bytes',
+    'deadline_s',
+    'grace_s',
+    'log_retention_s',
+    'loads_per_s',
+    'load_s',
+)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -45,6 +55,10 @@
         The longest that a planned stop waits for running calls, in seconds.
     log_retention_s : float
         How long the log service keeps a record, in seconds.
+    loads_per_s : float
+        How many loads the weight store begins a second, over all engines.
+    load_s : float
+        How long one of them takes as a rule, in seconds.
     allow_faults : bool
         Whether tests may cut this process's links.
     """
@@ -62,6 +76,8 @@
     hosts_ttl_s: float = 30
     grace_s: float = 120
     log_retention_s: float = 3600
+    loads_per_s: float = LOADS_PER_S
+    load_s: float = LOAD_S
     allow_faults: bool = False
 
 
--- a/ebonywell/loadpace.py
+++ b/ebonywell/loadpace.py
@@ -111,4 +111,9 @@
     """Return how many loads at once the weight store serves at full speed."""
     times = [model.load_s for model in engine.models.values()]
     mean_s = sum(times) / len(times) if times else 0
-    return max(1, round(engine.loads_per_s * mean_s))
+    return loads_at_once(engine.loads_per_s, mean_s)
+
+
+def loads_at_once(loads_per_s: float, load_s: float) -> int:
+    """Return how many loads run while one lasts, at the store's full rate."""
+    return max(1, round(loads_per_s * load_s))
--- a/ebonywell/moves.py
+++ b/ebonywell/moves.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass, field
 
 from .layout import Layout
+from .loadpace import loads_at_once
 from .orders import Action
 
-LOADS_AT_ONCE = 3
+# Of a store whose operators state none.
 LOADS_PER_S = 2.0
+LOADS_AT_ONCE = 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,6 +56,14 @@
     loads_at_once: int = LOADS_AT_ONCE
 
 
+def make_pace(loads_per_s: float, load_s: float) -> Pace:
+    """Return the pace of a weight store whose loads take so long as a rule."""
+    return Pace(
+        loads_per_s=loads_per_s,
+        loads_at_once=loads_at_once(loads_per_s, load_s),
+    )
+
+
 @dataclass(slots=True)
 class Decision:
     """Moves in the order in which to make them.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,12 +2,13 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ebonywell.changes import Adapter
 from ebonywell.layout import Copy, Layout, Need, Site
-from ebonywell.moves import Pace
+from ebonywell.moves import Pace, make_pace
 from ebonywell.orders import Action
 from ebonywell.placement import decide
 
@@ -72,11 +73,11 @@
         assert not moves(sites, needs, pace, now)
 
 
-def test_loads_keep_to_the_rate_and_number_of_the_weight_store():
-    pace = Pace()
+@pytest.mark.parametrize('pace', [Pace(), make_pace(21.0, 1.2)])
+def test_loads_keep_to_the_rate_and_number_of_the_weight_store(pace):
     started = []
-    sites = [site(f't{number}', 'z1') for number in range(8)]
-    needs = [need(str(number)) for number in range(24)]
+    sites = [site(f't{number}', 'z1') for number in range(80)]
+    needs = [need(str(number)) for number in range(240)]
     for now in range(10):
         made = moves(sites, needs, pace, now)
         started.append(len(made))
