A directory's answer names at most 64 hosts

Fleets of 72 and 80 hosts were named whole, though the platform's directories name up to 64 and callers may read no more. The host shuffles the addresses before they are cut. The test failed before.

--- a/ebonywell/platform/ingress.py
+++ b/ebonywell/platform/ingress.py
@@ -14,6 +14,8 @@
 
 READY_PATH = '/ready'
 DIRECTORY_PATH = '/resolution'
+# A directory's answer names no more hosts; the host draws which.
+MAX_ADDRESSES = 64
 # Of a count of tokens; what is longer is no count.
 MAX_DIGITS = 12
 _BEARER = 'bearer '
@@ -129,7 +131,7 @@
 
 def directory_answer(addresses: list[str], ttl_s: float) -> dict[str, Any]:
     """Return the body that tells a caller where to connect."""
-    return {'addresses': addresses, 'ttlS': ttl_s}
+    return {'addresses': addresses[:MAX_ADDRESSES], 'ttlS': ttl_s}
 
 
 async def _send_whole(
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -473,3 +473,11 @@
     message = DigestMessage(digest)
     assert decode_message(encode_message(message)) == message
     assert msgspec.to_builtins(digest)
+
+
+def test_a_directory_names_no_more_hosts_than_callers_read():
+    from ebonywell.platform.ingress import MAX_ADDRESSES, directory_answer
+
+    addresses = [f'ip:{number}' for number in range(80)]
+    answer = directory_answer(addresses, 1)
+    assert answer['addresses'] == addresses[:MAX_ADDRESSES]
