A load waits until the unload before it is likely done

It now waits 50 ms first. The memory kept for adapters, which is the same for all engines of a service, is reckoned once a decision and no longer once an engine.

--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -40,8 +40,10 @@
 LOOK_GAP_S = 0.2
 # A load that takes longer waits behind others, or the engine has crashed.
 LOAD_TIMEOUT_S = 6.0
+# An unload of a model that no request uses takes about as long.
+UNLOAD_S = 0.05
 # While the order before it is carried out, an order is refused; an unload of
-# a model that no request uses takes a few of these pauses.
+# a model in use takes a few of these pauses.
 BUSY_GAP_S = 0.07
 BUSY_TRIES = 20
 # After an order that was refused or not answered, the engine's own reports
@@ -188,8 +190,9 @@
         pace: LoadPace,
     ) -> None:
         now = boot_time()
+        reserved = reserved_adapter_bytes(engine)
         engines = [
-            self._view(known, engine, now)
+            self._view(known, engine, reserved, now)
             for known in self.inventory.of_service(service)
             if known.is_reachable(now)
         ]
@@ -261,11 +264,12 @@
         self,
         known: KnownTarget,
         engine: EngineSpec,
+        reserved_bytes: int,
         now: float,
     ) -> EngineState:
         track = self.ordering.track(known)
         held = (known.models.keys() | track.arriving) - track.leaving
-        used = reserved_adapter_bytes(engine)
+        used = reserved_bytes
         for present in known.models.keys() | track.arriving:
             spec = engine.models.get(present)
             used += spec.bytes if spec else engine.weight_bytes
@@ -347,6 +351,7 @@
             self.link.tell(resident_message(known), ())
             if not await self._order_next(known, track, Action.unload, model):
                 return False
+            await anyio.sleep(UNLOAD_S)
         return await self._order_next(
             known,
             track,
