--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -476,8 +476,6 @@
 
 
 def test_a_directory_names_no_more_hosts_than_callers_read():
-    from ebonywell.platform.ingress import MAX_ADDRESSES, directory_answer
-
     addresses = [f'ip:{number}' for number in range(80)]
-    answer = directory_answer(addresses, 1)
-    assert answer['addresses'] == addresses[:MAX_ADDRESSES]
+    answer = ingress.directory_answer(addresses, 1)
+    assert answer['addresses'] == addresses[: ingress.MAX_ADDRESSES]
