--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -34,8 +34,7 @@
 # In a larger fleet each digest goes to so many hosts in turn, and is passed on
 # from there, so that a host's traffic does not grow with the fleet.
 FANOUT = 10
-# Hosts whose counts go with each digest; with the fan-out they reach every host
-# of a fleet of a thousand several times a second.
+# Hosts whose counts go with each digest, at some five bytes each.
 MOST_COUNTS = 120
 # Loads count until the next are overdue; see `loads_life_s`.
 MIN_LOADS_LIFE_S = 1.5
