The holder's orders cost no walk over the connections to all engines

On a machine of half a core that is what bounds its orders, and with them how fast models come.

Each server has a pool of its own now; those that nobody has asked for 30 s are closed.

--- a/ebonywell/transport.py
+++ b/ebonywell/transport.py
@@ -1,18 +1,24 @@
 """HTTP exchanges with the platform and other processes, errors turned."""
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from types import TracebackType
 from typing import Any, Self, TypeVar
+from urllib.parse import urlsplit
 
 import anyio
 import httpcore
 import msgspec
 
+from .clock import boot_time
 from .exceptions import TransportError
 
 STATUS_OK = 200
+# Connections to a server that nobody has asked for so long are closed when
+# another one is first asked.
+POOL_IDLE_S = 30.0
 _STATUS_ERROR = 300
 _STEPS = ('connect', 'read', 'write', 'pool')
 _UNSENT = (
@@ -101,8 +107,49 @@
         await self.pool.__aexit__(kind, error, trace)
 
 
-class HttpClient(PooledClient):
-    """A client that gets whole answers."""
+@dataclass(slots=True)
+class ServerPool:
+    """The connections to one server.
+
+    Attributes
+    ----------
+    client : PooledClient
+    used_at : float
+        When a request last began, in seconds.
+    """
+
+    client: PooledClient
+    used_at: float
+
+
+class HttpClient:
+    """A client that gets whole answers.
+
+    Each server has a pool of its own: httpcore's pool looks at all of its
+    connections once for each of them whenever a request begins or ends.
+
+    Attributes
+    ----------
+    max_connections : int or None
+        To each server.
+    pools : dict of str to ServerPool
+        By ip:port.
+    """
+
+    def __init__(self, max_connections: int | None = None) -> None:
+        self.max_connections = max_connections
+        self.pools: dict[str, ServerPool] = {}
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._close_idle(math.inf)
 
     async def ask(
         self,
@@ -131,7 +178,7 @@
             If there was no whole answer, or it is longer than any may be.
         """
         return await ask_whole(
-            self.pool,
+            await self._pool_of(url),
             method,
             url,
             content,
@@ -140,6 +187,24 @@
             connect_s,
         )
 
+    async def _pool_of(self, url: str) -> httpcore.AsyncConnectionPool:
+        now = boot_time()
+        server = urlsplit(url).netloc
+        known = self.pools.get(server)
+        if known is None:
+            await self._close_idle(now - POOL_IDLE_S)
+            # Another request may have opened it meanwhile.
+            client = PooledClient(self.max_connections)
+            known = self.pools.setdefault(server, ServerPool(client, now))
+        known.used_at = now
+        return known.client.pool
+
+    async def _close_idle(self, unused_since: float) -> None:
+        for server, known in list(self.pools.items()):
+            if known.used_at < unused_since:
+                self.pools.pop(server)
+                await known.client.pool.aclose()
+
 
 async def ask_whole(
     sender: httpcore.AsyncConnectionPool | httpcore.AsyncHTTPConnection,
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,82 @@
+"""Requests of this host to many servers."""
+
+import asyncio
+import contextlib
+
+import anyio
+import pytest
+
+from ebonywell.transport import POOL_IDLE_S, HttpClient
+
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+
+class Servers:
+    """Servers that answer every request; they count their connections."""
+
+    def __init__(self):
+        self.opened = 0
+        self.closed = 0
+
+    async def serve(self, reader, writer):
+        self.opened += 1
+        with contextlib.suppress(ConnectionError, EOFError):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(ANSWER)
+        self.closed += 1
+        writer.close()
+
+    @contextlib.asynccontextmanager
+    async def running(self, count):
+        servers = [
+            await asyncio.start_server(self.serve, '127.0.0.1', 0)
+            for _ in range(count)
+        ]
+        try:
+            yield [
+                'http://{}:{}/'.format(*one.sockets[0].getsockname())
+                for one in servers
+            ]
+        finally:
+            for one in servers:
+                one.close()
+
+
+@pytest.mark.parametrize('count', [1, 40])
+def test_a_request_looks_at_no_other_servers_connections(count):
+    async def play():
+        servers = Servers()
+        async with servers.running(count) as urls, HttpClient() as client:
+            for _ in range(3):
+                for url in urls:
+                    answer = await client.ask('GET', url, 5)
+                    assert answer.content == b'ok'
+            sizes = [
+                len(known.client.pool.connections)
+                for known in client.pools.values()
+            ]
+        return servers.opened, sizes
+
+    opened, sizes = anyio.run(play)
+    assert opened == len(sizes) == count
+    assert set(sizes) == {1}
+
+
+def test_connections_to_servers_that_nobody_asks_are_closed(monkeypatch):
+    async def play():
+        servers = Servers()
+        async with servers.running(3) as urls, HttpClient() as client:
+            for url in urls[:2]:
+                await client.ask('GET', url, 5)
+            clock.append(clock[-1] + POOL_IDLE_S + 1)
+            await client.ask('GET', urls[2], 5)
+            with anyio.fail_after(5):
+                while servers.closed < 2:
+                    await anyio.sleep(0.01)
+            assert len(client.pools) == 1
+        assert not client.pools
+
+    clock = [100.0]
+    monkeypatch.setattr('ebonywell.transport.boot_time', lambda: clock[-1])
+    anyio.run(play)
