The load bench plays a larger site

One of 30 engines, 74 models and 9 loads a second is played beside them, and the store's rate belongs to the load.

--- a/lab/serving_bench.py
+++ b/lab/serving_bench.py
@@ -16,6 +16,15 @@
     'half as much again': Scenario(SMALL_SITE, load=1.5),
     'twice as much': Scenario(SMALL_SITE, load=2.0),
     'three engines lost': Scenario(SMALL_SITE, load=1.2, engines=6),
+    'a larger site': Scenario(
+        SMALL_SITE,
+        load=3.5,
+        busy_models=36,
+        rare_models=38,
+        busy_at_once=20,
+        engines=30,
+        loads_per_s=9.0,
+    ),
     'fast shifts': Scenario(SMALL_SITE, load=1.4, engines=8, shift_s=4),
 }
 WAYS: dict[str, MakePolicy] = {
--- a/lab/serving_demand.py
+++ b/lab/serving_demand.py
@@ -57,6 +57,8 @@
         Of the kinds' rates.
     duration_s : float
     seed : int
+    loads_per_s : float
+        That the weight store begins.
     """
 
     kinds: tuple[Kind, ...]
@@ -69,6 +71,7 @@
     load: float = 1.0
     duration_s: float = 40.0
     seed: int = 1
+    loads_per_s: float = 2.1
 
 
 @dataclass(slots=True, eq=False)
--- a/lab/serving_play.py
+++ b/lab/serving_play.py
@@ -9,9 +9,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ebonywell.loadpace import loads_at_once
+
 from .serving_demand import Request, Scenario, make_requests, model_sizes
 from .serving_engines import (
     ENGINE_BYTES,
+    LOAD_S,
     PROMPT_TOKENS_PER_MS,
     EngineRun,
     VirtualEngine,
@@ -27,8 +30,6 @@
 LATE_SHARE = 0.3
 # Refused callers come back after at most this part of the time left.
 RETURN_SHARE = 1 / 3
-# The weight store begins so many loads a second.
-STORE_LOADS_PER_S = 2.1
 _MS = 1000.0
 
 
@@ -197,9 +198,10 @@
         return busy or bool(self.floor.waiting)
 
     def _step(self, step: int, now: float) -> None:
+        rate = self.floor.scenario.loads_per_s
         self.floor.store_loads = min(
-            3,
-            self.floor.store_loads + STEP_S * STORE_LOADS_PER_S,
+            loads_at_once(rate, LOAD_S),
+            self.floor.store_loads + STEP_S * rate,
         )
         if step % round(NEWS_S / STEP_S) == 0:
             self.policy.news(now)
