Test of failing services: the link is now the service that tells the demand

It waited for a service named link to fail, which removed: questions to the holder are sent at once, and what is left of that task tells the holder of the demand. All services of a host are made to fail as before.

--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -9,7 +9,7 @@
 
 SERVICES = (
     'configuration', 'targets', 'gossip', 'leadership', 'summary',
-    'provisioner', 'link', 'housekeeping',
+    'provisioner', 'demand', 'housekeeping',
 )  # fmt: skip
 EVENTS = 30
 # Has a service of the host fail when there is a file of its name.
