Log which request was in flight on which incarnation of a target

attempt_broken names the digest of method, path, workspace and body, so that repeats of a request can be found over hosts, and tells how many connections to the target are still open: none after a crash, the others after an answer that was cut short. Before, the hypotheses on requests that crash targets could not be told apart from the logs. No decision reads it yet.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -7,6 +7,7 @@
 from .clock import boot_time
 from .events import EventSplitter
 from .exceptions import TargetUnreachableError
+from .fingerprints import request_digest
 from .health import HealthTracker
 from .inbound import AdmittedRequest, Responder
 from .inventory import KnownTarget
@@ -169,6 +170,22 @@
             choose_s=sending.sent_at - request.received_at,
         )
 
+    def _log_broken(
+        self, request: AdmittedRequest, sending: 'Sending', reason: str
+    ) -> None:
+        """Log which request was in flight on which life of a target."""
+        address = sending.target.announcement.address
+        self.log(
+            'attempt_broken',
+            request=request.request_id,
+            reason=reason,
+            digest=format(request_digest(request), 'x'),
+            target=sending.target.name,
+            born=sending.target.announcement.born,
+            after_s=boot_time() - sending.sent_at,
+            open_connections=self.pool.count_open(address),
+        )
+
     async def _receive_head(
         self,
         request: AdmittedRequest,
@@ -195,6 +212,7 @@
             is_good=False,
         )
         reason = 'silent' if part is None else 'broken'
+        self._log_broken(request, sending, reason)
         raise AttemptError(reason, has_run=True)
 
     async def _read_rejection(
@@ -249,6 +267,7 @@
             )
         body = await self._read_body(sending, MAX_ANSWER_BYTES)
         if body is None:
+            self._log_broken(request, sending, 'cut_short')
             raise AttemptError('cut_short', has_run=True)
         progress.first_byte_s = boot_time() - request.received_at
         headers = add_content_length(self.format.answer_headers(head), body)
@@ -304,6 +323,7 @@
             await _forward_events(responder, progress, part)
             part = await sending.connection.receive(exchange)
         if part is Ending.broken:
+            self._log_broken(request, sending, 'stream_broken')
             raise self._record_broken_stream(sending, progress)
         if progress.splitter and progress.splitter.partial_event:
             await responder.send(progress.splitter.partial_event)
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -233,6 +233,7 @@
             and exchange.head is not None
             and _is_unframed(exchange.head)
         )
+        self.is_closed = True
         self._end(Ending.closed if is_unframed else Ending.broken)
         return False
 
@@ -337,12 +338,15 @@
     ----------
     idle : dict of str to list of Connection
         Keyed by address, the most recently used one last.
+    busy : dict of str to set of Connection
+        Connections that are used by a request, by address.
     opened : int
         Number of connections opened since the start.
     """
 
     def __init__(self) -> None:
         self.idle: dict[str, list[Connection]] = {}
+        self.busy: dict[str, set[Connection]] = {}
         self.opened = 0
 
     def __enter__(self) -> Self:
@@ -364,20 +368,27 @@
         TargetUnreachableError
             If the target cannot be connected to.
         """
-        now = boot_time()
-        idle = self.idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable(now):
-                return connection
-            connection.close()
-        return await self._connect(address)
+        connection = self._pop_idle(address) or await self._connect(address)
+        self.busy.setdefault(address, set()).add(connection)
+        return connection
 
     def release(self, address: str, connection: Connection) -> None:
         """Return a connection to the pool if it may be reused."""
+        busy = self.busy[address]
+        busy.discard(connection)
+        if not busy:
+            self.busy.pop(address)
         if connection.release():
             self.idle.setdefault(address, []).append(connection)
 
+    def count_open(self, address: str) -> int:
+        """Return how many connections to a target are known to be open."""
+        connections = (
+            *self.idle.get(address, ()),
+            *self.busy.get(address, ()),
+        )
+        return sum(1 for one in connections if not one.is_closed)
+
     def prune(self, addresses: frozenset[str]) -> None:
         """Close expired connections and those to other addresses."""
         now = boot_time()
@@ -393,6 +404,16 @@
             if not kept:
                 self.idle.pop(address)
 
+    def _pop_idle(self, address: str) -> Connection | None:
+        now = boot_time()
+        idle = self.idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable(now):
+                return connection
+            connection.close()
+        return None
+
     async def _connect(self, address: str) -> Connection:
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
--- a/lab/platform_world.py
+++ b/lab/platform_world.py
@@ -155,6 +155,8 @@
         Runs the stand-ins.
     store : PlatformStore
     replicas : dict of str to Replica
+    listeners : dict of str to CancelScope
+        Cancelling one closes the listening socket of that replica.
     hosts : dict of str to Host
         The last process of each host.
     hosts_by_port : dict of int to Host
@@ -170,6 +172,7 @@
     group: TaskGroup
     store: PlatformStore = field(default_factory=PlatformStore)
     replicas: dict[str, Replica] = field(default_factory=dict)
+    listeners: dict[str, anyio.CancelScope] = field(default_factory=dict)
     hosts: dict[str, Host] = field(default_factory=dict)
     hosts_by_port: dict[int, Host] = field(default_factory=dict)
     store_address: str = ''
@@ -199,17 +202,19 @@
             name, service, models=loaded, sizes=dict(MODEL_SIZES_GB)
         )
 
-        async def serve(stream: SocketStream) -> None:
-            with contextlib.suppress(
-                anyio.BrokenResourceError, anyio.ClosedResourceError
-            ):
-                await serve_replica(replica, stream)
-
-        replica.address = await listen(serve, self.group)
         self.replicas[name] = replica
-        self.store.put('keyed.servers', name, replica.entry())
+        await self._start_replica(replica)
         return replica
 
+    def crash_replica(self, replica: Replica, down_s: float) -> None:
+        """End a replica's process; it starts again empty after `down_s`.
+
+        Its port refuses connections until then.
+        """
+        replica.crash()
+        self.listeners.pop(replica.name).cancel()
+        self.group.start_soon(self._restart_replica, replica, down_s)
+
     def launch(self, name: str, **environment: str) -> Host:
         """Start a host process on free ports."""
         first = allocate_ports(24)
@@ -346,6 +351,26 @@
                 host.process.send_signal(signal.SIGKILL)
             host.process.wait()
 
+    async def _restart_replica(self, replica: Replica, down_s: float) -> None:
+        await anyio.sleep(down_s)
+        replica.restart()
+        _, _, port = replica.address.partition(':')
+        await self._start_replica(replica, int(port))
+
+    async def _start_replica(self, replica: Replica, port: int = 0) -> None:
+        """Serve connections to a replica, and announce it."""
+
+        async def serve(stream: SocketStream) -> None:
+            with contextlib.suppress(
+                anyio.BrokenResourceError, anyio.ClosedResourceError
+            ):
+                await serve_replica(replica, stream)
+
+        scope = anyio.CancelScope()
+        replica.address = await listen(serve, self.group, port, scope)
+        self.listeners[replica.name] = scope
+        self.store.put('keyed.servers', replica.name, replica.entry())
+
 
 def run_scenario(
     folder: object,
--- a/lab/standin_replica.py
+++ b/lab/standin_replica.py
@@ -175,6 +175,14 @@
         for scope in self.connections:
             scope.cancel()
 
+    def restart(self) -> None:
+        """Start a new incarnation, which holds the models of the first."""
+        self.is_down = False
+        self.born = int(time.time() * MS_PER_S)
+        self.orders = []
+        self.fence = 0
+        self.in_use.clear()
+
     def _has_loaded(self, model_name: str) -> bool:
         model, _, adapter = model_name.partition('/')
         if not model or self.models is None:
@@ -245,9 +253,22 @@
 async def listen(
     handler: Callable[[SocketStream], Awaitable[None]],
     group: anyio.abc.TaskGroup,
+    port: int = 0,
+    scope: anyio.CancelScope | None = None,
 ) -> str:
-    """Serve connections on a free port on loopback; return ip:port."""
-    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    group.start_soon(listener.serve, handler)
-    return f'127.0.0.1:{port}'
+    """Serve connections on a port on loopback; return ip:port.
+
+    Port 0 means a free port. Cancelling `scope` closes the listening socket.
+    """
+    listener = await anyio.create_tcp_listener(
+        local_host='127.0.0.1', local_port=port
+    )
+    bound_port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+    async def serve() -> None:
+        async with listener:
+            with scope or anyio.CancelScope():
+                await listener.serve(handler)
+
+    group.start_soon(serve)
+    return f'127.0.0.1:{bound_port}'
