A request that crashes targets is sent on and on: failing test

Two real hosts before stand-ins: 30 repeats of one request, each at the next host, crash 30 targets; 18 later than 3 s after the third crash.

--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,70 @@
+"""Requests that crash targets, sent to real hosts by callers that repeat."""
+
+import anyio
+
+from lab.platform_world import run_scenario
+
+DEADLY_BODY = b'deadly'
+# Longest time that a target of these tests is down after a crash.
+DOWN_S = 0.6
+# Time within which hosts learn of each other's observations, by the users'
+# bound `contactMs`.
+CONTACT_S = 3.0
+# The most retries of a request that has crashed three targets that may reach
+# a target after that time, by the users' rule.
+MAX_LATE_RETRIES = 3
+
+
+def crash_on(world, is_deadly):
+    """Make every target crash when it runs a deadly request.
+
+    Returns
+    -------
+    list of (float, str)
+        Filled with the time and the target of each crash.
+    """
+    crashes = []
+
+    def behave_as(replica):
+        async def behave(request):
+            if not is_deadly(request):
+                return replica.run(request)
+            crashes.append((anyio.current_time(), replica.name))
+            world.crash_replica(replica, DOWN_S)
+            await anyio.sleep_forever()
+
+        return behave
+
+    for replica in world.replicas.values():
+        replica.behave = behave_as(replica)
+    return crashes
+
+
+def count_late_retries(crashes):
+    """Count deadly requests that came after the bound of the users' rule."""
+    if len(crashes) < 3:
+        return 0
+    since = crashes[2][0] + CONTACT_S
+    return sum(1 for crashed_at, _ in crashes if crashed_at > since)
+
+
+def test_a_request_that_crashed_three_targets_is_not_sent_on_by_any_host(
+    tmp_path,
+):
+    def is_deadly(request):
+        return request.body == DEADLY_BODY
+
+    async def scenario(world):
+        crashes = crash_on(world, is_deadly)
+        hosts = list(world.hosts.values())
+        for number in range(30):
+            await world.ask(
+                hosts[number % len(hosts)], '/look/1', body=DEADLY_BODY
+            )
+            await anyio.sleep(0.3)
+        late = count_late_retries(crashes)
+        assert late <= MAX_LATE_RETRIES
+        sound = await world.ask(hosts[0], '/look/1', body=b'sound')
+        assert sound.status == 200
+
+    run_scenario(tmp_path, scenario, ('host-1', 'host-2'))
