--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,7 +9,8 @@
     'adapterloads following gateway gossip holderlink hostfeeds '
     'attempts hostprocess leadership linelog ordering provisioning '
     'proxying roster '
-    'charging supervision targeting platform/assembly'
+    'charging crashdetector crashguard supervision targeting '
+    'platform/assembly'
 ).split()
 EVENT = re.compile(
     r"(?:\blog|self\._add)\(\s*'(\w+)'|'(orders_\w+)' (?:if|else)|"
