--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -5,7 +5,7 @@
 import anyio
 
 from .clock import boot_time
-from .crashguard import CrashGuard, Exposure
+from .crashguard import CrashGuard, Exposure, Phase
 from .events import EventSplitter
 from .exceptions import TargetUnreachableError
 from .fingerprints import request_digest
@@ -146,6 +146,7 @@
                     sending.choice.expected_s,
                 )
         if verdict is Verdict.answer:
+            sending.exposure.phase = Phase.begun
             self.board.note_first_token(sending.run)
             return await self._forward_answer(
                 request, responder, progress, sending, head
@@ -193,6 +194,8 @@
             digest=format(request_digest(request), 'x'),
             target=sending.target.name,
             born=sending.target.announcement.born,
+            phase=sending.exposure.phase.value,
+            parts=_format_parts(request),
             after_s=boot_time() - sending.sent_at,
             open_connections=self.pool.count_open(address),
         )
@@ -417,6 +420,13 @@
     )
 
 
+def _format_parts(request: AdmittedRequest) -> str | None:
+    """Return the ids of the parts of a prompt, for the log."""
+    if request.generation is None:
+        return None
+    return ','.join(one.part_id for one in request.generation.prefix)
+
+
 def _attempt_timeout_s(
     request: AdmittedRequest, progress: Progress
 ) -> float | None:
--- a/ebonywell/crashguard.py
+++ b/ebonywell/crashguard.py
@@ -1,5 +1,6 @@
 """Keeps requests that crash targets from being sent again and again."""
 
+import enum
 import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -33,6 +34,24 @@
 _UNAVAILABLE = 503
 
 
+class Phase(enum.StrEnum):
+    """How far a target has come with a request.
+
+    Attributes
+    ----------
+    waiting
+        It has answered nothing. It may be running the request.
+    begun
+        It has begun to answer.
+    survived
+        It has answered so much that the request will not crash it.
+    """
+
+    waiting = 'waiting'
+    begun = 'begun'
+    survived = 'survived'
+
+
 @dataclass(slots=True, eq=False)
 class Exposure:
     """One attempt of a request, which the target may not survive.
@@ -43,14 +62,13 @@
     target : KnownTarget
     trial : frozenset of int
         Traits for which the attempt is a trial; empty if it is none.
-    is_survived : bool
-        Whether the target has answered and so survived the request.
+    phase : Phase
     """
 
     request: AdmittedRequest
     target: KnownTarget
     trial: Traits = NO_TRAITS
-    is_survived: bool = False
+    phase: Phase = Phase.waiting
 
 
 @dataclass(slots=True)
@@ -136,9 +154,9 @@
 
     def note_survived(self, exposure: Exposure) -> None:
         """Record that the target has answered, which clears the request."""
-        if exposure.is_survived:
+        if exposure.phase is Phase.survived:
             return
-        exposure.is_survived = True
+        exposure.phase = Phase.survived
         if self.table.is_empty:
             return
         touched = self.table.clear(request_traits(exposure.request))
@@ -153,7 +171,7 @@
 
     def note_broken(self, exposure: Exposure) -> Breakage | None:
         """Record that the connection to the target broke."""
-        if exposure.is_survived or self.detector is None:
+        if exposure.phase is Phase.survived or self.detector is None:
             return None
         return self.detector.note_broken(
             exposure.target,
