--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -129,3 +129,53 @@
 
     world = simulate(monkeypatch, scenario, hosts=3, digest_period_s=10)
     assert world.late_sends(3) <= 3
+
+
+def is_deadly_part(request):
+    return any(one.part_id == 'deadly' for one in request.generation.prefix)
+
+
+async def mix_parts(world, seconds, *, deadly_share=0.05, per_s=30):
+    """Send prompts of shared parts, some of them with the deadly one."""
+    rng = world.rng
+    results = []
+
+    async def ask(request):
+        asked_at = anyio.current_time()
+        result = await world.pick_host().ask(request)
+        results.append((asked_at, request, result))
+
+    for number in range(int(seconds * per_s)):
+        system = f'system-{int(3 * rng.random() ** 2)}'
+        subject = f'subject-{int(90 * rng.random() ** 2)}'
+        parts = (system, subject, f'own-{number}')
+        if rng.random() < deadly_share:
+            parts = ('system-0', 'subject-0', 'deadly', f'own-{number}')
+        body = b'%d' % number
+        world.group.start_soon(ask, make_request(body, parts))
+        await anyio.sleep(rng.expovariate(per_s))
+    await anyio.sleep(10)
+    return results
+
+
+@pytest.mark.parametrize('seed', range(6))
+@pytest.mark.parametrize('loss', [0, 0.2])
+def test_a_deadly_part_crashes_few_targets_and_sound_prompts_are_served(
+    monkeypatch, seed, loss
+):
+    async def scenario(world):
+        world.is_deadly = is_deadly_part
+        began = anyio.current_time()
+        results = await mix_parts(world, 20)
+        sound = [
+            (asked_at, result)
+            for asked_at, request, result in results
+            if not is_deadly_part(request)
+        ]
+        late = [result for asked_at, result in sound if asked_at > began + 8]
+        assert late.count('answered') >= len(late) * 0.97
+        assert len(late) > 200
+
+    world = simulate(monkeypatch, scenario, seed=seed, loss=loss)
+    assert world.late_sends(5) <= 3
+    assert len(world.crashes) <= 5
