Quarantine parts of prompts that crash targets

Cause: the evidence knew whole requests only, of which no two were alike, and counted all that was in flight alike.

Change: the parts of a prompt, except the last, are traits beside the digest of the request, in the same table. Where a target had just begun to answer some requests, only these are candidates; two such crashes convict without a trial. What is in flight on targets that have survived it is cleared at once, and a part that always came with the guilty one by the first sound answer. Requests that wait at targets are withdrawn when the verdict comes.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -5,9 +5,10 @@
 import anyio
 
 from .clock import boot_time
-from .crashguard import CrashGuard, Exposure, Phase
+from .crashguard import CrashGuard
 from .events import EventSplitter
 from .exceptions import TargetUnreachableError
+from .exposures import Exposure, Phase
 from .fingerprints import request_digest
 from .health import HealthTracker
 from .inbound import AdmittedRequest, Responder
@@ -94,14 +95,16 @@
         run = _make_run(request, choice)
         with self.board.running(run):
             connection = await self._connect(target)
-            exposure = Exposure(request, target, progress.trial)
             try:
-                return await self._exchange(
-                    request,
-                    responder,
-                    progress,
-                    Sending(target, choice, run, connection, exposure),
-                )
+                with self.guard.exposures.track(
+                    request, target, progress.trial
+                ) as exposure:
+                    return await self._exchange(
+                        request,
+                        responder,
+                        progress,
+                        Sending(target, choice, run, connection, exposure),
+                    )
             finally:
                 self.pool.release(target.announcement.address, connection)
 
--- a/ebonywell/blame.py
+++ b/ebonywell/blame.py
@@ -1,14 +1,19 @@
 """Decides which requests are to blame for crashes of targets.
 
-A request is known by its traits, numbers that it shares with every repeat of
-it. Each crash is evidence against the traits of all requests that were in
-flight on the target, and most of them are innocent. A trait is blamed only if
-it explains several crashes and one of them was a trial: several targets that
-fail at the same moment are no evidence against what ran on all of them. It is
-cleared by a request that has it and is answered. All functions are pure; hosts
-that know the same crashes blame the same traits.
+A request is known by its traits: numbers that it shares with every repeat of
+it, and with other requests that have a part of the prompt in common. Each crash
+is evidence against the traits of all requests that were in flight on the
+target, and most of them are innocent. If the target had just begun to answer
+some of them, the others are left out.
+
+A trait is blamed only if it explains several crashes, and if one of these was a
+trial or all came as the target began to answer: several targets that fail at
+the same moment are no evidence against what ran on all of them. It is cleared
+by a request that has it and is answered. All functions are pure; hosts that
+know the same crashes blame the same traits.
 """
 
+import collections
 import enum
 import math
 from collections.abc import Set
@@ -16,6 +21,10 @@
 
 # Crashes that one trait explains before requests with it are rejected.
 CRASHES_TO_QUARANTINE = 2
+# Strength of the evidence that convicts. A crash counts as one if the target
+# had just begun to answer, as this much if it was a trial, and else as nothing.
+CONVICTING_STRENGTH = 2
+TRIAL_STRENGTH = 2
 # A quarantine ends with a trial. Each crash of a trial makes the next
 # quarantine longer by this factor.
 QUARANTINE_S = 60.0
@@ -71,6 +80,8 @@
         Traits of the requests that may have caused it.
     tried : set of int
         Those of `traits` whose request was in a trial.
+    begun : set of int
+        Those of `traits` whose request the target had just begun to answer.
     cleared : set of int
         Those of `traits` that have been cleared since.
     """
@@ -78,21 +89,29 @@
     noted_at: float
     traits: set[int] = field(default_factory=set)
     tried: set[int] = field(default_factory=set)
+    begun: set[int] = field(default_factory=set)
     cleared: set[int] = field(default_factory=set)
 
     @property
     def candidates(self) -> set[int]:
         """Traits that may still be to blame."""
-        return self.traits - self.cleared
+        return (self.begun or self.traits) - self.cleared
 
     def merge(self, other: 'Crash') -> bool:
         """Add what another host knows; return whether anything is new."""
-        before = (len(self.traits), len(self.tried), len(self.cleared))
-        room = MAX_TRAITS - len(self.traits)
-        self.traits.update(sorted(other.traits - self.traits)[:room])
+        before = self._size()
+        # The strongest evidence first, since the room is bounded.
+        for found in other.begun, other.tried, other.traits:
+            room = MAX_TRAITS - len(self.traits)
+            self.traits.update(sorted(found - self.traits)[:room])
         self.tried |= other.tried & self.traits
+        self.begun |= other.begun & self.traits
         self.cleared |= other.cleared & self.traits
-        return before != (len(self.traits), len(self.tried), len(self.cleared))
+        return before != self._size()
+
+    def _size(self) -> tuple[int, ...]:
+        sets = (self.traits, self.tried, self.begun, self.cleared)
+        return tuple(map(len, sets))
 
 
 @dataclass(slots=True)
@@ -253,18 +272,22 @@
 def _find_verdict(crashes: dict[CrashId, Crash]) -> Verdict | None:
     """Return the traits that explain the most crashes, None if there are none.
 
-    One crash convicts no trait, nor do several without a trial.
+    One crash convicts no trait, nor do several without strong evidence.
     """
     explained: dict[int, set[CrashId]] = {}
-    tried: set[int] = set()
+    strength: collections.Counter[int] = collections.Counter()
     for crash_id, crash in crashes.items():
-        tried |= crash.tried
         for candidate in crash.candidates:
             explained.setdefault(candidate, set()).add(crash_id)
+            if candidate in crash.tried:
+                strength[candidate] += TRIAL_STRENGTH
+            elif candidate in crash.begun:
+                strength[candidate] += 1
     convictable = {
         trait: found
         for trait, found in explained.items()
-        if trait in tried and len(found) >= CRASHES_TO_QUARANTINE
+        if len(found) >= CRASHES_TO_QUARANTINE
+        and strength[trait] >= CONVICTING_STRENGTH
     }
     if not convictable:
         return None
--- a/ebonywell/crashdetector.py
+++ b/ebonywell/crashdetector.py
@@ -72,16 +72,14 @@
                     started.add(crash_id)
                     group.start_soon(self._settle, crash_id)
 
-    def note_broken(
-        self, target: KnownTarget, traits: set[int], tried: set[int]
-    ) -> Breakage:
-        """Record a broken exchange, and what its request may be blamed for."""
+    def note_broken(self, target: KnownTarget, evidence: Crash) -> Breakage:
+        """Record a broken exchange, as evidence if it was a crash."""
         breakage = self.breakages.get(target.incarnation)
         if breakage is None:
             breakage = Breakage(target, Crash(boot_time()))
             self.breakages[target.incarnation] = breakage
             self.noticed.set()
-        breakage.crash.merge(Crash(0, traits, tried))
+        breakage.crash.merge(evidence)
         return breakage
 
     async def _settle(self, crash_id: CrashId) -> None:
--- a/ebonywell/crashguard.py
+++ b/ebonywell/crashguard.py
@@ -1,7 +1,5 @@
 """Keeps requests that crash targets from being sent again and again."""
 
-import enum
-import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -10,10 +8,11 @@
 from .blame import NO_TRAITS, BlameTable, Crash, CrashId, Standing, Traits
 from .clock import boot_time
 from .crashdetector import Breakage, CrashDetector
+from .crashreports import make_messages, read_evidence
 from .digests import CrashMessage, Message, TrialMessage
+from .exposures import Exposure, Exposures, Phase
 from .fingerprints import request_traits
 from .inbound import AdmittedRequest, RejectionError
-from .inventory import KnownTarget
 from .logs import Logger
 from .metrics import Metrics
 from .overload import max_wait_s
@@ -24,8 +23,6 @@
 RECHECK_INTERVAL_S = 0.02
 # Time after which a caller whose request waited for a trial should retry.
 SUSPECT_RETRY_S = 1.0
-# Traits per message, so that it fits in a datagram.
-TRAITS_PER_MESSAGE = 64
 # Reason that is reported for a quarantined request.
 CRASHES_TARGETS = 'crashes_targets'
 # A status after which callers do not retry. Others promise that the request
@@ -34,41 +31,8 @@
 _UNAVAILABLE = 503
 
 
-class Phase(enum.StrEnum):
-    """How far a target has come with a request.
-
-    Attributes
-    ----------
-    waiting
-        It has answered nothing. It may be running the request.
-    begun
-        It has begun to answer.
-    survived
-        It has answered so much that the request will not crash it.
-    """
-
-    waiting = 'waiting'
-    begun = 'begun'
-    survived = 'survived'
-
-
-@dataclass(slots=True, eq=False)
-class Exposure:
-    """One attempt of a request, which the target may not survive.
-
-    Attributes
-    ----------
-    request : AdmittedRequest
-    target : KnownTarget
-    trial : frozenset of int
-        Traits for which the attempt is a trial; empty if it is none.
-    phase : Phase
-    """
-
-    request: AdmittedRequest
-    target: KnownTarget
-    trial: Traits = NO_TRAITS
-    phase: Phase = Phase.waiting
+def _do_nothing() -> None:
+    """Do nothing; the default of `CrashGuard.on_quarantine`."""
 
 
 @dataclass(slots=True)
@@ -76,8 +40,8 @@
     """Holds back requests that are to blame for crashes of targets.
 
     Hosts tell each other of crashes, of requests that were answered, and of
-    the trials that they run. Nothing is kept per request while no target
-    crashes.
+    the trials that they run. Nothing is counted per request or part while no
+    target crashes; the attempts in flight are searched after a crash.
 
     Attributes
     ----------
@@ -88,6 +52,10 @@
     claims : TrialClaims
     detector : CrashDetector or None
         Set once the connections to targets exist.
+    exposures : Exposures
+        Attempts in flight.
+    on_quarantine : callable
+        Called when requests that are in flight may have to be stopped.
     """
 
     own_name: str
@@ -97,6 +65,8 @@
     table: BlameTable = field(default_factory=BlameTable)
     claims: TrialClaims = field(default_factory=TrialClaims)
     detector: CrashDetector | None = None
+    exposures: Exposures = field(default_factory=Exposures)
+    on_quarantine: Callable[[], None] = _do_nothing
     reported: int = 0
 
     async def run(self) -> None:
@@ -152,6 +122,13 @@
                 TrialMessage(self.own_name, tuple(trial), is_over=True)
             )
 
+    def is_quarantined(self, request: AdmittedRequest) -> bool:
+        """Return whether a request would be rejected now."""
+        if not self.table.verdicts:
+            return False
+        standing = self.table.standing(request_traits(request), boot_time())
+        return standing is Standing.quarantined
+
     def note_survived(self, exposure: Exposure) -> None:
         """Record that the target has answered, which clears the request."""
         if exposure.phase is Phase.survived:
@@ -159,10 +136,7 @@
         exposure.phase = Phase.survived
         if self.table.is_empty:
             return
-        touched = self.table.clear(request_traits(exposure.request))
-        for crash_id in touched:
-            self._send_crash(crash_id)
-        if touched:
+        if self._clear(exposure):
             self.log(
                 'suspect_cleared',
                 request=exposure.request.request_id,
@@ -173,11 +147,11 @@
         """Record that the connection to the target broke."""
         if exposure.phase is Phase.survived or self.detector is None:
             return None
-        return self.detector.note_broken(
-            exposure.target,
-            set(request_traits(exposure.request)),
-            set(exposure.trial),
-        )
+        traits = set(request_traits(exposure.request))
+        evidence = Crash(boot_time(), traits, set(exposure.trial))
+        if exposure.phase is Phase.begun:
+            evidence.begun = traits
+        return self.detector.note_broken(exposure.target, evidence)
 
     def note_crash(self, crash_id: CrashId, crash: Crash) -> None:
         """Record a crash that this host has seen, and tell the others."""
@@ -189,12 +163,7 @@
         """Handle a message from another host."""
         now = boot_time()
         if isinstance(message, CrashMessage):
-            crash = Crash(
-                now - message.age_s,
-                set(message.traits),
-                set(message.tried),
-                set(message.cleared),
-            )
+            crash = read_evidence(message, now)
             self._merge((message.target, message.born), crash)
         elif message.is_over:
             self.claims.release(message.traits, message.sender)
@@ -209,7 +178,8 @@
         self.reported = (self.reported + 1) % len(crash_ids)
         order = (*crash_ids[self.reported :], *crash_ids[: self.reported])
         for crash_id in order:
-            yield from self._make_messages(crash_id)
+            crash = self.table.crashes[crash_id]
+            yield from make_messages(crash_id, crash, boot_time())
 
     def expire(self, now: float) -> None:
         """Forget evidence and claims that no longer count."""
@@ -249,6 +219,7 @@
         verdicts = {one.traits for one in self.table.verdicts}
         if not self.table.note_crash(crash_id, crash):
             return
+        self._clear_survivors()
         for verdict in self.table.verdicts:
             if verdict.traits not in verdicts:
                 self.log(
@@ -256,28 +227,25 @@
                     traits=_format_traits(verdict.traits),
                     crashes=len(verdict.crashes),
                 )
+                self.on_quarantine()
 
-    def _send_crash(self, crash_id: CrashId) -> None:
-        for message in self._make_messages(crash_id):
-            self.broadcast(message)
+    def _clear_survivors(self) -> None:
+        """Clear what is in flight on targets that have survived it."""
+        for exposure in self.exposures.in_flight:
+            if exposure.phase is Phase.survived:
+                self._clear(exposure)
 
-    def _make_messages(self, crash_id: CrashId) -> Iterator[CrashMessage]:
+    def _clear(self, exposure: Exposure) -> bool:
+        touched = self.table.clear(request_traits(exposure.request))
+        for crash_id in touched:
+            self._send_crash(crash_id)
+        return bool(touched)
+
+    def _send_crash(self, crash_id: CrashId) -> None:
         crash = self.table.crashes.get(crash_id)
-        if crash is None:
-            return
-        # Those in a trial first, since a datagram may be lost.
-        traits = sorted(crash.traits, key=lambda one: one not in crash.tried)
-        age_s = boot_time() - crash.noted_at
-        for part in range(math.ceil(len(traits) / TRAITS_PER_MESSAGE)):
-            start = part * TRAITS_PER_MESSAGE
-            chunk = traits[start : start + TRAITS_PER_MESSAGE]
-            yield CrashMessage(
-                *crash_id,
-                age_s,
-                tuple(chunk),
-                tuple(crash.tried.intersection(chunk)),
-                tuple(crash.cleared.intersection(chunk)),
-            )
+        if crash is not None:
+            for message in make_messages(crash_id, crash, boot_time()):
+                self.broadcast(message)
 
 
 def _is_rejected(standing: Standing, *, is_claimed: bool) -> bool:
--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -124,7 +124,7 @@
     born : int
     age_s : float
         Time since the crash was noted, in seconds.
-    traits, tried, cleared : tuple of int
+    traits, tried, begun, cleared : tuple of int
     """
 
     target: str
@@ -132,6 +132,7 @@
     age_s: float
     traits: tuple[int, ...] = ()
     tried: tuple[int, ...] = ()
+    begun: tuple[int, ...] = ()
     cleared: tuple[int, ...] = ()
 
 
--- a/ebonywell/fingerprints.py
+++ b/ebonywell/fingerprints.py
@@ -1,4 +1,4 @@
-"""Identifies requests that are sent again, whichever host receives them."""
+"""Numbers that a request has in common with its repeats and its like."""
 
 import xxhash
 
@@ -22,5 +22,13 @@
 
 
 def request_traits(request: AdmittedRequest) -> frozenset[int]:
-    """Return the numbers by which crashes are traced to a request."""
-    return frozenset((request_digest(request),))
+    """Return the numbers by which crashes are traced to a request.
+
+    These are its digest and one number for each part of its prompt, except the
+    last part, which belongs to this request or its session.
+    """
+    traits = {request_digest(request)}
+    if request.generation is not None:
+        for part in request.generation.prefix[:-1]:
+            traits.add(int(xxhash.xxh64_intdigest(part.part_id.encode())))
+    return frozenset(traits)
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -8,7 +8,7 @@
 import anyio
 
 from .clock import boot_time
-from .crashguard import CrashGuard
+from .crashguard import CRASHES_TARGETS, CrashGuard
 from .inbound import AdmittedRequest, Charge, RejectionError, Responder
 from .intake import Intake, ReceivedRequest
 from .inventory import KnownTarget
@@ -33,6 +33,7 @@
 # If loading an adapter on the best target takes longer, the request goes to a
 # target that already has it.
 ADAPTER_WAIT_S = 0.25
+_BAD_REQUEST = 400
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -137,6 +138,16 @@
             active.cancel_reason = 'stopped'
             active.scope.cancel()
 
+    def stop_quarantined(self) -> None:
+        """Cancel requests that have been found to crash targets.
+
+        Targets drop those that they have not begun to run.
+        """
+        for active in self.active.values():
+            if self.guard.is_quarantined(active.request):
+                active.cancel_reason = CRASHES_TARGETS
+                active.scope.cancel()
+
     def _admit(self, received: ReceivedRequest) -> AdmittedRequest:
         request = self.intake.admit(received)
         if self.shutdown.may_serve(boot_time(), request.deadline):
@@ -380,6 +391,8 @@
 def _end_cancelled(progress: Progress, reason: str) -> Outcome:
     if progress.is_started:
         return Outcome(0, f'cut_{reason}')
+    if reason == CRASHES_TARGETS:
+        raise RejectionError(_BAD_REQUEST, reason)
     if progress.may_run or progress.is_pending:
         raise RejectionError(_GATEWAY_TIMEOUT, reason)
     raise RejectionError(_UNAVAILABLE, reason)
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -76,7 +76,7 @@
         guard,
         observers.log,
     )
-    return Gateway(
+    gateway = Gateway(
         known.intake,
         targeting,
         proxy,
@@ -87,3 +87,5 @@
         observers.log,
         observers.metrics,
     )
+    guard.on_quarantine = gateway.stop_quarantined
+    return gateway
--- a/tests/guardworld.py
+++ b/tests/guardworld.py
@@ -8,8 +8,9 @@
 
 from ebonywell.blame import NO_TRAITS
 from ebonywell.crashdetector import CrashDetector
-from ebonywell.crashguard import CrashGuard, Exposure
+from ebonywell.crashguard import CrashGuard
 from ebonywell.digests import decode_message, encode_message
+from ebonywell.exposures import Phase
 from ebonywell.gossip import DIGEST_PERIOD_S, MAX_DATAGRAM_BYTES
 from ebonywell.inbound import (
     AdmittedRequest,
@@ -117,13 +118,19 @@
         if target is None:
             return 'no_target'
         world = self.world
-        exposure = Exposure(request, target.known, trial)
         is_deadly = world.is_deadly(request)
         if is_deadly:
             world.deadly_sends.append(anyio.current_time())
-        with anyio.CancelScope() as scope:
+        with (
+            self.guard.exposures.track(
+                request, target.known, trial
+            ) as exposure,
+            anyio.CancelScope() as scope,
+        ):
             target.running[exposure] = scope
             await anyio.sleep(world.rng.uniform(*QUEUE_S))
+            if request.generation is not None:
+                exposure.phase = Phase.begun
             if is_deadly:
                 world.crash(target)
             await anyio.sleep(PART_S)
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -19,7 +19,7 @@
 
 
 def crash(traits, at=0.0, tried=(), cleared=()):
-    return Crash(at, set(traits), set(tried), set(cleared))
+    return Crash(at, set(traits), tried=set(tried), cleared=set(cleared))
 
 
 def standing(table, *traits, now=1.0):
