Take a stream without a length as cut if it ends inside an event

What callers saw: a stream that a target sends with neither a length nor chunks ended as complete, whatever had arrived when its connection closed, even nothing.

Cause: the close of the connection was taken for the end of the answer, and the beginning of an event was passed on with it. Now such a stream is whole only if its last bytes completed an event; else it is resumed at another target where that is allowed, or left visibly incomplete.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -6,7 +6,7 @@
 
 from .clock import boot_time
 from .crashguard import CrashGuard
-from .events import EventSplitter
+from .events import EventBoundary, EventSplitter
 from .exceptions import TargetUnreachableError
 from .exposures import Exposure, Phase
 from .fingerprints import request_digest
@@ -340,14 +340,17 @@
             await responder.start(head.status, self.format.answer_headers(head))
             progress.is_started = True
         received_parts = 0
+        boundary = EventBoundary()
         part = await sending.connection.receive(exchange)
         while isinstance(part, bytes):
             received_parts += 1
+            boundary.feed(part)
             if received_parts == PARTS_TO_SURVIVE:
                 self.guard.note_survived(sending.exposure)
             await _forward_events(responder, progress, part)
             part = await sending.connection.receive(exchange)
-        if part is Ending.broken:
+        is_cut = part is Ending.closed and not boundary.is_reached
+        if part is Ending.broken or is_cut:
             self._record_broken_stream(sending, progress)
             raise self._note_broken(request, progress, sending, 'stream_broken')
         self.guard.note_survived(sending.exposure)
--- a/ebonywell/events.py
+++ b/ebonywell/events.py
@@ -3,10 +3,34 @@
 from dataclasses import dataclass
 
 _END = b'\n\n'
+# Length of an end of event with carriage returns.
+_TAIL_BYTES = 4
 _ID = b'id:'
 _NEXT_ID = b'\nid:'
 
 
+@dataclass(slots=True)
+class EventBoundary:
+    """Tells whether a stream has ended between two events.
+
+    Attributes
+    ----------
+    tail : bytes
+        The last bytes of the stream.
+    """
+
+    tail: bytes = b''
+
+    def feed(self, body: bytes) -> None:
+        """Add bytes of the stream."""
+        self.tail = (self.tail + body)[-_TAIL_BYTES:]
+
+    @property
+    def is_reached(self) -> bool:
+        """Whether the last bytes completed an event."""
+        return self.tail.replace(b'\r\n', b'\n').endswith(_END)
+
+
 @dataclass(slots=True)
 class EventSplitter:
     """Splits a resumable stream into whole events.
