Deadly parts at real hosts, and room for strong evidence of a crash

A record of a crash that is full of weak evidence takes strong evidence in its place: a target with many queued requests could have hidden the guilty one.

--- a/ebonywell/blame.py
+++ b/ebonywell/blame.py
@@ -100,22 +100,31 @@
     def merge(self, other: 'Crash') -> bool:
         """Add what another host knows; return whether anything is new."""
         before = self._size()
-        # The strongest evidence first, since the room is bounded.
         for found in other.begun, other.tried, other.traits:
             room = MAX_TRAITS - len(self.traits)
+            if found is not other.traits:
+                # Strong evidence replaces weak evidence.
+                self._make_room(len(found - self.traits) - room)
+                room = MAX_TRAITS - len(self.traits)
             self.traits.update(sorted(found - self.traits)[:room])
         self.tried |= other.tried & self.traits
         self.begun |= other.begun & self.traits
         self.cleared |= other.cleared & self.traits
         return before != self._size()
 
+    def _make_room(self, wanted: int) -> None:
+        """Drop as many traits as wanted with nothing but weak evidence."""
+        weak = sorted(self.traits - self.tried - self.begun)
+        self.traits.difference_update(weak[: max(0, wanted)])
+        self.cleared &= self.traits
+
     def _size(self) -> tuple[int, ...]:
         sets = (self.traits, self.tried, self.begun, self.cleared)
         return tuple(map(len, sets))
 
 
 @dataclass(slots=True)
-class Verdict:
+class Conviction:
     """Traits that explain the same crashes; at least one of them is to blame.
 
     Attributes
@@ -142,15 +151,15 @@
     ----------
     crashes : dict of CrashId to Crash
         The oldest comes first.
-    verdicts : list of Verdict
+    convictions : list of Conviction
     suspects : set of int
-        Traits that may be to blame for a crash that no verdict explains.
+        Traits that may be to blame for a crash that no conviction explains.
     wanted_at : dict of int to float
         When a request was last rejected for a trait.
     """
 
     crashes: dict[CrashId, Crash] = field(default_factory=dict)
-    verdicts: list[Verdict] = field(default_factory=list)
+    convictions: list[Conviction] = field(default_factory=list)
     suspects: set[int] = field(default_factory=set)
     wanted_at: dict[int, float] = field(default_factory=dict)
 
@@ -191,21 +200,21 @@
         standing = Standing.clear
         if traits & self.suspects:
             standing = Standing.suspect
-        for verdict in self.verdicts:
-            if verdict.traits <= traits:
-                if verdict.is_quarantined(now):
+        for conviction in self.convictions:
+            if conviction.traits <= traits:
+                if conviction.is_quarantined(now):
                     return Standing.quarantined
                 standing = Standing.retrial
-            elif verdict.traits & traits and standing is Standing.clear:
-                # Another of the verdict's traits may be the one to blame.
+            elif conviction.traits & traits and standing is Standing.clear:
+                # Another of the conviction's traits may be the one to blame.
                 standing = Standing.suspect
         return standing
 
     def blamed(self, traits: Traits) -> Traits:
         """Return those traits of a request that are held against it."""
         found = set(traits & self.suspects)
-        for verdict in self.verdicts:
-            found |= verdict.traits & traits
+        for conviction in self.convictions:
+            found |= conviction.traits & traits
         return frozenset(found)
 
     def note_rejected(self, traits: Traits, now: float) -> None:
@@ -215,7 +224,7 @@
 
     def expire(self, now: float) -> None:
         """Forget crashes that no longer matter."""
-        explained = {one for each in self.verdicts for one in each.crashes}
+        explained = {one for each in self.convictions for one in each.crashes}
         expired = [
             crash_id
             for crash_id, crash in self.crashes.items()
@@ -232,7 +241,7 @@
 
     def _drop_excess(self) -> None:
         """Drop old crashes over the bound, those that convict nobody first."""
-        explained = {one for each in self.verdicts for one in each.crashes}
+        explained = {one for each in self.convictions for one in each.crashes}
         while len(self.crashes) > MAX_CRASHES:
             unexplained = (one for one in self.crashes if one not in explained)
             self.crashes.pop(next(unexplained, next(iter(self.crashes))))
@@ -243,13 +252,13 @@
         A crash that one trait explains is no evidence against the others.
         """
         unexplained = dict(self.crashes)
-        self.verdicts = []
+        self.convictions = []
         while True:
-            verdict = _find_verdict(unexplained)
-            if verdict is None:
+            conviction = _find_conviction(unexplained)
+            if conviction is None:
                 break
-            self.verdicts.append(verdict)
-            for crash_id in verdict.crashes:
+            self.convictions.append(conviction)
+            for crash_id in conviction.crashes:
                 unexplained.pop(crash_id)
         self.suspects = {
             trait for one in unexplained.values() for trait in one.candidates
@@ -269,7 +278,7 @@
     return float(QUARANTINE_S * QUARANTINE_FACTOR**steps)
 
 
-def _find_verdict(crashes: dict[CrashId, Crash]) -> Verdict | None:
+def _find_conviction(crashes: dict[CrashId, Crash]) -> Conviction | None:
     """Return the traits that explain the most crashes, None if there are none.
 
     One crash convicts no trait, nor do several without strong evidence.
@@ -296,7 +305,7 @@
         trait for trait, found in convictable.items() if found == most
     )
     last_crash_at = max(crashes[one].noted_at for one in most)
-    return Verdict(alike, most, last_crash_at)
+    return Conviction(alike, most, last_crash_at)
 
 
 def _ttl_s(is_explained: bool) -> float:
--- a/ebonywell/crashguard.py
+++ b/ebonywell/crashguard.py
@@ -124,7 +124,7 @@
 
     def is_quarantined(self, request: AdmittedRequest) -> bool:
         """Return whether a request would be rejected now."""
-        if not self.table.verdicts:
+        if not self.table.convictions:
             return False
         standing = self.table.standing(request_traits(request), boot_time())
         return standing is Standing.quarantined
@@ -216,16 +216,16 @@
         return RejectionError(_BAD_REQUEST, CRASHES_TARGETS)
 
     def _merge(self, crash_id: CrashId, crash: Crash) -> None:
-        verdicts = {one.traits for one in self.table.verdicts}
+        known = {one.traits for one in self.table.convictions}
         if not self.table.note_crash(crash_id, crash):
             return
         self._clear_survivors()
-        for verdict in self.table.verdicts:
-            if verdict.traits not in verdicts:
+        for conviction in self.table.convictions:
+            if conviction.traits not in known:
                 self.log(
                     'quarantine_began',
-                    traits=_format_traits(verdict.traits),
-                    crashes=len(verdict.crashes),
+                    traits=_format_traits(conviction.traits),
+                    crashes=len(conviction.crashes),
                 )
                 self.on_quarantine()
 
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -18,8 +18,8 @@
 )
 
 
-def crash(traits, at=0.0, tried=(), cleared=()):
-    return Crash(at, set(traits), tried=set(tried), cleared=set(cleared))
+def crash(traits, at=0.0, tried=(), begun=(), cleared=()):
+    return Crash(at, set(traits), set(tried), set(begun), set(cleared))
 
 
 def standing(table, *traits, now=1.0):
@@ -127,3 +127,27 @@
     assert len(table.crashes) == MAX_CRASHES
     assert all(len(one.traits) <= MAX_TRAITS for one in table.crashes.values())
     assert standing(table, 1) is Standing.quarantined
+
+
+def test_what_a_target_had_just_begun_to_answer_is_blamed_before_the_rest(
+    table,
+):
+    table.note_crash(('t1', 1), crash({1, 2, 3}))
+    assert standing(table, 3) is Standing.suspect
+    table.note_crash(('t1', 1), crash({3}, begun={3}))
+    assert standing(table, 1) is Standing.clear
+    table.note_crash(('t2', 1), crash({3, 1}, begun={3}))
+    assert standing(table, 3) is Standing.quarantined
+    assert standing(table, 1) is Standing.clear
+
+
+def test_one_answer_just_begun_among_several_crashes_convicts_nobody(table):
+    table.note_crash(('t1', 1), crash({1}, begun={1}))
+    table.note_crash(('t2', 1), crash({1, 2}))
+    assert standing(table, 1) is Standing.suspect
+
+
+def test_a_full_record_of_a_crash_still_takes_the_strongest_evidence(table):
+    table.note_crash(('t1', 1), crash(range(100, 100 + MAX_TRAITS)))
+    table.note_crash(('t1', 1), crash({1}, begun={1}))
+    assert standing(table, 1) is Standing.suspect
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,5 +1,7 @@
 """Requests that crash targets, sent to real hosts by callers that repeat."""
 
+from dataclasses import replace
+
 import anyio
 
 from lab.platform_world import run_scenario
@@ -7,16 +9,19 @@
 DEADLY_BODY = b'deadly'
 # Longest time that a target of these tests is down after a crash.
 DOWN_S = 0.6
+HEAD_S = 0.01
 # Time within which hosts learn of each other's observations, by the users'
 # bound `contactMs`.
 CONTACT_S = 3.0
 # The most retries of a request that has crashed three targets that may reach
 # a target after that time, by the users' rule.
 MAX_LATE_RETRIES = 3
+# Crashes that a part of a prompt may cause before the users' rule holds.
+MAX_CRASHES = 5
 
 
 def crash_on(world, is_deadly):
-    """Make every target crash when it runs a deadly request.
+    """Make every target crash when it begins to answer a deadly request.
 
     Returns
     -------
@@ -25,13 +30,20 @@
     """
     crashes = []
 
+    async def crash(replica):
+        # The head of the answer arrives before the connection breaks.
+        await anyio.sleep(HEAD_S)
+        world.crash_replica(replica, DOWN_S)
+
     def behave_as(replica):
         async def behave(request):
             if not is_deadly(request):
                 return replica.run(request)
             crashes.append((anyio.current_time(), replica.name))
-            world.crash_replica(replica, DOWN_S)
-            await anyio.sleep_forever()
+            world.group.start_soon(crash, replica)
+            if replica.models is None:
+                await anyio.sleep_forever()
+            return replace(replica.run(request), gap_s=DOWN_S)
 
         return behave
 
@@ -68,3 +80,32 @@
         assert sound.status == 200
 
     run_scenario(tmp_path, scenario, ('host-1', 'host-2'))
+
+
+def test_a_part_that_crashed_five_targets_is_not_sent_on_by_any_host(tmp_path):
+    def is_deadly(request):
+        return ',dead:' in request.headers.get('prompt-prefix', '')
+
+    async def scenario(world):
+        crashes = crash_on(world, is_deadly)
+        hosts = list(world.hosts.values())
+        statuses = []
+        for number in range(30):
+            host = hosts[number % len(hosts)]
+            deadly = f'aa:50,bb:30,dead:10,{number:x}:10'
+            answer = await world.chat(
+                host, Prompt_Prefix=deadly, body=b'deadly %d' % number
+            )
+            statuses.append(answer.status)
+            await anyio.sleep(0.25)
+        assert len(crashes) <= MAX_CRASHES
+        assert set(statuses[-10:]) == {400}
+        for number, host in enumerate(hosts):
+            sound = f'aa:50,bb:30,{number:x}:20'
+            answer = await world.chat(
+                host, Prompt_Prefix=sound, body=b'sound %d' % number
+            )
+            assert answer.is_whole
+            assert answer.status == 200
+
+    run_scenario(tmp_path, scenario, ('host-1', 'host-2'))
