--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -144,3 +144,9 @@
     assert not table.trials
     expire(table, SUSPECT_TTL_S + 1)
     assert request_status(table, 'd') == RequestStatus.clear
+
+
+def test_targets_that_fail_together_quarantine_no_popular_request(table):
+    for target in 't1', 't2':
+        apply(table, RequestSuspected('popular', target, 'a'))
+    assert request_status(table, 'popular') == RequestStatus.suspect
