--- a/ebonywell/callattempts.py
+++ b/ebonywell/callattempts.py
@@ -162,7 +162,9 @@
     ) -> Failure | None:
         is_clear = False
         try:
-            failure = await self._attempt_on(opened, target, receiver)
+            failure = await self._attempt_on(
+                opened, target, receiver, is_trial=True
+            )
             is_clear = failure is None
         finally:
             self.quarantine.end_trial(
@@ -177,6 +179,8 @@
         opened: OpenCall,
         target: Target,
         receiver: AnswerReceiver,
+        *,
+        is_trial: bool = False,
     ) -> Failure | None:
         incarnation = target.report.incarnation if target.report else ''
         try:
@@ -196,8 +200,8 @@
             if receiver.is_started or not is_repeatable(opened.call):
                 # There is no retry, so the caller gets the error without
                 # waiting for the log.
-                self.quarantine.enqueue_break(*crash)
-            elif await self.quarantine.report_break(*crash):
+                self.quarantine.enqueue_break(*crash, is_trial=is_trial)
+            elif await self.quarantine.report_break(*crash, is_trial=is_trial):
                 self.observe(target, Ending.unreachable)
             return Failure.broken
         self.observe(target, Ending.answered)
--- a/ebonywell/quarantine.py
+++ b/ebonywell/quarantine.py
@@ -36,6 +36,7 @@
     digest: str
     target: Target
     incarnation: str
+    is_trial: bool
 
 
 class Quarantine:
@@ -93,11 +94,13 @@
         digest: str,
         target: Target,
         incarnation: str,
+        *,
+        is_trial: bool = False,
     ) -> None:
         """Queue the broken exchange of a call that is not retried."""
         try:
             self.breaks_sender.send_nowait(
-                _BrokenExchange(digest, target, incarnation)
+                _BrokenExchange(digest, target, incarnation, is_trial)
             )
         except anyio.WouldBlock:
             self.log('break_dropped', target=target.name)
@@ -166,6 +169,8 @@
         digest: str,
         target: Target,
         incarnation: str,
+        *,
+        is_trial: bool = False,
     ) -> bool:
         """Record the request as a suspect if its target crashed.
 
@@ -184,7 +189,7 @@
         if not is_crash(incarnation, reported):
             return False
         self.log('target_crashed', target=target.name, digest=digest)
-        record = RequestSuspected(digest, target.name, incarnation)
+        record = RequestSuspected(digest, target.name, incarnation, is_trial)
         self.unlogged[digest] = None
         try:
             await self.replica.append(record)
@@ -199,7 +204,10 @@
     async def _report_queued(self, broken: _BrokenExchange) -> None:
         try:
             await self.report_break(
-                broken.digest, broken.target, broken.incarnation
+                broken.digest,
+                broken.target,
+                broken.incarnation,
+                is_trial=broken.is_trial,
             )
         except RefusedError as refused:
             self.log('suspect_unlogged', reason=refused.refusal.code)
--- a/ebonywell/suspects.py
+++ b/ebonywell/suspects.py
@@ -1,7 +1,9 @@
 """The table of requests that were in flight on crashed targets.
 
 Such a request is a suspect. It may run again only alone on its target, in a
-trial, and is quarantined after `CRASHES_TO_QUARANTINE` crashes.
+trial, and is quarantined after `CRASHES_TO_QUARANTINE` crashes, one of which
+was a trial: targets that fail together are no evidence against what ran on all
+of them.
 """
 
 import enum
@@ -9,7 +11,8 @@
 
 import msgspec
 
-CRASHES_TO_QUARANTINE = 2
+from .blame import CRASHES_TO_QUARANTINE
+
 SUSPECT_TTL_S = 86400.0
 TRIAL_TTL_S = 900.0
 MAX_SUSPECTS = 20_000
@@ -25,11 +28,14 @@
     target : str
     incarnation : str
         Incarnation of the target, by which one crash is counted once.
+    is_trial : bool
+        Whether the request was on trial there.
     """
 
     digest: str
     target: str
     incarnation: str
+    is_trial: bool = False
 
 
 class RequestCleared(msgspec.Struct, frozen=True, tag='request_cleared'):
@@ -88,11 +94,14 @@
     since_s : float
         Time of the first suspicion by the log's time, in seconds.
     trial : Trial or None
+    is_tried : bool
+        Whether one of the crashes was a trial.
     """
 
     since_s: float
     crashes: list[str] = field(default_factory=list)
     trial: Trial | None = None
+    is_tried: bool = False
 
 
 @dataclass(slots=True)
@@ -128,7 +137,7 @@
     suspect = table.by_digest.get(digest)
     if suspect is None:
         return RequestStatus.clear
-    if len(suspect.crashes) >= CRASHES_TO_QUARANTINE:
+    if _is_quarantined(suspect):
         return RequestStatus.quarantined
     return RequestStatus.on_trial if suspect.trial else RequestStatus.suspect
 
@@ -194,13 +203,14 @@
     if crash in suspect.crashes or _is_quarantined(suspect):
         return False
     suspect.crashes.append(crash)
+    suspect.is_tried = suspect.is_tried or record.is_trial
     if _is_quarantined(suspect):
         _release_trial(table, suspect)
     return True
 
 
 def _is_quarantined(suspect: Suspect) -> bool:
-    return len(suspect.crashes) >= CRASHES_TO_QUARANTINE
+    return suspect.is_tried and len(suspect.crashes) >= CRASHES_TO_QUARANTINE
 
 
 def _clear_suspect(table: Suspects, digest: str) -> bool:
