Crash guard: report crashes with fewer digests, and three faults from review

From reading the change: evidence of an answer that had just begun was taken for weak where it was merged into a full record, as it shared its set with all traits; a detector that was started again left breakages waiting until the next one.

--- a/ebonywell/blame.py
+++ b/ebonywell/blame.py
@@ -100,22 +100,21 @@
     def merge(self, other: 'Crash') -> bool:
         """Add what another host knows; return whether anything is new."""
         before = self._size()
-        for found in other.begun, other.tried, other.traits:
+        strong = other.begun | other.tried
+        room = MAX_TRAITS - len(self.traits)
+        self._drop_weak(len(strong - self.traits) - room)
+        for found in strong, other.traits:
             room = MAX_TRAITS - len(self.traits)
-            if found is not other.traits:
-                # Strong evidence replaces weak evidence.
-                self._make_room(len(found - self.traits) - room)
-                room = MAX_TRAITS - len(self.traits)
             self.traits.update(sorted(found - self.traits)[:room])
         self.tried |= other.tried & self.traits
         self.begun |= other.begun & self.traits
         self.cleared |= other.cleared & self.traits
         return before != self._size()
 
-    def _make_room(self, wanted: int) -> None:
-        """Drop as many traits as wanted with nothing but weak evidence."""
+    def _drop_weak(self, count: int) -> None:
+        """Drop traits with weak evidence, to make room for stronger."""
         weak = sorted(self.traits - self.tried - self.begun)
-        self.traits.difference_update(weak[: max(0, wanted)])
+        self.traits.difference_update(weak[: max(0, count)])
         self.cleared &= self.traits
 
     def _size(self) -> tuple[int, ...]:
--- a/ebonywell/crashdetector.py
+++ b/ebonywell/crashdetector.py
@@ -65,12 +65,12 @@
         async with anyio.create_task_group() as group:
             started: set[CrashId] = set()
             while True:
-                await self.noticed.wait()
-                self.noticed = anyio.Event()
                 started &= self.breakages.keys()
                 for crash_id in self.breakages.keys() - started:
                     started.add(crash_id)
                     group.start_soon(self._settle, crash_id)
+                await self.noticed.wait()
+                self.noticed = anyio.Event()
 
     def note_broken(self, target: KnownTarget, evidence: Crash) -> Breakage:
         """Record a broken exchange, as evidence if it was a crash."""
--- a/ebonywell/crashguard.py
+++ b/ebonywell/crashguard.py
@@ -1,5 +1,7 @@
 """Keeps requests that crash targets from being sent again and again."""
 
+import collections
+import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -21,6 +23,10 @@
 # Time for a claim to reach all hosts, and for an earlier one to arrive here.
 CLAIM_DELAY_S = 0.05
 RECHECK_INTERVAL_S = 0.02
+# All digests report crashes for this long after a change, and later only one
+# in so many, for hosts that start.
+FRESH_S = 10.0
+DIGESTS_PER_REPORT = 10
 # Time after which a caller whose request waited for a trial should retry.
 SUSPECT_RETRY_S = 1.0
 # Reason that is reported for a quarantined request.
@@ -56,6 +62,10 @@
         Attempts in flight.
     on_quarantine : callable
         Called when requests that are in flight may have to be stopped.
+    changed_at : float
+        When the evidence last changed, by the clock of this process.
+    digests : int
+        Digests that crashes could be reported with.
     """
 
     own_name: str
@@ -67,7 +77,8 @@
     detector: CrashDetector | None = None
     exposures: Exposures = field(default_factory=Exposures)
     on_quarantine: Callable[[], None] = _do_nothing
-    reported: int = 0
+    changed_at: float = -math.inf
+    digests: int = 0
 
     async def run(self) -> None:
         """Detect crashes until cancelled."""
@@ -150,7 +161,7 @@
         traits = set(request_traits(exposure.request))
         evidence = Crash(boot_time(), traits, set(exposure.trial))
         if exposure.phase is Phase.begun:
-            evidence.begun = traits
+            evidence.begun = set(traits)
         return self.detector.note_broken(exposure.target, evidence)
 
     def note_crash(self, crash_id: CrashId, crash: Crash) -> None:
@@ -171,13 +182,18 @@
             self.claims.claim(message.traits, message.sender, now)
 
     def list_crashes(self) -> Iterator[CrashMessage]:
-        """Yield all known crashes, each call beginning with another one."""
-        crash_ids = list(self.table.crashes)
-        if not crash_ids:
+        """Yield the known crashes for a digest; most digests hold none.
+
+        Each call that yields any begins with another one.
+        """
+        self.digests += 1
+        is_fresh = boot_time() - self.changed_at < FRESH_S
+        period = 1 if is_fresh else DIGESTS_PER_REPORT
+        if self.digests % period:
             return
-        self.reported = (self.reported + 1) % len(crash_ids)
-        order = (*crash_ids[self.reported :], *crash_ids[: self.reported])
-        for crash_id in order:
+        crash_ids = collections.deque(self.table.crashes)
+        crash_ids.rotate(self.digests // period)
+        for crash_id in crash_ids:
             crash = self.table.crashes[crash_id]
             yield from make_messages(crash_id, crash, boot_time())
 
@@ -219,6 +235,7 @@
         known = {one.traits for one in self.table.convictions}
         if not self.table.note_crash(crash_id, crash):
             return
+        self.changed_at = boot_time()
         self._clear_survivors()
         for conviction in self.table.convictions:
             if conviction.traits not in known:
@@ -245,6 +262,8 @@
         traits = request_traits(exposure.request)
         is_urgent = bool(exposure.trial) or self.table.is_convicted(traits)
         touched = self.table.clear(traits)
+        if touched:
+            self.changed_at = boot_time()
         if is_urgent:
             for crash_id in touched:
                 self._send_crash(crash_id)
