Tests that build the request path pass it a crash guard

test_endless_replies.py and test_serving.py build Attempts and Gateway by hand and failed on the missing argument since the guard came in; what they check is unchanged.

--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -12,12 +12,14 @@
 import pytest
 
 from ebonywell.attempts import MAX_ANSWER_BYTES, MAX_REJECTION_BYTES, Attempts
+from ebonywell.crashguard import CrashGuard
 from ebonywell.exceptions import TransportError
 from ebonywell.health import HealthTracker, TargetHealth
 from ebonywell.inbound import AdmittedRequest
 from ebonywell.inventory import Announcement, KnownTarget, TargetState
 from ebonywell.loadboard import LoadBoard, TargetLoad
 from ebonywell.logs import discard_event
+from ebonywell.metrics import Metrics
 from ebonywell.platform.exchange import target_format
 from ebonywell.progress import AttemptError, Progress
 from ebonywell.routetable import RequestKind, Route, WeightedService
@@ -106,9 +108,10 @@
         Announcement('t', 1, 'pool', address, 'z', TargetState.ready, 8), {}
     )
     candidate = Candidate('t', TargetLoad(), TargetHealth(), 8)
+    guard = CrashGuard('host-1', None, discard_event, Metrics())
     with ConnectionPool() as pool:
         attempts = Attempts(
-            pool, LoadBoard(), HealthTracker(), target_format(), None,
+            pool, LoadBoard(), HealthTracker(), target_format(), None, guard,
             discard_event,
         )  # fmt: skip
         return await attempts.run(
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -37,8 +37,9 @@
 def make_gateway(load_requests, able):
     targeting = SimpleNamespace(list_eligible=lambda call, avoided: able())
     return Gateway(
-        None, targeting, None, None, load_requests, HostDemand(), None, None
-    )
+        None, targeting, None, None, load_requests, HostDemand(), None, None,
+        None,
+    )  # fmt: skip
 
 
 def make_call(now):
