Log the limits that targets state, and reports read from engines

The stated limit is decoded at the platform's boundary and logged when it changes; nothing acts on it yet. It is no longer passed on to callers, like the load. The stand-ins' replicas can state a limit.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -25,6 +25,7 @@
 )
 from .routetable import RequestKind
 from .selection import Choice
+from .statements import Statements
 from .upstream import AnswerHead, Connection, ConnectionPool, Ending, Exchange
 
 # Time-out of one attempt of a repeatable request, as a multiple of the
@@ -55,6 +56,8 @@
     format : TargetFormat
     selector : Selector
     guard : CrashGuard
+    statements : Statements
+        What targets stated in answers to this host.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         self.selector = selector
         self.guard = guard
         self.log = log
+        self.statements = Statements()
 
     async def run(
         self,
@@ -138,6 +142,7 @@
         progress.is_pending = False
         verdict = self.format.judge(request, sending.target, head)
         now = boot_time()
+        self._note_statement(request, sending, verdict, head)
         if verdict is Verdict.answer or verdict is Verdict.failed:
             is_good = verdict is Verdict.answer
             self.health.record_result(sending.target.name, now, is_good=is_good)
@@ -156,6 +161,33 @@
             )
         raise await self._read_rejection(request, sending, verdict, head)
 
+    def _note_statement(
+        self,
+        request: AdmittedRequest,
+        sending: 'Sending',
+        verdict: Verdict,
+        head: AnswerHead,
+    ) -> None:
+        """Record what an answer says about its target."""
+        if verdict in {Verdict.crossed, Verdict.other_target}:
+            return
+        target = sending.target
+        try:
+            statement = self.format.read_statement(head)
+        except ValueError as error:
+            self.log('statement_unreadable', target=target.name, why=str(error))
+            return
+        if self.statements.note_answer(
+            target.incarnation, statement, sending.sent_at, boot_time()
+        ):
+            self.log(
+                'target_stated',
+                request=request.request_id,
+                target=target.name,
+                born=target.announcement.born,
+                rate_limit=statement.rate_limit,
+            )
+
     def _log_attempt(
         self,
         request: AdmittedRequest,
--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -77,6 +77,7 @@
             if not error.is_sent:
                 known.refused_at = boot_time()
             return False
+        self.log('report_read', target=known.name, orders=report.order_count)
         if report.born != known.announcement.born:
             return False
         if report.order_count < max(known.order_count, track.order_count):
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -3,6 +3,7 @@
 from ..inbound import AdmittedRequest
 from ..inventory import KnownTarget
 from ..progress import TargetFormat, Verdict
+from ..statements import Statement, read_rate
 from ..upstream import AnswerHead
 from . import headers
 
@@ -16,6 +17,7 @@
 # not-executed header that is not certain.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _DROPPED = headers.HOP_BY_HOP | {
+    headers.SERVER_LIMIT,
     headers.SERVER_LOAD,
     headers.INSTANCE_ID,
     b'date',
@@ -25,7 +27,9 @@
 
 def target_format() -> TargetFormat:
     """Return the functions that encode requests and read answers."""
-    return TargetFormat(encode_request, classify_answer, answer_headers)
+    return TargetFormat(
+        encode_request, classify_answer, answer_headers, read_statement
+    )
 
 
 def encode_request(
@@ -88,6 +92,22 @@
     return Verdict.crossed if echoed is None else Verdict.answer
 
 
+def read_statement(head: AnswerHead) -> Statement:
+    """Return what an answer says about its target.
+
+    Raises
+    ------
+    ValueError
+        If it cannot be read; the answer itself may still be valid.
+    """
+    values = [
+        content.decode('latin-1')
+        for name, content in head.headers
+        if name == headers.SERVER_LIMIT
+    ]
+    return Statement(read_rate(values))
+
+
 def answer_headers(head: AnswerHead) -> list[tuple[bytes, bytes]]:
     """Return the headers of an answer that are forwarded to the caller."""
     return [pair for pair in head.headers if pair[0] not in _DROPPED]
--- a/ebonywell/platform/headers.py
+++ b/ebonywell/platform/headers.py
@@ -19,6 +19,8 @@
 NOT_EXECUTED = b'not-executed'
 RETRY_AFTER = b'retry-after'
 SERVER_LOAD = b'server-load'
+# Requests per second that the target takes from all hosts together.
+SERVER_LIMIT = b'server-limit'
 
 # Headers of a single connection, or set again for each hop; not forwarded.
 HOP_BY_HOP = frozenset(
--- a/ebonywell/progress.py
+++ b/ebonywell/progress.py
@@ -11,6 +11,7 @@
 from .inbound import AdmittedRequest, Refund
 from .inventory import KnownTarget
 from .selection import Choice
+from .statements import Statement
 from .upstream import AnswerHead
 
 
@@ -59,11 +60,15 @@
         verdict.
     answer_headers : callable
         Returns the headers that are forwarded to the caller.
+    read_statement : callable
+        Returns what the head of an answer says about its target; raises
+        `ValueError` if it cannot be read.
     """
 
     encode: Callable[[AdmittedRequest, KnownTarget, float, bytes], bytes]
     judge: Callable[[AdmittedRequest, KnownTarget, AnswerHead], Verdict]
     answer_headers: Callable[[AnswerHead], list[tuple[bytes, bytes]]]
+    read_statement: Callable[[AnswerHead], Statement]
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/ebonywell/statements.py
@@ -0,0 +1,119 @@
+"""What targets state about themselves in the heads of their answers.
+
+A statement is about one incarnation of a target. It holds until a newer answer
+states something else, or until the incarnation ends. Hosts tell each other of
+statements, since an answer reaches one of them only.
+
+The module is pure. It is designed for targets that state a limit suddenly
+while all hosts send them requests, and for answers that overtake each other.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+Incarnation = tuple[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Statement:
+    """What one answer says about its target.
+
+    Attributes
+    ----------
+    rate_limit : float or None
+        Requests per second that the target takes from all hosts together, None
+        if it states no limit.
+    """
+
+    rate_limit: float | None = None
+
+
+NOTHING_STATED = Statement()
+
+
+@dataclass(slots=True, frozen=True)
+class KnownStatement:
+    """A statement, and when a host received it.
+
+    Attributes
+    ----------
+    statement : Statement
+    received_at : float
+        Time in seconds, by the clock of this process.
+    """
+
+    statement: Statement
+    received_at: float
+
+
+@dataclass(slots=True)
+class Statements:
+    """Newest statements of targets that have stated anything.
+
+    Attributes
+    ----------
+    known : dict of (str, int) to KnownStatement
+        Keyed by incarnation. A withdrawn statement stays, so that an older one
+        that arrives later has no effect.
+    """
+
+    known: dict[Incarnation, KnownStatement] = field(default_factory=dict)
+
+    def get(self, incarnation: Incarnation) -> Statement:
+        """Return what a target states about itself."""
+        found = self.known.get(incarnation)
+        return NOTHING_STATED if found is None else found.statement
+
+    def note_answer(
+        self,
+        incarnation: Incarnation,
+        statement: Statement,
+        sent_at: float,
+        received_at: float,
+    ) -> bool:
+        """Record the statement of an answer; return whether that is a change.
+
+        An answer withdraws a limit only if its request was sent after the
+        limit was stated. The target may have begun an earlier answer before.
+        """
+        found = self.known.get(incarnation)
+        if found is None and statement == NOTHING_STATED:
+            return False
+        if found is not None and statement.rate_limit is None:
+            if sent_at <= found.received_at:
+                return False
+        return self.merge(incarnation, statement, received_at)
+
+    def merge(
+        self,
+        incarnation: Incarnation,
+        statement: Statement,
+        received_at: float,
+    ) -> bool:
+        """Record a statement of a given age; return whether it is a change."""
+        found = self.known.get(incarnation)
+        if found is not None and found.received_at >= received_at:
+            return False
+        self.known[incarnation] = KnownStatement(statement, received_at)
+        before = NOTHING_STATED if found is None else found.statement
+        return statement != before
+
+    def retain(self, incarnations: Iterable[Incarnation]) -> None:
+        """Forget the statements of all incarnations except these."""
+        for gone in self.known.keys() - set(incarnations):
+            self.known.pop(gone)
+
+
+def read_rate(values: Iterable[str]) -> float | None:
+    """Return the least of the rates that a target states, in one per second.
+
+    Raises
+    ------
+    ValueError
+        If a value is not a number, or is negative or not finite.
+    """
+    rates = [float(one) for one in values]
+    if any(not math.isfinite(one) or one < 0 for one in rates):
+        raise ValueError(f'not a rate: {rates}')
+    return min(rates, default=None)
--- a/lab/standin_replica.py
+++ b/lab/standin_replica.py
@@ -5,7 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
@@ -71,6 +71,10 @@
         Requests in flight by ``model/adapter``.
     overfull : bool
         Whether an order ever asked it to load more than fits.
+    stated_rate : str
+        Requests per second that its answers state as its limit; empty for none.
+    arrivals : list of float
+        Times of all requests, including polls and orders.
     """
 
     name: str
@@ -98,6 +102,8 @@
     born: int = field(default_factory=lambda: int(time.time() * MS_PER_S))
     in_use: Counter[str] = field(default_factory=Counter)
     overfull: bool = False
+    stated_rate: str = ''
+    arrivals: list[float] = field(default_factory=list)
 
     def entry(self, state: str = 'ready') -> dict[str, Any]:
         """Return the record that the replica writes into the store."""
@@ -116,20 +122,11 @@
 
     async def answer_call(self, request: HttpRequest) -> Reply | None:
         """Answer a request, a poll or an order."""
-        if request.path == '/report':
-            return Reply.json(self._report())
-        if request.path == '/order':
-            return self._apply_order(json.loads(request.body))
-        self.seen.append(request)
-        if request.headers.get('expect-instance', self.name) != self.name:
-            return Reply(421, headers={'Instance-Id': self.name})
-        if not self._has_loaded(request.headers.get('model', '')):
-            return Reply(421, headers={'Instance-Id': self.name})
-        if self.behave is None:
-            return self.run(request)
-        reply = await self.behave(request)
-        if reply and (reply.raw or reply.cut_after is not None):
-            self.broken_off_ids.add(request.headers['request-id'])
+        self.arrivals.append(time.monotonic())
+        reply = await self._answer(request)
+        if reply is not None and self.stated_rate:
+            headers = {**reply.headers, 'Server-Limit': self.stated_rate}
+            reply = replace(reply, headers=headers)
         return reply
 
     def run(self, request: HttpRequest) -> Reply:
@@ -183,6 +180,23 @@
         self.fence = 0
         self.in_use.clear()
 
+    async def _answer(self, request: HttpRequest) -> Reply | None:
+        if request.path == '/report':
+            return Reply.json(self._report())
+        if request.path == '/order':
+            return self._apply_order(json.loads(request.body))
+        self.seen.append(request)
+        if request.headers.get('expect-instance', self.name) != self.name:
+            return Reply(421, headers={'Instance-Id': self.name})
+        if not self._has_loaded(request.headers.get('model', '')):
+            return Reply(421, headers={'Instance-Id': self.name})
+        if self.behave is None:
+            return self.run(request)
+        reply = await self.behave(request)
+        if reply and (reply.raw or reply.cut_after is not None):
+            self.broken_off_ids.add(request.headers['request-id'])
+        return reply
+
     def _has_loaded(self, model_name: str) -> bool:
         model, _, adapter = model_name.partition('/')
         if not model or self.models is None:
