Keep the limits that targets state, over all hosts together

Cause: no host read the limit, and nothing that a target says of itself in an answer was known beyond the exchange that brought it. A share for each host would not do: at 1 a second and 72 hosts there are fewer requests than hosts.

What a target states is kept by incarnation, with the time at which it came, and told to all hosts at once and with later digests; only an answer to a request that was sent after a limit was stated withdraws it. One host, found by rendezvous hashing over the hosts that are heard, schedules all requests to a limited target, reports and orders included; the others ask it before each send. A request that has another target takes only what nobody waits for. One that has none waits for its turn up to half a second, or is rejected at once with the time when one is due. A host that is cut off keeps its even part. Placement counts a limited engine as loaded, so that busy models go elsewhere. Nothing is asked for targets that have stated nothing.

--- a/ebonywell/adapterloads.py
+++ b/ebonywell/adapterloads.py
@@ -143,6 +143,8 @@
                 for known in self._engines_with(request)
                 if not self.order_sender.track(known).is_busy
             ]
+            limits = self.order_sender.limits
+            idle = [one for one in idle if not limits.is_limited(one)] or idle
             named = [one for one in idle if one.name == request.target]
             if idle:
                 return min(named or idle, key=self._held_tokens)
--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -25,7 +25,7 @@
 )
 from .routetable import RequestKind
 from .selection import Choice
-from .statements import Statements
+from .targetlimits import TargetLimits
 from .upstream import AnswerHead, Connection, ConnectionPool, Ending, Exchange
 
 # Time-out of one attempt of a repeatable request, as a multiple of the
@@ -56,8 +56,7 @@
     format : TargetFormat
     selector : Selector
     guard : CrashGuard
-    statements : Statements
-        What targets stated in answers to this host.
+    limits : TargetLimits
     """
 
     def __init__(
@@ -68,6 +67,7 @@
         target_format: TargetFormat,
         selector: Selector,
         guard: CrashGuard,
+        limits: TargetLimits,
         log: Logger,
     ) -> None:
         self.pool = pool
@@ -76,8 +76,8 @@
         self.format = target_format
         self.selector = selector
         self.guard = guard
+        self.limits = limits
         self.log = log
-        self.statements = Statements()
 
     async def run(
         self,
@@ -142,7 +142,7 @@
         progress.is_pending = False
         verdict = self.format.judge(request, sending.target, head)
         now = boot_time()
-        self._note_statement(request, sending, verdict, head)
+        self._note_statement(sending, verdict, head)
         if verdict is Verdict.answer or verdict is Verdict.failed:
             is_good = verdict is Verdict.answer
             self.health.record_result(sending.target.name, now, is_good=is_good)
@@ -162,11 +162,7 @@
         raise await self._read_rejection(request, sending, verdict, head)
 
     def _note_statement(
-        self,
-        request: AdmittedRequest,
-        sending: 'Sending',
-        verdict: Verdict,
-        head: AnswerHead,
+        self, sending: 'Sending', verdict: Verdict, head: AnswerHead
     ) -> None:
         """Record what an answer says about its target."""
         if verdict in {Verdict.crossed, Verdict.other_target}:
@@ -177,16 +173,7 @@
         except ValueError as error:
             self.log('statement_unreadable', target=target.name, why=str(error))
             return
-        if self.statements.note_answer(
-            target.incarnation, statement, sending.sent_at, boot_time()
-        ):
-            self.log(
-                'target_stated',
-                request=request.request_id,
-                target=target.name,
-                born=target.announcement.born,
-                rate_limit=statement.rate_limit,
-            )
+        self.limits.note_answer(target, statement, sending.sent_at)
 
     def _log_attempt(
         self,
--- a/ebonywell/crashguard.py
+++ b/ebonywell/crashguard.py
@@ -1,7 +1,5 @@
 """Keeps requests that crash targets from being sent again and again."""
 
-import collections
-import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -18,15 +16,12 @@
 from .logs import Logger
 from .metrics import Metrics
 from .overload import max_wait_s
+from .repeats import DigestRepeats
 from .trials import TrialClaims
 
 # Time for a claim to reach all hosts, and for an earlier one to arrive here.
 CLAIM_DELAY_S = 0.05
 RECHECK_INTERVAL_S = 0.02
-# All digests report crashes for this long after a change, and later only one
-# in so many, for hosts that start.
-FRESH_S = 10.0
-DIGESTS_PER_REPORT = 10
 # Time after which a caller whose request waited for a trial should retry.
 SUSPECT_RETRY_S = 1.0
 # Reason that is reported for a quarantined request.
@@ -62,10 +57,7 @@
         Attempts in flight.
     on_quarantine : callable
         Called when requests that are in flight may have to be stopped.
-    changed_at : float
-        When the evidence last changed, by the clock of this process.
-    digests : int
-        Digests that crashes could be reported with.
+    repeats : DigestRepeats
     """
 
     own_name: str
@@ -77,8 +69,7 @@
     detector: CrashDetector | None = None
     exposures: Exposures = field(default_factory=Exposures)
     on_quarantine: Callable[[], None] = _do_nothing
-    changed_at: float = -math.inf
-    digests: int = 0
+    repeats: DigestRepeats = field(default_factory=DigestRepeats)
 
     async def run(self) -> None:
         """Detect crashes until cancelled."""
@@ -182,18 +173,8 @@
             self.claims.claim(message.traits, message.sender, now)
 
     def list_crashes(self) -> Iterator[CrashMessage]:
-        """Yield the known crashes for a digest; most digests hold none.
-
-        Each call that yields any begins with another one.
-        """
-        self.digests += 1
-        is_fresh = boot_time() - self.changed_at < FRESH_S
-        period = 1 if is_fresh else DIGESTS_PER_REPORT
-        if self.digests % period:
-            return
-        crash_ids = collections.deque(self.table.crashes)
-        crash_ids.rotate(self.digests // period)
-        for crash_id in crash_ids:
+        """Yield the known crashes for a digest; most digests hold none."""
+        for crash_id in self.repeats.pick(self.table.crashes, boot_time()):
             crash = self.table.crashes[crash_id]
             yield from make_messages(crash_id, crash, boot_time())
 
@@ -235,7 +216,7 @@
         known = {one.traits for one in self.table.convictions}
         if not self.table.note_crash(crash_id, crash):
             return
-        self.changed_at = boot_time()
+        self.repeats.note_change(boot_time())
         self._clear_survivors()
         for conviction in self.table.convictions:
             if conviction.traits not in known:
@@ -263,7 +244,7 @@
         is_urgent = bool(exposure.trial) or self.table.is_convicted(traits)
         touched = self.table.clear(traits)
         if touched:
-            self.changed_at = boot_time()
+            self.repeats.note_change(boot_time())
         if is_urgent:
             for crash_id in touched:
                 self._send_crash(crash_id)
--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -136,6 +136,62 @@
     cleared: tuple[int, ...] = ()
 
 
+class StatementMessage(msgspec.Struct, frozen=True, array_like=True, tag='s'):
+    """What a target stated about itself; see `statements`.
+
+    Attributes
+    ----------
+    target : str
+    born : int
+    age_s : float
+        Time since the answer was received, in seconds.
+    rate_limit : float or None
+    """
+
+    target: str
+    born: int
+    age_s: float
+    rate_limit: float | None = None
+
+
+class PermitRequestMessage(
+    msgspec.Struct, frozen=True, array_like=True, tag='p'
+):
+    """Asks for permission to send a request to a target with a limit.
+
+    Attributes
+    ----------
+    sender : str
+    number : int
+        Identifies the answer to the sender.
+    statement : StatementMessage
+        What the sender knows of the target.
+    max_wait_s : float
+        How long the request can wait.
+    """
+
+    sender: str
+    number: int
+    statement: StatementMessage
+    max_wait_s: float
+
+
+class PermitMessage(msgspec.Struct, frozen=True, array_like=True, tag='g'):
+    """Grants or denies permission to send a request.
+
+    Attributes
+    ----------
+    number : int
+    is_granted : bool
+    due_s : float
+        Time until the request, or the next one, is due, in seconds.
+    """
+
+    number: int
+    is_granted: bool
+    due_s: float
+
+
 class TrialMessage(msgspec.Struct, frozen=True, array_like=True, tag='t'):
     """A host's claim to run a suspect request, or its end; see `trials`.
 
@@ -163,15 +219,15 @@
         Newest holder status that the sender knows.
     digest_numbers : tuple of (int, int)
         Lives of other hosts with the numbers of their newest digests.
-    crashes : tuple of CrashMessage
-        Some of the crashes that the sender knows.
+    reports : tuple of CrashMessage or StatementMessage
+        Some of what the sender knows of crashes and of targets' statements.
     """
 
     own: Digest
     relayed: tuple[Digest, ...] = ()
     holder: HolderStatus | None = None
     digest_numbers: tuple[tuple[int, int], ...] = ()
-    crashes: tuple[CrashMessage, ...] = ()
+    reports: tuple[CrashMessage | StatementMessage, ...] = ()
 
 
 class LoadRequestMessage(msgspec.Struct, frozen=True, array_like=True, tag='w'):
@@ -250,6 +306,9 @@
     | DemandMessage
     | ResidentMessage
     | CrashMessage
+    | StatementMessage
+    | PermitRequestMessage
+    | PermitMessage
     | TrialMessage
 )
 
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -33,6 +33,8 @@
 # If loading an adapter on the best target takes longer, the request goes to a
 # target that already has it.
 ADAPTER_WAIT_S = 0.25
+# Shortest time after which a caller retries a request held back by a limit.
+MIN_LIMIT_RETRY_S = 0.1
 _BAD_REQUEST = 400
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -261,11 +263,17 @@
             If no target can answer the request in time.
         """
         await self._request_adapter(request)
-        selected = self.selector.select(request, set(), is_trial=is_trial)
+        selected = await self.selector.reserve(
+            request, set(), is_trial=is_trial
+        )
         if selected is None:
+            self._check_limits(request)
             await self._wait_for_target(request)
-            selected = self.selector.select(request, set(), is_trial=is_trial)
+            selected = await self.selector.reserve(
+                request, set(), is_trial=is_trial
+            )
         if selected is None:
+            self._check_limits(request)
             raise RejectionError(_UNAVAILABLE, 'no_target', ABSENT_RETRY_S)
         max_first_byte_s = min(
             request.first_byte_timeout_s, request.deadline - boot_time()
@@ -277,6 +285,19 @@
             raise RejectionError(_UNAVAILABLE, 'overloaded', retry_after_s)
         return selected
 
+    def _check_limits(self, request: AdmittedRequest) -> None:
+        """Reject a request that only the limits of its targets hold back.
+
+        Another target is asked to load the model meanwhile.
+        """
+        due_s = self.selector.limit_due_s(request)
+        if due_s is None:
+            return
+        self.load_requests.request_load(request)
+        raise RejectionError(
+            _UNAVAILABLE, 'target_limit', max(due_s, MIN_LIMIT_RETRY_S)
+        )
+
     async def _request_adapter(self, request: AdmittedRequest) -> None:
         """Request a missing adapter on the best target and wait briefly for it.
 
--- a/ebonywell/gossip.py
+++ b/ebonywell/gossip.py
@@ -22,6 +22,7 @@
     DigestMessage,
     HolderStatus,
     Message,
+    StatementMessage,
     decode_message,
     encode_message,
     holder_status,
@@ -46,6 +47,8 @@
 # Interval between two log lines about the exchange of digests.
 LOG_PERIOD_S = 5.0
 
+Report = CrashMessage | StatementMessage
+
 
 @dataclass(slots=True, frozen=True)
 class SentDigest:
@@ -81,8 +84,8 @@
         Called with each newer status of a lease holder.
     handle_message : callable
         Called with each message of another kind.
-    list_crashes : callable
-        Returns crashes to report with the next digest, the most urgent first.
+    list_reports : callable
+        Returns what to report with the next digest, the most urgent first.
     malformed : int
         Number of datagrams that held no valid message.
     last_sent : SentDigest
@@ -105,7 +108,7 @@
         self.log = log
         self.rng = rng
         self.handle_message: Callable[[Message], None] = _ignore
-        self.list_crashes: Callable[[], Iterable[CrashMessage]] = tuple
+        self.list_reports: Callable[[], Iterable[Report]] = tuple
         self.note_holder: Callable[[HolderStatus], None] = _ignore
         self.holder: HolderStatus | None = None
         self.holder_received_at = -math.inf
@@ -182,7 +185,7 @@
             self._pick_holder(digest),
             pick_digest_numbers(self.fleet, self.rng),
         )
-        bare = add_crashes(bare, self.list_crashes())
+        bare = add_reports(bare, self.list_reports())
         relayed = tuple(self._pick_relayed(bare))
         message = msgspec.structs.replace(bare, relayed=relayed)
         self.last_sent = SentDigest(
@@ -245,8 +248,8 @@
                 self._note_newer_holder(holder_status(digest), now)
         self._note_newer_holder(message.holder, now)
         self.fleet.note_digest_numbers(message.digest_numbers, now)
-        for crash in message.crashes:
-            self.handle_message(crash)
+        for report in message.reports:
+            self.handle_message(report)
 
     def _note_newer_holder(
         self,
@@ -313,18 +316,18 @@
     return tuple(numbers)
 
 
-def add_crashes(
+def add_reports(
     message: DigestMessage,
-    crashes: Iterable[CrashMessage],
+    reports: Iterable[Report],
 ) -> DigestMessage:
-    """Return the message with as many crashes as its datagram has room for.
+    """Return the message with as many reports as its datagram has room for.
 
-    Most digests hold none. A host that has missed a message on a crash, or has
-    started after it, learns of it in this way.
+    Most digests hold none. A host that has missed a message, or has started
+    after it, learns of it in this way.
     """
-    for crash in crashes:
+    for report in reports:
         larger = msgspec.structs.replace(
-            message, crashes=(*message.crashes, crash)
+            message, reports=(*message.reports, report)
         )
         if len(encode_message(larger)) > MAX_DATAGRAM_BYTES:
             break
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -14,9 +14,12 @@
     Digest,
     HolderStatus,
     Message,
+    PermitMessage,
+    PermitRequestMessage,
+    StatementMessage,
     TrialMessage,
 )
-from .gossip import Gossip, loads_ttl_s
+from .gossip import Gossip, Report, loads_ttl_s
 from .hostfeeds import HostFeeds
 from .hostgauges import add_host_gauges, add_traffic_gauges
 from .hostknowledge import Knowledge
@@ -29,6 +32,7 @@
 from .roster import Roster
 from .sharedstore import SharedStore
 from .supervision import supervise
+from .targetlimits import TargetLimits
 from .translators import Translators
 from .upstream import ConnectionPool
 
@@ -49,6 +53,7 @@
     metrics : Metrics
     guard : CrashGuard
         Holds back requests that crash targets.
+    target_limits : TargetLimits
     gateway : Gateway
         The request path.
     shutdown : Shutdown
@@ -116,18 +121,22 @@
             rng,
         )
         self.gossip.note_holder = self._receive_holder
+        self.target_limits = TargetLimits(
+            self.known.fleet, self.gossip, self.is_ready, log, self.metrics
+        )
         self.models = make_model_services(
             settings,
             self.known,
             self.leadership,
             self.gossip,
+            self.target_limits,
             translators,
             log,
         )
         self.guard = CrashGuard(
             settings.name, self.gossip.broadcast, log, self.metrics
         )
-        self.gossip.list_crashes = self.guard.list_crashes
+        self.gossip.list_reports = self._list_reports
         self.gossip.handle_message = self._receive_message
         self.gateway = make_gateway(
             settings,
@@ -135,6 +144,7 @@
             self.pool,
             self.models.load_requests,
             self.guard,
+            self.target_limits,
             translators,
             Observers(log, self.metrics, rng),
         )
@@ -269,9 +279,17 @@
     def _receive_message(self, message: Message) -> None:
         if isinstance(message, CrashMessage | TrialMessage):
             self.guard.receive(message)
+        elif isinstance(
+            message, StatementMessage | PermitRequestMessage | PermitMessage
+        ):
+            self.target_limits.receive(message)
         else:
             self.models.link.receive(message)
 
+    def _list_reports(self) -> Iterator[Report]:
+        yield from self.target_limits.list_messages()
+        yield from self.guard.list_crashes()
+
     def _receive_holder(self, report: HolderStatus) -> None:
         self.leadership.state.note_holder(report, boot_time())
         if report.is_ordering:
@@ -295,6 +313,7 @@
             self.known.limits.expire(now)
             targets = self.known.inventory.targets.values()
             self.known.health.retain(one.name for one in targets)
+            self.target_limits.expire(one.incarnation for one in targets)
             self.pool.prune(
                 frozenset(one.announcement.address for one in targets)
             )
--- a/ebonywell/modelservices.py
+++ b/ebonywell/modelservices.py
@@ -13,6 +13,7 @@
 from .logs import Logger
 from .ordering import OrderSender
 from .provisioning import Provisioner
+from .targetlimits import TargetLimits
 from .translators import Translators
 
 
@@ -40,12 +41,13 @@
     known: Knowledge,
     leadership: Leadership,
     gossip: Gossip,
+    limits: TargetLimits,
     translators: Translators,
     log: Logger,
 ) -> ModelServices:
     """Return the model services of one host, connected to each other."""
     order_sender = OrderSender(
-        settings.name, leadership, translators.engines, log
+        settings.name, leadership, translators.engines, limits, log
     )
     demand = FleetDemand(known.demand, known.board, known.fleet)
     adapters = AdapterLoads(
--- a/ebonywell/modelswaps.py
+++ b/ebonywell/modelswaps.py
@@ -43,6 +43,10 @@
 # Loads from the weight store that idle models may not use, so that they remain
 # available for requested models.
 RESERVED_LOADS = 1
+# Load of an engine that takes no requests because of its limit.
+LIMITED_LOAD = 2.0
+# Engine time of a typical request, in seconds, from the deployments' sheets.
+REQUEST_WORK_S = 0.12
 _NO_ENGINES: frozenset[str] = frozenset()
 
 
@@ -394,6 +398,22 @@
                 yield swap
 
 
+def limited_load(rate: float | None) -> float:
+    """Return the load that stands for the limit of an engine.
+
+    Demand that an engine may not take because of its limit fails, nearly like
+    demand that no engine serves.
+
+    Parameters
+    ----------
+    rate : float or None
+        Requests per second that the engine takes, None for no limit.
+    """
+    if rate is None:
+        return 0
+    return LIMITED_LOAD * max(0, 1 - rate * REQUEST_WORK_S)
+
+
 def count_absent(pool: EnginePool) -> int:
     """Return the number of models with demand that no engine holds."""
     return sum(
--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -16,6 +16,7 @@
 from .leadership import Leadership
 from .logs import Logger
 from .orders import Action
+from .targetlimits import MAX_PERMIT_WAIT_S, TargetLimits
 
 ACCEPTED_ANSWERS = frozenset((OrderAnswer.accepted, OrderAnswer.held))
 
@@ -35,6 +36,8 @@
         Name of this host.
     leadership : Leadership
     client : EngineClient
+    limits : TargetLimits
+        Orders and reports count as requests to their engine.
     tracks : dict of str to OrderTrack
         Order records by target.
     """
@@ -42,6 +45,7 @@
     name: str
     leadership: Leadership
     client: EngineClient
+    limits: TargetLimits
     log: Logger
     tracks: dict[str, OrderTrack] = field(default_factory=dict)
 
@@ -70,6 +74,8 @@
             executing an order for a model.
         """
         track = self.track(known)
+        if not await self.limits.claim(known, MAX_PERMIT_WAIT_S):
+            return False
         try:
             report = await self.client.report(known)
         except TransportError as error:
@@ -110,7 +116,8 @@
         action : Action
         model, adapter : str
         """
-        if self.track(known) is not track:
+        is_permitted = await self.limits.claim(known, MAX_PERMIT_WAIT_S)
+        if not is_permitted or self.track(known) is not track:
             return OrderAnswer.unproven
         avoids_store = (
             action is not Action.load
--- a/ebonywell/progress.py
+++ b/ebonywell/progress.py
@@ -167,14 +167,14 @@
 class Selector(Protocol):
     """Selects targets and records their rejections."""
 
-    def select(
+    async def reserve(
         self,
         request: AdmittedRequest,
         avoided: set[str],
         *,
         is_trial: bool = False,
     ) -> tuple[KnownTarget, Choice] | None:
-        """Return the target for a request, None if there is none."""
+        """Return the target to which a request may be sent, or None."""
 
     def record_rejection(
         self,
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -24,6 +24,7 @@
     ModelState,
     Swap,
     count_absent,
+    limited_load,
 )
 from .ordering import ACCEPTED_ANSWERS, OrderSender, resident_message
 from .orders import Action
@@ -286,13 +287,15 @@
         loaded_at = now if track.loaded_at else -math.inf
         for kept in held:
             track.loaded_at.setdefault(kept, loaded_at)
+        rate = self.order_sender.limits.rate_of(known)
         return EngineState(
             known.name,
             engine.weight_bytes - used,
             {model: track.loaded_at[model] for model in held},
             known.announcement.cached_weights,
-            track.is_busy,
+            track.is_busy or rate is not None,
             frozenset(self.adapters.demand.models_in_use(known.name)),
+            limited_load(rate),
         )
 
     def _start_swap(
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -113,7 +113,7 @@
             return None
         if not await self._readmit(request, progress):
             return None
-        selected = self.selector.select(
+        selected = await self.selector.reserve(
             request, progress.avoided, is_trial=bool(progress.trial)
         )
         was_reached = error.reason != 'unreachable'
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -17,6 +17,7 @@
 from .proxying import Proxy
 from .retries import RetryBudgets
 from .targeting import TargetSelector
+from .targetlimits import TargetLimits
 from .translators import Translators
 from .upstream import ConnectionPool
 
@@ -36,6 +37,7 @@
     pool: ConnectionPool,
     wants: LoadRequests,
     guard: CrashGuard,
+    limits: TargetLimits,
     translators: Translators,
     observers: Observers,
 ) -> Gateway:
@@ -48,6 +50,7 @@
         known.health,
         PrefixIndex(),
         known.engine_of,
+        limits,
         observers.log,
         observers.rng,
     )
@@ -64,6 +67,7 @@
         translators.target_format,
         targeting,
         guard,
+        limits,
         observers.log,
     )
     guard.detector = CrashDetector(
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -1,7 +1,7 @@
 """Selects the target of a request among those that discovery announces."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
 from .clock import boot_time
@@ -10,10 +10,15 @@
 from .inventory import Inventory, KnownTarget
 from .loadboard import LoadBoard
 from .logs import Logger
+from .overload import max_wait_s
 from .prefixes import PrefixIndex
 from .progress import Verdict
 from .routetable import EngineSpec
 from .selection import Candidate, Choice, choose
+from .targetlimits import MAX_PERMIT_WAIT_S, TargetLimits
+
+# Targets with a limit that a request may ask for, one after the other.
+MAX_CLAIMS = 3
 
 
 @dataclass(slots=True)
@@ -30,6 +35,7 @@
     prefixes : PrefixIndex
     engine_of : callable
         Returns the engine capacity of a service, None for a plain service.
+    limits : TargetLimits
     """
 
     zone: str
@@ -38,6 +44,7 @@
     health: HealthTracker
     prefixes: PrefixIndex
     engine_of: Callable[[str], EngineSpec | None]
+    limits: TargetLimits
     log: Logger
     rng: random.Random
 
@@ -72,10 +79,50 @@
         others run.
         """
         eligible = self.list_eligible(request, avoided)
+        wait_s = self._permit_wait_s(request, eligible)
+        eligible = [
+            known for known in eligible if self.limits.due_in_s(known) <= wait_s
+        ]
         if is_trial:
             eligible = self._list_idlest(eligible)
         return self._select_from(request, eligible)
 
+    async def reserve(
+        self,
+        request: AdmittedRequest,
+        avoided: set[str],
+        *,
+        is_trial: bool = False,
+    ) -> tuple[KnownTarget, Choice] | None:
+        """Return the target to which a request may be sent now, or None.
+
+        If the selected target has stated a limit, this waits for permission.
+        Without it, another target is selected.
+        """
+        for _ in range(MAX_CLAIMS):
+            selected = self.select(request, avoided, is_trial=is_trial)
+            if selected is None:
+                return None
+            eligible = self.list_eligible(request, avoided)
+            wait_s = self._permit_wait_s(request, eligible)
+            if await self.limits.claim(selected[0], wait_s):
+                return selected
+        eligible = self._list_unlimited(self.list_eligible(request, avoided))
+        return self._select_from(request, eligible)
+
+    def limit_due_s(self, request: AdmittedRequest) -> float | None:
+        """Return when a request may be due that only limits hold back.
+
+        Returns
+        -------
+        float or None
+            Time in seconds; None if there is no target, or one without limit.
+        """
+        eligible = self.list_eligible(request, set())
+        if not eligible or self._list_unlimited(eligible):
+            return None
+        return min(self.limits.due_in_s(known) for known in eligible)
+
     def select_ignoring_adapter(
         self,
         request: AdmittedRequest,
@@ -86,8 +133,10 @@
             return self.select(request, set())
         base_generation = replace(generation, adapter='')
         without_adapter = replace(request, generation=base_generation)
+        eligible = self.list_eligible(without_adapter, set())
+        # An order for an adapter counts against the limit of its target.
         return self._select_from(
-            request, self.list_eligible(without_adapter, set())
+            request, self._list_unlimited(eligible) or eligible
         )
 
     def record_rejection(
@@ -110,6 +159,27 @@
         elif generation is not None:
             known.drop(generation.model, generation.adapter)
 
+    def _list_unlimited(
+        self, eligible: Sequence[KnownTarget]
+    ) -> list[KnownTarget]:
+        return [
+            known for known in eligible if not self.limits.is_limited(known)
+        ]
+
+    def _permit_wait_s(
+        self, request: AdmittedRequest, eligible: Sequence[KnownTarget]
+    ) -> float:
+        """Return how long a request can wait for a target with a limit.
+
+        If there are others, it takes only what nobody else is waiting for.
+        """
+        if self._list_unlimited(eligible):
+            return 0
+        longest_s = max_wait_s(
+            request.route.goal_s, request.first_byte_timeout_s
+        )
+        return min(longest_s, MAX_PERMIT_WAIT_S)
+
     def _list_idlest(self, eligible: list[KnownTarget]) -> list[KnownTarget]:
         """Return those targets on which the fewest requests are in flight."""
         in_flight = {
--- a/tests/engineworld.py
+++ b/tests/engineworld.py
@@ -25,6 +25,8 @@
 from ebonywell.provisioning import Provisioner
 from ebonywell.routetable import EngineSpec, ModelSpec
 
+from .limitless import no_limits
+
 GB = 1_000_000_000
 ENGINE_BYTES = 200 * GB
 MODEL_BYTES = 65 * GB
@@ -168,7 +170,9 @@
             lambda known: self.engines[known.name].report(),
             lambda known, order: self.engines[known.name].order(order),
         )
-        order_sender = OrderSender('one', leadership, client, discard_event)
+        order_sender = OrderSender(
+            'one', leadership, client, no_limits(), discard_event
+        )
         board = LoadBoard()
         self.demand = FleetDemand(HostDemand(), board, FleetView('one', board))
         adapters = AdapterLoads(
--- a/tests/test_adapterloads.py
+++ b/tests/test_adapterloads.py
@@ -20,6 +20,8 @@
 from ebonywell.provisioning import Provisioner
 from ebonywell.routetable import EngineSpec, ModelSpec
 
+from .limitless import no_limits
+
 SLOTS = 3
 ENGINE = EngineSpec(
     8, 1000, 100, SLOTS, 1, {'m': ModelSpec('m', 10, 1, 1, 1, 9, 1)}
@@ -76,7 +78,9 @@
     )  # fmt: skip
     inventory.announce(said, 0)
     client = EngineClient(engine.report, engine.order)
-    order_sender = OrderSender('one', leadership, client, discard_event)
+    order_sender = OrderSender(
+        'one', leadership, client, no_limits(), discard_event
+    )
     board = LoadBoard()
     demand = FleetDemand(HostDemand(), board, FleetView('one', board))
     loads = AdapterLoads(
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -27,6 +27,8 @@
 from ebonywell.transport import MAX_CONTENT_BYTES, HttpClient
 from ebonywell.upstream import MAX_BYTES_WITHOUT_PART, ConnectionPool
 
+from .limitless import no_limits
+
 FILLER = b'x' * 65536
 # Far above every limit on what a host reads.
 MAX_SENT_BYTES = 200_000_000
@@ -112,7 +114,7 @@
     with ConnectionPool() as pool:
         attempts = Attempts(
             pool, LoadBoard(), HealthTracker(), target_format(), None, guard,
-            discard_event,
+            no_limits(), discard_event,
         )  # fmt: skip
         return await attempts.run(
             make_call(kind), Responder(), Progress(),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -44,7 +44,7 @@
 class OneTarget:
     """Selects the same target for each request."""
 
-    def select(self, request, avoided, *, is_trial=False):
+    async def reserve(self, request, avoided, *, is_trial=False):
         return 'target-1', SimpleNamespace(wait_s=0)
 
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,7 +9,7 @@
     'adapterloads following gateway gossip holderlink hostfeeds '
     'attempts hostprocess leadership linelog ordering provisioning '
     'proxying roster '
-    'charging crashdetector crashguard supervision targeting '
+    'targetlimits charging crashdetector crashguard supervision targeting '
     'platform/assembly'
 ).split()
 EVENT = re.compile(
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -54,5 +54,11 @@
         most = busiest_window(limited.arrivals, stated_at + CONTACT_S)
         assert most <= MAX_SHARE * WINDOW_S + SLACK
         assert {one.status for one in answers} <= {200, 503}
+        served = sum(one.status == 200 for one in answers)
+        assert served > len(answers) / 2
+        recent = [at for at in limited.arrivals if at > stated_at + CONTACT_S]
+        assert recent
+        logs = ''.join(one.log() for one in world.hosts.values())
+        assert 'event=request_failed' not in logs
 
     run_scenario(tmp_path, scenario, HOSTS)
