Log the release of each target, and which streams callers resume

No line named the software version of a target or a take-up by a caller, so on-call could not see a stream that goes on at another version. Both are decoded at the platform's boundary; nothing decides by them yet.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -187,6 +187,8 @@
             'request_routed',
             request=request.request_id,
             target=sending.target.name,
+            release=sending.target.announcement.release or None,
+            resumes=request.resumes,
             sends=progress.sends,
             rank=request.rank,
             ahead=chosen.load.waiting,
--- a/ebonywell/inbound.py
+++ b/ebonywell/inbound.py
@@ -67,6 +67,9 @@
         Time in seconds by the clock of the process.
     rank : int
         Urgency; 0 is the most urgent.
+    resumes : str or None
+        Request id under which the stream to resume began; see
+        `ReceivedRequest`.
     """
 
     request_id: str
@@ -81,6 +84,7 @@
     received_at: float
     deadline: float
     rank: int = 0
+    resumes: str | None = None
 
     @property
     def first_byte_timeout_s(self) -> float:
--- a/ebonywell/intake.py
+++ b/ebonywell/intake.py
@@ -50,6 +50,9 @@
         Time in seconds by the clock of the process.
     has_unread_body : bool
         Whether the request has a body that was not read.
+    resumes : str or None
+        Request id under which the stream to resume began, empty if the caller
+        doesn't state it; None if the request resumes no stream.
     """
 
     request_id: str
@@ -64,6 +67,7 @@
     generation: Generation | None
     received_at: float
     has_unread_body: bool = False
+    resumes: str | None = None
 
 
 @dataclass(slots=True)
@@ -196,6 +200,7 @@
             received.received_at,
             received.received_at + limit_s,
             rank,
+            received.resumes if route.is_resumable else None,
         )
 
 
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -57,6 +57,8 @@
         Time until its removal, if it is removed at short notice.
     memory_weights, disk_weights : frozenset of str
         Models whose weights the target has cached in memory or on disk.
+    release : str
+        Version of the target's software.
     """
 
     name: str
@@ -70,6 +72,7 @@
     leaves_in_s: float | None = None
     memory_weights: frozenset[str] = frozenset()
     disk_weights: frozenset[str] = frozenset()
+    release: str = ''
 
     @property
     def cached_weights(self) -> frozenset[str]:
--- a/ebonywell/platform/headers.py
+++ b/ebonywell/platform/headers.py
@@ -9,6 +9,8 @@
 LENGTH_HINT = b'length-hint'
 PROMPT_PREFIX = b'prompt-prefix'
 LAST_EVENT_ID = b'last-event-id'
+# Request id of the caller's attempt that received the stream's first event.
+RESUMES = b'resumes'
 AUTHORIZATION = b'authorization'
 TENANT = b'tenant'
 EXPECT_INSTANCE = b'expect-instance'
--- a/ebonywell/platform/ingress.py
+++ b/ebonywell/platform/ingress.py
@@ -103,6 +103,7 @@
         generation=_read_generation(found),
         received_at=received_at,
         has_unread_body=_has_unread_body(found),
+        resumes=_read_resumes(found),
     )
 
 
@@ -161,6 +162,12 @@
     return tuple(pair for pair in raw if pair[0] not in dropped)
 
 
+def _read_resumes(found: dict[bytes, bytes]) -> str | None:
+    if not found.get(headers.LAST_EVENT_ID):
+        return None
+    return _decode_text(found.get(headers.RESUMES, b''))
+
+
 def _read_key(raw: bytes | None) -> str | None:
     text = _decode_text(raw or b'')
     if not text.lower().startswith(_BEARER):
--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -35,6 +35,8 @@
     state: str
     zone: str = ''
     slots: int = 1
+    # Version of the replica's software, not of its weights.
+    version: int | str = ''
     born: _Count = 0
     models: tuple[_LoadedModel, ...] = ()
     remaining_ms: float | None = None
@@ -81,6 +83,7 @@
         None if remaining_ms is None else remaining_ms * _MS,
         frozenset(entry.at_hand.in_memory),
         frozenset(entry.at_hand.on_disk),
+        str(entry.version),
     )
 
 
--- a/lab/standin_replica.py
+++ b/lab/standin_replica.py
@@ -71,6 +71,8 @@
         Requests in flight by ``model/adapter``.
     overfull : bool
         Whether an order ever asked it to load more than fits.
+    release : int
+        Version of its software.
     stated_rate : str
         Requests per second that its answers state as its limit; empty for none.
     arrivals : list of float
@@ -102,6 +104,7 @@
     born: int = field(default_factory=lambda: int(time.time() * MS_PER_S))
     in_use: Counter[str] = field(default_factory=Counter)
     overfull: bool = False
+    release: int = 1
     stated_rate: str = ''
     arrivals: list[float] = field(default_factory=list)
 
@@ -114,6 +117,7 @@
             'zone': self.zone,
             'state': state,
             'slots': self.slots,
+            'version': self.release,
             'born': self.born,
             'seq': int(time.time()),
             'models': models,
