Resume streams only at the release that began them

Cause: the choice of a target for the rest of a stream asked for its model, load and cached prompt. No part of a host knew the version of a target's software, and nothing of a stream outlived the answer that it came in.

A host that resumes a stream within its answer now chooses among targets of the release that began it. For callers that resume it, each host remembers where its streams began and is asked by the others; for hosts that were killed, the store answers. It names one default release a service, written by the lease holder under compare-and-swap, and each stream that began at another release, written before the first event is forwarded, many in one call. A stream without a record began at the default. It is replaced only after none of its targets was seen for as long as hosts may trust it and a stream may last. So nothing is written while one release serves alone. A stream of unknown origin, or of a release that has left, is rejected as not run; one that can go on goes before new requests, and its model is loaded at its release if it has to be.

--- a/ebonywell/adapterloads.py
+++ b/ebonywell/adapterloads.py
@@ -39,12 +39,19 @@
         The adapter is empty if the model itself is requested.
     target : str
         The target that should load the adapter; empty for any.
+    release : str or None
+        The release of the targets that count; None for any.
     """
 
     service: str
     model: str
     adapter: str
     target: str = ''
+    release: str | None = None
+
+    def accepts(self, known: KnownTarget) -> bool:
+        """Return whether a target runs the release that is needed."""
+        return self.release in {None, known.announcement.release}
 
 
 class Link(Protocol):
@@ -124,7 +131,8 @@
     def _engines_with(self, request: LoadRequest) -> Iterator[KnownTarget]:
         now = boot_time()
         for known in self.inventory.of_service(request.service):
-            if known.holds(request.model) and known.is_reachable(now):
+            is_usable = known.is_reachable(now) and request.accepts(known)
+            if is_usable and known.holds(request.model):
                 yield known
 
     async def _wait_for_engine(
--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -5,7 +5,7 @@
 import anyio
 
 from .clock import boot_time
-from .crashguard import CrashGuard
+from .coordination import Coordination
 from .events import EventBoundary, EventSplitter
 from .exceptions import TargetUnreachableError
 from .exposures import Exposure, Phase
@@ -25,7 +25,6 @@
 )
 from .routetable import RequestKind
 from .selection import Choice
-from .targetlimits import TargetLimits
 from .upstream import AnswerHead, Connection, ConnectionPool, Ending, Exchange
 
 # Time-out of one attempt of a repeatable request, as a multiple of the
@@ -57,6 +56,7 @@
     selector : Selector
     guard : CrashGuard
     limits : TargetLimits
+    origins : StreamOrigins
     """
 
     def __init__(
@@ -66,8 +66,7 @@
         health: HealthTracker,
         target_format: TargetFormat,
         selector: Selector,
-        guard: CrashGuard,
-        limits: TargetLimits,
+        coordination: Coordination,
         log: Logger,
     ) -> None:
         self.pool = pool
@@ -75,8 +74,9 @@
         self.health = health
         self.format = target_format
         self.selector = selector
-        self.guard = guard
-        self.limits = limits
+        self.guard = coordination.guard
+        self.limits = coordination.limits
+        self.origins = coordination.origins
         self.log = log
 
     async def run(
@@ -354,8 +354,7 @@
     ) -> Outcome:
         exchange = sending.connection.exchange
         assert exchange is not None
-        if request.route.is_resumable and progress.splitter is None:
-            progress.splitter = EventSplitter()
+        await self._note_begun(request, progress, sending)
         if not progress.is_started:
             progress.first_byte_s = boot_time() - request.received_at
             await responder.start(head.status, self.format.answer_headers(head))
@@ -369,6 +368,8 @@
             if received_parts == PARTS_TO_SURVIVE:
                 self.guard.note_survived(sending.exposure)
             await _forward_events(responder, progress, part)
+            if progress.splitter and progress.splitter.last_id:
+                progress.release = sending.target.announcement.release
             part = await sending.connection.receive(exchange)
         is_cut = part is Ending.closed and not boundary.is_reached
         if part is Ending.broken or is_cut:
@@ -380,6 +381,29 @@
         await responder.finish()
         return Outcome(head.status, 'answered')
 
+    async def _note_begun(
+        self,
+        request: AdmittedRequest,
+        progress: Progress,
+        sending: 'Sending',
+    ) -> None:
+        """Remember where a resumable stream begins, before its first event.
+
+        Raises
+        ------
+        AttemptError
+            If that failed; a caller could not resume the stream.
+        """
+        if not request.route.is_resumable:
+            return
+        if progress.splitter is None:
+            progress.splitter = EventSplitter()
+        if progress.splitter.last_id or request.resumes is not None:
+            return
+        release = sending.target.announcement.release
+        if not await self.origins.note_begun(request, release):
+            raise AttemptError('origin_unwritten', has_run=True)
+
     def _record_broken_stream(
         self, sending: 'Sending', progress: Progress
     ) -> None:
--- /dev/null
+++ b/ebonywell/coordination.py
@@ -0,0 +1,73 @@
+"""What the hosts decide together about requests to targets."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from .crashguard import CrashGuard
+from .digests import (
+    CrashMessage,
+    Message,
+    OriginMessage,
+    OriginRequestMessage,
+    PermitMessage,
+    PermitRequestMessage,
+    StatementMessage,
+    TrialMessage,
+)
+from .gossip import Report
+from .inventory import KnownTarget
+from .streamorigins import StreamOrigins
+from .targetlimits import TargetLimits
+
+
+@dataclass(slots=True)
+class Coordination:
+    """The parts of a host that decide with their like on other hosts.
+
+    Attributes
+    ----------
+    guard : CrashGuard
+        Holds back requests that crash targets.
+    limits : TargetLimits
+        Keeps the limits that targets state.
+    origins : StreamOrigins
+        Knows where resumable streams began.
+    """
+
+    guard: CrashGuard
+    limits: TargetLimits
+    origins: StreamOrigins
+
+    def receive(self, message: Message) -> bool:
+        """Handle a message; return False if it is meant for other parts."""
+        match message:
+            case CrashMessage() | TrialMessage():
+                self.guard.receive(message)
+            case StatementMessage() | PermitRequestMessage() | PermitMessage():
+                self.limits.receive(message)
+            case OriginRequestMessage() | OriginMessage():
+                self.origins.receive(message)
+            case _:
+                return False
+        return True
+
+    def list_reports(self) -> Iterator[Report]:
+        """Yield what to report with the next digest, the most urgent first."""
+        yield from self.limits.list_messages()
+        yield from self.guard.list_crashes()
+
+    def expire(
+        self, targets: Iterable[KnownTarget], proven_at: float, now: float
+    ) -> None:
+        """Forget what no longer counts.
+
+        Parameters
+        ----------
+        targets : iterable of KnownTarget
+        proven_at : float
+            When discovery last proved which targets there are.
+        now : float
+        """
+        self.guard.expire(now)
+        self.limits.expire(one.incarnation for one in targets)
+        self.origins.note_targets(proven_at, now)
--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -192,6 +192,23 @@
     due_s: float
 
 
+class OriginRequestMessage(
+    msgspec.Struct, frozen=True, array_like=True, tag='o'
+):
+    """Asks all hosts at which release a stream began; see `stream_key`."""
+
+    sender: str
+    number: int
+    stream: bytes
+
+
+class OriginMessage(msgspec.Struct, frozen=True, array_like=True, tag='b'):
+    """Tells the sender of a request at which release a stream began."""
+
+    number: int
+    release: str
+
+
 class TrialMessage(msgspec.Struct, frozen=True, array_like=True, tag='t'):
     """A host's claim to run a suspect request, or its end; see `trials`.
 
@@ -231,13 +248,14 @@
 
 
 class LoadRequestMessage(msgspec.Struct, frozen=True, array_like=True, tag='w'):
-    """Load request to the lease holder, for a model or an adapter."""
+    """Load request to the lease holder; see `adapterloads.LoadRequest`."""
 
     sender: str
     service: str
     model: str
     adapter: str = ''
     target: str = ''
+    release: str | None = None
 
 
 class LoadingMessage(msgspec.Struct, frozen=True, array_like=True, tag='c'):
@@ -309,6 +327,8 @@
     | StatementMessage
     | PermitRequestMessage
     | PermitMessage
+    | OriginRequestMessage
+    | OriginMessage
     | TrialMessage
 )
 
--- a/ebonywell/fingerprints.py
+++ b/ebonywell/fingerprints.py
@@ -21,6 +21,20 @@
     return int(hashed.intdigest())
 
 
+def stream_key(request: AdmittedRequest, request_id: str) -> bytes:
+    """Return the key of a stream that a workspace's request began.
+
+    It has a fixed size, whatever the request's id, and another workspace that
+    states the same id gets another key.
+    """
+    workspace = request.workspace
+    hashed = xxhash.xxh3_128()
+    hashed.update(b'' if workspace is None else workspace.name.encode())
+    hashed.update(_SEPARATOR)
+    hashed.update(request_id.encode())
+    return bytes(hashed.digest())
+
+
 def request_traits(request: AdmittedRequest) -> frozenset[int]:
     """Return the numbers by which crashes are traced to a request.
 
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -200,6 +200,8 @@
         responder: Responder,
         progress: Progress,
     ) -> Outcome:
+        if request.resumes is not None:
+            request = await self.proxy.attempts.origins.pin(request)
         progress.trial = await self.guard.admit(request)
         try:
             return await self._send_admitted(request, responder, progress)
@@ -281,7 +283,7 @@
         retry_after_s = overload_retry_after_s(
             selected[1].wait_s, request.route.goal_s, max_first_byte_s
         )
-        if retry_after_s:
+        if retry_after_s and request.release is None:
             raise RejectionError(_UNAVAILABLE, 'overloaded', retry_after_s)
         return selected
 
--- a/ebonywell/holderlink.py
+++ b/ebonywell/holderlink.py
@@ -95,6 +95,7 @@
                 request.model,
                 request.adapter,
                 request.target,
+                request.release,
             )
             self.gossip.send(holder.address, message)
 
@@ -130,6 +131,7 @@
                     message.model,
                     message.adapter,
                     message.target,
+                    message.release,
                 )
                 self.serve_request(request, message.sender)
             case LoadingMessage():
--- a/ebonywell/hostknowledge.py
+++ b/ebonywell/hostknowledge.py
@@ -1,5 +1,6 @@
 """State of a host that its services share."""
 
+import itertools
 import random
 
 from .digests import LoadShare
@@ -50,6 +51,21 @@
             return None
         return configuration.engines.get(service)
 
+    def list_resumable_services(self) -> set[str]:
+        """Return the services of routes whose streams may be resumed."""
+        configuration = self.intake.configuration
+        if configuration is None:
+            return set()
+        routes = itertools.chain.from_iterable(
+            by_prefix.values() for by_prefix in configuration.routes.values()
+        )
+        return {
+            one.service
+            for route in routes
+            for one in route.services
+            if route.is_resumable
+        }
+
     def own_loads(self) -> tuple[LoadShare, ...]:
         """Return this host's load on each target, for its digest."""
         return tuple(
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -8,18 +8,8 @@
 
 from . import signals
 from .clock import boot_time
-from .crashguard import CrashGuard
-from .digests import (
-    CrashMessage,
-    Digest,
-    HolderStatus,
-    Message,
-    PermitMessage,
-    PermitRequestMessage,
-    StatementMessage,
-    TrialMessage,
-)
-from .gossip import Gossip, Report, loads_ttl_s
+from .digests import Digest, HolderStatus, Message
+from .gossip import Gossip, loads_ttl_s
 from .hostfeeds import HostFeeds
 from .hostgauges import add_host_gauges, add_traffic_gauges
 from .hostknowledge import Knowledge
@@ -28,11 +18,10 @@
 from .logs import Logger
 from .metrics import Metrics
 from .modelservices import make_model_services
-from .requestpath import Observers, make_gateway
+from .requestpath import Observers, make_coordination, make_gateway
 from .roster import Roster
 from .sharedstore import SharedStore
 from .supervision import supervise
-from .targetlimits import TargetLimits
 from .translators import Translators
 from .upstream import ConnectionPool
 
@@ -51,9 +40,7 @@
     settings : HostSettings
     known : Knowledge
     metrics : Metrics
-    guard : CrashGuard
-        Holds back requests that crash targets.
-    target_limits : TargetLimits
+    coordination : Coordination
     gateway : Gateway
         The request path.
     shutdown : Shutdown
@@ -121,32 +108,35 @@
             rng,
         )
         self.gossip.note_holder = self._receive_holder
-        self.target_limits = TargetLimits(
-            self.known.fleet, self.gossip, self.is_ready, log, self.metrics
+        observers = Observers(log, self.metrics, rng)
+        self.coordination = make_coordination(
+            self.known,
+            self.gossip,
+            store,
+            translators.own_topic,
+            self.is_ready,
+            lambda: self.roster.life,
+            observers,
         )
         self.models = make_model_services(
             settings,
             self.known,
             self.leadership,
             self.gossip,
-            self.target_limits,
+            self.coordination.limits,
             translators,
             log,
         )
-        self.guard = CrashGuard(
-            settings.name, self.gossip.broadcast, log, self.metrics
-        )
-        self.gossip.list_reports = self._list_reports
+        self.gossip.list_reports = self.coordination.list_reports
         self.gossip.handle_message = self._receive_message
         self.gateway = make_gateway(
             settings,
             self.known,
             self.pool,
             self.models.load_requests,
-            self.guard,
-            self.target_limits,
+            self.coordination,
             translators,
-            Observers(log, self.metrics, rng),
+            observers,
         )
         self.shutdown = self.gateway.shutdown
         add_host_gauges(
@@ -236,7 +226,9 @@
         yield 'summary', self._maintain_summary
         yield 'provisioner', self.models.provisioner.run
         yield 'demand', self.models.link.send_demand
-        yield 'crash_guard', self.guard.run
+        yield 'crash_guard', self.coordination.guard.run
+        yield 'stream_records', self.coordination.origins.write_records
+        yield 'default_releases', self._maintain_defaults
         yield 'housekeeping', self._run_housekeeping
 
     async def _run_leadership(self) -> None:
@@ -251,6 +243,11 @@
             self.known.intake.list_limits,
         )
 
+    async def _maintain_defaults(self) -> None:
+        await self.coordination.origins.maintain_defaults(
+            lambda: self.leadership.state.is_proven(boot_time())
+        )
+
     def _make_digest(self, number: int) -> Digest | None:
         if self.roster.life is None:
             return None
@@ -277,19 +274,9 @@
         self.roster.note_digest(digest)
 
     def _receive_message(self, message: Message) -> None:
-        if isinstance(message, CrashMessage | TrialMessage):
-            self.guard.receive(message)
-        elif isinstance(
-            message, StatementMessage | PermitRequestMessage | PermitMessage
-        ):
-            self.target_limits.receive(message)
-        else:
+        if not self.coordination.receive(message):
             self.models.link.receive(message)
 
-    def _list_reports(self) -> Iterator[Report]:
-        yield from self.target_limits.list_messages()
-        yield from self.guard.list_crashes()
-
     def _receive_holder(self, report: HolderStatus) -> None:
         self.leadership.state.note_holder(report, boot_time())
         if report.is_ordering:
@@ -306,14 +293,15 @@
             self.feeds.refresh(now)
             self.models.load_requests.expire(now)
             self.models.link.expire(now)
-            self.guard.expire(now)
             life_s = loads_ttl_s(self.known.fleet.size)
             self.known.board.expire(now, life_s)
             self.known.limits.note_limits(self.known.intake.list_limits(), now)
             self.known.limits.expire(now)
             targets = self.known.inventory.targets.values()
             self.known.health.retain(one.name for one in targets)
-            self.target_limits.expire(one.incarnation for one in targets)
+            self.coordination.expire(
+                targets, self.feeds.targets.state.proven_at, now
+            )
             self.pool.prune(
                 frozenset(one.announcement.address for one in targets)
             )
--- a/ebonywell/inbound.py
+++ b/ebonywell/inbound.py
@@ -70,6 +70,9 @@
     resumes : str or None
         Request id under which the stream to resume began; see
         `ReceivedRequest`.
+    release : str or None
+        The only release of its targets at which the request may run; None for
+        any.
     """
 
     request_id: str
@@ -85,6 +88,7 @@
     deadline: float
     rank: int = 0
     resumes: str | None = None
+    release: str | None = None
 
     @property
     def first_byte_timeout_s(self) -> float:
--- a/ebonywell/loadrequests.py
+++ b/ebonywell/loadrequests.py
@@ -2,11 +2,11 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .adapterloads import LoadRequest
 from .clock import boot_time
-from .inbound import AdmittedRequest, Generation
+from .inbound import AdmittedRequest
 from .inventory import Inventory
 
 # Interval after which a load request is sent again, since it or its answer may
@@ -59,9 +59,12 @@
         generation = call.generation
         if generation is None or not self.has_holder():
             return math.inf
-        is_present = self._is_present(call.service, generation)
+        wanted = LoadRequest(
+            call.service, generation.model, '', target, call.release
+        )
+        is_present = self._is_present(wanted)
         adapter = generation.adapter if is_present else ''
-        request = LoadRequest(call.service, generation.model, adapter, target)
+        request = replace(wanted, adapter=adapter)
         now = boot_time()
         if now - self.requested_at.get(request, -math.inf) >= REQUEST_GAP_S:
             self.requested_at[request] = now
@@ -82,8 +85,8 @@
             if now - requested_at >= REQUEST_GAP_S:
                 self.requested_at.pop(request)
 
-    def _is_present(self, service: str, generation: Generation) -> bool:
+    def _is_present(self, wanted: LoadRequest) -> bool:
         return any(
-            known.holds(generation.model)
-            for known in self.inventory.of_service(service)
+            known.holds(wanted.model) and wanted.accepts(known)
+            for known in self.inventory.of_service(wanted.service)
         )
--- a/ebonywell/progress.py
+++ b/ebonywell/progress.py
@@ -101,6 +101,8 @@
         Refunds the charge to the workspace's limit.
     trial : frozenset of int
         Traits for which the request is in a trial; see `CrashGuard.admit`.
+    release : str or None
+        Release of the target that sent the first event.
     breakage : Breakage or None
         Set if the last attempt broke off, perhaps by a crash of its target.
     """
@@ -117,6 +119,7 @@
     target: str = ''
     refund: Refund | None = None
     trial: Traits = NO_TRAITS
+    release: str | None = None
     breakage: Breakage | None = None
 
 
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -12,6 +12,7 @@
 from .clock import boot_time
 from .digests import LoadingMessage, ModelDemand
 from .engineorders import OrderAnswer, OrderTrack
+from .fleetdemand import LOAD_REQUEST_LIFE_S
 from .inventory import Inventory, KnownTarget
 from .loading import fits, load_s, reserved_adapter_bytes
 from .loadpace import LoadPace, LoadWindow
@@ -62,6 +63,10 @@
 # Models listed in one log line, the ones in highest demand first.
 MAX_LOGGED_MODELS = 8
 
+# Waiting requests for which a model counts that a broken stream needs at its
+# release. Nothing else could serve it.
+RELEASE_WAITING = 10
+
 NoteAnswer = Callable[[OrderAnswer], None]
 
 
@@ -86,6 +91,8 @@
         Connection to the other hosts; set before `run`.
     requested_at : dict of str to float
         When each model was last requested.
+    release_requests : dict of LoadRequest to float
+        When each model was last requested at targets of one release.
     paces : dict of str to LoadPace
         Limiters of loads from the weight store, by service.
     wake_event : anyio.Event
@@ -104,6 +111,7 @@
     window: LoadWindow = LoadWindow()
     link: Link = field(init=False)
     requested_at: dict[str, float] = field(default_factory=dict)
+    release_requests: dict[LoadRequest, float] = field(default_factory=dict)
     paces: dict[str, LoadPace] = field(default_factory=dict)
     wake_event: anyio.Event = field(default_factory=anyio.Event)
     task_group: TaskGroup | None = None
@@ -126,6 +134,8 @@
         if self.task_group is None:
             return
         if not request.adapter:
+            if request.release is not None:
+                self.release_requests[request] = boot_time()
             key = (request.service, request.model)
             self.adapters.demand.note_load_request(key, host, boot_time())
             self.wake_event.set()
@@ -197,6 +207,8 @@
         pace: LoadPace,
     ) -> None:
         now = boot_time()
+        for request in list_recent(self.release_requests, service, now):
+            _load_for_release(self, request, engine, demand, pace)
         reserved = reserved_adapter_bytes(engine)
         engines = [
             self._engine_state(known, engine, reserved, now)
@@ -446,3 +458,40 @@
                 load.begin(boot_time())
 
         yield note
+
+
+def _load_for_release(
+    provisioner: Provisioner,
+    request: LoadRequest,
+    engine: EngineSpec,
+    demand: dict[str, ModelDemand],
+    pace: LoadPace,
+) -> None:
+    """Load a model at a target of one release, which resumed streams need."""
+    now = boot_time()
+    reserved = reserved_adapter_bytes(engine)
+    engines = [
+        provisioner._engine_state(known, engine, reserved, now)
+        for known in provisioner.inventory.of_service(request.service)
+        if known.is_reachable(now) and request.accepts(known)
+    ]
+    if any(request.model in one.models for one in engines):
+        return
+    waiting = ModelDemand(request.service, request.model, 0, RELEASE_WAITING)
+    models = provisioner._model_states(
+        engine, {**demand, request.model: waiting}, now
+    )
+    pool = EnginePool(engines, models, now)
+    for swap in pool.decide(Budget(pace.refill(engine, now))):
+        if swap.load == request.model:
+            provisioner._start_swap(swap, engine, pace)
+
+
+def list_recent(
+    requested_at: dict[LoadRequest, float], service: str, now: float
+) -> list[LoadRequest]:
+    """Return a service's recent load requests, and drop all older ones."""
+    for request, at in list(requested_at.items()):
+        if now - at >= LOAD_REQUEST_LIFE_S:
+            requested_at.pop(request)
+    return [one for one in requested_at if one.service == service]
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -1,6 +1,7 @@
 """Proxies requests to targets, with retries where they are allowed."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from .attempts import MIN_LEFT_S, Attempts, add_content_length
 from .blame import NO_TRAITS
@@ -81,6 +82,8 @@
                     selected,
                 )
             except AttemptError as error:
+                if progress.release is not None:
+                    request = replace(request, release=progress.release)
                 selected = await self._select_next(
                     request, responder, progress, error
                 )
--- /dev/null
+++ b/ebonywell/streamorigins.py
@@ -0,0 +1,406 @@
+"""Knows at which release of its targets each resumable stream began.
+
+Each host remembers its own streams and tells the others on request. As all
+hosts may be killed at once, the store answers for those that are gone: it names
+one default release for each service, and each stream that began at another one,
+written before its first event is forwarded. A stream that nobody knows began at
+the default release. While one release serves alone, nothing is written.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+import anyio
+import msgspec
+
+from .clock import boot_time
+from .digests import OriginMessage, OriginRequestMessage
+from .exceptions import ConflictError, LogServiceError
+from .fingerprints import stream_key
+from .fleetview import FleetView
+from .inbound import AdmittedRequest, RejectionError
+from .inventory import Inventory
+from .logs import Logger
+from .releases import (
+    DISCOVERY_LAG_S,
+    STREAM_LIFE_S,
+    ReleaseHistory,
+    choose_default,
+)
+from .sharedstore import SharedStore
+from .targetlimits import Network
+
+# Partitions of the hosts' own topic.
+STREAMS_PARTITION = 3
+DEFAULTS_PARTITION = 4
+# Longest wait for the record of a stream; its caller waits for the first event.
+RECORD_TIMEOUT_S = 0.8
+# Time for a question and its answer between two availability zones.
+PEER_TIMEOUT_S = 0.06
+# Longest wait for the store's records of a stream to resume.
+READ_TIMEOUT_S = 0.6
+# Streams that a host remembers; the oldest are forgotten first.
+MAX_STREAMS = 20_000
+# Streams in a host's record, at 20 bytes each; no more may begin at a release
+# that needs a record.
+MAX_RECORDED_STREAMS = 4_000
+CHECK_PERIOD_S = 1.0
+# Interval between reads of the default releases while one is not known.
+REREAD_PERIOD_S = 5.0
+# Time after which a caller may ask again for a stream of unknown origin.
+UNKNOWN_RETRY_S = 1.0
+_UNAVAILABLE = 503
+_DECODER = msgspec.msgpack.Decoder(dict[bytes, str])
+_NO_STREAMS = msgspec.msgpack.encode({})
+
+
+@dataclass(slots=True, frozen=True)
+class Origin:
+    """Where and when a stream began.
+
+    Attributes
+    ----------
+    release : str
+    began_at : float
+        Time in seconds, by the clock of this process.
+    """
+
+    release: str
+    began_at: float
+
+
+@dataclass(slots=True, eq=False)
+class Batch:
+    """Records that are written to the store together."""
+
+    done: anyio.Event = field(default_factory=anyio.Event)
+    is_written: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class OriginRequest:
+    """A question to all hosts that waits for an answer."""
+
+    answered: anyio.Event = field(default_factory=anyio.Event)
+    release: str | None = None
+
+
+@dataclass(slots=True)
+class StreamOrigins:
+    """Origins of resumable streams.
+
+    Attributes
+    ----------
+    store : SharedStore
+    topic : str
+    fleet : FleetView
+    inventory : Inventory
+    network : Network
+    life : callable
+        Returns the store offset of this host's start, None before it joined.
+    list_services : callable
+        Returns the services of routes whose streams may be resumed.
+    history : ReleaseHistory
+    watched_since : float
+        Since when the history has no gap, by the clock of this process.
+    proven_at : float
+        When discovery last proved which targets there are.
+    defaults : dict of str to str
+        Default releases by service, as last read from the store.
+    streams : dict of bytes to Origin
+        This host's streams, by `stream_key`.
+    recorded : dict of bytes to Origin
+        Those that are written to the store.
+    """
+
+    store: SharedStore
+    topic: str
+    fleet: FleetView
+    inventory: Inventory
+    network: Network
+    life: Callable[[], int | None]
+    list_services: Callable[[], Iterable[str]]
+    log: Logger
+    history: ReleaseHistory = field(default_factory=ReleaseHistory)
+    watched_since: float = math.inf
+    proven_at: float = -math.inf
+    defaults: dict[str, str] = field(default_factory=dict)
+    defaults_read_at: float = -math.inf
+    streams: dict[bytes, Origin] = field(default_factory=dict)
+    recorded: dict[bytes, Origin] = field(default_factory=dict)
+    batch: Batch = field(default_factory=Batch)
+    batch_wanted: anyio.Event = field(default_factory=anyio.Event)
+    pending: dict[int, OriginRequest] = field(default_factory=dict)
+    requests: int = 0
+
+    # Streams that begin
+
+    async def note_begun(self, request: AdmittedRequest, release: str) -> bool:
+        """Remember at which release a stream begins, before its first event.
+
+        Returns
+        -------
+        bool
+            False if its origin could not be written to the store; then nothing
+            of it may be forwarded.
+        """
+        now = boot_time()
+        origin = Origin(release, now)
+        key = stream_key(request, request.request_id)
+        if len(self.streams) >= MAX_STREAMS:
+            self.streams.pop(next(iter(self.streams)))
+        self.streams[key] = origin
+        if self._is_default(request.service, release, now):
+            return True
+        is_written = False
+        if len(self.recorded) < MAX_RECORDED_STREAMS:
+            self.recorded[key] = origin
+            is_written = await self._wait_written()
+        if not is_written:
+            self.log(
+                'origin_unwritten',
+                request=request.request_id,
+                release=release,
+                recorded=len(self.recorded),
+            )
+        return is_written
+
+    async def write_records(self) -> None:
+        """Write the records of streams to the store until cancelled."""
+        while True:
+            await self.batch_wanted.wait()
+            batch = self.batch
+            self.batch = Batch()
+            self.batch_wanted = anyio.Event()
+            try:
+                await self._write_streams()
+                batch.is_written = True
+            except LogServiceError as error:
+                self.log('origins_unwritten', why=str(error))
+            finally:
+                batch.done.set()
+
+    # Streams that are resumed
+
+    async def pin(self, request: AdmittedRequest) -> AdmittedRequest:
+        """Return a request that resumes a stream, bound to its release.
+
+        It goes before new requests, because few targets can serve it.
+
+        Raises
+        ------
+        RejectionError
+            If the release is not known, or none of its targets is left.
+        """
+        assert request.resumes is not None
+        release, source = await self._find(request)
+        known = {
+            one.announcement.release
+            for one in self.inventory.of_service(request.service)
+        }
+        self.log(
+            'stream_taken_up',
+            request=request.request_id,
+            resumes=request.resumes,
+            service=request.service,
+            release=release,
+            source=source,
+            is_served=release in known,
+        )
+        if release is None:
+            raise RejectionError(
+                _UNAVAILABLE, 'origin_unknown', UNKNOWN_RETRY_S
+            )
+        if release not in known:
+            # An earlier retry would be in vain.
+            left_s = max(UNKNOWN_RETRY_S, request.deadline - boot_time())
+            raise RejectionError(_UNAVAILABLE, 'origin_gone', left_s)
+        return replace(request, release=release, rank=0)
+
+    def receive(self, message: OriginRequestMessage | OriginMessage) -> None:
+        """Handle a message from another host."""
+        if isinstance(message, OriginMessage):
+            waiting = self.pending.get(message.number)
+            if waiting is not None:
+                waiting.release = message.release
+                waiting.answered.set()
+            return
+        origin = self.streams.get(message.stream)
+        sender = self.fleet.peers.get(message.sender)
+        if origin is not None and sender is not None:
+            reply = OriginMessage(message.number, origin.release)
+            self.network.send(sender.address, reply)
+
+    # Default releases
+
+    def note_targets(self, proven_at: float, now: float) -> None:
+        """Record which releases serve, as discovery proved at a time."""
+        if proven_at - self.proven_at > DISCOVERY_LAG_S:
+            self.watched_since = proven_at
+        self.proven_at = proven_at
+        targets = self.inventory.targets.values()
+        self.history.note(
+            {
+                (one.announcement.service, one.announcement.release)
+                for one in targets
+            },
+            proven_at,
+        )
+        self.history.expire(now)
+        for service, release in list(self.defaults.items()):
+            if not self.history.is_recent((service, release), now):
+                self.defaults.pop(service)
+        _expire(self.streams, now)
+        _expire(self.recorded, now)
+
+    async def maintain_defaults(self, is_holder: Callable[[], bool]) -> None:
+        """Keep the default releases known, and as the lease holder, current."""
+        while True:
+            await anyio.sleep(CHECK_PERIOD_S)
+            try:
+                await self._update_defaults(is_holder=is_holder())
+            except ConflictError as error:
+                self.log('default_release_conflict', why=str(error))
+            except LogServiceError as error:
+                self.log('default_releases_unread', why=str(error))
+
+    async def _update_defaults(self, *, is_holder: bool) -> None:
+        now = boot_time()
+        unknown = set(self.list_services()) - self.defaults.keys()
+        unknown = {
+            service
+            for service in unknown
+            if self.history.list_current(service, now)
+        }
+        period_s = CHECK_PERIOD_S if is_holder else REREAD_PERIOD_S
+        if not unknown or now - self.defaults_read_at < period_s:
+            return
+        found, end = await self._read_defaults()
+        if not is_holder:
+            return
+        for service in unknown:
+            chosen = choose_default(
+                found.get(service),
+                self.history,
+                service,
+                now - self.watched_since,
+                now,
+            )
+            if chosen is not None:
+                record = (service, chosen.encode())
+                await self.store.append(
+                    self.topic, DEFAULTS_PARTITION, (record,), end
+                )
+                self.log('default_release', service=service, release=chosen)
+                await self._read_defaults()
+                return
+
+    async def _read_defaults(self) -> tuple[dict[str, str], int]:
+        asked_at = boot_time()
+        page = await self.store.read_newest(self.topic, DEFAULTS_PARTITION)
+        self.defaults_read_at = asked_at
+        found = {
+            one.key: one.value.decode()
+            for one in page.records
+            if one.value is not None
+        }
+        self.defaults = {
+            service: release
+            for service, release in found.items()
+            if self.history.is_recent((service, release), asked_at)
+        }
+        return found, page.next_offset
+
+    async def _wait_written(self) -> bool:
+        """Wait until the next batch is written; return whether it was."""
+        batch = self.batch
+        self.batch_wanted.set()
+        with anyio.move_on_after(RECORD_TIMEOUT_S):
+            await batch.done.wait()
+        return batch.is_written
+
+    def _is_default(self, service: str, release: str, now: float) -> bool:
+        is_default = self.defaults.get(service) == release
+        return is_default and self.history.is_recent((service, release), now)
+
+    async def _find(self, request: AdmittedRequest) -> tuple[str | None, str]:
+        """Return the release at which a stream began, and who knows it."""
+        if not request.resumes:
+            return None, 'none'
+        key = stream_key(request, request.resumes)
+        origin = self.streams.get(key)
+        if origin is not None:
+            return origin.release, 'own'
+        release = await self._ask_peers(key)
+        if release is not None:
+            return release, 'peer'
+        try:
+            with anyio.fail_after(READ_TIMEOUT_S):
+                return await self._read_origin(request.service, key)
+        except (LogServiceError, TimeoutError) as error:
+            self.log(
+                'origin_unread',
+                request=request.request_id,
+                why=repr(error),
+            )
+            return None, 'none'
+
+    async def _ask_peers(self, stream: bytes) -> str | None:
+        if not self.fleet.peers:
+            return None
+        self.requests += 1
+        number = self.requests
+        waiting = OriginRequest()
+        self.pending[number] = waiting
+        self.network.broadcast(
+            OriginRequestMessage(self.fleet.own_name, number, stream)
+        )
+        try:
+            with anyio.move_on_after(PEER_TIMEOUT_S):
+                await waiting.answered.wait()
+        finally:
+            self.pending.pop(number)
+        return waiting.release
+
+    async def _read_origin(
+        self, service: str, stream: bytes
+    ) -> tuple[str | None, str]:
+        """Return the release of a stream by the store's records."""
+        page = await self.store.read_newest(self.topic, STREAMS_PARTITION)
+        for record in page.records:
+            streams = self._decode_streams(record.key, record.value)
+            release = streams.get(stream)
+            if release is not None:
+                return release, 'store'
+        found, _ = await self._read_defaults()
+        default = found.get(service)
+        return default, 'none' if default is None else 'default'
+
+    def _decode_streams(self, key: str, body: bytes | None) -> dict[bytes, str]:
+        try:
+            return _DECODER.decode(body or _NO_STREAMS)
+        except msgspec.MsgspecError as error:
+            self.log('origins_unreadable', key=key, why=str(error))
+            return {}
+
+    async def _write_streams(self) -> None:
+        life = self.life()
+        if life is None:
+            raise LogServiceError('this host has not joined')
+        streams = {
+            stream: origin.release for stream, origin in self.recorded.items()
+        }
+        # The streams of an earlier life of this host have their own record.
+        key = '/'.join((self.fleet.own_name, str(life)))
+        body = msgspec.msgpack.encode(streams)
+        await self.store.append(self.topic, STREAMS_PARTITION, ((key, body),))
+
+
+def _expire(streams: dict[bytes, Origin], now: float) -> None:
+    """Forget streams that can no longer be resumed; the oldest stand first."""
+    while streams:
+        oldest = next(iter(streams))
+        if now - streams[oldest].began_at < STREAM_LIFE_S:
+            return
+        streams.pop(oldest)
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -63,7 +63,9 @@
         return [
             known
             for known in ready
-            if known.name not in avoided and known.is_reachable(now)
+            if known.name not in avoided
+            and known.is_reachable(now)
+            and request.release in {None, known.announcement.release}
         ]
 
     def select(
--- /dev/null
+++ b/tests/test_stream_origins.py
@@ -0,0 +1,281 @@
+"""At which release streams began, as hosts and the store tell; simulated."""
+
+import anyio
+import pytest
+from trio.testing import MockClock
+
+from ebonywell.digests import Digest
+from ebonywell.fleetview import FleetView
+from ebonywell.inbound import AdmittedRequest, RejectionError
+from ebonywell.inventory import Announcement, Inventory, TargetState
+from ebonywell.loadboard import LoadBoard
+from ebonywell.logs import discard_event
+from ebonywell.releases import (
+    MAX_ABSENCE_S,
+    RETIRE_AFTER_S,
+    STREAM_LIFE_S,
+    ReleaseHistory,
+    choose_default,
+)
+from ebonywell.streamorigins import (
+    MAX_RECORDED_STREAMS,
+    STREAMS_PARTITION,
+    StreamOrigins,
+)
+
+from .memorystore import MemoryStore
+
+SERVICE = 'pool'
+# The largest record that the users' store takes.
+MAX_RECORD_BYTES = 262_144
+
+
+class OriginHost:
+    """A host that begins and resumes streams."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.fleet = FleetView(name, LoadBoard())
+        self.inventory = Inventory()
+        self.origins = StreamOrigins(
+            world.store, 'own', self.fleet, self.inventory, self,
+            lambda: world.lives, lambda: [SERVICE], discard_event,
+        )  # fmt: skip
+
+    def send(self, address, message):
+        self.world.hosts[address].origins.receive(message)
+
+    def broadcast(self, message):
+        for name, host in tuple(self.world.hosts.items()):
+            if host is not self and name in self.fleet.peers:
+                host.origins.receive(message)
+
+    async def begin(self, request_id, release):
+        return await self.origins.note_begun(make_request(request_id), release)
+
+    async def resume(self, request_id):
+        """Return the release to resume at, or the reason of a rejection."""
+        request = make_request('later', resumes=request_id)
+        try:
+            return (await self.origins.pin(request)).release
+        except RejectionError as error:
+            assert error.status == 503
+            return error.reason
+
+
+def make_request(request_id, resumes=None):
+    now = anyio.current_time()
+    return AdmittedRequest(
+        request_id, 'POST', b'/a/', (), b'', None, SERVICE, None, None,
+        now, now + 6, 4, resumes,
+    )  # fmt: skip
+
+
+class OriginWorld:
+    """The store, its hosts, and the releases whose targets serve."""
+
+    def __init__(self, group, hosts):
+        self.group = group
+        self.store = MemoryStore()
+        self.releases = ['1']
+        self.lives = 0
+        self.hosts = {}
+        self.scopes = []
+        self.start_all(hosts)
+
+    def start_all(self, names):
+        """Start all hosts, with nothing of their past."""
+        for scope in self.scopes:
+            scope.cancel()
+        self.lives += 1
+        self.hosts = {name: OriginHost(self, name) for name in names}
+        for name, host in self.hosts.items():
+            self.group.start_soon(self._run, host, name == names[0])
+            for other in names:
+                digest = Digest(
+                    other, 1, 1, other, other, 'z', True, 1, 0, False, False, 0
+                )
+                host.fleet.note_digest(digest, anyio.current_time())
+
+    def count_appends(self):
+        return len(self.store.records.get(('own', STREAMS_PARTITION), ()))
+
+    async def _run(self, host, is_holder):
+        scope = anyio.CancelScope()
+        self.scopes.append(scope)
+        with scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(host.origins.write_records)
+                group.start_soon(
+                    host.origins.maintain_defaults, lambda: is_holder
+                )
+                while True:
+                    self._discover(host)
+                    await anyio.sleep(0.5)
+
+    def _discover(self, host):
+        if self.store.is_down:
+            return
+        now = anyio.current_time()
+        host.inventory.replace_all(
+            [
+                Announcement(
+                    f't{release}', 1, SERVICE, 'a:1', 'z', TargetState.ready, 9,
+                    release=release,
+                )
+                for release in self.releases
+            ],
+            now,
+        )  # fmt: skip
+        host.origins.note_targets(now, now)
+
+
+def simulate(monkeypatch, scenario, hosts=('a', 'b', 'c')):
+    for module in 'streamorigins', 'inventory':
+        name = f'ebonywell.{module}.boot_time'
+        monkeypatch.setattr(name, anyio.current_time, raising=False)
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            world = OriginWorld(group, hosts)
+            await anyio.sleep(8)
+            await scenario(world)
+            group.cancel_scope.cancel()
+
+    anyio.run(
+        run,
+        backend='trio',
+        backend_options={'clock': MockClock(autojump_threshold=0)},
+    )
+
+
+def test_one_release_alone_needs_no_record(monkeypatch):
+    async def scenario(world):
+        before = world.count_appends()
+        for number in range(20):
+            assert await world.hosts['a'].begin(f's{number}', '1')
+        assert world.count_appends() == before
+        assert await world.hosts['b'].resume('s3') == '1'
+
+    simulate(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize('is_restarted', [False, True])
+@pytest.mark.parametrize('is_old_gone', [False, True])
+def test_streams_of_two_releases_are_told_apart(
+    monkeypatch, is_restarted, is_old_gone
+):
+    async def scenario(world):
+        world.releases = ['1', '2']
+        await anyio.sleep(2)
+        assert await world.hosts['a'].begin('old', '1')
+        assert await world.hosts['a'].begin('new', '2')
+        if is_old_gone:
+            world.releases = ['2']
+            await anyio.sleep(1)
+        if is_restarted:
+            world.start_all(('a', 'b', 'c'))
+            await anyio.sleep(1)
+        expected = 'origin_gone' if is_old_gone else '1'
+        for host in world.hosts.values():
+            assert await host.resume('old') == expected
+            assert await host.resume('new') == '2'
+
+    simulate(monkeypatch, scenario)
+
+
+def test_the_release_that_replaced_another_becomes_the_default(monkeypatch):
+    async def scenario(world):
+        world.releases = ['2']
+        await anyio.sleep(RETIRE_AFTER_S + MAX_ABSENCE_S)
+        before = world.count_appends()
+        assert await world.hosts['b'].begin('late', '2')
+        assert world.count_appends() == before
+        world.releases = ['1', '2']
+        await anyio.sleep(2)
+        assert await world.hosts['b'].begin('back', '1')
+        world.start_all(('a', 'b', 'c'))
+        await anyio.sleep(1)
+        assert await world.hosts['c'].resume('back') == '1'
+        assert await world.hosts['c'].resume('late') == '2'
+
+    simulate(monkeypatch, scenario)
+
+
+def test_no_stream_of_another_release_begins_while_the_store_is_away(
+    monkeypatch,
+):
+    async def scenario(world):
+        world.releases = ['1', '2']
+        await anyio.sleep(2)
+        world.store.is_down = True
+        assert await world.hosts['a'].begin('old', '1')
+        assert not await world.hosts['a'].begin('new', '2')
+
+    simulate(monkeypatch, scenario)
+
+
+def test_hosts_tell_each_other_of_streams_while_the_store_is_away(monkeypatch):
+    async def scenario(world):
+        world.releases = ['1', '2']
+        await anyio.sleep(2)
+        assert await world.hosts['a'].begin('new', '2')
+        world.store.is_down = True
+        assert await world.hosts['b'].resume('new') == '2'
+        assert await world.hosts['b'].resume('invented') == 'origin_unknown'
+
+    simulate(monkeypatch, scenario)
+
+
+def test_a_stream_without_a_stated_beginning_has_no_known_origin(monkeypatch):
+    async def scenario(world):
+        assert await world.hosts['a'].resume('') == 'origin_unknown'
+
+    simulate(monkeypatch, scenario)
+
+
+def test_records_have_a_bounded_size_and_end(monkeypatch):
+    async def scenario(world):
+        world.releases = ['1', '2']
+        await anyio.sleep(2)
+        host = world.hosts['a']
+        for number in range(MAX_RECORDED_STREAMS):
+            assert await host.begin(f's{number}', '2')
+        assert not await host.begin('one more', '2')
+        records = world.store.records['own', STREAMS_PARTITION]
+        assert len(records[-1].value) < MAX_RECORD_BYTES
+        await anyio.sleep(STREAM_LIFE_S + 1)
+        assert not host.origins.recorded
+        assert not host.origins.streams
+
+    simulate(monkeypatch, scenario, ('a',))
+
+
+def test_a_default_release_is_replaced_only_after_it_was_away_for_long():
+    history = ReleaseHistory()
+    history.note([(SERVICE, '1'), (SERVICE, '2')], 0)
+    history.note([(SERVICE, '2')], 30)
+    history.expire(30)
+    assert choose_default('1', history, SERVICE, 100, 30) is None
+    late = RETIRE_AFTER_S + 1
+    history.note([(SERVICE, '2')], late)
+    history.expire(late)
+    assert choose_default('1', history, SERVICE, 10, late) is None
+    assert choose_default('1', history, SERVICE, 100, late) == '2'
+    assert choose_default(None, history, SERVICE, 0, late) == '2'
+    assert choose_default('2', history, SERVICE, 100, late) is None
+    assert choose_default(None, ReleaseHistory(), SERVICE, 100, late) is None
+
+
+def test_an_unreadable_record_hides_no_other(monkeypatch):
+    async def scenario(world):
+        world.releases = ['1', '2']
+        await anyio.sleep(2)
+        assert await world.hosts['a'].begin('new', '2')
+        record = (('x/9', b'\xc1'),)
+        await world.store.append('own', STREAMS_PARTITION, record)
+        world.start_all(('a', 'b'))
+        await anyio.sleep(1)
+        assert await world.hosts['b'].resume('new') == '2'
+
+    simulate(monkeypatch, scenario)
