--- a/lab/platform_checks.py
+++ b/lab/platform_checks.py
@@ -5,8 +5,8 @@
 """
 
 import itertools
-from collections import Counter
-from collections.abc import Callable, Iterator
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator, Sequence
 
 from .platform_cuts import (
     check_changes,
@@ -15,10 +15,14 @@
     check_reloads,
     check_stops,
 )
-from .platform_history import DayHistory
+from .platform_history import Call, DayHistory
 
 # Statuses which guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Path of the route whose streams may be resumed.
+RESUMABLE_PATH = '/batch/'
+# With fewer resumptions, their share says little.
+MIN_RESUMPTIONS = 12
 _OK = 200
 
 
@@ -33,7 +37,7 @@
             yield f'{call.request_id}: answered by {call.seal}, ran on {ran_on}'
         if call.echoed_id != call.request_id:
             yield f'{call.request_id}: got the answer to {call.echoed_id}'
-        expected = tuple(range(1, call.event_count + 1))
+        expected = tuple(range(call.resumed_after + 1, call.event_count + 1))
         if call.is_stream and call.events != expected:
             yield f'{call.request_id}: whole stream has events {call.events}'
 
@@ -41,7 +45,8 @@
 def check_order(history: DayHistory) -> Iterator[str]:
     """Check that no event of a stream is missing or repeated."""
     for call in history.calls:
-        expected = tuple(range(1, len(call.events) + 1))
+        first = call.resumed_after + 1
+        expected = tuple(range(first, first + len(call.events)))
         if call.is_stream and call.events != expected:
             yield f'{call.request_id}: events {call.events}'
 
@@ -164,6 +169,59 @@
                 )
 
 
+def check_stated_limits(history: DayHistory) -> Iterator[str]:
+    """Check that replicas get no more requests than they state.
+
+    A fault of a host excuses the windows in which it has to learn again.
+    """
+    bounds = history.bounds
+    for limit in history.stated_limits:
+        most = bounds.stated_share * bounds.stated_window_s * limit.rate
+        most += bounds.stated_slack
+        for end in limit.arrivals:
+            begin = end - bounds.stated_window_s
+            if begin < limit.begin + bounds.contact_s or end > limit.end:
+                continue
+            count = sum(begin < at <= end for at in limit.arrivals)
+            is_excused = any(
+                fault.begin < end and fault.end > begin
+                for fault in history.faults
+            )
+            if count > most and not is_excused:
+                yield f'{limit.replica}: {count} requests, allowed {most}'
+                break
+
+
+def check_releases(history: DayHistory) -> Iterator[str]:
+    """Check that no stream has events from replicas of two releases."""
+    releases: defaultdict[str, set[int]] = defaultdict(set)
+    for call in history.calls:
+        releases[call.resumes or call.request_id] |= call.releases
+    for request_id, found in releases.items():
+        if len(found) > 1:
+            yield f'{request_id}: events of releases {sorted(found)}'
+
+
+def check_resumptions(history: DayHistory) -> Iterator[str]:
+    """Check that streams can be resumed while their release has replicas."""
+    resumptions = [one for one in history.calls if one.has_spare_target]
+    begun = [
+        one
+        for one in history.calls
+        if one.path.startswith(RESUMABLE_PATH) and not one.resumes
+    ]
+    if len(resumptions) < MIN_RESUMPTIONS or not begun:
+        return
+    resumed_share = _share_with_events(resumptions)
+    begun_share = _share_with_events(begun)
+    if resumed_share < begun_share / 2:
+        yield f'{resumed_share:.2f} resumed, {begun_share:.2f} begun'
+
+
+def _share_with_events(calls: Sequence[Call]) -> float:
+    return sum(bool(one.events) for one in calls) / len(calls)
+
+
 Check = Callable[[DayHistory], Iterator[str]]
 CHECKS: dict[str, Check] = {
     'answers': check_answers,
@@ -180,6 +238,9 @@
     'changes': check_changes,
     'kept': check_kept_connections,
     'ends': check_ends,
+    'stated': check_stated_limits,
+    'releases': check_releases,
+    'resumptions': check_resumptions,
 }
 
 
--- a/lab/platform_faults.py
+++ b/lab/platform_faults.py
@@ -18,11 +18,14 @@
 )
 from .platform_history import Window
 from .platform_replicafaults import (
+    add_release,
     corrupt_answers,
+    cut_streams,
     drop_idle_connections,
     flap_replica,
     replace_replica,
     silence_replica,
+    state_limit,
 )
 from .platform_world import API_KEY, Host
 
@@ -213,6 +216,7 @@
     change_configuration_quickly,
     withdraw_key,
     replace_replica,
+    add_release,
 )
 FAULTS: tuple[Disturbance, ...] = (
     kill_host,
@@ -225,6 +229,9 @@
     silence_replica,
     drop_idle_connections,
     flap_replica,
+    cut_streams,
+    cut_streams,
+    state_limit,
 )
 
 
--- a/lab/platform_history.py
+++ b/lab/platform_history.py
@@ -37,6 +37,14 @@
         When its last byte was sent; None if it was never sent.
     is_reset : bool
         Whether its connection was reset instead of closed.
+    resumes : str
+        Id of the request that began the stream; empty for a new request.
+    resumed_after : int
+        Number of the last event that its caller has.
+    releases : frozenset of int
+        Releases of the replicas that made its events.
+    has_spare_target : bool
+        Whether two replicas of the stream's release served when it was resumed.
     """
 
     request_id: str
@@ -60,6 +68,10 @@
     reuses_connection: bool = False
     fully_sent_at: float | None = None
     is_reset: bool = False
+    resumes: str = ''
+    resumed_after: int = 0
+    releases: frozenset[int] = frozenset()
+    has_spare_target: bool = False
 
     @property
     def is_cut(self) -> bool:
@@ -97,6 +109,27 @@
     end: float
 
 
+@dataclass(slots=True, frozen=True)
+class StatedLimit:
+    """A limit that a replica stated, and the requests that it got meanwhile.
+
+    Attributes
+    ----------
+    replica : str
+    rate : float
+        Requests per second.
+    begin, end : float
+    arrivals : tuple of float
+        Times of all requests, polls and orders.
+    """
+
+    replica: str
+    rate: float
+    begin: float
+    end: float
+    arrivals: tuple[float, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class ProcessEnd:
     """The end of a host's process.
@@ -145,6 +178,11 @@
         Time within which a host ends after a signal to stop.
     config_s : float
         Time within which a configuration or a reload takes effect.
+    contact_s : float
+        Time within which all hosts know what a replica has stated.
+    stated_window_s, stated_share, stated_slack : float
+        Length of the windows in which a stated limit is checked, and how far
+        they may exceed it: a multiple of it, and a number of requests.
     """
 
     workspace: str
@@ -159,6 +197,10 @@
     retry_window_s: float = 10
     grace_s: float = 8
     config_s: float = 2
+    contact_s: float = 3
+    stated_window_s: float = 4
+    stated_share: float = 1.5
+    stated_slack: float = 5
 
 
 @dataclass(slots=True)
@@ -188,6 +230,7 @@
         Ids of requests whose connection a replica broke off.
     overfull_engines : list of str
         Engines that were ordered to load more than fits.
+    stated_limits : list of StatedLimit
     accepted_fences : dict of str to list of (int, str)
         Fencing numbers and lease holders of the orders that each engine
         accepted.
@@ -205,6 +248,7 @@
     ends: list[ProcessEnd] = field(default_factory=list)
     broken_by_replicas: set[str] = field(default_factory=set)
     overfull_engines: list[str] = field(default_factory=list)
+    stated_limits: list[StatedLimit] = field(default_factory=list)
     accepted_fences: dict[str, list[tuple[int, str]]] = field(
         default_factory=dict
     )
--- a/lab/platform_replicafaults.py
+++ b/lab/platform_replicafaults.py
@@ -1,12 +1,14 @@
 """Faults and planned work of a day on replicas, and corrupt answers."""
 
 import math
+import time
 from collections.abc import Callable
 from dataclasses import replace
 
 import anyio
 
-from .platform_daystate import Day
+from .platform_daystate import ENGINE_SLOTS, Day
+from .platform_history import StatedLimit
 from .standin_http import HttpRequest, Reply
 from .standin_replica import Replica
 
@@ -17,6 +19,10 @@
 SETTLE_S = 1.0
 SHORT_IDLE_TIMEOUT_S = 0.1
 FLAPS = 3
+STATED_RATES = (0.5, 1.0, 3.0)
+STATED_RANGE_S = (3.5, 9.0)
+MAX_ENGINES = 4
+CUT_AFTER = 2
 FLAP_RANGE_S = (0.2, 0.8)
 # Answers a request in a faulty way. The function's name is written to the
 # record of the day.
@@ -38,6 +44,45 @@
     old.address = ''
 
 
+async def state_limit(day: Day) -> None:
+    """Make a replica state a limit in its answers for a while."""
+    replica = _pick_replica(day)
+    if replica.stated_rate:
+        return
+    rate = day.rng.choice(STATED_RATES)
+    day.log_event(f'{replica.name} states a limit of {rate}')
+    begin = time.monotonic()
+    replica.stated_rate = str(rate)
+    await anyio.sleep(day.rng.uniform(*STATED_RANGE_S))
+    replica.stated_rate = ''
+    end = time.monotonic()
+    arrivals = tuple(at for at in replica.arrivals if begin <= at <= end)
+    day.history.stated_limits.append(
+        StatedLimit(replica.name, rate, begin, end, arrivals)
+    )
+    day.log_event(f'{replica.name} states no limit')
+
+
+async def add_release(day: Day) -> None:
+    """Add an engine of another release, which serves beside the others."""
+    engines = [
+        one for one in day.world.replicas.values() if one.service == 'pool'
+    ]
+    if len(engines) >= MAX_ENGINES:
+        return
+    name = f'pool-{len(engines) + 1}'
+    day.log_event(f'{name} is added, of another release')
+    engine = await day.world.add_replica(name, 'pool', ['m1', 'm2'])
+    engine.slots = ENGINE_SLOTS
+    engine.release = day.rng.choice((1, 2, 2))
+    day.world.store.put('keyed.servers', name, engine.entry())
+
+
+async def cut_streams(day: Day) -> None:
+    """Make a replica break off some of its streams after a few events."""
+    await _apply_answer_fault(day, _cut_stream, FAULTY_ANSWER_SHARE)
+
+
 async def corrupt_answers(day: Day) -> None:
     """Make a replica corrupt or reject some of its answers for a while."""
     await _apply_answer_fault(
@@ -111,6 +156,12 @@
     return replace(replica.run(request), raw=head)
 
 
+def _cut_stream(replica: Replica, request: HttpRequest) -> Reply:
+    """Break off a stream; other answers stay whole."""
+    reply = replica.run(request)
+    return replace(reply, cut_after=CUT_AFTER) if reply.events else reply
+
+
 def _add_answer(replica: Replica, request: HttpRequest) -> Reply:
     """Send a second answer that belongs to no request right after the first."""
     reply = replica.run(request)
--- a/lab/platform_traffic.py
+++ b/lab/platform_traffic.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from .platform_caller import Answer, Caller, request_once
+from .platform_checks import RESUMABLE_PATH
 from .platform_daystate import (
     LONG_ROUTE,
     LONG_ROUTE_TIMEOUT_S,
@@ -23,7 +24,7 @@
     Day,
 )
 from .platform_history import Call
-from .platform_world import API_KEY, Host, events_of
+from .platform_world import API_KEY, Host, events_of, releases_of
 from .standin_replica import (
     EVENT_COUNT_HEADER,
     EVENT_INTERVAL_HEADER,
@@ -71,6 +72,8 @@
 API_KEYS = (API_KEY, API_KEY, API_KEY, SECOND_KEY)
 STREAM_ROUTES = frozenset(('chat', 'batch', LONG_ROUTE))
 MODELS = ('m1', 'm2', 'm3', 'm4')
+# Times that a caller resumes a stream that breaks off.
+MAX_RESUMPTIONS = 3
 _OK = 200
 _CLOSE = 'close'
 
@@ -91,6 +94,10 @@
     upload_time_s : float
         Pause before the last byte of its body is sent.
     headers : dict of str to str
+    resumes : str
+        Id of the request that began the stream; empty for a new request.
+    resumed_after : int
+        Number of the last event that its caller has.
     """
 
     request_id: str
@@ -102,6 +109,8 @@
     leave_after_s: float
     upload_time_s: float
     headers: dict[str, str]
+    resumes: str = ''
+    resumed_after: int = 0
 
     @property
     def path(self) -> str:
@@ -212,6 +221,71 @@
     caller: Caller,
 ) -> bool:
     """Send and record a request; return whether its connection can be kept."""
+    call, answer = await _exchange(day, planned, host, caller)
+    if _can_resume(call):
+        day.group.start_soon(resume_stream, day, planned, call)
+    if not call.status or not call.is_whole:
+        return False
+    return answer.headers.get('connection', '').lower() != _CLOSE
+
+
+async def resume_stream(day: Day, begun: PlannedRequest, call: Call) -> None:
+    """Resume a stream that has broken off, at any host, a few times."""
+    client = Client(day, random.Random(begun.request_id))
+    last_event = call.events[-1]
+    for attempt in range(1, MAX_RESUMPTIONS + 1):
+        connected = await client.connect()
+        if connected is None:
+            continue
+        planned = replace(
+            begun,
+            request_id=f'{begun.request_id}-{attempt}',
+            leave_after_s=begun.limit_s + LEAVE_MARGIN_S,
+            upload_time_s=0,
+            headers={
+                **begun.headers,
+                'Last-Event-Id': str(last_event),
+                'Resumes': begun.request_id,
+            },
+            resumes=begun.request_id,
+            resumed_after=last_event,
+        )
+        host, caller = connected
+        try:
+            resumed, _ = await _exchange(day, planned, host, caller)
+        finally:
+            await caller.close()
+        if resumed.status == _OK and resumed.is_whole:
+            return
+        last_event += len(resumed.events)
+
+
+def _can_resume(call: Call) -> bool:
+    is_broken = not call.is_whole and call.left_at is None
+    is_resumable = call.path.startswith(RESUMABLE_PATH)
+    is_unfinished = 0 < len(call.events) < call.event_count
+    return is_broken and is_resumable and is_unfinished
+
+
+def _has_spare_target(day: Day, call: Call) -> bool:
+    """Return whether two replicas serve that can go on with a stream."""
+    began = [one for one in day.history.calls if one.request_id == call.resumes]
+    releases = began[0].releases if began else frozenset()
+    serving = [
+        one
+        for one in day.world.replicas.values()
+        if one.service == 'pool' and not one.is_down and one.release in releases
+    ]
+    return len(serving) > 1
+
+
+async def _exchange(
+    day: Day,
+    planned: PlannedRequest,
+    host: Host,
+    caller: Caller,
+) -> tuple[Call, Answer]:
+    """Send and record a request; return the record and its answer."""
     headers: dict[str, Any] = {
         'Host': 'app.example',
         'Request-Id': planned.request_id,
@@ -240,10 +314,11 @@
         fully_sent_at=caller.fully_sent_at,
         is_reset=caller.is_reset,
     )
+    if planned.resumes:
+        has_spare_target = _has_spare_target(day, call)
+        call = replace(call, has_spare_target=has_spare_target)
     day.history.calls.append(call)
-    if not call.status or not call.is_whole:
-        return False
-    return answer.headers.get('connection', '').lower() != _CLOSE
+    return call, answer
 
 
 def _make_call(
@@ -270,6 +345,9 @@
         answer.is_whole,
         limit_s=planned.limit_s,
         event_count=planned.event_count,
+        resumes=planned.resumes,
+        resumed_after=planned.resumed_after,
+        releases=releases_of(answer.body),
     )
 
 
--- a/lab/platform_world.py
+++ b/lab/platform_world.py
@@ -408,6 +408,15 @@
     ]
 
 
+def releases_of(body: bytes) -> frozenset[int]:
+    """Return the releases of the replicas that made a stream's events."""
+    return frozenset(
+        int(line.rpartition(b' ')[2])
+        for line in body.splitlines()
+        if line.startswith(b'data: release ')
+    )
+
+
 def decode(answer: Answer) -> Any:
     """Return an answer's JSON body."""
     return json.loads(answer.body)
--- a/lab/standin_replica.py
+++ b/lab/standin_replica.py
@@ -153,7 +153,7 @@
         first = int(request.headers.get('last-event-id', '0'))
         count = int(request.headers.get(EVENT_COUNT_HEADER, self.events))
         events = tuple(
-            b'id: %d\ndata: token\n\n' % number
+            b'id: %d\ndata: release %d\n\n' % (number, self.release)
             for number in range(first + 1, count + 1)
         )
         return Reply(
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -7,6 +7,7 @@
 
 from lab.platform_checks import CHECKS, count_outcomes, find_violations
 from lab.platform_day import run_day
+from lab.platform_history import StatedLimit
 
 from .dayhistory import CALL, RUN, STREAM, STREAM_RUN, good
 
@@ -87,6 +88,31 @@
     day.accepted_fences['pool-1'] = [(3, 'b'), (1, 'a')]
 
 
+def over_stated_limit(day):
+    arrivals = tuple(26 + number / 10 for number in range(12))
+    day.stated_limits.append(StatedLimit('pool-1', 1, 20, 30, arrivals))
+
+
+def two_releases_in_one_answer(day):
+    day.calls[1] = replace(STREAM, releases=frozenset((1, 2)))
+
+
+def two_releases_over_attempts(day):
+    day.calls[1] = replace(STREAM, releases=frozenset((1,)))
+    day.calls.append(
+        replace(STREAM, request_id='c3', resumes='c2', releases=frozenset((2,)))
+    )
+
+
+def no_stream_resumed(day):
+    begun = replace(STREAM, path='/batch/2')
+    day.calls.append(begun)
+    lost = replace(
+        begun, status=503, events=(), resumes='c2', has_spare_target=True
+    )
+    day.calls.extend(lost for _ in range(12))
+
+
 @pytest.mark.parametrize(
     ('breaking', 'name'),
     [
@@ -107,6 +133,10 @@
         (overfull_engine, 'engines'),
         (two_lease_holders, 'engines'),
         (smaller_fencing_number, 'engines'),
+        (over_stated_limit, 'stated'),
+        (two_releases_in_one_answer, 'releases'),
+        (two_releases_over_attempts, 'releases'),
+        (no_stream_resumed, 'resumptions'),
     ],
 )
 def test_each_violation_is_found(breaking, name):
