Replace the record of a stream that began again elsewhere

A host that retried a stream before its first event, first at a release that needs a record and then at the default one, left the record of the first: a caller that resumed the stream after all hosts were killed would have been sent to the other release. Found by reading; the test failed before.

--- a/ebonywell/streamorigins.py
+++ b/ebonywell/streamorigins.py
@@ -151,7 +151,9 @@
         if len(self.streams) >= MAX_STREAMS:
             self.streams.pop(next(iter(self.streams)))
         self.streams[key] = origin
-        if self._is_default(request.service, release, now):
+        # A record that an earlier attempt needed must be replaced.
+        is_default = self._is_default(request.service, release, now)
+        if is_default and key not in self.recorded:
             return True
         is_written = False
         if len(self.recorded) < MAX_RECORDED_STREAMS:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -149,6 +149,21 @@
     )
 
 
+def test_a_retried_stream_is_resumed_where_its_first_event_came_from(
+    monkeypatch,
+):
+    async def scenario(world):
+        world.releases = ['1', '2']
+        await anyio.sleep(2)
+        assert await world.hosts['a'].begin('retried', '2')
+        assert await world.hosts['a'].begin('retried', '1')
+        world.start_all(('a', 'b'))
+        await anyio.sleep(1)
+        assert await world.hosts['b'].resume('retried') == '1'
+
+    simulate(monkeypatch, scenario)
+
+
 def test_one_release_alone_needs_no_record(monkeypatch):
     async def scenario(world):
         before = world.count_appends()
