Resume a stream whose target crashed at another one of its release

Such a request now looks for a target again, and the lease holder is asked for a load where the only copies of the release are out of reach. Test: test_a_stream_goes_on_at_its_release_after_its_target_crashed, red before.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -42,6 +42,8 @@
 MIN_LEFT_S = 0.03
 # Parts of a stream after which its target has survived the request.
 PARTS_TO_SURVIVE = 2
+# Reason that is reported if a target accepts no connection.
+UNREACHABLE = 'unreachable'
 
 
 class Attempts:
@@ -119,7 +121,7 @@
             target.refused_at = boot_time()
             self.health.record_result(target.name, boot_time(), is_good=False)
             self.log('target_unreachable', target=target.name, why=str(error))
-            raise AttemptError('unreachable', has_run=False) from error
+            raise AttemptError(UNREACHABLE, has_run=False) from error
 
     async def _exchange(
         self,
@@ -451,7 +453,7 @@
     try:
         return connection.send(encoded)
     except TargetUnreachableError as error:
-        raise AttemptError('unreachable', has_run=False) from error
+        raise AttemptError(UNREACHABLE, has_run=False) from error
 
 
 def _make_run(request: AdmittedRequest, choice: Choice) -> Run:
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from .attempts import UNREACHABLE
 from .clock import boot_time
 from .crashguard import CRASHES_TARGETS, CrashGuard
 from .inbound import AdmittedRequest, Charge, RejectionError, Responder
@@ -233,10 +234,8 @@
                     selected,
                 )
             except RejectionError as error:
-                # The target no longer has the model or adapter. Another
-                # target may have it, or it may be loaded again.
-                is_absent = error.reason == Verdict.absent.value
-                if not is_absent or progress.sends >= MAX_SENDS:
+                is_worthwhile = may_find_another(request, error.reason)
+                if not is_worthwhile or progress.sends >= MAX_SENDS:
                     raise
             progress.avoided.clear()
 
@@ -405,6 +404,18 @@
         )
 
 
+def may_find_another(request: AdmittedRequest, reason: str) -> bool:
+    """Return whether to look for a target again after a rejection.
+
+    If a target no longer has the model or adapter, another one may have it, or
+    it may be loaded again. A stream that goes on at one release only may have
+    lost the last target there that holds its model.
+    """
+    if reason == Verdict.absent.value:
+        return True
+    return request.release is not None and reason == UNREACHABLE
+
+
 def _refund(progress: Progress, outcome: Outcome) -> None:
     """Refund the charge of a request that is reported as not run."""
     if outcome.status == _UNAVAILABLE and progress.refund is not None:
--- a/ebonywell/loadrequests.py
+++ b/ebonywell/loadrequests.py
@@ -86,7 +86,14 @@
                 self.requested_at.pop(request)
 
     def _is_present(self, wanted: LoadRequest) -> bool:
-        return any(
-            known.holds(wanted.model) and wanted.accepts(known)
+        now = boot_time()
+        holding = [
+            known
             for known in self.inventory.of_service(wanted.service)
-        )
+            if known.holds(wanted.model) and wanted.accepts(known)
+        ]
+        if wanted.release is None:
+            return bool(holding)
+        # The target that broke off a stream may have crashed, and only a few
+        # others can go on with it.
+        return any(known.is_reachable(now) for known in holding)
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -66,6 +66,8 @@
 # Waiting requests for which a model counts that a broken stream needs at its
 # release. Nothing else could serve it.
 RELEASE_WAITING = 10
+# Time for a load, and until all hosts know of it.
+RELEASE_LOAD_S = 2.0
 
 NoteAnswer = Callable[[OrderAnswer], None]
 
@@ -475,8 +477,12 @@
         for known in provisioner.inventory.of_service(request.service)
         if known.is_reachable(now) and request.accepts(known)
     ]
-    if any(request.model in one.models for one in engines):
+    # The hosts that ask cannot reach the engines that hold the model, unless
+    # it was loaded just now.
+    loaded_at = [one.models.get(request.model, -math.inf) for one in engines]
+    if now - max(loaded_at, default=-math.inf) < RELEASE_LOAD_S:
         return
+    engines = [one for one in engines if request.model not in one.models]
     waiting = ModelDemand(request.service, request.model, 0, RELEASE_WAITING)
     models = provisioner._model_states(
         engine, {**demand, request.model: waiting}, now
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from .attempts import MIN_LEFT_S, Attempts, add_content_length
+from .attempts import (
+    MIN_LEFT_S,
+    UNREACHABLE,
+    Attempts,
+    add_content_length,
+)
 from .blame import NO_TRAITS
 from .clock import boot_time
 from .crashguard import CRASHES_TARGETS, CrashGuard
@@ -119,7 +124,7 @@
         selected = await self.selector.reserve(
             request, progress.avoided, is_trial=bool(progress.trial)
         )
-        was_reached = error.reason != 'unreachable'
+        was_reached = error.reason != UNREACHABLE
         if selected is None or not was_reached:
             return selected
         if not self.budget_of(request.service).spend(boot_time()):
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -13,6 +13,8 @@
 CUT_AFTER = 2
 # Time for hosts to read the targets' entries again.
 ANNOUNCE_S = 1.3
+# Longer than callers wait.
+DOWN_S = 6.0
 
 
 def announce(world, name, release, state='ready'):
@@ -169,3 +171,20 @@
         assert events_of(answer.body) == [3, 4, 5]
 
     run_scenario(tmp_path, scenario, HOSTS)
+
+
+def test_a_stream_goes_on_at_its_release_after_its_target_crashed(tmp_path):
+    async def scenario(world):
+        await world.add_replica('pool-3', 'pool', ['m3'])
+        announce(world, 'pool-2', 2)
+        announce(world, 'pool-3', 2)
+        await anyio.sleep(ANNOUNCE_S)
+        begun = await _begin_at_each(world, world.hosts['host-1'])
+        world.crash_replica(world.replicas['pool-2'], DOWN_S)
+        answer, went_on_at = await take_up(
+            world, world.hosts['host-2'], begun['pool-2']
+        )
+        assert went_on_at == ['pool-3']
+        assert events_of(answer.body) == [3, 4, 5]
+
+    run_scenario(tmp_path, scenario, HOSTS)
