--- a/ebonywell/targetlimits.py
+++ b/ebonywell/targetlimits.py
@@ -22,6 +22,7 @@
 from .inventory import KnownTarget
 from .logs import Logger
 from .metrics import Metrics
+from .questions import Questions
 from .repeats import FRESH_S, DigestRepeats
 from .sendschedule import SendSchedule, effective_rate, pick_scheduler
 from .statements import (
@@ -52,14 +53,6 @@
         """Send a message to all hosts."""
 
 
-@dataclass(slots=True, eq=False)
-class PermitRequest:
-    """A request for permission that waits for its answer."""
-
-    answered: anyio.Event = field(default_factory=anyio.Event)
-    reply: PermitMessage | None = None
-
-
 @dataclass(slots=True)
 class TargetLimits:
     """Statements of targets, and permissions to send to limited ones.
@@ -76,10 +69,9 @@
         Schedules of the targets for which this host was asked.
     due_at : dict of (str, int) to float
         When the next request to a target may be due, as this host was told.
-    pending : dict of int to PermitRequest
+    questions : Questions
+        Requests for permission that wait for an answer.
     repeats : DigestRepeats
-    requests : int
-        Number of the last request for permission.
     """
 
     fleet: FleetView
@@ -90,9 +82,8 @@
     statements: Statements = field(default_factory=Statements)
     schedules: dict[Incarnation, SendSchedule] = field(default_factory=dict)
     due_at: dict[Incarnation, float] = field(default_factory=dict)
-    pending: dict[int, PermitRequest] = field(default_factory=dict)
+    questions: Questions[PermitMessage] = field(default_factory=Questions)
     repeats: DigestRepeats = field(default_factory=DigestRepeats)
-    requests: int = 0
 
     def rate_of(self, known: KnownTarget) -> float | None:
         """Return the requests per second to keep for a target, or None."""
@@ -166,10 +157,7 @@
             case PermitRequestMessage():
                 self._receive_request(message)
             case PermitMessage():
-                waiting = self.pending.get(message.number)
-                if waiting is not None:
-                    waiting.reply = message
-                    waiting.answered.set()
+                self.questions.answer(message.number, message)
 
     def list_messages(self) -> Iterator[StatementMessage]:
         """Yield the statements to repeat with the next digest."""
@@ -205,30 +193,23 @@
         scheduler = self._find_scheduler(incarnation)
         if scheduler is None:
             return self._reserve(incarnation, rate, max_wait_s)
-        self.requests += 1
-        number = self.requests
-        waiting = PermitRequest()
-        self.pending[number] = waiting
-        message = PermitRequestMessage(
-            self.fleet.own_name,
-            number,
-            self._make_message(incarnation),
-            max_wait_s,
-        )
-        self.network.send(scheduler.address, message)
-        try:
-            with anyio.move_on_after(PERMIT_TIMEOUT_S):
-                await waiting.answered.wait()
-        finally:
-            self.pending.pop(number)
-        if waiting.reply is None:
+        statement = self._make_message(incarnation)
+
+        def send(number: int) -> None:
+            message = PermitRequestMessage(
+                self.fleet.own_name, number, statement, max_wait_s
+            )
+            self.network.send(scheduler.address, message)
+
+        reply = await self.questions.ask(send, PERMIT_TIMEOUT_S)
+        if reply is None:
             self.log(
                 'permit_unanswered',
                 target=incarnation[0],
                 peer=scheduler.name,
             )
             return False, UNANSWERED_RETRY_S
-        return waiting.reply.is_granted, waiting.reply.due_s
+        return reply.is_granted, reply.due_s
 
     def _find_scheduler(self, incarnation: Incarnation) -> Peer | None:
         """Return the host to ask, None for this host."""
