--- a/ebonywell/streamorigins.py
+++ b/ebonywell/streamorigins.py
@@ -22,6 +22,7 @@
 from .inbound import AdmittedRequest, RejectionError
 from .inventory import Inventory
 from .logs import Logger
+from .questions import Questions
 from .releases import (
     DISCOVERY_LAG_S,
     STREAM_LIFE_S,
@@ -78,14 +79,6 @@
     is_written: bool = False
 
 
-@dataclass(slots=True, eq=False)
-class OriginRequest:
-    """A question to all hosts that waits for an answer."""
-
-    answered: anyio.Event = field(default_factory=anyio.Event)
-    release: str | None = None
-
-
 @dataclass(slots=True)
 class StreamOrigins:
     """Origins of resumable streams.
@@ -131,8 +124,7 @@
     recorded: dict[bytes, Origin] = field(default_factory=dict)
     batch: Batch = field(default_factory=Batch)
     batch_wanted: anyio.Event = field(default_factory=anyio.Event)
-    pending: dict[int, OriginRequest] = field(default_factory=dict)
-    requests: int = 0
+    questions: Questions[str] = field(default_factory=Questions)
 
     # Streams that begin
 
@@ -223,10 +215,7 @@
     def receive(self, message: OriginRequestMessage | OriginMessage) -> None:
         """Handle a message from another host."""
         if isinstance(message, OriginMessage):
-            waiting = self.pending.get(message.number)
-            if waiting is not None:
-                waiting.release = message.release
-                waiting.answered.set()
+            self.questions.answer(message.number, message.release)
             return
         origin = self.streams.get(message.stream)
         sender = self.fleet.peers.get(message.sender)
@@ -351,19 +340,13 @@
     async def _ask_peers(self, stream: bytes) -> str | None:
         if not self.fleet.peers:
             return None
-        self.requests += 1
-        number = self.requests
-        waiting = OriginRequest()
-        self.pending[number] = waiting
-        self.network.broadcast(
-            OriginRequestMessage(self.fleet.own_name, number, stream)
-        )
-        try:
-            with anyio.move_on_after(PEER_TIMEOUT_S):
-                await waiting.answered.wait()
-        finally:
-            self.pending.pop(number)
-        return waiting.release
+
+        def send(number: int) -> None:
+            self.network.broadcast(
+                OriginRequestMessage(self.fleet.own_name, number, stream)
+            )
+
+        return await self.questions.ask(send, PEER_TIMEOUT_S)
 
     async def _read_origin(
         self, service: str, stream: bytes
