--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -81,10 +81,13 @@
         others run.
         """
         eligible = self.list_eligible(request, avoided)
-        wait_s = self._permit_wait_s(request, eligible)
-        eligible = [
-            known for known in eligible if self.limits.due_in_s(known) <= wait_s
-        ]
+        if not self.limits.is_empty:
+            wait_s = self._permit_wait_s(request, eligible)
+            eligible = [
+                known
+                for known in eligible
+                if self.limits.due_in_s(known) <= wait_s
+            ]
         if is_trial:
             eligible = self._list_idlest(eligible)
         return self._select_from(request, eligible)
@@ -103,8 +106,8 @@
         """
         for _ in range(MAX_CLAIMS):
             selected = self.select(request, avoided, is_trial=is_trial)
-            if selected is None:
-                return None
+            if selected is None or not self.limits.is_limited(selected[0]):
+                return selected
             eligible = self.list_eligible(request, avoided)
             wait_s = self._permit_wait_s(request, eligible)
             if await self.limits.claim(selected[0], wait_s):
--- a/ebonywell/targetlimits.py
+++ b/ebonywell/targetlimits.py
@@ -85,9 +85,14 @@
     questions: Questions[PermitMessage] = field(default_factory=Questions)
     repeats: DigestRepeats = field(default_factory=DigestRepeats)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has stated anything."""
+        return not self.statements.known
+
     def rate_of(self, known: KnownTarget) -> float | None:
         """Return the requests per second to keep for a target, or None."""
-        if not self.statements.known:
+        if self.is_empty:
             return None
         return effective_rate(self.statements.get(known.incarnation).rate_limit)
 
