Tell an outage of the store from a cut on the way to it

Callers' requests went to a target over two seconds after its entry had been deleted (DRAIN), from hosts that were in touch and had logged that it was gone.

Cause: after an outage of the store a deleted entry may be that of a live target, so it is kept for 2.5 s. Any failed call of a host counted as such an outage, from when a read of its own worked again.

Change: a host suspects an outage only from its own failed calls or a gap in its proofs, and another host that was in touch all the while refutes it, the one that answers it or one of another zone. What lapsed is looked at with the outage already known; before, the first read after an outage removed what the outage had let lapse. Log lines tell which (`is_kept`, `was_outage`, `outage_refuted`), and each `request_routed` how old the word was.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -235,6 +235,8 @@
             slowness=chosen.health.slowness,
             wait_s=sending.choice.wait_s,
             choose_s=sending.sent_at - request.received_at,
+            proof_age_s=sending.choice.proof_age_s,
+            is_missing=sending.target.missing_since is not None,
         )
 
     def _note_broken(
--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -250,8 +250,8 @@
         was sent.
     held_s : float
         Time for which the question was held.
-    recovered_ago_s : float
-        Time since the store answered the host again after an outage.
+    reached_for_s : float
+        How long the host has been in touch with the store.
     changes : bytes
         Packed records; see `feedpages.pack_records`.
     """
@@ -261,7 +261,7 @@
     told_offset: int
     proof_age_s: float
     held_s: float
-    recovered_ago_s: float
+    reached_for_s: float
     changes: bytes = b''
 
 
--- a/ebonywell/feedpages.py
+++ b/ebonywell/feedpages.py
@@ -8,6 +8,7 @@
 
 from .digests import FeedAnswerMessage
 from .sharedstore import KeyedRecord, StorePage
+from .storereach import Witness
 
 # How long a reader holds a question while nothing is new.
 HOLD_S = 0.3
@@ -35,13 +36,12 @@
     proven_at : float or None
         Time at which the topic was known to end no later than this page, by
         this host's clock; None if there is more to come.
-    recovered_at : float
-        When the store answered the other host again after an outage.
+    witness : Witness
     """
 
     page: StorePage
     proven_at: float | None
-    recovered_at: float
+    witness: Witness
 
 
 def pack_records(records: Iterable[KeyedRecord], end: int) -> tuple[bytes, int]:
@@ -105,11 +105,19 @@
 
 
 def read_answer(
-    answer: FeedAnswerMessage, offset: int, asked_at: float
+    answer: FeedAnswerMessage, offset: int, asked_at: float, received_at: float
 ) -> RelayedPage | None:
     """Return the page in an answer, None if it is malformed.
 
     Records before the offset of the question are known already.
+
+    Parameters
+    ----------
+    answer : FeedAnswerMessage
+    offset : int
+        Offset of the question.
+    asked_at, received_at : float
+        When the question was sent and its answer received.
     """
     try:
         records = unpack_records(answer.changes)
@@ -118,6 +126,7 @@
     is_sound = (
         0 <= answer.held_s <= HOLD_S + ANSWER_TIMEOUT_S
         and answer.proof_age_s >= 0
+        and answer.reached_for_s >= 0
         and answer.told_offset <= max(offset, answer.next_offset)
         and all(one.offset < answer.next_offset for one in records)
     )
@@ -128,9 +137,10 @@
         tuple(one for one in records if one.offset >= offset),
         max(offset, answer.told_offset),
     )
+    proven_at = told_at - answer.proof_age_s
     is_whole = answer.told_offset >= answer.next_offset
     return RelayedPage(
         page,
-        told_at - answer.proof_age_s if is_whole else None,
-        told_at - answer.recovered_ago_s,
+        proven_at if is_whole else None,
+        Witness(received_at - answer.reached_for_s, proven_at),
     )
--- a/ebonywell/feedrelay.py
+++ b/ebonywell/feedrelay.py
@@ -30,9 +30,10 @@
 )
 from .feedreaders import order_readers, pick_readers
 from .feedtail import FeedTail
-from .fleetview import FleetView
+from .fleetview import FleetView, Peer
 from .logs import Logger
 from .questions import Questions
+from .storereach import StoreReach, Witness
 
 # Readers that a host asks before it reads the store itself.
 MAX_ASKED = 2
@@ -69,15 +70,11 @@
     Attributes
     ----------
     tail : FeedTail
-    proven_at : callable
-        Returns when the topic was last known to end at the tail's end.
-    recovered_at : callable
-        Returns when the store last answered again after an outage.
+    reach : StoreReach
     """
 
     tail: FeedTail
-    proven_at: Callable[[], float]
-    recovered_at: Callable[[], float]
+    reach: StoreReach
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,6 +166,21 @@
         self._note_reader('')
         return None
 
+    async def find_witness(self, topic: str, offset: int) -> Witness | None:
+        """Ask a host of another zone how long the store has answered it.
+
+        Where there is none, a host of this zone is asked.
+        """
+        peer = self._pick_witness()
+        if peer is None:
+            return None
+        asked_at = boot_time()
+        answer = await self._question(peer, topic, offset, 0)
+        if answer is None:
+            return None
+        found = read_answer(answer, offset, asked_at, boot_time())
+        return None if found is None else found.witness
+
     def note_read(self, topic: str) -> None:
         """Pass on what is new in a topic to the hosts that wait for it."""
         end = self.known[topic].tail.next_offset
@@ -222,26 +234,32 @@
             if self.avoided_until.get(name, now) <= now
         ]
 
+    def _pick_witness(self) -> Peer | None:
+        """Return a reader of another zone, else any other host or None."""
+        by_zone: dict[str, list[str]] = {}
+        for digest in self.fleet.recent_digests(boot_time()):
+            if digest.is_ready:
+                by_zone.setdefault(digest.zone, []).append(digest.name)
+        names = by_zone.pop(self.fleet.zone, [])
+        readers = [
+            name
+            for zone, hosts in by_zone.items()
+            for name in pick_readers(hosts, zone)
+        ]
+        chosen = readers or names
+        return self.fleet.peers.get(self.rng.choice(chosen)) if chosen else None
+
     async def _ask(self, reader: str, topic: str, offset: int) -> Told | None:
         """Return what a reader told, None if that is of no use."""
         peer = self.fleet.peers.get(reader)
         if peer is None:
             return None
-        message = FeedQuestionMessage(
-            self.fleet.own_name, 0, topic, offset, HOLD_S
-        )
-
-        def send(number: int) -> None:
-            self.network.send(
-                peer.address, msgspec.structs.replace(message, number=number)
-            )
-
         asked_at = boot_time()
-        answer = await self.questions.ask(send, HOLD_S + ANSWER_TIMEOUT_S)
+        answer = await self._question(peer, topic, offset, HOLD_S)
         if answer is None:
             self._avoid(reader, 'silent')
             return None
-        relayed = read_answer(answer, offset, asked_at)
+        relayed = read_answer(answer, offset, asked_at, boot_time())
         if relayed is None:
             self._avoid(reader, 'malformed')
             return None
@@ -250,6 +268,21 @@
             relayed, not is_told or self._is_own_read_due(topic, relayed)
         )
 
+    async def _question(
+        self, peer: Peer, topic: str, offset: int, hold_s: float
+    ) -> FeedAnswerMessage | None:
+        """Return a host's answer, None if there was none in time."""
+        message = FeedQuestionMessage(
+            self.fleet.own_name, 0, topic, offset, hold_s
+        )
+
+        def send(number: int) -> None:
+            self.network.send(
+                peer.address, msgspec.structs.replace(message, number=number)
+            )
+
+        return await self.questions.ask(send, hold_s + ANSWER_TIMEOUT_S)
+
     def _is_own_read_due(self, topic: str, relayed: RelayedPage) -> bool:
         """Return whether to try the store, which the reader does not reach.
 
@@ -302,9 +335,9 @@
                 question.number,
                 known.tail.next_offset,
                 told_offset,
-                now - known.proven_at(),
+                now - known.reach.proven_at,
                 now - held.received_at,
-                now - known.recovered_at(),
+                max(0, now - known.reach.reached_since),
                 changes,
             ),
         )
--- a/ebonywell/following.py
+++ b/ebonywell/following.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -12,11 +12,14 @@
 from .feedtail import FeedTail
 from .logs import Logger
 from .sharedstore import KeyedRecord, SharedStore
+from .storereach import StoreReach, Witness
 
 # Delays after a failed call are random, so that not all hosts call at once
 # when the store recovers.
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.8
+# Other hosts are asked about an outage for this long after its end.
+QUESTIONED_S = 3.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,12 +34,15 @@
         How long the store may hold a read while there is no record.
     pause_s : float
         Pause between two reads.
+    expires : bool
+        Whether records are deleted that are not written again in time.
     """
 
     topic: str
     partition: int
     wait_s: float
     pause_s: float
+    expires: bool = False
 
 
 @dataclass(slots=True)
@@ -47,33 +53,34 @@
     ----------
     offset : int or None
         Offset of the next record; None before the first full read.
-    proven_at : float
-        Time of the freshness proof: nothing newer than what was applied
-        existed then, by the clock of the process.
-    is_failing : bool
-        Whether the last call failed.
-    failing_since : float
-        When calls began to fail.
-    recovered_at : float
-        When a call last succeeded after a failure.
+    reach : StoreReach
     """
 
     offset: int | None = None
-    proven_at: float = float('-inf')
-    is_failing: bool = False
-    failing_since: float = 0
-    recovered_at: float = float('-inf')
+    reach: StoreReach = field(default_factory=StoreReach)
+
+    @property
+    def proven_at(self) -> float:
+        """Time of the freshness proof."""
+        return self.reach.proven_at
 
 
 # Takes a topic and an offset; returns what another host knows from there on,
 # or None if the store is to be read.
 AskOthers = Callable[[str, int], Awaitable[RelayedPage | None]]
+# Takes a topic and an offset; returns how long another host has been in touch
+# with the store, or None if none could be asked.
+FindWitness = Callable[[str, int], Awaitable[Witness | None]]
 
 
 async def ask_nobody(topic: str, offset: int) -> RelayedPage | None:
     """Return None; for a host that reads the store itself."""
 
 
+async def find_nobody(topic: str, offset: int) -> Witness | None:
+    """Return None; for a host that knows of no others."""
+
+
 @dataclass(slots=True, frozen=True)
 class Relaying:
     """How a follower shares with other hosts.
@@ -81,11 +88,13 @@
     Attributes
     ----------
     ask : callable
+    find_witness : callable
     on_read : callable
         Called with the topic after each read of the store.
     """
 
     ask: AskOthers = ask_nobody
+    find_witness: FindWitness = find_nobody
     on_read: Callable[[str], None] = lambda topic: None
 
 
@@ -152,13 +161,15 @@
                 self._apply_relayed(relayed)
                 return
             await self._read_since(offset)
-        self._note_recovered()
+        self.backoff_s = INITIAL_BACKOFF_S
+        await self._question_outage()
         await anyio.sleep(self.feed.pause_s)
 
     async def _read_all(self) -> None:
         sent_at = boot_time()
         feed = self.feed
         page = await self.store.read_newest(feed.topic, feed.partition)
+        self._note_answer(sent_at)
         self.apply_all(page.records)
         self.tail.replace_all(page.records, page.next_offset)
         self._note_read(page.next_offset, sent_at)
@@ -169,6 +180,7 @@
         page = await self.store.read_since(
             feed.topic, feed.partition, offset, feed.wait_s
         )
+        self._note_answer(sent_at)
         if page.records:
             self.apply(page.records)
             self.tail.extend(page.records, page.next_offset)
@@ -179,26 +191,21 @@
         self._note_read(page.next_offset, proven_at)
 
     def _apply_relayed(self, relayed: RelayedPage) -> None:
-        """Apply what another host told.
-
-        Its outage of the store is one of this host too, whose knowledge comes
-        from there.
-        """
+        """Apply what another host told."""
         page = relayed.page
-        if page.records:
-            self.apply(page.records)
-        self.tail.extend(page.records, page.next_offset)
-        self.state.recovered_at = max(
-            self.state.recovered_at, relayed.recovered_at
-        )
         proven_at = relayed.proven_at
         if proven_at is None:
             proven_at = self.state.proven_at
+        self._note_answer(proven_at, relayed.witness)
+        if page.records:
+            self.apply(page.records)
+        self.tail.extend(page.records, page.next_offset)
         self._note_read(page.next_offset, proven_at)
 
     def _note_read(self, next_offset: int, proven_at: float) -> None:
         self.state.offset = next_offset
-        self.state.proven_at = max(self.state.proven_at, proven_at)
+        reach = self.state.reach
+        reach.proven_at = max(reach.proven_at, proven_at)
         self.relaying.on_read(self.feed.topic)
 
     def _proof(self, sent_at: float, has_records: bool) -> float:
@@ -209,29 +216,43 @@
         return sent_at + self.feed.wait_s
 
     def _note_failed(self, error: LogServiceError) -> None:
-        if self.state.is_failing:
+        if self.state.reach.note_failure(boot_time()):
+            self.log(
+                'store_lost',
+                topic=self.feed.topic,
+                why=str(error),
+                offset=self.state.offset,
+            )
+
+    def _note_answer(
+        self, proven_at: float, witness: Witness | None = None
+    ) -> None:
+        reach = self.state.reach
+        failing_since = reach.failing_since
+        now = boot_time()
+        reach.note_answer(proven_at, now, witness)
+        if failing_since is None or reach.failing_since is not None:
             return
-        self.state.is_failing = True
-        self.state.failing_since = boot_time()
         self.log(
-            'store_lost',
+            'store_regained',
             topic=self.feed.topic,
-            why=str(error),
+            away_s=now - failing_since,
             offset=self.state.offset,
+            is_told=witness is not None,
+            was_outage=reach.recovered_at > failing_since,
         )
 
-    def _note_recovered(self) -> None:
-        self.backoff_s = INITIAL_BACKOFF_S
-        if not self.state.is_failing:
+    async def _question_outage(self) -> None:
+        """Ask another host whether the store was away, or only cut off."""
+        reach = self.state.reach
+        offset = self.state.offset
+        if not self.feed.expires or offset is None:
             return
-        self.state.is_failing = False
-        self.state.recovered_at = boot_time()
-        self.log(
-            'store_regained',
-            topic=self.feed.topic,
-            away_s=self.state.recovered_at - self.state.failing_since,
-            offset=self.state.offset,
-        )
+        if boot_time() - reach.recovered_at > QUESTIONED_S:
+            return
+        witness = await self.relaying.find_witness(self.feed.topic, offset)
+        if witness is not None and reach.refute_outage(witness):
+            self.log('outage_refuted', topic=self.feed.topic)
 
     async def _back_off(self) -> None:
         await anyio.sleep(self.rng.uniform(0, 2 * self.backoff_s))
--- a/ebonywell/hostfeeds.py
+++ b/ebonywell/hostfeeds.py
@@ -63,6 +63,7 @@
                 0,
                 TARGETS_WAIT_S,
                 TARGETS_PAUSE_S,
+                expires=True,
             ),
             self.apply_all_targets,
             self.apply_targets,
@@ -75,14 +76,19 @@
     def share(self, relay: FeedRelay) -> None:
         """Share what is read with other hosts, and ask them."""
         for follower in self.configuration, self.targets:
-            relay.known[follower.feed.topic] = _knowledge_of(follower)
-            follower.relaying = Relaying(relay.read, relay.note_read)
+            relay.known[follower.feed.topic] = FeedKnowledge(
+                follower.tail, follower.state.reach
+            )
+            follower.relaying = Relaying(
+                relay.read, relay.find_witness, relay.note_read
+            )
 
     def refresh(self, now: float) -> None:
         """Pass on the feeds' freshness, and drop targets that have gone."""
         self.intake.proven_at = self.configuration.state.proven_at
-        self.inventory.store_recovered_at = self.targets.state.recovered_at
-        self.inventory.expire(now)
+        self._note_outages()
+        for name in self.inventory.expire(now):
+            self.log('target_expired', target=name)
         if now - self.resynced_at >= RESYNC_PERIOD_S:
             self.resynced_at = now
             self.inventory.resync(self.targets.state.proven_at, now)
@@ -96,15 +102,17 @@
 
     def apply_all_targets(self, records: Sequence[KeyedRecord]) -> None:
         """Apply the complete list of targets."""
+        self._note_outages()
         self.inventory.replace_all(self._decode(records), boot_time())
 
     def apply_targets(self, records: Sequence[KeyedRecord]) -> None:
         """Apply newer announcements and withdrawals of targets."""
+        self._note_outages()
         newest = {record.key: record for record in records}
         for record in newest.values():
             if record.value is None:
-                self.inventory.withdraw(record.key, boot_time())
-                self.log('target_gone', target=record.key)
+                is_gone = self.inventory.withdraw(record.key, boot_time())
+                self.log('target_gone', target=record.key, is_kept=not is_gone)
         for announcement in self._decode(newest.values()):
             known = self.inventory.targets.get(announcement.name)
             before = None if known is None else known.announcement.state
@@ -117,6 +125,11 @@
                     service=announcement.service,
                 )
 
+    def _note_outages(self) -> None:
+        reach = self.targets.state.reach
+        self.inventory.store_recovered_at = reach.recovered_at
+        self.inventory.proven_at = reach.proven_at
+
     def _is_other_announcement(self, before: bytes, after: bytes) -> bool:
         """Return whether a target announces more than that it lives."""
         if before == after:
@@ -168,11 +181,3 @@
 
 def _is_other_value(before: bytes, after: bytes) -> bool:
     return before != after
-
-
-def _knowledge_of(follower: Follower) -> FeedKnowledge:
-    return FeedKnowledge(
-        follower.tail,
-        lambda: follower.state.proven_at,
-        lambda: follower.state.recovered_at,
-    )
--- a/ebonywell/hostgauges.py
+++ b/ebonywell/hostgauges.py
@@ -41,7 +41,8 @@
     def collect_feeds(sink: Metrics) -> None:
         for feed in (feeds.configuration, feeds.targets):
             topic = feed.feed.topic
-            sink.gauge('feed_lost', float(feed.state.is_failing), topic=topic)
+            is_lost = feed.state.reach.failing_since is not None
+            sink.gauge('feed_lost', float(is_lost), topic=topic)
             sink.gauge('feed_offset', feed.state.offset or 0, topic=topic)
 
     def collect_memory(sink: Metrics) -> None:
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -1,6 +1,7 @@
 """Targets that service discovery announces, and their removal."""
 
 import enum
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -187,6 +188,8 @@
     targets : dict of str to KnownTarget
     store_recovered_at : float
         When the store answered again after an outage.
+    proven_at : float
+        Time up to which all announcements are known.
     is_loaded : bool
         Whether all entries have been read once.
     ready : dict of str to list of KnownTarget
@@ -195,6 +198,7 @@
 
     targets: dict[str, KnownTarget] = field(default_factory=dict)
     store_recovered_at: float = -STORE_RECOVERY_GRACE_S
+    proven_at: float = -math.inf
     is_loaded: bool = False
     ready: dict[str, list[KnownTarget]] = field(default_factory=dict)
 
@@ -212,19 +216,25 @@
         known.missing_since = None
         return known
 
-    def withdraw(self, name: str, now: float) -> None:
+    def withdraw(self, name: str, now: float) -> bool:
         """Record that a target's entry is gone.
 
         After an outage of the store this is weak evidence: the entry may have
         expired, and the target gets time to write it again.
+
+        Returns
+        -------
+        bool
+            Whether the target is removed.
         """
         known = self.targets.get(name)
         if known is None:
-            return
+            return True
         if now - self.store_recovered_at < STORE_RECOVERY_GRACE_S:
             known.missing_since = now
-        else:
-            self._remove(name)
+            return False
+        self._remove(name)
+        return True
 
     def replace_all(
         self, announcements: Iterable[Announcement], now: float
@@ -238,13 +248,24 @@
             self.withdraw(missing, now)
         self.is_loaded = True
 
-    def expire(self, now: float) -> None:
-        """Remove targets whose entries did not return after an outage."""
-        for name, known in list(self.targets.items()):
-            if known.missing_since is None:
-                continue
-            if now - self.store_recovered_at >= STORE_RECOVERY_GRACE_S:
-                self._remove(name)
+    def expire(self, now: float) -> list[str]:
+        """Remove targets whose entries did not return after an outage.
+
+        Returns
+        -------
+        list of str
+            Their names.
+        """
+        if now - self.store_recovered_at < STORE_RECOVERY_GRACE_S:
+            return []
+        missing = [
+            name
+            for name, known in self.targets.items()
+            if known.missing_since is not None
+        ]
+        for name in missing:
+            self._remove(name)
+        return missing
 
     def resync(self, proven_at: float, now: float) -> None:
         """Let announcements stand that newer ones have not replaced.
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -96,12 +96,15 @@
         slowness.
     candidate : Candidate
         Load and health of the target at the time of the choice.
+    proof_age_s : float
+        Age of the proof that all announcements of targets were known.
     """
 
     name: str
     expected_s: float
     wait_s: float
     candidate: Candidate
+    proof_age_s: float = 0
 
 
 def estimate_first_byte_ms(candidate: Candidate) -> float:
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -206,6 +206,8 @@
         choice = choose(candidates, self.rng)
         if choice is None:
             return None
+        age_s = boot_time() - self.inventory.proven_at
+        choice = replace(choice, proof_age_s=age_s)
         return self.inventory.targets[choice.name], choice
 
     def _describe(
--- a/tests/relayworld.py
+++ b/tests/relayworld.py
@@ -115,11 +115,11 @@
             self.rng,
         )  # fmt: skip
         self.relay.known[feed.topic] = FeedKnowledge(
-            follower.tail,
-            lambda: follower.state.proven_at,
-            lambda: follower.state.recovered_at,
+            follower.tail, follower.state.reach
+        )
+        follower.relaying = Relaying(
+            self.relay.read, self.relay.find_witness, self.relay.note_read
         )
-        follower.relaying = Relaying(self.relay.read, self.relay.note_read)
         return follower
 
     async def run(self):
