--- a/ebonywell/following.py
+++ b/ebonywell/following.py
@@ -197,6 +197,7 @@
         if proven_at is None:
             proven_at = self.state.proven_at
         self._note_answer(proven_at, relayed.witness)
+        self._refute_outage(relayed.witness)
         if page.records:
             self.apply(page.records)
         self.tail.extend(page.records, page.next_offset)
@@ -244,14 +245,17 @@
 
     async def _question_outage(self) -> None:
         """Ask another host whether the store was away, or only cut off."""
-        reach = self.state.reach
         offset = self.state.offset
         if not self.feed.expires or offset is None:
             return
-        if boot_time() - reach.recovered_at > QUESTIONED_S:
+        if boot_time() - self.state.reach.recovered_at > QUESTIONED_S:
             return
         witness = await self.relaying.find_witness(self.feed.topic, offset)
-        if witness is not None and reach.refute_outage(witness):
+        if witness is not None:
+            self._refute_outage(witness)
+
+    def _refute_outage(self, witness: Witness) -> None:
+        if self.state.reach.refute_outage(witness):
             self.log('outage_refuted', topic=self.feed.topic)
 
     async def _back_off(self) -> None:
