Bound the time until a host reads the store after a cut

Hosts that had been in touch for over three seconds did not know of targets that had left for over two seconds (DRAIN), and would not have known of a new configuration (CONFIG).

Cause: a read of the targets that hung in a cut ended 2.5 s later, and the next one began up to 1.6 s after that; 4.1 s in all, where the users' bound starts to count 3 s after the cut. A host asked a second silent reader although its knowledge was old by then, and waited for one more answer of an outdated reader before it read the store itself.

Change: a read hangs for 1.5 s at most and the next one begins within 1.2 s, with the same mean pause between failed calls; a host whose proof is older than 1.2 s reads the store at once. Up to three hosts are asked whether the store was away.

--- a/ebonywell/feedreaders.py
+++ b/ebonywell/feedreaders.py
@@ -1,6 +1,7 @@
 """Decides which hosts read the shared store on behalf of the others."""
 
 import math
+import random
 from collections.abc import Iterable
 
 import xxhash
@@ -41,5 +42,35 @@
     )
 
 
+def order_witnesses(
+    hosts: Iterable[tuple[str, str]], own_zone: str, rng: random.Random
+) -> list[str]:
+    """Return whom to ask whether the store was away, in which order.
+
+    Readers of other zones come first. Hosts of the own zone may know only what
+    this host told them.
+
+    Parameters
+    ----------
+    hosts : iterable of (str, str)
+        Names and zones of other hosts that are alive.
+    own_zone : str
+    rng : random.Random
+    """
+    by_zone: dict[str, list[str]] = {}
+    for name, zone in hosts:
+        by_zone.setdefault(zone, []).append(name)
+    readers = [
+        name
+        for zone, names in by_zone.items()
+        if zone != own_zone
+        for name in pick_readers(names, zone)
+    ]
+    others = [name for names in by_zone.values() for name in names]
+    rng.shuffle(readers)
+    rng.shuffle(others)
+    return list(dict.fromkeys((*readers, *others)))
+
+
 def _weight(domain: str, name: str) -> int:
     return xxhash.xxh64_intdigest(f'{domain}/{name}'.encode())
--- a/ebonywell/feedrelay.py
+++ b/ebonywell/feedrelay.py
@@ -28,7 +28,7 @@
     pack_records,
     read_answer,
 )
-from .feedreaders import order_readers, pick_readers
+from .feedreaders import order_readers, order_witnesses, pick_readers
 from .feedtail import FeedTail
 from .fleetview import FleetView, Peer
 from .logs import Logger
@@ -37,13 +37,16 @@
 
 # Readers that a host asks before it reads the store itself.
 MAX_ASKED = 2
+# Hosts that are asked at once whether the store was away.
+MAX_WITNESSES = 3
 # A reader that did not answer is not asked again for this long.
 AVOID_S = 3.0
 # If a reader's proof is older than this, the reader seems to be cut off from
 # the store, and the hosts that ask it try the store themselves now and then.
 MAX_PROOF_AGE_S = 1.2
-# Shortest and longest time until a host tries that first, and again.
-FIRST_OWN_READ_S = (0, 0.2)
+# Longest time until a host tries that first.
+FIRST_OWN_READ_S = 0.2
+# Shortest and longest time until it tries again.
 OWN_READ_PERIOD_S = (0.5, 0.9)
 # A host that was asked reads the store itself for this long, whatever it
 # thinks of who the readers are.
@@ -85,7 +88,7 @@
     ----------
     relayed : RelayedPage
     must_read : bool
-        Whether there is more, or may be, than the reader could tell.
+        Whether there is more than the reader could tell.
     """
 
     relayed: RelayedPage
@@ -157,29 +160,36 @@
         for reader in self._list_readers(boot_time())[:MAX_ASKED]:
             self._note_reader(reader)
             told = await self._ask(reader, topic, offset)
-            if told is None:
-                continue
-            if told.must_read:
-                await anyio.sleep(self.rng.uniform(0, self._spread_s()))
-                return None
-            return told.relayed
+            if told is not None:
+                return await self._choose_page(topic, told)
+            if self._is_outdated(topic):
+                break
         self._note_reader('')
         return None
 
-    async def find_witness(self, topic: str, offset: int) -> Witness | None:
-        """Ask a host of another zone how long the store has answered it.
+    async def find_witnesses(self, topic: str, offset: int) -> list[Witness]:
+        """Ask some hosts how long the store has answered them."""
+        found: list[Witness] = []
 
-        Where there is none, a host of this zone is asked.
-        """
-        peer = self._pick_witness()
-        if peer is None:
-            return None
-        asked_at = boot_time()
-        answer = await self._question(peer, topic, offset, 0)
-        if answer is None:
-            return None
-        found = read_answer(answer, offset, asked_at, boot_time())
-        return None if found is None else found.witness
+        async def ask(peer: Peer) -> None:
+            asked_at = boot_time()
+            answer = await self._question(peer, topic, offset, 0)
+            if answer is None:
+                return
+            page = read_answer(answer, offset, asked_at, boot_time())
+            if page is not None:
+                found.append(page.witness)
+
+        hosts = [
+            (digest.name, digest.zone)
+            for digest in self.fleet.recent_digests(boot_time())
+            if digest.is_ready
+        ]
+        names = order_witnesses(hosts, self.fleet.zone, self.rng)
+        async with anyio.create_task_group() as group:
+            for name in names[:MAX_WITNESSES]:
+                group.start_soon(ask, self.fleet.peers[name])
+        return found
 
     def note_read(self, topic: str) -> None:
         """Pass on what is new in a topic to the hosts that wait for it."""
@@ -234,21 +244,6 @@
             if self.avoided_until.get(name, now) <= now
         ]
 
-    def _pick_witness(self) -> Peer | None:
-        """Return a reader of another zone, else any other host or None."""
-        by_zone: dict[str, list[str]] = {}
-        for digest in self.fleet.recent_digests(boot_time()):
-            if digest.is_ready:
-                by_zone.setdefault(digest.zone, []).append(digest.name)
-        names = by_zone.pop(self.fleet.zone, [])
-        readers = [
-            name
-            for zone, hosts in by_zone.items()
-            for name in pick_readers(hosts, zone)
-        ]
-        chosen = readers or names
-        return self.fleet.peers.get(self.rng.choice(chosen)) if chosen else None
-
     async def _ask(self, reader: str, topic: str, offset: int) -> Told | None:
         """Return what a reader told, None if that is of no use."""
         peer = self.fleet.peers.get(reader)
@@ -264,9 +259,7 @@
             self._avoid(reader, 'malformed')
             return None
         is_told = answer.told_offset > offset or answer.next_offset <= offset
-        return Told(
-            relayed, not is_told or self._is_own_read_due(topic, relayed)
-        )
+        return Told(relayed, not is_told)
 
     async def _question(
         self, peer: Peer, topic: str, offset: int, hold_s: float
@@ -283,7 +276,21 @@
 
         return await self.questions.ask(send, hold_s + ANSWER_TIMEOUT_S)
 
-    def _is_own_read_due(self, topic: str, relayed: RelayedPage) -> bool:
+    async def _choose_page(self, topic: str, told: Told) -> RelayedPage | None:
+        """Return the page of a reader, None if the store has to be read."""
+        if told.must_read:
+            await anyio.sleep(self.rng.uniform(0, self._spread_s()))
+            return None
+        if await self._is_own_read_due(topic, told.relayed):
+            return None
+        return told.relayed
+
+    def _is_outdated(self, topic: str) -> bool:
+        """Return whether this host's own proof is too old to ask others."""
+        age_s = boot_time() - self.known[topic].reach.proven_at
+        return age_s > MAX_PROOF_AGE_S
+
+    async def _is_own_read_due(self, topic: str, relayed: RelayedPage) -> bool:
         """Return whether to try the store, which the reader does not reach.
 
         The reader alone may be cut off. Hosts try at random times, as mostly
@@ -298,8 +305,8 @@
         due_at = self.own_read_at.get(topic)
         if due_at is not None and now < due_at:
             return False
-        low_s, high_s = OWN_READ_PERIOD_S if due_at else FIRST_OWN_READ_S
-        self.own_read_at[topic] = now + self.rng.uniform(low_s, high_s)
+        delay_s = self.rng.uniform(*OWN_READ_PERIOD_S)
+        self.own_read_at[topic] = now + delay_s
         if due_at is None:
             self.log(
                 'reader_outdated',
@@ -307,7 +314,8 @@
                 reader=self.reader,
                 age_s=now - relayed.proven_at,
             )
-        return due_at is not None
+            await anyio.sleep(self.rng.uniform(0, FIRST_OWN_READ_S))
+        return True
 
     def _answer_held(self, is_due: Callable[[HeldQuestion], bool]) -> None:
         due = [one for one in self.held if is_due(one)]
--- a/ebonywell/following.py
+++ b/ebonywell/following.py
@@ -18,6 +18,7 @@
 # when the store recovers.
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.8
+BACKOFF_SPREAD = (0.5, 1.5)
 # Other hosts are asked about an outage for this long after its end.
 QUESTIONED_S = 3.0
 
@@ -68,17 +69,18 @@
 # Takes a topic and an offset; returns what another host knows from there on,
 # or None if the store is to be read.
 AskOthers = Callable[[str, int], Awaitable[RelayedPage | None]]
-# Takes a topic and an offset; returns how long another host has been in touch
-# with the store, or None if none could be asked.
-FindWitness = Callable[[str, int], Awaitable[Witness | None]]
+# Takes a topic and an offset; returns how long other hosts have been in touch
+# with the store.
+FindWitnesses = Callable[[str, int], Awaitable[Sequence[Witness]]]
 
 
 async def ask_nobody(topic: str, offset: int) -> RelayedPage | None:
     """Return None; for a host that reads the store itself."""
 
 
-async def find_nobody(topic: str, offset: int) -> Witness | None:
-    """Return None; for a host that knows of no others."""
+async def find_nobody(topic: str, offset: int) -> Sequence[Witness]:
+    """Return nothing; for a host that knows of no others."""
+    return ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,13 +90,13 @@
     Attributes
     ----------
     ask : callable
-    find_witness : callable
+    find_witnesses : callable
     on_read : callable
         Called with the topic after each read of the store.
     """
 
     ask: AskOthers = ask_nobody
-    find_witness: FindWitness = find_nobody
+    find_witnesses: FindWitnesses = find_nobody
     on_read: Callable[[str], None] = lambda topic: None
 
 
@@ -250,8 +252,9 @@
             return
         if boot_time() - self.state.reach.recovered_at > QUESTIONED_S:
             return
-        witness = await self.relaying.find_witness(self.feed.topic, offset)
-        if witness is not None:
+        for witness in await self.relaying.find_witnesses(
+            self.feed.topic, offset
+        ):
             self._refute_outage(witness)
 
     def _refute_outage(self, witness: Witness) -> None:
@@ -259,5 +262,6 @@
             self.log('outage_refuted', topic=self.feed.topic)
 
     async def _back_off(self) -> None:
-        await anyio.sleep(self.rng.uniform(0, 2 * self.backoff_s))
+        low, high = BACKOFF_SPREAD
+        await anyio.sleep(self.backoff_s * self.rng.uniform(low, high))
         self.backoff_s = min(2 * self.backoff_s, MAX_BACKOFF_S)
--- a/ebonywell/hostfeeds.py
+++ b/ebonywell/hostfeeds.py
@@ -20,7 +20,7 @@
 # Targets write several records a second. They are read in batches with this
 # pause, which keeps the cost of the calls low and the delay within its bound.
 TARGETS_PAUSE_S = 0.8
-TARGETS_WAIT_S = 1.5
+TARGETS_WAIT_S = 0.5
 RESYNC_PERIOD_S = 0.5
 
 
@@ -80,7 +80,7 @@
                 follower.tail, follower.state.reach
             )
             follower.relaying = Relaying(
-                relay.read, relay.find_witness, relay.note_read
+                relay.read, relay.find_witnesses, relay.note_read
             )
 
     def refresh(self, now: float) -> None:
--- a/tests/relayworld.py
+++ b/tests/relayworld.py
@@ -118,7 +118,7 @@
             follower.tail, follower.state.reach
         )
         follower.relaying = Relaying(
-            self.relay.read, self.relay.find_witness, self.relay.note_read
+            self.relay.read, self.relay.find_witnesses, self.relay.note_read
         )
         return follower
 
