One silent connection costs one call to the store, not one each

After the open connections to the store had gone silent, a host's next calls each took another silent one of the pool and waited for its time-out, so that it learned of changes seconds late (CONFIG, DRAIN). A host that asks others uses its connection to the store rarely, and found out only then.

Change: a call without answer closes the idle connections, and one that was idle for over 2 s is not used again.

--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -23,7 +23,7 @@
 from . import catalog, exchange, orders, targets
 from .app import HostApplication, silence_server_log
 from .settings import find_file, read_settings
-from .store import StoreClient
+from .store import MAX_IDLE_S, StoreClient
 
 # In topics with the prefix "keyed." the platform's log keeps the newest record
 # of each key.
@@ -74,7 +74,10 @@
     log = lines.event
     capture_library_messages(log)
     silence_server_log()
-    async with HttpClient() as client, HttpClient() as engine_client:
+    async with (
+        HttpClient(max_idle_s=MAX_IDLE_S) as client,
+        HttpClient() as engine_client,
+    ):
         store = StoreClient(settings.store_address, client)
         host = HostProcess(
             settings,
--- a/ebonywell/platform/store.py
+++ b/ebonywell/platform/store.py
@@ -22,6 +22,8 @@
 # slow; a call that takes longer than this is on a dead connection.
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
+# A connection that was idle for longer may have died unnoticed.
+MAX_IDLE_S = 2.0
 # The platform limits the wait of a long-polling read to 30 s.
 MAX_WAIT_S = 30.0
 _MS_PER_S = 1000
@@ -175,6 +177,7 @@
         except TransportError as error:
             self._count(path, query, 'no_answer')
             if error.is_sent:
+                await self.client.close_idle(url)
                 raise LogOutageError(str(error)) from error
             raise LogRefusedError(str(error)) from error
         self._count(path, query, _outcome(path, answer))
--- a/ebonywell/transport.py
+++ b/ebonywell/transport.py
@@ -88,12 +88,23 @@
     pool : httpcore.AsyncConnectionPool
     """
 
-    def __init__(self, max_connections: int | None = None) -> None:
+    def __init__(
+        self,
+        max_connections: int | None = None,
+        max_idle_s: float | None = None,
+    ) -> None:
         self.pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
             max_keepalive_connections=None,
+            keepalive_expiry=max_idle_s,
         )
 
+    async def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for connection in self.pool.connections:
+            if connection.is_idle():
+                await connection.aclose()
+
     async def __aenter__(self) -> Self:
         await self.pool.__aenter__()
         return self
@@ -133,12 +144,19 @@
     ----------
     max_connections : int or None
         Maximum number of connections to each server.
+    max_idle_s : float or None
+        Time in seconds after which an idle connection is not used again.
     pools : dict of str to ServerPool
         Pools by ip:port of the server.
     """
 
-    def __init__(self, max_connections: int | None = None) -> None:
+    def __init__(
+        self,
+        max_connections: int | None = None,
+        max_idle_s: float | None = None,
+    ) -> None:
         self.max_connections = max_connections
+        self.max_idle_s = max_idle_s
         self.pools: dict[str, ServerPool] = {}
 
     async def __aenter__(self) -> Self:
@@ -150,7 +168,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        await self._close_idle(math.inf)
+        await self._close_unused(math.inf)
 
     async def request(
         self,
@@ -188,19 +206,28 @@
             connect_s,
         )
 
+    async def close_idle(self, url: str) -> None:
+        """Close idle connections to a server that stopped answering.
+
+        They may be as dead as the one on which the answer did not come.
+        """
+        known = self.pools.get(urlsplit(url).netloc)
+        if known is not None:
+            await known.client.close_idle()
+
     async def _pool_of(self, url: str) -> httpcore.AsyncConnectionPool:
         now = boot_time()
         server = urlsplit(url).netloc
         known = self.pools.get(server)
         if known is None:
-            await self._close_idle(now - POOL_IDLE_TIMEOUT_S)
+            await self._close_unused(now - POOL_IDLE_TIMEOUT_S)
             # A concurrent request may have added the pool in the meantime.
-            client = PooledClient(self.max_connections)
+            client = PooledClient(self.max_connections, self.max_idle_s)
             known = self.pools.setdefault(server, ServerPool(client, now))
         known.used_at = now
         return known.client.pool
 
-    async def _close_idle(self, unused_since: float) -> None:
+    async def _close_unused(self, unused_since: float) -> None:
         for server, known in list(self.pools.items()):
             if known.used_at < unused_since:
                 self.pools.pop(server)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -6,9 +6,13 @@
 import anyio
 import pytest
 
+from ebonywell.exceptions import LogOutageError
+from ebonywell.platform.store import StoreClient
 from ebonywell.transport import POOL_IDLE_TIMEOUT_S, HttpClient
 
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+# An empty page of records that ends at offset 0.
+PAGE = b'HTTP/1.1 200 OK\r\ncontent-length: 16\r\n\r\n%b' % bytes(16)
 
 
 class Servers:
@@ -88,3 +92,57 @@
     clock = [100.0]
     monkeypatch.setattr('ebonywell.transport.boot_time', lambda: clock[-1])
     anyio.run(run_client)
+
+
+class ForgettingServer(Servers):
+    """Answers the first request of each connection only, and stays silent."""
+
+    async def serve(self, reader, writer):
+        self.opened += 1
+        with contextlib.suppress(ConnectionError, EOFError):
+            await reader.readuntil(b'\r\n\r\n')
+            # Long enough for requests that come together to open one each.
+            await anyio.sleep(0.05)
+            writer.write(PAGE)
+            while await reader.read(1000):
+                """Read on, so that the client sees no reset."""
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+        self.closed += 1
+
+
+def test_one_silent_connection_costs_one_call_to_the_store(monkeypatch):
+    monkeypatch.setattr('ebonywell.platform.store.CALL_TIMEOUT_S', 0.3)
+
+    async def run_client():
+        servers = ForgettingServer()
+        async with servers.running(1) as urls, HttpClient() as client:
+            store = StoreClient(urls[0].split('/')[2], client)
+
+            async def read():
+                return await store.read_since('topic', 0, 0, 0)
+
+            async with anyio.create_task_group() as group:
+                for _ in range(3):
+                    group.start_soon(read)
+            assert servers.opened == 3
+            with pytest.raises(LogOutageError):
+                await read()
+            assert (await read()).next_offset == 0
+
+    anyio.run(run_client)
+
+
+def test_a_connection_that_was_idle_for_long_is_not_used_again():
+    async def run_client():
+        servers = ForgettingServer()
+        async with (
+            servers.running(1) as urls,
+            HttpClient(max_idle_s=0.1) as client,
+        ):
+            await client.request('GET', urls[0], 1)
+            await anyio.sleep(0.2)
+            await client.request('GET', urls[0], 1)
+
+    anyio.run(run_client)
