Heed what targets say about themselves: that they leave, or want a pause

Change: from the answer on, a leaving incarnation gets no new request from this host, whatever discovery still says; a target that names a pause with its refusal is passed over for that long, 30 s at most. What cannot be read is logged and has no effect.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -205,10 +205,12 @@
         target = sending.target
         try:
             statement = self.format.read_statement(head)
+            notice = self.format.read_notice(head)
         except ValueError as error:
             self.log('statement_unreadable', target=target.name, why=str(error))
             return
         self.limits.note_answer(target, statement, sending.sent_at)
+        self.selector.record_notice(target, notice)
 
     def _log_attempt(
         self,
--- a/ebonywell/feedreaders.py
+++ b/ebonywell/feedreaders.py
@@ -1,5 +1,6 @@
 """Decides which hosts read the shared store on behalf of the others."""
 
+import itertools
 import math
 import random
 from collections.abc import Iterable
@@ -58,15 +59,13 @@
     rng : random.Random
     """
     by_zone: dict[str, list[str]] = {}
-    for name, zone in hosts:
-        by_zone.setdefault(zone, []).append(name)
-    readers = [
-        name
-        for zone, names in by_zone.items()
-        if zone != own_zone
-        for name in pick_readers(names, zone)
-    ]
-    others = [name for names in by_zone.values() for name in names]
+    for host, zone in hosts:
+        by_zone.setdefault(zone, []).append(host)
+    others = list(itertools.chain.from_iterable(by_zone.values()))
+    by_zone.pop(own_zone, None)
+    readers: list[str] = []
+    for other_zone, names in by_zone.items():
+        readers.extend(pick_readers(names, other_zone))
     rng.shuffle(readers)
     rng.shuffle(others)
     return list(dict.fromkeys((*readers, *others)))
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -109,6 +109,10 @@
         When its address last refused a connection or belonged to another
         target, by the clock of this process; 0 if it did not happen since the
         target was announced.
+    paused_until : float
+        Until when the target wants no request from this host.
+    is_leaving : bool
+        Whether an answer of the target said that it is about to leave.
     """
 
     announcement: Announcement
@@ -118,6 +122,8 @@
     missing_since: float | None = None
     differing_since: float | None = None
     refused_at: float = 0
+    paused_until: float = 0
+    is_leaving: bool = False
 
     @property
     def name(self) -> str:
@@ -130,8 +136,9 @@
         return self.announcement.name, self.announcement.born
 
     def is_reachable(self, now: float) -> bool:
-        """Return whether it has not refused a connection recently."""
-        return now - self.refused_at >= REFUSED_RETRY_S
+        """Return whether it takes requests as far as this host has seen."""
+        has_refused = now - self.refused_at < REFUSED_RETRY_S
+        return not has_refused and now >= self.paused_until
 
     def confirm(
         self,
@@ -216,6 +223,11 @@
         known.missing_since = None
         return known
 
+    def note_leaving(self, known: KnownTarget) -> None:
+        """Record that a target takes no new requests, until it restarts."""
+        known.is_leaving = True
+        self.ready.clear()
+
     def withdraw(self, name: str, now: float) -> bool:
         """Record that a target's entry is gone.
 
@@ -299,6 +311,7 @@
                 for known in self.targets.values()
                 if known.announcement.service == service
                 and known.announcement.state is TargetState.ready
+                and not known.is_leaving
             ]
             self.ready[service] = ready
         return ready
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -3,7 +3,7 @@
 from ..inbound import AdmittedRequest
 from ..inventory import KnownTarget
 from ..progress import TargetFormat, Verdict
-from ..statements import Statement, read_rate
+from ..statements import Notice, Statement, read_pause, read_rate
 from ..upstream import AnswerHead
 from . import headers
 
@@ -13,10 +13,12 @@
 # HTTP defines no higher status, so an answer with one cannot be forwarded.
 _MAX_STATUS = 599
 _SERVER_ERROR = 500
+_UNAVAILABLE = 503
 # Statuses by which a server says that it did not run the request. Without the
 # not-executed header that is not certain.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _DROPPED = headers.HOP_BY_HOP | {
+    headers.SERVER_LEAVING,
     headers.SERVER_LIMIT,
     headers.SERVER_LOAD,
     headers.INSTANCE_ID,
@@ -28,7 +30,11 @@
 def target_format() -> TargetFormat:
     """Return the functions that encode requests and read answers."""
     return TargetFormat(
-        encode_request, classify_answer, answer_headers, read_statement
+        encode_request,
+        classify_answer,
+        answer_headers,
+        read_statement,
+        read_notice,
     )
 
 
@@ -112,6 +118,21 @@
     return Statement(read_rate(values))
 
 
+def read_notice(head: AnswerHead) -> Notice:
+    """Return what an answer asks of this host.
+
+    Raises
+    ------
+    ValueError
+        If it cannot be read; the answer itself may still be valid.
+    """
+    is_leaving = head.get(headers.SERVER_LEAVING) == b'1'
+    stated = head.get(headers.RETRY_AFTER)
+    if head.status != _UNAVAILABLE or stated is None:
+        return Notice(is_leaving)
+    return Notice(is_leaving, read_pause(stated.decode('latin-1')))
+
+
 def answer_headers(head: AnswerHead) -> list[tuple[bytes, bytes]]:
     """Return the headers of an answer that are forwarded to the caller."""
     return [pair for pair in head.headers if pair[0] not in _DROPPED]
--- a/ebonywell/platform/headers.py
+++ b/ebonywell/platform/headers.py
@@ -23,6 +23,8 @@
 SERVER_LOAD = b'server-load'
 # Requests per second that the target takes from all hosts together.
 SERVER_LIMIT = b'server-limit'
+# The value is 1 in all answers of a target that is about to leave.
+SERVER_LEAVING = b'server-leaving'
 
 # Headers of a single connection, or set again for each hop; not forwarded.
 HOP_BY_HOP = frozenset(
--- a/ebonywell/progress.py
+++ b/ebonywell/progress.py
@@ -11,7 +11,7 @@
 from .inbound import AdmittedRequest, Refund
 from .inventory import KnownTarget
 from .selection import Choice
-from .statements import Statement
+from .statements import Notice, Statement
 from .upstream import AnswerHead
 
 
@@ -66,12 +66,16 @@
     read_statement : callable
         Returns what the head of an answer says about its target; raises
         `ValueError` if it cannot be read.
+    read_notice : callable
+        Returns what the head of an answer asks of this host; raises
+        `ValueError` if it cannot be read.
     """
 
     encode: Callable[[AdmittedRequest, KnownTarget, float, bytes], bytes]
     judge: Callable[[AdmittedRequest, KnownTarget, AnswerHead], Verdict]
     answer_headers: Callable[[AnswerHead], list[tuple[bytes, bytes]]]
     read_statement: Callable[[AnswerHead], Statement]
+    read_notice: Callable[[AnswerHead], Notice]
 
 
 @dataclass(slots=True)
@@ -195,3 +199,6 @@
         verdict: Verdict,
     ) -> None:
         """Record that a target lacks what a request needs."""
+
+    def record_notice(self, known: KnownTarget, notice: Notice) -> None:
+        """Record what a target asks of this host."""
--- a/ebonywell/statements.py
+++ b/ebonywell/statements.py
@@ -32,6 +32,26 @@
 NOTHING_STATED = Statement()
 
 
+@dataclass(slots=True, frozen=True)
+class Notice:
+    """What one answer asks of the host that gets it.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether the target takes no new requests, as it is about to leave.
+    pause_s : float
+        Time in seconds for which it wants no request from this host.
+    """
+
+    is_leaving: bool = False
+    pause_s: float = 0
+
+
+# A target that asks for a longer pause gets requests again after this time.
+MAX_PAUSE_S = 30.0
+
+
 @dataclass(slots=True, frozen=True)
 class KnownStatement:
     """A statement, and when a host received it.
@@ -105,6 +125,20 @@
             self.known.pop(gone)
 
 
+def read_pause(value: str) -> float:
+    """Return the pause that a target asks for, in seconds.
+
+    Raises
+    ------
+    ValueError
+        If it is not a number, or is negative or not finite.
+    """
+    pause_s = float(value)
+    if not math.isfinite(pause_s) or pause_s < 0:
+        raise ValueError(f'not a pause: {value!r}')
+    return min(pause_s, MAX_PAUSE_S)
+
+
 def read_rate(values: Iterable[str]) -> float | None:
     """Return the least of the rates that a target states, in one per second.
 
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -15,6 +15,7 @@
 from .progress import Verdict
 from .routetable import EngineSpec
 from .selection import Candidate, Choice, choose
+from .statements import Notice
 from .targetlimits import MAX_PERMIT_WAIT_S, TargetLimits
 
 # Targets with a limit that a request may ask for, one after the other.
@@ -164,6 +165,15 @@
         elif generation is not None:
             known.drop(generation.model, generation.adapter)
 
+    def record_notice(self, known: KnownTarget, notice: Notice) -> None:
+        """Record what a target asks of this host in an answer."""
+        if notice.pause_s:
+            known.paused_until = boot_time() + notice.pause_s
+            self.log('target_paused', target=known.name, for_s=notice.pause_s)
+        if notice.is_leaving and not known.is_leaving:
+            self.inventory.note_leaving(known)
+            self.log('target_leaving', target=known.name)
+
     def _list_unlimited(
         self, eligible: Sequence[KnownTarget]
     ) -> list[KnownTarget]:
--- a/lab/standin_replica.py
+++ b/lab/standin_replica.py
@@ -75,6 +75,8 @@
         Version of its software.
     stated_rate : str
         Requests per second that its answers state as its limit; empty for none.
+    notices : dict of str to str
+        Headers of all its answers to requests.
     arrivals : list of float
         Times of all requests, including polls and orders.
     """
@@ -106,6 +108,7 @@
     overfull: bool = False
     release: int = 1
     stated_rate: str = ''
+    notices: dict[str, str] = field(default_factory=dict)
     arrivals: list[float] = field(default_factory=list)
 
     def entry(self, state: str = 'ready') -> dict[str, Any]:
@@ -131,6 +134,8 @@
         if reply is not None and self.stated_rate:
             headers = {**reply.headers, 'Server-Limit': self.stated_rate}
             reply = replace(reply, headers=headers)
+        if reply is not None and self.notices:
+            reply = replace(reply, headers={**reply.headers, **self.notices})
         return reply
 
     def run(self, request: HttpRequest) -> Reply:
