Read a topic whole when the store comes back from an older copy

The store may come back from a copy some seconds old and give offsets out again. A host that reads on from its offset skips what stands there now: a configuration that was acknowledged (CONFIG), or a target's word that it leaves (DRAIN), is never known there until the next one. Nobody read `Store-Era`.

Change: an answer of another era has the topic read whole, entries that are missing then get the time that they get after an outage, and an answer of another host counts only in the same era. Versions of the configuration still never go back on a host.

--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -254,6 +254,8 @@
         How long the host has been in touch with the store.
     changes : bytes
         Packed records; see `feedpages.pack_records`.
+    era : int
+        Era of the store to which the offsets belong.
     """
 
     number: int
@@ -263,6 +265,7 @@
     held_s: float
     reached_for_s: float
     changes: bytes = b''
+    era: int = 0
 
 
 class TrialMessage(msgspec.Struct, frozen=True, array_like=True, tag='t'):
--- a/ebonywell/feedrelay.py
+++ b/ebonywell/feedrelay.py
@@ -259,7 +259,8 @@
             self._avoid(reader, 'malformed')
             return None
         is_told = answer.told_offset > offset or answer.next_offset <= offset
-        return Told(relayed, not is_told)
+        is_same_era = answer.era == self.known[topic].reach.era
+        return Told(relayed, not (is_told and is_same_era))
 
     async def _question(
         self, peer: Peer, topic: str, offset: int, hold_s: float
@@ -347,6 +348,7 @@
                 now - held.received_at,
                 max(0, now - known.reach.reached_since),
                 changes,
+                known.reach.era,
             ),
         )
 
--- a/ebonywell/feedtail.py
+++ b/ebonywell/feedtail.py
@@ -37,6 +37,12 @@
     next_offset: int = 0
     changes: dict[str, KeyedRecord] = field(default_factory=dict)
 
+    def clear(self) -> None:
+        """Forget everything, since offsets start anew in another era."""
+        self.first_offset = None
+        self.next_offset = 0
+        self.changes.clear()
+
     def replace_all(
         self, records: Sequence[KeyedRecord], next_offset: int
     ) -> None:
--- a/ebonywell/following.py
+++ b/ebonywell/following.py
@@ -172,6 +172,8 @@
         feed = self.feed
         page = await self.store.read_newest(feed.topic, feed.partition)
         self._note_answer(sent_at)
+        if page.era != self.state.reach.era:
+            self._enter_era(page.era)
         self.apply_all(page.records)
         self.tail.replace_all(page.records, page.next_offset)
         self._note_read(page.next_offset, sent_at)
@@ -183,6 +185,10 @@
             feed.topic, feed.partition, offset, feed.wait_s
         )
         self._note_answer(sent_at)
+        if page.era != self.state.reach.era:
+            # The offset may stand for another record by now.
+            self._enter_era(page.era)
+            return
         if page.records:
             self.apply(page.records)
             self.tail.extend(page.records, page.next_offset)
@@ -245,6 +251,23 @@
             was_outage=reach.recovered_at > failing_since,
         )
 
+    def _enter_era(self, era: int) -> None:
+        """Start anew, as the store has come back from an older copy."""
+        reach = self.state.reach
+        self.log(
+            'store_rolled_back',
+            topic=self.feed.topic,
+            era=era,
+            era_before=reach.era,
+            offset=self.state.offset,
+        )
+        if self.tail.first_offset is None:
+            reach.era = era
+            return
+        reach.note_era(era, boot_time())
+        self.state.offset = None
+        self.tail.clear()
+
     async def _question_outage(self) -> None:
         """Ask another host whether the store was away, or only cut off."""
         offset = self.state.offset
--- a/ebonywell/platform/headers.py
+++ b/ebonywell/platform/headers.py
@@ -23,6 +23,8 @@
 SERVER_LOAD = b'server-load'
 # Requests per second that the target takes from all hosts together.
 SERVER_LIMIT = b'server-limit'
+# Rises by one each time the store comes back from an older copy of itself.
+STORE_ERA = b'store-era'
 # The value is 1 in all answers of a target that is about to leave.
 SERVER_LEAVING = b'server-leaving'
 
--- a/ebonywell/platform/store.py
+++ b/ebonywell/platform/store.py
@@ -17,6 +17,7 @@
 )
 from ..sharedstore import KeyedRecord, StorePage
 from ..transport import HttpAnswer, HttpClient, decode_answer
+from . import headers
 
 # The store answers within 4 ms when healthy, and within fifty times that when
 # slow; a call that takes longer than this is on a dead connection.
@@ -101,6 +102,7 @@
         """
         records: list[KeyedRecord] = []
         first_end: int | None = None
+        era = 0
         after: dict[str, str] = {}
         while True:
             query = {'topic': topic, 'part': part, **after}
@@ -108,9 +110,12 @@
             page = _decode(answer, _Newest)
             if first_end is None:
                 first_end = page.end
+                era = _era_of(answer)
+            if _era_of(answer) != era:
+                raise LogOutageError('log-newest: pages of two eras')
             records.extend(_translate_item(one) for one in page.items)
             if not page.has_more or not page.items:
-                return StorePage(tuple(records), first_end)
+                return StorePage(tuple(records), first_end, era=era)
             after = {'after': page.items[-1].key}
 
     async def read_since(
@@ -139,7 +144,9 @@
         )
         next_offset = offset + len(records)
         end = int.from_bytes(body[:_OFFSET_BYTES], 'big')
-        return StorePage(records, next_offset, next_offset >= end)
+        return StorePage(
+            records, next_offset, next_offset >= end, _era_of(answer)
+        )
 
     async def append(
         self,
@@ -199,6 +206,14 @@
     return 'done'
 
 
+def _era_of(answer: HttpAnswer) -> int:
+    stated = answer.get(headers.STORE_ERA) or b'0'
+    try:
+        return int(stated)
+    except ValueError as error:
+        raise LogOutageError(f'unreadable era: {stated!r}') from error
+
+
 def _decode(answer: HttpAnswer, kind: type[Any]) -> Any:
     try:
         return decode_answer(answer.content, kind)
--- a/ebonywell/sharedstore.py
+++ b/ebonywell/sharedstore.py
@@ -32,11 +32,15 @@
     next_offset : int
     is_last : bool
         Whether the topic had no further records when the page was made.
+    era : int
+        Rises when the store comes back from an older copy of itself. Offsets
+        of an earlier era are given out again.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     is_last: bool = True
+    era: int = 0
 
 
 class SharedStore(Protocol):
--- a/ebonywell/storereach.py
+++ b/ebonywell/storereach.py
@@ -72,12 +72,15 @@
         When calls began to fail; None if the last one succeeded.
     outages : list of Outage
         Those that were not refuted, the latest one last.
+    era : int
+        Era of the store in which the host read last.
     """
 
     first_answer_at: float = math.inf
     proven_at: float = -math.inf
     failing_since: float | None = None
     outages: list[Outage] = field(default_factory=list)
+    era: int = 0
 
     @property
     def recovered_at(self) -> float:
@@ -129,7 +132,15 @@
                 return
             ended_at = min(now, max(witness.since, noticed_at))
             outage = Outage(self.proven_at, noticed_at, ended_at)
-        self.outages = [*self.outages, outage][-MAX_OUTAGES:]
+        self._add_outage(outage)
+
+    def note_era(self, era: int, now: float) -> None:
+        """Record that the store has come back from an older copy.
+
+        It was away, whatever other hosts have noticed.
+        """
+        self.era = era
+        self._add_outage(Outage(-math.inf, now, now))
 
     def refute_outage(self, witness: Witness) -> bool:
         """Forget the last outage if another host saw none; return whether."""
@@ -137,3 +148,6 @@
             return False
         self.outages.pop()
         return True
+
+    def _add_outage(self, outage: Outage) -> None:
+        self.outages = [*self.outages, outage][-MAX_OUTAGES:]
--- a/ebonywell/transport.py
+++ b/ebonywell/transport.py
@@ -78,6 +78,14 @@
 
     status: int
     content: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the content of a header, None if it is absent."""
+        for found, content in self.headers:
+            if found.lower() == name:
+                return content
+        return None
 
 
 class PooledClient:
@@ -259,6 +267,7 @@
                 return HttpAnswer(
                     response.status,
                     await _read_content(response, what),
+                    tuple(response.headers),
                 )
 
 
--- a/tests/memorystore.py
+++ b/tests/memorystore.py
@@ -20,6 +20,7 @@
         self.first = 0
         self.is_down = False
         self.lost_answers = 0
+        self.era = 0
         self.changed = anyio.Event()
 
     async def read_newest(self, topic, partition):
@@ -28,7 +29,8 @@
         for record in self._all(topic, partition):
             newest[record.key] = record
         live = [one for one in newest.values() if one.value is not None]
-        return StorePage(tuple(live), self.ends.get((topic, partition), 0))
+        end = self.ends.get((topic, partition), 0)
+        return StorePage(tuple(live), end, era=self.era)
 
     async def read_since(self, topic, partition, offset, wait_s):
         self._check()
@@ -40,7 +42,7 @@
                 await self.changed.wait()
                 found = self._since(topic, partition, offset)
         self._check()
-        return StorePage(tuple(found), offset + len(found))
+        return StorePage(tuple(found), offset + len(found), era=self.era)
 
     async def append(self, topic, partition, records, expected_end=None):
         self._check()
@@ -58,6 +60,13 @@
             raise LogOutageError('the answer was lost')
         return end
 
+    def roll_back(self, count):
+        """Come back from a copy that lacks the last records of each topic."""
+        self.era += 1
+        for partition, records in self.records.items():
+            del records[len(records) - count :]
+            self.ends[partition] = len(records)
+
     def _since(self, topic, partition, offset):
         every = self._all(topic, partition)
         return [one for one in every if one.offset >= offset]
