Reject any odd entry among the targets as a malformed record

Another writer's entry that is nested deeper than the interpreter's stack ended the service that follows the targets, again after each restart: the error was none of ours, and the comparison with the entry before let it through (reported by another operator). Whole numbers without bound and port 0 were taken for a target's.

Also in tests: two worlds pass the format between hosts, which they lacked since requests are passed on.

--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -11,7 +11,7 @@
 from ..transport import decode_answer
 
 TOPIC = 'keyed.servers'
-# Maximum of a start time in milliseconds and of a number of orders; both are
+# Maximum of all whole numbers, such as a start time in milliseconds. Some are
 # sent to other hosts.
 MAX_COUNT = 1_000_000_000_000_000
 _MS = 0.001
@@ -20,7 +20,7 @@
 
 class _LoadedModel(msgspec.Struct, rename='camel'):
     name: str
-    version: int = 0
+    version: _Count = 0
     adapters: tuple[str, ...] = ()
 
 
@@ -34,7 +34,7 @@
     address: str
     state: str
     zone: str = ''
-    slots: int = 1
+    slots: _Count = 1
     # Version of the replica's software, not of its weights.
     version: int | str = ''
     born: _Count = 0
@@ -66,7 +66,7 @@
     try:
         entry = msgspec.json.decode(body, type=_Entry)
         state = TargetState(entry.state)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise RecordError(f'target {name}: {error}') from error
     _check_name(name)
     _check_target_address(name, entry.address)
@@ -123,6 +123,8 @@
 
 def _check_target_address(name: str, address: str) -> None:
     try:
-        split_address(address)
+        _, port = split_address(address)
     except SettingsError as error:
         raise RecordError(f'target {name}: {error}') from error
+    if not port:
+        raise RecordError(f'target {name}: {address!r} names no port')
--- a/ebonywell/transport.py
+++ b/ebonywell/transport.py
@@ -303,5 +303,5 @@
     """
     try:
         return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise TransportError(f'unreadable answer: {error}') from error
--- a/tests/test_host_feeds.py
+++ b/tests/test_host_feeds.py
@@ -37,7 +37,7 @@
 @pytest.fixture
 def feeds():
     translators = Translators(
-        'op', 'config', None, 'servers', decode, 'own', None, None
+        'op', 'config', None, 'servers', decode, 'own', None, None, None
     )
     rng = random.Random(1)
     found = HostFeeds(
--- a/tests/test_words_in_time.py
+++ b/tests/test_words_in_time.py
@@ -100,7 +100,7 @@
             SilentStore(self.world, self),
             Translators(
                 CONFIG, 'config', decode_configuration, TARGETS, decode_target,
-                'own', None, None,
+                'own', None, None, None,
             ),
             self.intake,
             self.inventory,
