Spare targets that fall over when they reject too much

Change: such a target gets requests from a host only while a slot is free by the loads that the hosts tell each other, and a host that was rejected leaves it alone for so long that all hosts together stay below its number. Those that find no room elsewhere wait at the host or are rejected at once as not run.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -217,8 +217,8 @@
             self.log('statement_unreadable', target=target.name, why=str(error))
             return
         self.limits.note_answer(target, statement, sending.sent_at)
-        if notice != NO_NOTICE:
-            self.selector.record_notice(target, notice)
+        if notice != NO_NOTICE or target.max_rejections is not None:
+            self.selector.record_notice(target, notice, verdict)
 
     def _log_attempt(
         self,
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -113,6 +113,9 @@
         Until when the target wants no request from this host.
     is_leaving : bool
         Whether an answer of the target said that it is about to leave.
+    max_rejections : float or None
+        Requests a second that the target can reject without falling over, by
+        its last answer; None if any number will do.
     """
 
     announcement: Announcement
@@ -124,6 +127,7 @@
     refused_at: float = 0
     paused_until: float = 0
     is_leaving: bool = False
+    max_rejections: float | None = None
 
     @property
     def name(self) -> str:
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -19,6 +19,7 @@
 # not-executed header that is not certain.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _DROPPED = headers.HOP_BY_HOP | {
+    headers.SERVER_BRITTLE,
     headers.SERVER_LEAVING,
     headers.SERVER_LIMIT,
     headers.SERVER_LOAD,
@@ -156,10 +157,15 @@
         If it cannot be read; the answer itself may still be valid.
     """
     is_leaving = head.get(headers.SERVER_LEAVING) == b'1'
+    brittle = head.get(headers.SERVER_BRITTLE)
+    max_rejections = None
+    if brittle is not None:
+        max_rejections = read_rate([brittle.decode('latin-1')])
     stated = head.get(headers.RETRY_AFTER)
     if head.status != _UNAVAILABLE or stated is None:
-        return Notice(is_leaving)
-    return Notice(is_leaving, read_pause(stated.decode('latin-1')))
+        return Notice(is_leaving, 0, max_rejections)
+    pause_s = read_pause(stated.decode('latin-1'))
+    return Notice(is_leaving, pause_s, max_rejections)
 
 
 def answer_headers(head: AnswerHead) -> list[tuple[bytes, bytes]]:
--- a/ebonywell/platform/headers.py
+++ b/ebonywell/platform/headers.py
@@ -25,6 +25,8 @@
 SERVER_LIMIT = b'server-limit'
 # Set on requests that one host passes on to another.
 FORWARDED_BY = b'ebonywell-forwarded-by'
+# Rejections a second, from all machines, from which the target falls over.
+SERVER_BRITTLE = b'server-brittle'
 # Rises by one each time the store comes back from an older copy of itself.
 STORE_ERA = b'store-era'
 # The value is 1 in all answers of a target that is about to leave.
--- a/ebonywell/progress.py
+++ b/ebonywell/progress.py
@@ -200,5 +200,7 @@
     ) -> None:
         """Record that a target lacks what a request needs."""
 
-    def record_notice(self, known: KnownTarget, notice: Notice) -> None:
+    def record_notice(
+        self, known: KnownTarget, notice: Notice, verdict: Verdict
+    ) -> None:
         """Record what a target asks of this host."""
--- a/ebonywell/statements.py
+++ b/ebonywell/statements.py
@@ -42,15 +42,21 @@
         Whether the target takes no new requests, as it is about to leave.
     pause_s : float
         Time in seconds for which it wants no request from this host.
+    max_rejections : float or None
+        Requests a second that it can reject for want of room; more of them make
+        it fall over. None if any number will do.
     """
 
     is_leaving: bool = False
     pause_s: float = 0
+    max_rejections: float | None = None
 
 
 NO_NOTICE = Notice()
 # A target that asks for a longer pause gets requests again after this time.
 MAX_PAUSE_S = 30.0
+# Rejections of a target that may fall over are counted over a second.
+MIN_BRITTLE_PAUSE_S = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -140,6 +146,26 @@
     return min(pause_s, MAX_PAUSE_S)
 
 
+def brittle_pause_s(max_rejections: float | None, hosts: int) -> float:
+    """Return for how long a host leaves a target alone that rejected it.
+
+    If each host has one request rejected in that time, the target rejects no
+    more than it can bear.
+
+    Parameters
+    ----------
+    max_rejections : float or None
+        Requests a second that the target can reject; None if any number.
+    hosts : int
+        Hosts that send it requests.
+    """
+    if max_rejections is None:
+        return 0
+    if max_rejections * MAX_PAUSE_S <= hosts:
+        return MAX_PAUSE_S
+    return max(MIN_BRITTLE_PAUSE_S, hosts / max_rejections)
+
+
 def read_rate(values: Iterable[str]) -> float | None:
     """Return the least of the rates that a target states, in one per second.
 
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -15,7 +15,7 @@
 from .progress import Verdict
 from .routetable import EngineSpec
 from .selection import Candidate, Choice, choose
-from .statements import Notice
+from .statements import Notice, brittle_pause_s
 from .targetlimits import MAX_PERMIT_WAIT_S, TargetLimits
 
 # Targets with a limit that a request may ask for, one after the other.
@@ -61,6 +61,7 @@
             for known in self._list_holding(request)
             if known.name not in avoided
             and known.is_reachable(now)
+            and self._has_room(known)
             and request.release in {None, known.announcement.release}
         ]
 
@@ -171,11 +172,26 @@
         elif generation is not None:
             known.drop(generation.model, generation.adapter)
 
-    def record_notice(self, known: KnownTarget, notice: Notice) -> None:
+    def record_notice(
+        self, known: KnownTarget, notice: Notice, verdict: Verdict
+    ) -> None:
         """Record what a target asks of this host in an answer."""
-        if notice.pause_s:
-            known.paused_until = boot_time() + notice.pause_s
-            self.log('target_paused', target=known.name, for_s=notice.pause_s)
+        pause_s = notice.pause_s
+        if known.max_rejections != notice.max_rejections:
+            known.max_rejections = notice.max_rejections
+            self.log(
+                'target_brittle',
+                target=known.name,
+                max_rejections=notice.max_rejections,
+            )
+        if verdict is Verdict.not_run:
+            brittle_s = brittle_pause_s(
+                notice.max_rejections, self.limits.fleet.size
+            )
+            pause_s = max(pause_s, brittle_s)
+        if pause_s:
+            known.paused_until = boot_time() + pause_s
+            self.log('target_paused', target=known.name, for_s=pause_s)
         if notice.is_leaving and not known.is_leaving:
             self.inventory.note_leaving(known)
             self.log('target_leaving', target=known.name)
@@ -189,6 +205,13 @@
         model, adapter = generation.model, generation.adapter
         return [known for known in ready if known.holds(model, adapter)]
 
+    def _has_room(self, known: KnownTarget) -> bool:
+        """Return whether a target that must not reject has a free slot."""
+        if known.max_rejections is None:
+            return True
+        in_flight = self.board.total(known.name).in_flight
+        return in_flight < known.announcement.slots
+
     def _list_unlimited(
         self, eligible: Sequence[KnownTarget]
     ) -> list[KnownTarget]:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -17,7 +17,7 @@
 
 SOUND = b'{"service":"s","address":"10.0.0.1:%s","state":"ready","slots":%s}'
 # Deeper than the interpreter's stack, in a field that is not ours.
-DEEP = b'{"x":' + b'[' * 100_000 + b']' * 100_000 + b'}'
+DEEP = b'{"x":%b%b}' % (b'[' * 100_000, b']' * 100_000)
 ODD = (
     DEEP,
     SOUND % (b'80', b'9' * 400),
@@ -63,7 +63,7 @@
                 await store.append(TOPIC, 0, (('odd', body),))
             await anyio.sleep(SOON_S / 2)
             for _ in range(2):
-                await store.append(TOPIC, 0, (('odd', body + b' '),))
+                await store.append(TOPIC, 0, (('odd', b' %b' % body),))
             await store.append(TOPIC, 0, (('good', SOUND % (b'80', b'4')),))
             await anyio.sleep(SOON_S)
             group.cancel_scope.cancel()
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -1,10 +1,12 @@
 """Targets that ask hosts for no more requests, before real hosts."""
 
+import time
+
 import anyio
 import pytest
 
 from ebonywell.platform.exchange import read_notice
-from ebonywell.statements import MAX_PAUSE_S, Notice
+from ebonywell.statements import MAX_PAUSE_S, Notice, brittle_pause_s
 from ebonywell.upstream import AnswerHead
 from lab.platform_world import run_scenario
 from lab.standin_http import Reply
@@ -57,6 +59,59 @@
     run_scenario(tmp_path, scenario, ('host-1',))
 
 
+def test_a_target_that_must_not_reject_gets_what_it_has_room_for(tmp_path):
+    """More than it bears would arrive at once otherwise."""
+
+    async def scenario(world):
+        host = world.hosts['host-1']
+        brittle = world.replicas['desk-1']
+        rejected = []
+
+        async def reject_when_full(request):
+            running = len(brittle.runs) - len(brittle.ends)
+            if running < brittle.slots:
+                return brittle.run(request)
+            rejected.append(time.monotonic())
+            return Reply(
+                503,
+                headers={
+                    'Request-Id': request.headers['request-id'],
+                    'Not-Executed': '1',
+                },
+            )
+
+        for name in 'desk-1', 'desk-2':
+            world.replicas[name].notices = {'Server-Brittle': '2'}
+            world.replicas[name].behave = reject_when_full
+        for _ in range(6):
+            await world.ask(host, '/look/x')
+
+        async def ask():
+            await world.ask(host, '/look/x', work_s='0.3')
+
+        async with anyio.create_task_group() as group:
+            for _ in range(60):
+                group.start_soon(ask)
+                await anyio.sleep(0.02)
+        busiest = max(
+            (sum(at <= one < at + 1 for one in rejected) for at in rejected),
+            default=0,
+        )
+        assert busiest <= 2
+
+    run_scenario(tmp_path, scenario, ('host-1',))
+
+
+@pytest.mark.parametrize(
+    ('max_rejections', 'hosts', 'pause_s'),
+    [(None, 8, 0), (20, 8, 1), (2, 8, 4), (0, 8, MAX_PAUSE_S)],
+)
+def test_hosts_together_are_rejected_no_more_than_a_target_bears(
+    max_rejections, hosts, pause_s
+):
+    assert brittle_pause_s(max_rejections, hosts) == pause_s
+
+
 def head_with(status, **named):
     pairs = [
         (name.replace('_', '-').encode(), value.encode())
@@ -74,6 +129,7 @@
         (head_with(503, retry_after='0.25'), Notice(pause_s=0.25)),
         (head_with(503, retry_after='1e9'), Notice(pause_s=MAX_PAUSE_S)),
         (head_with(429, retry_after='3'), Notice()),
+        (head_with(200, server_brittle='3'), Notice(max_rejections=3)),
     ],
 )
 def test_notices_are_read_from_answers(head, notice):
