--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -94,7 +94,7 @@
                 settings.bounds.lease_s, settings.bounds.requires_fencing
             ),
             Candidacy(
-                self.is_ready,
+                lambda: self.is_ready() and not self.forwarder.is_cut(),
                 self._rank,
                 lambda: self.known.fleet.is_minority(boot_time()),
             ),
