A forwarded request may have run until its answer is whole

A request that may not be repeated and was passed on, and whose deadline came between the head and the end of the other host's answer, would have been answered 503, "not run" (REFUSED).

test_a_forwarded_request_whose_answer_stalls_may_have_run failed before.

--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -220,9 +220,7 @@
 
         The other host charges the request, so this one does not.
         """
-        if not (
-            self.forwarder.is_cut() and self.forwarder.can_forward(request)
-        ):
+        if not self.forwarder.is_needed(request):
             try:
                 return await self._send_to_target(request, responder, progress)
             except RejectionError as error:
--- a/ebonywell/peerforwarding.py
+++ b/ebonywell/peerforwarding.py
@@ -236,7 +236,6 @@
         progress.target = host.name
         self.log('request_forwarded', request=request.request_id, to=host.name)
         head = await connection.receive(exchange)
-        progress.is_pending = False
         if not isinstance(head, AnswerHead):
             raise BrokenAnswerError
         return await self._copy_answer(
@@ -279,6 +278,7 @@
         head: AnswerHead,
         headers: list[tuple[bytes, bytes]],
     ) -> None:
+        progress.is_pending = False
         progress.first_byte_s = boot_time() - request.received_at
         await responder.start(head.status, headers)
         progress.is_started = True
--- a/tests/test_cut_from_targets.py
+++ b/tests/test_cut_from_targets.py
@@ -1,7 +1,10 @@
 """A host that reaches callers, the store and other hosts, but no target."""
 
+import asyncio
 import base64
+import contextlib
 import json
+import random
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -11,9 +14,13 @@
 from ebonywell.clock import boot_time
 from ebonywell.digests import Digest
 from ebonywell.fleetview import FleetView
+from ebonywell.inbound import AdmittedRequest
 from ebonywell.inventory import Inventory
 from ebonywell.loadboard import LoadBoard
+from ebonywell.logs import discard_event
 from ebonywell.peerforwarding import PeerForwarder
+from ebonywell.platform.exchange import host_format
+from ebonywell.progress import Progress
 from lab.platform_caller import request_once
 from lab.platform_world import run_scenario
 from lab.ports import allocate_ports
@@ -154,3 +161,46 @@
     )
     hosts = forwarder._list_hosts(set())
     assert {one.name for one in hosts} == {'host-3', 'host-4'}
+
+
+def test_a_forwarded_request_whose_answer_stalls_may_have_run():
+    """The head of the answer has come, but not its whole body."""
+    ended = anyio.Event()
+
+    async def stall(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf')
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+        ended.set()
+
+    async def run():
+        listener = await asyncio.start_server(stall, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        fleet = FleetView('host-1', LoadBoard(), 'z1')
+        digest = Digest(
+            'host-2', 2, 1, 'a:1', f'127.0.0.1:{port}', 'z1', True, 1, 0,
+            False, False, 0,
+        )  # fmt: skip
+        fleet.note_digest(digest, boot_time())
+        forwarder = PeerForwarder(
+            fleet, Inventory(), SimpleNamespace(version=1), None,
+            host_format('host-1'), discard_event, random.Random(1),
+        )  # fmt: skip
+        now = boot_time()
+        request = AdmittedRequest(
+            'id-1', 'POST', b'/book/x', (), b'', None, 'desk', None, None, now,
+            now + 9,
+        )  # fmt: skip
+        progress = Progress()
+        with forwarder.pool, anyio.move_on_after(0.3) as scope:
+            await forwarder.serve(request, None, progress)
+        assert scope.cancelled_caught
+        assert progress.may_run or progress.is_pending
+        listener.close()
+        await ended.wait()
+
+    anyio.run(run)
