Copy the answer of a plain service when it is whole

An answer that states no type is a stream only on a route of streams; a forwarded one was copied part by part, so that one that broke off reached the caller cut instead of as 502.

--- a/ebonywell/peerforwarding.py
+++ b/ebonywell/peerforwarding.py
@@ -21,6 +21,7 @@
 from .inventory import Inventory
 from .logs import Logger
 from .progress import Outcome, Progress
+from .routetable import RequestKind
 from .streamheads import is_event_stream
 from .targetreach import TargetReach
 from .upstream import AnswerHead, Connection, ConnectionPool, Ending
@@ -252,7 +253,8 @@
     ) -> Outcome:
         """Copy an answer; a stream at once, any other when it is whole."""
         headers = self.format.answer_headers(head)
-        is_stream = is_event_stream(head)
+        is_stream = request.route.kind is RequestKind.stream
+        is_stream = is_stream and is_event_stream(head)
         if is_stream:
             await self._start(request, responder, progress, head, headers)
         body = bytearray()
--- a/tests/test_cut_from_targets.py
+++ b/tests/test_cut_from_targets.py
@@ -21,6 +21,7 @@
 from ebonywell.peerforwarding import PeerForwarder
 from ebonywell.platform.exchange import host_format
 from ebonywell.progress import Progress
+from ebonywell.routetable import RequestKind
 from lab.platform_caller import request_once
 from lab.platform_world import run_scenario
 from lab.ports import allocate_ports
@@ -28,6 +29,7 @@
 from lab.standin_replica import listen
 
 TARGETS = 'topic=keyed.servers'
+BOOKING = SimpleNamespace(kind=RequestKind.once, is_repeatable=False)
 # Hosts have heard each other by then.
 HEARD_S = 1.0
 
@@ -192,7 +194,7 @@
         )  # fmt: skip
         now = boot_time()
         request = AdmittedRequest(
-            'id-1', 'POST', b'/book/x', (), b'', None, 'desk', None, None, now,
+            'id-1', 'POST', b'/book/x', (), b'', BOOKING, 'desk', None, None, now,
             now + 9,
         )  # fmt: skip
         progress = Progress()
