--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -190,7 +190,8 @@
             )
             pause_s = max(pause_s, brittle_s)
         if pause_s:
-            known.paused_until = boot_time() + pause_s
+            until = boot_time() + pause_s
+            known.paused_until = max(known.paused_until, until)
             self.log('target_paused', target=known.name, for_s=pause_s)
         if notice.is_leaving and not known.is_leaving:
             self.inventory.note_leaving(known)
