--- a/tests/test_cut_from_targets.py
+++ b/tests/test_cut_from_targets.py
@@ -194,8 +194,8 @@
         )  # fmt: skip
         now = boot_time()
         request = AdmittedRequest(
-            'id-1', 'POST', b'/book/x', (), b'', BOOKING, 'desk', None, None, now,
-            now + 9,
+            'id-1', 'POST', b'/book/x', (), b'', BOOKING, 'desk', None, None,
+            now, now + 9,
         )  # fmt: skip
         progress = Progress()
         with forwarder.pool, anyio.move_on_after(0.3) as scope:
