--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,5 @@
 # flake8: noqa
-"""A replica sends small chunks without end in a stream that isn't resumable."""
+"""A replica sends an event without end in a resumable stream."""
 
 import sys
 from pathlib import Path
@@ -11,5 +11,5 @@
 import harness
 
 if __name__ == '__main__':
-    faulty = endless.Faulty('quote', timeout_s=4.0, chunk_bytes=1, rate=6_000_000)
+    faulty = endless.Faulty('recon', timeout_s=6.0, chunk_bytes=256, rate=4_000_000)
     harness.main(HERE, endless.make_play(faulty))
