--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,9 @@
 # 'endless': body bytes without end. 'silence': a sound replica falls silent
 # for a moment in the middle of its answer and goes on.
 MODE = os.environ.get('MODE', 'endless')
-SILENCE_S = 1.6
+SILENCE_S = 1.2
+# The longest work that the site's sheet has is 450 ms.
+LONG_WORK_S = 0.4
 REQUESTS = 12
 
 
@@ -29,14 +31,15 @@
         if not self.is_troubled:
             return await super().run(request, writer, reader, known)
         known.append(('Response-Seal', f'seal-{self.name}'))
-        await asyncio.sleep(self.work_s)
         if MODE == 'silence':
+            await asyncio.sleep(LONG_WORK_S)
             known.append(('Content-Length', 800))
             writer.write(harness.encode_head(200, known) + b'x' * 100)
             await writer.drain()
             await asyncio.sleep(SILENCE_S)
             writer.write(b'x' * 700)
             return True
+        await asyncio.sleep(self.work_s)
         known.append(('Transfer-Encoding', 'chunked'))
         writer.write(harness.encode_head(200, known))
         chunk = harness.encode_chunk(b'x' * 4096)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,9 +23,7 @@
 
 
 class Store(harness.Store):
-    """Remembers who claimed the lease, and can be away."""
-
-    is_away = False
+    """Remembers who claimed the lease."""
 
     def __init__(self, record):
         super().__init__(record)
@@ -50,12 +48,6 @@
                 f' at offset {offset}, era {self.era}'
             )
 
-    async def answer(self, request, writer, reader):
-        if self.is_away:
-            writer.write(harness.encode_answer(503))
-            return True
-        return await super().answer(request, writer, reader)
-
 
 async def send_traffic(deployment, record):
     """Ask for one adapter after the other, at all hosts in turn."""
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -64,18 +64,6 @@
 class Engine(Replica):
     """Writes its software version into each event."""
 
-    version = 1
-
-    def announce(self):
-        self.heartbeats += 1
-        self.store.put('keyed.servers', self.name, {
-            'service': self.service, 'address': self.address, 'zone': 'z1',
-            'version': self.version, 'slots': self.slots, 'state': 'ready',
-            'coldLeftMs': 0, 'seq': self.heartbeats, 'born': self.born,
-            'models': self.list_models(),
-            'atHand': {'inMemory': list(self.sizes), 'onDisk': list(self.sizes)},
-        })
-
     async def run(self, request, writer, reader, known):
         headers = request[2]
         known += [
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -28,9 +28,7 @@
 
 
 class Store(harness.Store):
-    """Can be away."""
-
-    is_away = False
+    """Tells when records of streams are written."""
 
     def note_append(self, place, key, value):
         if place == STREAMS:
@@ -38,28 +36,10 @@
                 f'{key} writes its record of streams: {len(value or b"")} bytes'
             )
 
-    async def answer(self, request, writer, reader):
-        if self.is_away:
-            writer.write(harness.encode_answer(503))
-            return True
-        return await super().answer(request, writer, reader)
-
 
 class Engine(Replica):
     """Writes its software version into each event."""
 
-    version = 1
-
-    def announce(self):
-        self.heartbeats += 1
-        self.store.put('keyed.servers', self.name, {
-            'service': self.service, 'address': self.address, 'zone': 'z1',
-            'version': self.version, 'slots': self.slots, 'state': 'ready',
-            'coldLeftMs': 0, 'seq': self.heartbeats, 'born': self.born,
-            'models': self.list_models(),
-            'atHand': {'inMemory': list(self.sizes), 'onDisk': list(self.sizes)},
-        })
-
     async def run(self, request, writer, reader, known):
         headers = request[2]
         known += [
--- a/review/common/endless.py
+++ b/review/common/endless.py
@@ -9,7 +9,11 @@
 
 MEMORY_MB = 300
 STREAMS_PER_S = 1.0
-LOOK_TIMEOUT_S = 1.5
+# Sound clients send non-idempotent requests: an idempotent one that isn't read
+# is given up after a second.
+BOOK_TIMEOUT_S, BOOK_DEADLINE_S = 1.5, 3.0
+# With KEPT_CLIENTS on each of two hosts about the rate of the site's sheet.
+BOOK_PAUSE_S = 1.2
 LATE_S = 0.5
 TROUBLE_S = 15.0
 KEPT_CLIENTS = 8
@@ -118,12 +122,12 @@
             self.record(f'{host.name} accepts no connection')
             return
         headers = request_headers(
-            request_id, 15000, Model=model, Token_Count='1460,22',
+            request_id, int(self.faulty.timeout_s * 1000), Model=model, Token_Count='1460,22',
             Prompt_Prefix=f'5c1e07a2:341,{request_id[-8:]}:1119',
         )
         await self.ask(
             host, client, 'POST', self.faulty.path, headers, b'b' * 200,
-            self.faulty.timeout_s,
+            self.faulty.timeout_s, self.faulty.timeout_s,
         )
         client.close()
 
@@ -131,7 +135,7 @@
         """Send sound requests on a kept connection, one after the other."""
         client = None
         while True:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(BOOK_PAUSE_S)
             if client is None:
                 try:
                     client = await Client.open(host.front)
@@ -140,15 +144,18 @@
                     await asyncio.sleep(0.2)
                     continue
             answer = await self.ask(
-                host, client, 'GET', '/look/2f',
-                request_headers(self.next_id(), 3000), b'', LOOK_TIMEOUT_S,
+                host, client, 'POST', '/book/2f',
+                request_headers(self.next_id(), 3000), b'b' * 600,
+                BOOK_TIMEOUT_S, BOOK_DEADLINE_S,
             )
             if not answer.is_whole or answer.headers.get('connection'):
                 client.close()
                 client = None
 
-    async def ask(self, host, client, method, path, headers, body, timeout_s):
-        """Send a request, and leave half a second after its route's time."""
+    async def ask(
+        self, host, client, method, path, headers, body, timeout_s, leave_s
+    ):
+        """Send a request, and leave at the client's own deadline."""
         request_id = dict(headers)['Request-Id']
         if path == self.faulty.path:
             self.record(f'sent {request_id} {path} to {host.name}')
@@ -159,7 +166,7 @@
         try:
             answer = await asyncio.wait_for(
                 client.ask(method, path, headers, body),
-                timeout_s + LATE_S + 0.1,
+                leave_s,
             )
         except asyncio.TimeoutError:
             self.record(
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -22,6 +22,13 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HELD, BROKEN, UNABLE = 0, 1, 2
 HEARTBEAT_S = 1.2
+STORE_ANSWER_S = 0.004
+ADAPTER_SLOTS = 8
+WEIGHTS_MB = 200000
+# Times of a load from memory and from the disk.
+WARM_S, DISK_S = 0.6, 0.78
+# A play that takes longer ends, so that a script stays under 120 seconds.
+MAX_PLAY_S = 100
 REASONS = {
     200: 'OK', 202: 'Accepted', 404: 'Not Found', 409: 'Conflict',
     410: 'Gone', 412: 'Precondition Failed', 421: 'Misdirected Request',
@@ -135,6 +142,7 @@
         self.record = record
         self.parts = {}
         self.era = 0
+        self.is_away = False
         self.changed = asyncio.Event()
 
     def append(self, topic, part, key, value):
@@ -164,14 +172,20 @@
         split = urlsplit(path)
         query = {name: one[0] for name, one in parse_qs(split.query).items()}
         place = (query.get('topic', ''), int(query.get('part', '0')))
-        if split.path == '/log-newest':
-            writer.write(self._newest(place, query))
+        await asyncio.sleep(STORE_ANSWER_S)
+        if self.is_away:
+            answer = encode_answer(503)
+        elif split.path == '/log-newest':
+            answer = self._newest(place, query)
         elif split.path == '/log-read':
-            writer.write(await self._read(place, query))
+            answer = await self._read(place, query)
+            if self.is_away:
+                answer = encode_answer(503)
         elif split.path == '/log-append' and method == 'POST':
-            writer.write(self._append(place, query, body))
+            answer = self._append(place, query, body)
         else:
-            writer.write(encode_answer(404))
+            answer = encode_answer(404)
+        writer.write(answer)
         return True
 
     def _newest(self, place, query):
@@ -271,6 +285,11 @@
         self.gap_s = 0.02
         self.busy_until = 0.0
         self.heartbeats = 0
+        self.in_use = {}
+        self.tasks = []
+        self.running = 0
+        self.overfull = False
+        self.version = 1
         self.slots = 64 if models is not None else 6
 
     async def start(self):
@@ -281,12 +300,17 @@
         self.heartbeats += 1
         self.store.put('keyed.servers', self.name, {
             'service': self.service, 'address': self.address, 'zone': 'z1',
-            'version': 1, 'slots': self.slots, 'state': 'ready',
+            'version': self.version, 'slots': self.slots, 'state': 'ready',
             'coldLeftMs': 0, 'seq': self.heartbeats, 'born': self.born,
             'models': self.list_models(),
-            'atHand': {'inMemory': list(self.sizes), 'onDisk': list(self.sizes)},
+            'atHand': {
+                'inMemory': self.in_memory(), 'onDisk': list(self.sizes),
+            },
         })
 
+    def in_memory(self):
+        return list(self.sizes)[:2]
+
     def list_models(self):
         return [
             {'name': name, 'version': 1, 'adapters': sorted(adapters)}
@@ -331,7 +355,18 @@
             return True
         self.runs.append((time.monotonic(), request_id, path))
         self.record(f'{self.name} runs {request_id} ({path})')
-        return await self.run(request, writer, reader, known)
+        known.append(('Server-Load', f'{self.running + 1},0,{self.slots}'))
+        named = headers.get('model', '')
+        needs = {named, named.partition('/')[0]} if named else set()
+        self.running += 1
+        for need in needs:
+            self.in_use[need] = self.in_use.get(need, 0) + 1
+        try:
+            return await self.run(request, writer, reader, known)
+        finally:
+            self.running -= 1
+            for need in needs:
+                self.in_use[need] -= 1
 
     async def run(self, request, writer, reader, known):
         """Run a request as a sound replica does."""
@@ -374,23 +409,56 @@
         if order.get('precondition', self.count) != self.count:
             return encode_answer(409)
         model, adapter = order['model'], order.get('adapter')
-        if not adapter and time.monotonic() < self.busy_until:
+        if time.monotonic() < self.busy_until:
             return encode_answer(409)
         self.fence = order['fence']
         self.count += 1
-        if order['operation'] == 'unload':
-            if adapter:
-                self.models.get(model, set()).discard(adapter)
-                return encode_answer(200)
-            self.models.pop(model, None)
-            return encode_answer(202)
-        if adapter:
+        name = f'{model}/{adapter}' if adapter else model
+        is_load = order['operation'] == 'load'
+        if not is_load and adapter and not self.in_use.get(name):
+            self.models.get(model, set()).discard(adapter)
+            return encode_answer(200)
+        if is_load and adapter:
             self.models.setdefault(model, set()).add(adapter)
+            self.check_room(())
+        elif is_load:
+            self.check_room((model,))
+            load_s = WARM_S if model in self.in_memory() else DISK_S
+            self.busy_until = time.monotonic() + load_s
+            self.spawn(self.load(model, load_s))
         else:
-            self.models[model] = set()
-            self.busy_until = time.monotonic() + 0.4
+            if not adapter:
+                self.busy_until = time.monotonic() + 0.02
+            self.spawn(self.unload(model, adapter, name))
         return encode_answer(202)
 
+    def check_room(self, added):
+        """A replica that is ordered to load more than it holds crashes."""
+        held = set(self.models) | set(added)
+        adapters = sum(len(one) for one in self.models.values())
+        self.overfull |= sum(self.sizes[one] for one in held) > WEIGHTS_MB
+        self.overfull |= adapters > ADAPTER_SLOTS
+
+    def spawn(self, coroutine):
+        self.tasks.append(asyncio.ensure_future(coroutine))
+
+    async def load(self, model, load_s):
+        await asyncio.sleep(load_s)
+        self.models[model] = set()
+        self.announce()
+
+    async def unload(self, model, adapter, name):
+        """Drop a model or an adapter once its runs have ended."""
+        while self.in_use.get(name):
+            if not adapter:
+                self.busy_until = time.monotonic() + 0.02
+            await asyncio.sleep(0.01)
+        if adapter:
+            self.models.get(model, set()).discard(adapter)
+            return
+        self.models.pop(model, None)
+        self.announce()
+
 
 # Host processes
 
@@ -631,7 +699,7 @@
     'thawMs': 300, 'ceilingWindowS': 5, 'ceilingOvershoot': 1.1,
     'ttl_max_s': 5,
 }
-SIZES_MB = {f'model{number}': 72700 for number in range(6)}
+SIZES_MB = {f'model{number}': 65500 for number in range(6)}
 
 
 def make_route(name, kind, service, timeout_ms, goal_ms, **more):
@@ -729,6 +797,10 @@
     async def __aexit__(self, *error):
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for replica in self.replicas.values():
+            for task in replica.tasks:
+                task.cancel()
         for host in self.hosts.values():
             host.signal(signal.SIGKILL)
             if host.process is not None:
@@ -736,6 +808,9 @@
         for replica in self.replicas.values():
             await replica.close()
         await self.store.close()
+        for replica in self.replicas.values():
+            if replica.overfull:
+                self.record(f'{replica.name} was ordered to hold too much')
 
 
 class Unable(Exception):
@@ -749,7 +824,9 @@
     record(f'TROUBLE={int(TROUBLE)}')
     with tempfile.TemporaryDirectory(prefix='ebonywell-review-') as scratch:
         try:
-            code = asyncio.run(play(scratch, record))
+            code = asyncio.run(asyncio.wait_for(
+                play(scratch, record), MAX_PLAY_S
+            ))
         except Exception as error:
             record.say(f'could not run: {error!r}')
             code = UNABLE
