--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import sys
 import time
@@ -15,6 +16,9 @@
 from harness import TROUBLE, Client, Deployment, Replica, request_headers
 
 LEASE = ('keyed.ebonywell', 0)
+# 'stop': a planned stop hands the lease over before the drill. 'start': the
+# drill comes some seconds after the first start of the system, and alone.
+MODE = os.environ.get('MODE', 'stop')
 # How long after its claim the new holder works before the store is lost.
 WORK_S = 3.0
 # How long the store is away.
@@ -95,6 +99,23 @@
         await asyncio.sleep(0.02)
 
 
+async def hand_over(deployment, store, record):
+    """Stop the holder as planned; return when the copy was made."""
+    await asyncio.sleep(3)
+    first = store.claims[-1][0]
+    record(f'SIGTERM to the holder, {first}')
+    deployment.hosts[first].signal(signal.SIGTERM)
+    deployment.spawn(restart(deployment.hosts[first], record))
+    known = len(store.claims)
+    await wait_for(
+        lambda: len(store.claims) > known, 15, 'nobody took over'
+    )
+    _, offset = store.claims[known]
+    log = store.parts[LEASE]
+    # After the record before the claim.
+    return (log[offset - 1][0] + log[offset][0]) / 2
+
+
 async def play(folder, record):
     deployment = Deployment(folder, record, hosts=3)
     store = deployment.store = Store(record)
@@ -108,19 +129,11 @@
         await deployment.start_hosts()
         deployment.spawn(send_traffic(deployment, record))
         await wait_for(lambda: store.claims, 15, 'nobody claimed the lease')
-        await asyncio.sleep(3)
-        first = store.claims[-1][0]
-        record(f'SIGTERM to the holder, {first}')
-        deployment.hosts[first].signal(signal.SIGTERM)
-        deployment.spawn(restart(deployment.hosts[first], record))
-        known = len(store.claims)
-        await wait_for(
-            lambda: len(store.claims) > known, 15, 'nobody took over'
-        )
-        _, offset = store.claims[known]
-        log = store.parts[LEASE]
-        # The copy was made after the record before the claim.
-        copied_at = (log[offset - 1][0] + log[offset][0]) / 2
+        if MODE == 'stop':
+            copied_at = await hand_over(deployment, store, record)
+        else:
+            # The copy was made before the first claim.
+            copied_at = store.parts[LEASE][0][0] - 0.05
         await asyncio.sleep(WORK_S)
         if TROUBLE:
             store.is_away = True
