Bound what callers' connections keep and how long they take

Callers saw: one connection that sent header lines without end took 632 MB of a host whose limit is 300, one that sent requests without reading their answers 343 MB. With four connections a host, 15 of 16 requests that ran out of time also had no answer half a second later, and 39 sound bookings got 503. No key is needed. A byte of a head a second kept a connection open for as long as the caller liked.

Cause: uvicorn keeps a head until it is whole, and parses every request that it has received. It pauses reading while one waits for the answer before it, but waiting for the caller's disconnection resumes it. The limit on headers was checked once a head was whole, headerTimeoutMs was not kept, and bounds on one connection had none for all together.

Change: CallerConnection, on all ports and on the product's own door. One request is parsed at a time and what follows is not read; heads, framing and bodies without end get 431, 400 and 413; a late head or body 408; all connections together may keep a quarter of the memory limit, beyond which the largest unfinished one gets 503; the number of connections is bounded by the descriptors. A connection that is closed early is read for a second more, so that the caller gets its answer.

--- a/ebonywell/answers.py
+++ b/ebonywell/answers.py
@@ -1,11 +1,12 @@
 """Errors for rejected requests and their encoding for callers."""
 
 import math
+from http import HTTPStatus
 
 import msgspec
 
 from .exceptions import EbonywellError
-from .types import RunState
+from .types import RunState, new_id
 
 RETRY_SOON_S = 1.0
 
@@ -96,6 +97,15 @@
     return headers
 
 
+def describe_rejection(status: HTTPStatus, code: str) -> tuple[bytes, bytes]:
+    """Return the content type and the body of a rejection by the server.
+
+    The request was not received whole, so that nothing of it has run.
+    """
+    refusal = Refusal(code, status, f'{status.phrase}.')
+    return b'application/json', encode_refusal(refusal, new_id())
+
+
 def encode_event(refusal: Refusal, request_id: str) -> bytes:
     """Return the error event that ends an interrupted stream.
 
--- /dev/null
+++ b/ebonywell/callerconnection.py
@@ -0,0 +1,212 @@
+"""A connection of a caller, bounded in what it keeps and how long it takes."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+from uvicorn.config import Config
+
+from .callers import Callers
+from .requestprogress import Stage
+from .serialconnection import SerialConnection, encode_rejection
+
+# Unsent bytes of an answer beyond which its target has to wait.
+MAX_UNSENT_BYTES = 16_384
+# A caller that gets 503 for lack of memory should retry after this time.
+MEMORY_RETRY_S = 1.0
+
+
+@dataclass(slots=True)
+class Unsent:
+    """What a caller has not read of an answer, once it fell behind.
+
+    Attributes
+    ----------
+    size : int
+        In bytes; 0 while the caller keeps up.
+    moved_at : float
+        When the caller last read some of it, in seconds.
+    """
+
+    size: int = 0
+    moved_at: float = 0
+
+    def is_stalled(self, size: int, now: float, timeout_s: float) -> bool:
+        """Return whether the caller has read nothing for too long."""
+        if size < self.size:
+            self.size = size
+            self.moved_at = now
+        return now - self.moved_at > timeout_s
+
+
+class CallerConnection(SerialConnection):
+    """A connection of a caller.
+
+    Attributes
+    ----------
+    callers : Callers
+    holding : Holding
+    unsent : Unsent
+    """
+
+    def __init__(self, callers: Callers, config: Config, **server: Any) -> None:
+        super().__init__(config, **server)
+        self.callers = callers
+        self.holding = callers.memory.open(self.give_up)
+        self.unsent = Unsent()
+
+    @property
+    def waits_since(self) -> float | None:
+        """Time since which no request is in progress, None if one is."""
+        is_waiting = self.progress.stage in {Stage.idle, Stage.head}
+        return self.progress.since if is_waiting else None
+
+    # Called by the event loop
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Bound the unsent bytes, and the number of connections."""
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
+        self.callers.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Free what the connection keeps."""
+        super().connection_lost(exc)
+        self.callers.remove(self)
+        self.callers.memory.close(self.holding)
+
+    def pause_writing(self) -> None:
+        """Note that the caller falls behind with reading."""
+        super().pause_writing()
+        self.unsent.size = self.transport.get_write_buffer_size()
+        self.unsent.moved_at = self.loop.time()
+        self._note_kept()
+
+    def resume_writing(self) -> None:
+        """Note that the caller has caught up."""
+        super().resume_writing()
+        self.unsent.size = 0
+
+    # Called by the parser and `SerialConnection`
+
+    def send_400_response(  # noqa: WPS114 - the name is uvicorn's
+        self, msg: str
+    ) -> None:
+        """Reject a request that cannot be parsed."""
+        self.reject(HTTPStatus.BAD_REQUEST, 'malformed')
+
+    def parse_piece(self, piece: bytes) -> None:
+        """Parse a piece; reject heads and framing without end."""
+        super().parse_piece(piece)
+        if self.output.is_closing():
+            return
+        if not self.progress.has_endless_framing(self.callers.limits()):
+            return
+        if self.progress.stage is Stage.body:
+            self.reject(HTTPStatus.BAD_REQUEST, 'framing_too_long')
+        else:
+            self.reject(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, 'head_too_long'
+            )
+
+    def settle(self) -> None:
+        """Update what the connection keeps."""
+        super().settle()
+        self._note_kept()
+
+    # Called for all connections together
+
+    def check(self, now: float) -> None:
+        """End the connection if its caller takes too long."""
+        limits = self.callers.limits()
+        if self.unsent.size:
+            size = self.transport.get_write_buffer_size()
+            if self.unsent.is_stalled(size, now, limits.idle_timeout_s):
+                self.cut('answer_unread')
+        elif self.output.is_closing():
+            self.output.check(now, limits.idle_timeout_s)
+        else:
+            self._check_overdue(self.progress.find_overdue(now, limits))
+
+    def cut(self, reason: str) -> None:
+        """End the connection at once."""
+        self._report(reason)
+        self.transport.abort()
+
+    def give_up(self) -> None:
+        """End what the connection is doing and free its memory."""
+        if self.unsent.size:
+            self.cut('memory_full')
+            return
+        retry_after = b'retry-after: %.3f' % MEMORY_RETRY_S
+        self.reject(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'memory_full', (retry_after,)
+        )
+
+    def reject(
+        self, status: HTTPStatus, reason: str, headers: tuple[bytes, ...] = ()
+    ) -> None:
+        """Answer a request that was not received whole, and close."""
+        self._report(reason, status)
+        content_type, body = self.callers.describe(status, reason)
+        content = b'content-type: %s' % content_type
+        self.answer_early(encode_rejection(status, (content, *headers), body))
+
+    def _check_overdue(self, reason: str | None) -> None:
+        if reason and self.progress.stage is Stage.idle:
+            self.transport.close()
+        elif reason:
+            self.reject(HTTPStatus.REQUEST_TIMEOUT, reason)
+
+    def _note_kept(self) -> None:
+        kept_bytes = self.unsent.size
+        is_closing = self.output.is_closing()
+        if not is_closing:
+            kept_bytes += self.progress.count_kept(len(self.headers or ()))
+        is_answering = self.progress.stage is Stage.answering
+        is_optional = not (is_closing or is_answering)
+        self.callers.memory.update(
+            self.holding,
+            kept_bytes,
+            is_optional=is_optional or self.unsent.size > 0,
+        )
+
+    def _report(self, reason: str, status: int | None = None) -> None:
+        progress = self.progress
+        request_id = dict(self.headers or ()).get(
+            self.callers.request_id_header, b''
+        )
+        self.callers.count('caller_connections_ended_total', reason=reason)
+        self.callers.log(
+            'caller_ended',
+            status=status,
+            reason=reason,
+            request=request_id.decode('latin-1') or None,
+            stage=progress.stage.value,
+            caller=self.client and self.client[0],
+            port=self.server and self.server[1],
+            head_bytes=progress.head_bytes or progress.framing_bytes,
+            body_bytes=progress.body_bytes,
+            unsent_bytes=self.unsent.size,
+            age_s=self.loop.time() - progress.since,
+            kept_bytes=self.callers.memory.total_bytes,
+        )
+
+
+def connection_factory(callers: Callers) -> Callable[..., CallerConnection]:
+    """Return a function that makes the protocol of a new connection.
+
+    Parameters
+    ----------
+    callers : Callers
+        All connections of the server.
+    """
+
+    def make_connection(config: Config, **server: Any) -> CallerConnection:
+        return CallerConnection(callers, config, **server)
+
+    return make_connection
--- a/ebonywell/hostgauges.py
+++ b/ebonywell/hostgauges.py
@@ -3,6 +3,7 @@
 import math
 import resource
 
+from .callers import Callers
 from .clock import boot_time
 from .gateway import Gateway
 from .gossip import Gossip
@@ -76,3 +77,13 @@
         sink.gauge('digests_relayed', gossip.last_sent.relayed)
 
     metrics.collectors.append(collect_traffic)
+
+
+def add_caller_gauges(metrics: Metrics, callers: Callers) -> None:
+    """Add a collector for the connections of callers and their memory."""
+
+    def collect_callers(sink: Metrics) -> None:
+        sink.gauge('caller_connections', len(callers.connections))
+        sink.gauge('caller_memory_bytes', callers.memory.total_bytes)
+
+    metrics.collectors.append(collect_callers)
--- a/ebonywell/hostsettings.py
+++ b/ebonywell/hostsettings.py
@@ -74,7 +74,9 @@
     first_internal_port : int
         The first port of the range for traffic between hosts.
     memory_bytes : int
-        Memory limit above which the process is killed.
+        Memory limit above which the process is killed, 0 if unknown.
+    max_descriptors : int
+        Limit on open files and sockets, 0 if unknown.
     store_address : str
         The ip:port of the shared store.
     bounds : Bounds
@@ -94,3 +96,4 @@
     store_address: str
     bounds: Bounds
     log: LogSettings = LogSettings()
+    max_descriptors: int = 0
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -8,7 +8,6 @@
 from signal import Signals
 
 import anyio
-import uvicorn
 
 from .. import server, signals
 from ..clock import boot_time
@@ -22,6 +21,7 @@
 from ..transport import HttpClient
 from . import catalog, exchange, orders, targets
 from .app import HostApplication, filter_server_log
+from .hostcallers import make_callers
 from .settings import find_file, read_settings
 from .store import MAX_IDLE_S, StoreClient
 
@@ -31,10 +31,6 @@
 # Of the ports for traffic between hosts, the first carries datagrams and the
 # last serves metrics.
 METRICS_PORT_OFFSET = 15
-# Callers reuse a connection for up to four fifths of the operator's idle
-# time-out. That time-out is not yet known when the first connections are
-# accepted, so a fixed value is used.
-KEEP_ALIVE_TIMEOUT_S = 120
 BACKLOG = 512
 FLUSH_INTERVAL_S = 0.2
 # Between two accounts of the calls to the store in the log.
@@ -183,10 +179,11 @@
     return [server.bind(address) for address in dict.fromkeys(addresses)]
 
 
-def _server_config(host: HostProcess) -> uvicorn.Config:
+def _server_config(host: HostProcess) -> server.ServerConfig:
     settings = host.settings
+    callers = make_callers(host)
     ttl_s = min(DIRECTORY_TTL_S, settings.bounds.max_directory_ttl_s)
-    return uvicorn.Config(
+    return server.ServerConfig(
         HostApplication(
             settings,
             host.gateway,
@@ -196,15 +193,8 @@
             host.list_addresses,
             ttl_s,
         ),
-        loop='asyncio',
-        http='httptools',
-        ws='none',
-        lifespan='off',
-        access_log=False,
+        callers,
         proxy_headers=False,
-        log_config=None,
         date_header=False,
-        server_header=False,
-        timeout_keep_alive=KEEP_ALIVE_TIMEOUT_S,
         backlog=BACKLOG,
     )
--- a/ebonywell/platform/catalog.py
+++ b/ebonywell/platform/catalog.py
@@ -92,6 +92,7 @@
 class _Limits(msgspec.Struct, rename='camel'):
     max_header_bytes: int = 65536
     max_body_bytes: int = 4194304
+    header_timeout_ms: float = 10000
     # Idle time after which a caller's connection is closed.
     idle_timeout_ms: float = 60000
 
@@ -136,6 +137,9 @@
         CallerLimits(
             found.limits.max_header_bytes,
             found.limits.max_body_bytes,
+            found.limits.header_timeout_ms * _MS,
+            # No route waits longer for a request.
+            max((one.timeout_ms for one in found.routes), default=0) * _MS,
             found.limits.idle_timeout_ms * _MS,
         ),
     )
--- a/ebonywell/platform/ingress.py
+++ b/ebonywell/platform/ingress.py
@@ -62,7 +62,9 @@
 
 
 async def read_body(receive: Receive, max_bytes: int) -> bytes:
-    """Return a request's body, truncated to one byte more than `max_bytes`.
+    """Return a request's body, or one byte more than `max_bytes` of it.
+
+    The rest of a longer body is not waited for, since it may have no end.
 
     Raises
     ------
@@ -77,7 +79,8 @@
         # One byte over the limit is enough for the request to be rejected, so
         # no more is kept in memory.
         body += message.get('body', b'')[: max_bytes + 1 - len(body)]
-        if not message.get('more_body', False):
+        is_too_long = len(body) > max_bytes
+        if is_too_long or not message.get('more_body', False):
             return bytes(body)
 
 
--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -48,6 +48,7 @@
 
 class _Limits(msgspec.Struct, rename='camel'):
     memory_mb: Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)] = 0
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class _File(msgspec.Struct, rename='camel'):
@@ -180,6 +181,7 @@
         store_address=found.platform.address,
         bounds=_translate_bounds(found.bounds),
         log=LogSettings(log.level == 'warning', log.lines_per_s),
+        max_descriptors=found.limits.max_fds,
     )
 
 
--- a/ebonywell/routetable.py
+++ b/ebonywell/routetable.py
@@ -186,10 +186,24 @@
 
 @dataclass(slots=True, frozen=True)
 class CallerLimits:
-    """Bounds on what a caller may send, and on idle connections."""
+    """Bounds on what a caller may send and how long it may take.
+
+    Attributes
+    ----------
+    max_header_bytes, max_body_bytes : int
+    header_timeout_s : float
+        Maximum time from the first byte of a request to the end of its headers.
+    body_timeout_s : float
+        Maximum time from there to the end of its body.
+    idle_timeout_s : float
+        Maximum time in which a caller sends nothing, or reads nothing of an
+        answer.
+    """
 
     max_header_bytes: int
     max_body_bytes: int
+    header_timeout_s: float
+    body_timeout_s: float
     idle_timeout_s: float
 
 
--- /dev/null
+++ b/ebonywell/serialconnection.py
@@ -0,0 +1,196 @@
+"""A caller's connection on which one request is handled at a time."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any
+
+from uvicorn.config import Config
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from .answertransport import AnswerTransport, ReadGate
+from .requestprogress import RequestProgress, Stage
+from .requestsplitter import RequestSplitter, stated_length
+
+# Most that is read at once, and so the most that is kept of later requests
+# while one is being answered.
+READ_BYTES = 16_384
+
+
+class SerialConnection(HttpToolsProtocol):
+    """A connection on which one request is handled at a time.
+
+    What follows a request is not parsed, and no more is read, until the request
+    has been answered.
+
+    Attributes
+    ----------
+    progress : RequestProgress
+    splitter : RequestSplitter
+    flow : ReadGate
+    output : AnswerTransport
+    keeps_alive : bool
+        Whether the connection stays open after the answer, if the request has
+        been received whole by then.
+    """
+
+    flow: ReadGate
+
+    def __init__(self, config: Config, **server: Any) -> None:
+        super().__init__(config, **server)
+        self.progress = RequestProgress(self.loop.time())
+        self.splitter = RequestSplitter()
+        self.keeps_alive = False
+
+    # Called by the event loop
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Set up reading and writing."""
+        super().connection_made(transport)
+        # asyncio has no method to bound what is read at once.
+        setattr(transport, 'max_size', READ_BYTES)  # noqa: B010
+        self.flow = ReadGate(transport)
+        self.output = AnswerTransport(transport, self.progress)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Drop what would keep the request in memory."""
+        super().connection_lost(exc)
+        self._unset_keepalive_if_required()
+        self._drop_head()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the bytes up to the end of the request that they belong to."""
+        if self.output.is_closing():
+            self.output.drop(data)
+            return
+        self.progress.unparsed += data
+        self.parse()
+
+    # Called by the parser
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        super().on_message_begin()
+        self.progress.begin_head(self.loop.time())
+
+    def on_headers_complete(self) -> None:
+        """Let the application handle the request.
+
+        The connection is closed after the answer if that ends first.
+        """
+        super().on_headers_complete()
+        self.progress.begin_body(self.loop.time())
+        self.splitter.body_left = stated_length(self.headers)
+        cycle = self.cycle
+        cycle.transport = self.output  # type: ignore[assignment]
+        # The parser leaves the body of a request to upgrade unread.
+        self.keeps_alive = cycle.keep_alive and not self.parser.should_upgrade()
+        cycle.keep_alive = False
+
+    def on_body(self, body: bytes) -> None:
+        """Pass on a part of the body."""
+        super().on_body(body)
+        self.progress.add_body(len(body))
+
+    def on_message_complete(self) -> None:
+        """Note that the request was received whole."""
+        if self.progress.stage is not Stage.body:
+            return
+        self.progress.enter(Stage.answering, self.loop.time())
+        if not self.cycle.response_complete:
+            self.cycle.keep_alive = self.keeps_alive
+        super().on_message_complete()
+
+    # Called by the server and the application
+
+    def on_response_complete(self) -> None:
+        """Go on with the request that follows."""
+        self.progress.enter(Stage.idle, self.loop.time())
+        super().on_response_complete()
+        self.parse()
+
+    def shutdown(self) -> None:
+        """Close the connection as soon as it has no request."""
+        self.keeps_alive = False
+        if self.output.is_closing():
+            self.transport.close()
+        else:
+            super().shutdown()
+
+    # For subclasses
+
+    def parse(self) -> None:
+        """Parse what has been received of one request."""
+        received, start = self.progress.unparsed, 0
+        while start < len(received) and _may_parse(self):
+            piece = self.splitter.take(received, start)
+            start += len(piece)
+            self.parse_piece(piece)
+        self.progress.unparsed = received[start:]
+        self.settle()
+
+    def parse_piece(self, piece: bytes) -> None:
+        """Parse a piece in which at most one request ends."""
+        self.progress.add_piece(len(piece))
+        HttpToolsProtocol.data_received(self, piece)
+
+    def settle(self) -> None:
+        """Update what depends on the bytes that are not parsed yet."""
+        progress = self.progress
+        if self.output.is_closing():
+            progress.unparsed = b''
+        if progress.stage is Stage.body and not progress.framing_bytes:
+            progress.moved_at = self.loop.time()
+        is_waiting = progress.stage is Stage.answering and bool(
+            progress.unparsed
+        )
+        self.flow.set_shut(is_shut=is_waiting)
+
+    def answer_early(self, answer: bytes) -> None:
+        """Answer a request that was not received whole, and close."""
+        is_begun = self.progress.stage is Stage.body
+        if is_begun:
+            self.cycle.disconnected = True
+            self.cycle.body = bytearray()
+            self.cycle.message_event.set()
+        if is_begun and self.cycle.response_started:
+            self.transport.abort()
+        else:
+            self.output.write(answer)
+            self.output.close()
+        self._drop_head()
+        self.settle()
+
+    def _drop_head(self) -> None:
+        self.headers = []
+        # The scope holds the same headers.
+        self.scope = None  # type: ignore[assignment]
+
+
+def encode_rejection(
+    status: HTTPStatus, headers: tuple[bytes, ...], body: bytes
+) -> bytes:
+    """Return an answer that closes its connection.
+
+    Parameters
+    ----------
+    status : HTTPStatus
+    headers : tuple of bytes
+        Further lines of the head.
+    body : bytes
+    """
+    lines = (
+        f'HTTP/1.1 {status.value} {status.phrase}'.encode(),
+        b'content-length: %d' % len(body),
+        b'connection: close',
+        *headers,
+        b'',
+        body,
+    )
+    return b'\r\n'.join(lines)
+
+
+def _may_parse(connection: SerialConnection) -> bool:
+    is_free = connection.progress.stage is not Stage.answering
+    return is_free and not connection.output.is_closing()
--- a/ebonywell/server.py
+++ b/ebonywell/server.py
@@ -1,22 +1,32 @@
 """HTTP server of an entry process: socket, configuration and shutdown."""
 
+import asyncio
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
-from typing import Any
+from dataclasses import replace
+from typing import Any, cast
 
 import anyio
 import uvicorn
 
+from .answers import describe_rejection
+from .callerconnection import connection_factory
+from .callers import DEFAULT_LIMITS, Callers
 from .exceptions import SettingsError
+from .logs import Logger
 from .misc import split_address
 
 BACKLOG = 2048
 # Longer than callers keep idle connections, so that a caller's next request
 # does not race with the closing of its connection.
 KEEP_ALIVE_S = 75
+# uvicorn's own limit on idle connections, above any that `Callers` applies.
+MAX_KEEP_ALIVE_S = 86_400
 # Period at which a server that shuts down closes its idle connections.
 IDLE_CLOSE_INTERVAL_S = 0.05
+# Callers' time is checked once in so many ticks of the server, of 0.1 s each.
+CHECK_TICKS = 3
 _CLOSE = (b'connection', b'close')
 
 Message = MutableMapping[str, Any]
@@ -25,7 +35,20 @@
 
 
 class Server(uvicorn.Server):
-    """Variant of uvicorn's server that leaves signals to the entry process."""
+    """Variant of uvicorn's server that leaves signals to the entry process.
+
+    Attributes
+    ----------
+    config : ServerConfig
+    """
+
+    config: 'ServerConfig'
+
+    async def on_tick(self, counter: int) -> bool:
+        """Check the callers' time; return whether to shut down."""
+        if counter % CHECK_TICKS == 0:
+            self._check_callers()
+        return await super().on_tick(counter)
 
     async def shutdown(
         self, sockets: list[socket.socket] | None = None
@@ -56,9 +79,39 @@
     async def _close_idle_connections(self) -> None:
         while True:
             await anyio.sleep(IDLE_CLOSE_INTERVAL_S)
+            self._check_callers()
             for connection in tuple(self.server_state.connections):
                 connection.shutdown()
 
+    def _check_callers(self) -> None:
+        self.config.callers.check(asyncio.get_running_loop().time())
+
+
+class ServerConfig(uvicorn.Config):
+    """uvicorn's configuration, with connections that are bounded together.
+
+    Attributes
+    ----------
+    callers : Callers
+    """
+
+    def __init__(
+        self, app: Callable[..., Any], callers: Callers, **options: Any
+    ) -> None:
+        super().__init__(
+            app,
+            loop='asyncio',
+            http=cast(Any, connection_factory(callers)),
+            timeout_keep_alive=MAX_KEEP_ALIVE_S,
+            ws='none',
+            lifespan='off',
+            access_log=False,
+            log_config=None,
+            server_header=False,
+            **options,
+        )
+        self.callers = callers
+
 
 def close_when_stopping(send: Send, is_stopping: Callable[[], bool]) -> Send:
     """Wrap a send function to close the connection if the host is stopping.
@@ -100,17 +153,30 @@
     return bound
 
 
-def server_config(app: Callable[..., Any]) -> uvicorn.Config:
-    """Return the uvicorn configuration for an application."""
-    return uvicorn.Config(
-        app,
-        loop='asyncio',
-        http='httptools',
-        timeout_keep_alive=KEEP_ALIVE_S,
-        ws='none',
-        lifespan='off',
-        access_log=False,
-        log_config=None,
-        log_level='error',
-        server_header=False,
+def make_callers(
+    max_body_bytes: int, body_timeout_s: float, log: Logger
+) -> Callers:
+    """Return the bounds for the connections of callers.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+        Largest body of a request.
+    body_timeout_s : float
+        Longest time that a body may take, in seconds.
+    log : Logger
+    """
+    limits = replace(
+        DEFAULT_LIMITS,
+        max_body_bytes=max_body_bytes,
+        body_timeout_s=body_timeout_s,
+        idle_timeout_s=KEEP_ALIVE_S,
     )
+    return Callers(limits=lambda: limits, describe=describe_rejection, log=log)
+
+
+def server_config(
+    app: Callable[..., Any], callers: Callers | None = None
+) -> ServerConfig:
+    """Return the configuration of the server for an application."""
+    return ServerConfig(app, callers or Callers(), log_level='error')
--- a/ebonywell/web.py
+++ b/ebonywell/web.py
@@ -31,7 +31,13 @@
 from .messages import Call
 from .replica import Replica
 from .reply import Reply
-from .server import Server, bind, close_when_stopping, server_config
+from .server import (
+    Server,
+    bind,
+    close_when_stopping,
+    make_callers,
+    server_config,
+)
 from .types import EntryKind, RunState, new_id
 
 START_POLL_INTERVAL_S = 0.01
@@ -168,7 +174,10 @@
             routes=[*self._routes(), *routes],
             exception_handlers={HTTPException: answer_http_error},
         )
-        self.server = Server(server_config(_close_when_leaving(self)))
+        callers = make_callers(
+            settings.max_body_bytes, settings.deadline_s, log
+        )
+        self.server = Server(server_config(_close_when_leaving(self), callers))
         self.finished = anyio.Event()
 
     async def run(self, ready: Callable[[], None]) -> None:
--- a/lab/plain_host.py
+++ b/lab/plain_host.py
@@ -15,7 +15,6 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-import uvicorn
 
 from ebonywell import server
 from ebonywell.clock import boot_time
@@ -169,7 +168,7 @@
 def _server_config(
     settings: HostSettings,
     gateway: PlainGateway,
-) -> uvicorn.Config:
+) -> server.ServerConfig:
     def is_ready() -> bool:
         return gateway.intake.configuration is not None
 
--- a/lab/platform_world.py
+++ b/lab/platform_world.py
@@ -82,7 +82,7 @@
         ],
         'limits': {
             'maxHeaderBytes': 16384, 'maxBodyBytes': 100_000,
-            'idleTimeoutMs': 15_000,
+            'headerTimeoutMs': 1_500, 'idleTimeoutMs': 15_000,
         },
         'tenants': [
             {
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -10,7 +10,7 @@
     'attempts hostprocess leadership linelog ordering provisioning '
     'peerforwarding proxying roster '
     'targetlimits storeeras streamorigins streamrecords '
-    'charging crashdetector crashguard supervision targeting '
+    'callerconnection charging crashdetector crashguard supervision targeting '
     'platform/assembly'
 ).split()
 EVENT = re.compile(
@@ -57,3 +57,23 @@
     assert reasons
     for reason in reasons:
         assert reason in table, reason
+
+
+def test_page_lists_every_reason_of_ended_connections():
+    begin = PAGE.index('## Connections that a host ends')
+    table = PAGE[begin : PAGE.index('## Events')]
+    texts = [
+        (ROOT / f'ebonywell/{name}.py').read_text()
+        for name in ('callerconnection', 'callers', 'requestprogress')
+    ]
+    reasons = set(
+        re.findall(
+            r"(?:reject|cut)\((?:\s*HTTPStatus\.\w+,)?\s*'(\w+)'"
+            r"|return '(\w+)'",
+            '\n'.join(texts),
+        )
+    )
+    named = {one for pair in reasons for one in pair if one}
+    assert len(named) > 7
+    for reason in named - {'idle'}:
+        assert reason in table, reason
--- a/tests/test_request_decisions.py
+++ b/tests/test_request_decisions.py
@@ -36,7 +36,7 @@
 from ebonywell.selection import Candidate, choose, estimate_first_byte_ms
 from ebonywell.urgency import RANKS, assign_ranks
 
-LIMITS = CallerLimits(1000, 5000, 15)
+LIMITS = CallerLimits(1000, 5000, 3, 6, 15)
 
 
 def route(prefix, name='r', *, is_open=False, services=('pool',)):
