Drop the trailers of a request

Callers could state a key, a model or any other header behind the body of a request, where proxies and checks in front of the host do not look.

Cause: the HTTP parser reports trailers as it reports headers, and uvicorn adds them to the same list. The body is read before the headers are looked at.

Change: headers that come after the head are dropped.

--- a/ebonywell/serialconnection.py
+++ b/ebonywell/serialconnection.py
@@ -74,6 +74,11 @@
         super().on_message_begin()
         self.progress.begin_head(self.loop.time())
 
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Keep a header; trailers are dropped."""
+        if self.progress.stage is Stage.head:
+            super().on_header(name, content)
+
     def on_headers_complete(self) -> None:
         """Let the application handle the request.
 
--- a/tests/test_endless_callers.py
+++ b/tests/test_endless_callers.py
@@ -223,6 +223,24 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_a_trailer_is_no_header(tmp_path):
+    # Guards against a key, or anything else, that is stated behind a body.
+    async def scenario(world):
+        host = world.hosts['host-1']
+        asked = (
+            b'POST /look/1 HTTP/1.1\r\nHost: app.example\r\nRequest-Id: raw\r\n'
+            b'Deadline-Ms: 4000\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'1\r\nx\r\n0\r\nAuthorization: Bearer %s\r\n\r\n'
+        ) % API_KEY.encode()
+        stream = await anyio.connect_tcp('127.0.0.1', host.front)
+        async with stream:
+            await stream.send(asked)
+            answer = await stream.receive()
+        assert answer.startswith(b'HTTP/1.1 401 ')
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_many_unfinished_bodies_take_no_room_from_sound_requests(tmp_path):
     # Guards against bounds on each connection that add up to all memory.
     async def scenario(world):
