Bound together what is passed on to callers that do not read

Callers saw nothing yet: 150 streams of targets without end whose callers read nothing took 59 MB of a host, each within its own bound of 256 KB and one read of as much; answers that other hosts pass on were bounded one by one (16 MB each).

Cause: a bound on each exchange and none on all.

Change: the connections of a pool count what they have buffered; beyond 16 MB together each is read no further than 16 KB, and 16 KB are read at once. Answers of other hosts count among the 48 MB of buffered answers, of which the largest is given up.

Tests: test_streams_that_their_callers_do_not_read_are_bounded_together, 59 MB before, at most 21.7 now; test_answers_of_other_hosts_without_end_are_bounded_together (it calls a function that is new, and fails on the code before for that reason).

--- a/ebonywell/misc.py
+++ b/ebonywell/misc.py
@@ -1,5 +1,6 @@
 """Small helper functions, grouped by purpose."""
 
+import asyncio
 import functools
 import hashlib
 import ipaddress
@@ -46,3 +47,15 @@
         digest.update(len(part).to_bytes(8, 'big'))
         digest.update(part)
     return digest.hexdigest()
+
+
+# Transports
+
+# Most that is read from a connection at once.
+READ_BYTES = 16_384
+
+
+def bound_reads(transport: asyncio.Transport) -> None:
+    """Bound what is read at once, and so how far a pause may be exceeded."""
+    # asyncio has no method for it.
+    setattr(transport, 'max_size', READ_BYTES)  # noqa: B010
--- a/ebonywell/peerforwarding.py
+++ b/ebonywell/peerforwarding.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from .answerbuffers import AnswerBuffers
 from .attempts import MAX_ANSWER_BYTES, MIN_LEFT_S, add_content_length
 from .clock import boot_time
 from .digests import Digest
@@ -72,6 +73,8 @@
         This host's links to the targets.
     pool : ConnectionPool
         Connections to other hosts.
+    buffers : AnswerBuffers
+        Answers of targets and of other hosts that are being buffered.
     """
 
     fleet: FleetView
@@ -83,6 +86,7 @@
     rng: random.Random
     reach: TargetReach = field(default_factory=TargetReach)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
+    buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
 
     def is_cut(self) -> bool:
         """Return whether this host seems to be cut off from the targets."""
@@ -263,7 +267,7 @@
             async for part in _receive_body(connection):
                 await responder.send(part)
         else:
-            body = await _receive_whole_body(connection)
+            body = await read_whole_body(connection, self.buffers)
             _check_rejection(head, progress)
             headers = add_content_length(headers, body)
             await self._start(request, responder, progress, head, headers)
@@ -302,20 +306,22 @@
         raise BrokenAnswerError
 
 
-async def _receive_whole_body(connection: Connection) -> bytes:
+async def read_whole_body(
+    connection: Connection, buffers: AnswerBuffers
+) -> bytes:
     """Return a whole body.
 
     Raises
     ------
     BrokenAnswerError
-        If it does not end whole, or is too long.
+        If it does not end whole, is too long, or is given up for others.
     """
-    body = bytearray()
-    async for part in _receive_body(connection):
-        body += part
-        if len(body) > MAX_ANSWER_BYTES:
-            raise BrokenAnswerError
-    return bytes(body)
+    with buffers.open() as buffer:
+        async for part in _receive_body(connection):
+            buffers.add(buffer, part)
+            if buffer.is_dropped or len(buffer.body) > MAX_ANSWER_BYTES:
+                raise BrokenAnswerError
+        return bytes(buffer.body)
 
 
 def _check_rejection(head: AnswerHead, progress: Progress) -> None:
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -71,6 +71,7 @@
         forwarder.reach,
         observers.log,
     )
+    attempts.buffers = forwarder.buffers
     detect_crashes(guard, pool)
     proxy = Proxy(
         attempts,
--- a/ebonywell/serialconnection.py
+++ b/ebonywell/serialconnection.py
@@ -8,13 +8,10 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .answertransport import AnswerTransport, ReadGate
+from .misc import bound_reads
 from .requestprogress import RequestProgress, Stage
 from .requestsplitter import RequestSplitter, stated_length
 
-# Most that is read at once, and so the most that is kept of later requests
-# while one is being answered.
-READ_BYTES = 16_384
-
 
 class SerialConnection(HttpToolsProtocol):
     """A connection on which one request is handled at a time.
@@ -48,8 +45,8 @@
     ) -> None:
         """Set up reading and writing."""
         super().connection_made(transport)
-        # asyncio has no method to bound what is read at once.
-        setattr(transport, 'max_size', READ_BYTES)  # noqa: B010
+        # What is read at once is the most that is kept of later requests.
+        bound_reads(transport)
         self.flow = ReadGate(transport)
         self.output = AnswerTransport(transport, self.progress)
 
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -19,7 +19,7 @@
 
 from .clock import boot_time
 from .exceptions import TargetUnreachableError
-from .misc import split_address
+from .misc import bound_reads, split_address
 
 # 20 times the round trip and handshake to a distant availability zone.
 CONNECT_TIMEOUT_S = 0.4
@@ -38,6 +38,10 @@
 IDLE_SHARE = 0.6
 # Reading from the target pauses while this much is buffered for the caller.
 MAX_BUFFERED_BYTES = 262_144
+# While the connections of a pool have buffered so much together, each pauses
+# at less.
+MAX_POOL_BYTES = 16_777_216
+MIN_BUFFERED_BYTES = 16_384
 # Parts that are buffered one by one. Those of a reader that lags further behind
 # are put together, up to this size.
 MAX_SEPARATE_PARTS = 64
@@ -89,12 +93,31 @@
 _BufferedPart = AnswerPart | bytearray
 
 
+@dataclass(slots=True)
+class PoolBuffers:
+    """What all connections of a pool have buffered for callers.
+
+    Attributes
+    ----------
+    total_bytes : int
+    """
+
+    total_bytes: int = 0
+
+    def is_full(self, buffered_bytes: int) -> bool:
+        """Return whether a connection with so much should not be read."""
+        is_scarce = self.total_bytes > MAX_POOL_BYTES
+        limit = MIN_BUFFERED_BYTES if is_scarce else MAX_BUFFERED_BYTES
+        return buffered_bytes > limit
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """A request on a connection, and the received parts of its answer.
 
     Attributes
     ----------
+    shared : PoolBuffers
     parts : deque
     buffered_bytes : int
         Bytes in `parts`.
@@ -108,6 +131,7 @@
         stream waits for one.
     """
 
+    shared: PoolBuffers
     parts: collections.deque[_BufferedPart] = field(
         default_factory=collections.deque,
     )
@@ -119,7 +143,7 @@
 
     def add_body(self, body: bytes) -> None:
         """Add a part of the body, to the last one if many are buffered."""
-        self.buffered_bytes += len(body)
+        self.count(len(body))
         if len(self.parts) < MAX_SEPARATE_PARTS:
             self.add(body)
             return
@@ -130,6 +154,11 @@
         else:
             self.add(bytearray(body))
 
+    def count(self, added: int) -> None:
+        """Count bytes that were added to `parts`, or taken if negative."""
+        self.buffered_bytes += added
+        self.shared.total_bytes += added
+
     def add(self, part: _BufferedPart) -> None:
         """Add a part and wake the waiting receiver."""
         self.parts.append(part)
@@ -143,6 +172,7 @@
 
     Attributes
     ----------
+    buffers : PoolBuffers
     transport : asyncio.Transport or None
     exchange : Exchange or None
         None while idle.
@@ -153,7 +183,8 @@
         Idle time-out that the target stated, or the default, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, buffers: PoolBuffers | None = None) -> None:
+        self.buffers = buffers or PoolBuffers()
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.exchange: Exchange | None = None
@@ -175,7 +206,7 @@
         """
         if self.transport is None or self.is_closed:
             raise TargetUnreachableError('connection closed while idle')
-        self.exchange = Exchange()
+        self.exchange = Exchange(self.buffers)
         self.headers = []
         self.transport.write(request)
         return self.exchange
@@ -192,9 +223,9 @@
         if isinstance(part, bytearray):
             part = bytes(part)
         if isinstance(part, bytes):
-            exchange.buffered_bytes -= len(part)
+            exchange.count(-len(part))
             transport = None if self.is_closed else self.transport
-            if transport and exchange.buffered_bytes < MAX_BUFFERED_BYTES:
+            if transport and not self.buffers.is_full(exchange.buffered_bytes):
                 transport.resume_reading()
         return part
 
@@ -203,6 +234,8 @@
         exchange = self.exchange
         self.exchange = None
         self.idle_since = boot_time()
+        if exchange is not None:
+            exchange.count(-exchange.buffered_bytes)
         is_whole = exchange is not None and exchange.ending is Ending.whole
         if not is_whole or not self.is_reusable or _has_unsent(self):
             self.close()
@@ -225,6 +258,7 @@
         """Store the transport and set the socket options."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        bound_reads(transport)
         _set_timeouts(transport.get_extra_info('socket'))
 
     def data_received(self, data: bytes) -> None:
@@ -242,7 +276,7 @@
         if exchange.bytes_since_part > MAX_BYTES_WITHOUT_PART:
             self._end(Ending.broken)
             self.close()
-        if exchange.buffered_bytes > MAX_BUFFERED_BYTES and self.transport:
+        if self.transport and self.buffers.is_full(exchange.buffered_bytes):
             self.transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -361,12 +395,14 @@
         Connections that are used by a request, by address.
     opened : int
         Number of connections opened since the start.
+    buffers : PoolBuffers
     """
 
     def __init__(self) -> None:
         self.idle: dict[str, list[Connection]] = {}
         self.busy: dict[str, set[Connection]] = {}
         self.opened = 0
+        self.buffers = PoolBuffers()
 
     def __enter__(self) -> Self:
         return self
@@ -463,7 +499,7 @@
         with _translated_errors(address):
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    Connection,
+                    lambda: Connection(self.buffers),
                     host,
                     port,
                 )
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import anyio
@@ -30,6 +31,7 @@
 from ebonywell.loadboard import LoadBoard, TargetLoad
 from ebonywell.logs import discard_event
 from ebonywell.metrics import Metrics
+from ebonywell.peerforwarding import BrokenAnswerError, read_whole_body
 from ebonywell.platform.exchange import target_format
 from ebonywell.progress import AttemptError, Progress
 from ebonywell.routetable import RequestKind, Route, WeightedService
@@ -94,6 +96,16 @@
         await asyncio.sleep(0)
 
 
+class Flood(Server):
+    """Sends to each of many callers for as long as it reads."""
+
+    async def serve(self, reader, writer):
+        self.sent = -100 * MAX_SENT_BYTES
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+        await super().serve(reader, writer)
+
+
 class Trickle(Server):
     """Sends a few bytes every 50 ms."""
 
@@ -302,3 +314,57 @@
         assert sound.body == b'sound'
     assert not buffers.total_bytes
     assert not buffers.in_use
+
+
+def test_streams_that_their_callers_do_not_read_are_bounded_together():
+    # Guards against many such streams, each within its own bound.
+    async def run():
+        async with Flood(CHUNKED, CHUNK).running() as address:
+            with ConnectionPool() as pool:
+                exchanges = []
+                connections = []
+                for _ in range(150):
+                    connection = await pool.acquire(address)
+                    connections.append(connection)
+                    exchanges.append(connection.send(b'GET / HTTP/1.1\r\n\r\n'))
+                await asyncio.sleep(2)
+                buffered = sum(one.buffered_bytes for one in exchanges)
+                for connection in connections:
+                    pool.release(address, connection)
+                return buffered
+
+    buffered = anyio.run(run)
+    # 16 MB together, and 32 KB for each beyond that.
+    assert buffered <= 16_777_216 + 150 * 32_768
+
+
+def test_answers_of_other_hosts_without_end_are_bounded_together():
+    # Guards against answers that are passed on between hosts, each within its
+    # own bound.
+    buffers = AnswerBuffers()
+    most = 0
+
+    async def read(pool, address):
+        connection = await pool.acquire(address)
+        exchange = connection.send(b'GET / HTTP/1.1\r\n\r\n')
+        await connection.receive(exchange)
+        with pytest.raises(BrokenAnswerError):
+            await read_whole_body(connection, buffers)
+        pool.release(address, connection)
+
+    async def watch():
+        nonlocal most
+        while True:
+            most = max(most, buffers.total_bytes)
+            await asyncio.sleep(0.001)
+
+    async def run():
+        async with Server(CHUNKED, CHUNK).running() as address:
+            with ConnectionPool() as pool:
+                watching = asyncio.create_task(watch())
+                await asyncio.gather(*(read(pool, address) for _ in range(8)))
+                watching.cancel()
+
+    anyio.run(run)
+    assert 0 < most <= MAX_BUFFERED_ANSWERS_BYTES
+    assert not buffers.total_bytes
