--- a/ebonywell/callers.py
+++ b/ebonywell/callers.py
@@ -29,7 +29,7 @@
 Describe = Callable[[HTTPStatus, str], tuple[bytes, bytes]]
 
 
-class Connection(Protocol):
+class OpenConnection(Protocol):
     """A connection of a caller; see `CallerConnection`."""
 
     @property
@@ -74,7 +74,7 @@
     log : Logger
     count : callable
         Counts connections that were ended, by reason.
-    connections : set of Connection
+    connections : set of OpenConnection
     """
 
     limits: Callable[[], CallerLimits] = _default_limits
@@ -84,9 +84,9 @@
     describe: Describe = describe_in_text
     log: Logger = discard_event
     count: Callable[..., None] = _count_nothing
-    connections: set[Connection] = field(default_factory=set)
+    connections: set[OpenConnection] = field(default_factory=set)
 
-    def add(self, connection: Connection) -> None:
+    def add(self, connection: OpenConnection) -> None:
         """Add a connection, and end another one if there are too many.
 
         The one that has waited longest without a request is ended, so that
@@ -102,7 +102,7 @@
         ]
         min(waiting)[-1].cut('too_many_connections')
 
-    def remove(self, connection: Connection) -> None:
+    def remove(self, connection: OpenConnection) -> None:
         """Remove a connection that has ended."""
         self.connections.discard(connection)
 
--- a/tests/test_endless_callers.py
+++ b/tests/test_endless_callers.py
@@ -174,24 +174,31 @@
     run_scenario(tmp_path, scenario)
 
 
+async def trickle(port, beginning):
+    """Send a byte now and then; return the answer and how long it took."""
+    answer = bytearray()
+    stream = await anyio.connect_tcp('127.0.0.1', port)
+    started_at = time.monotonic()
+    async with stream, anyio.create_task_group() as group:
+        group.start_soon(read_all, stream, answer)
+        await stream.send(beginning)
+        while not answer and time.monotonic() - started_at < ANSWER_S:
+            await anyio.sleep(0.2)
+            await stream.send(b'b')
+        group.cancel_scope.cancel()
+    return bytes(answer), time.monotonic() - started_at
+
+
 def test_a_head_that_takes_too_long_is_rejected(tmp_path):
     # Guards against callers that hold connections by a byte now and then.
     async def scenario(world):
         host = world.hosts['host-1']
-        answer = bytearray()
-        stream = await anyio.connect_tcp('127.0.0.1', host.front)
-        started_at = time.monotonic()
-        async with stream, anyio.create_task_group() as group:
-            group.start_soon(read_all, stream, answer)
-            await stream.send(b'GET /look/1 HTTP/1.1\r\na: ')
-            while not answer and time.monotonic() - started_at < ANSWER_S:
-                await anyio.sleep(0.2)
-                await stream.send(b'b')
-            group.cancel_scope.cancel()
+        answer, took_s = await trickle(
+            host.front, b'GET /look/1 HTTP/1.1\r\na: '
+        )
         assert answer.startswith(b'HTTP/1.1 408 ')
         limits = configuration()['limits']
-        waited_s = time.monotonic() - started_at
-        assert waited_s > limits['headerTimeoutMs'] / MS_PER_S
+        assert took_s > limits['headerTimeoutMs'] / MS_PER_S
         line = await wait_line(world, 'event=caller_ended')
         assert 'reason=head_timeout' in line
 
@@ -202,18 +209,10 @@
     # Guards against callers that hold requests by a byte now and then.
     async def scenario(world):
         host = world.hosts['host-1']
-        answer = bytearray()
-        stream = await anyio.connect_tcp('127.0.0.1', host.front)
-        started_at = time.monotonic()
-        async with stream, anyio.create_task_group() as group:
-            group.start_soon(read_all, stream, answer)
-            await stream.send(
-                head('POST', '/book/1', 'Content-Length: 9000', number=7)
-            )
-            while not answer and time.monotonic() - started_at < ANSWER_S:
-                await anyio.sleep(0.2)
-                await stream.send(b'b')
-            group.cancel_scope.cancel()
+        answer, _ = await trickle(
+            host.front,
+            head('POST', '/book/1', 'Content-Length: 9000', number=7),
+        )
         assert answer.startswith(b'HTTP/1.1 408 ')
         line = await wait_line(world, 'event=caller_ended')
         assert 'reason=body_timeout' in line
