Leave idle connections alone when callers' memory is full

Callers would have got a 503 that they had not asked for, on connections without a request, and taken it for the answer to their next one, if whole requests alone filled the memory for callers.

Cause: connections that keep nothing counted as unfinished. Beside it, a holding that was updated after its connection had ended would have been counted for good, and one connection could be chosen twice to make room.

Tests: test_an_idle_connection_is_never_given_up and test_a_connection_that_has_ended_takes_no_memory, red before; test_idle_connections_get_nothing_when_memory_is_full on real connections.

--- a/ebonywell/callerconnection.py
+++ b/ebonywell/callerconnection.py
@@ -167,12 +167,12 @@
         is_closing = self.output.is_closing()
         if not is_closing:
             kept_bytes += self.progress.count_kept(len(self.headers or ()))
-        is_answering = self.progress.stage is Stage.answering
-        is_optional = not (is_closing or is_answering)
+        is_unfinished = self.progress.stage in {Stage.head, Stage.body}
         self.callers.memory.update(
             self.holding,
             kept_bytes,
-            is_optional=is_optional or self.unsent.size > 0,
+            is_optional=self.unsent.size > 0
+            or (is_unfinished and not is_closing),
         )
 
     def _report(self, reason: str, status: int | None = None) -> None:
--- a/ebonywell/callermemory.py
+++ b/ebonywell/callermemory.py
@@ -70,6 +70,8 @@
         If all connections together take too much, the largest that may be given
         up is given up. Requests that were received whole are kept.
         """
+        if holding not in self.holdings:
+            return
         added = kept_bytes - holding.kept_bytes
         holding.kept_bytes = kept_bytes
         holding.is_optional = is_optional
@@ -79,7 +81,11 @@
 
     def _reclaim(self) -> None:
         while self.total_bytes > self.max_bytes:
-            optional = [one for one in self.holdings if one.is_optional]
+            optional = [
+                one
+                for one in self.holdings
+                if one.is_optional and one.kept_bytes
+            ]
             if not optional:
                 return
             largest = max(optional, key=lambda one: one.kept_bytes)
--- a/ebonywell/callers.py
+++ b/ebonywell/callers.py
@@ -100,7 +100,9 @@
             for one in self.connections
             if one.waits_since is not None
         ]
-        min(waiting)[-1].cut('too_many_connections')
+        longest = min(waiting)[-1]
+        self.connections.discard(longest)
+        longest.cut('too_many_connections')
 
     def remove(self, connection: OpenConnection) -> None:
         """Remove a connection that has ended."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -107,6 +107,62 @@
     assert memory.total_bytes == 0
 
 
+def test_an_idle_connection_is_never_given_up():
+    # Guards against an unasked answer, which its caller would take for that to
+    # the next request.
+    memory = CallerMemory(100)
+    given_up = []
+    memory.open(lambda: given_up.append('idle')).is_optional = True
+    whole = memory.open(lambda: given_up.append('whole'))
+    memory.update(whole, 200, is_optional=False)
+    assert not given_up
+
+
+def test_a_connection_that_has_ended_takes_no_memory():
+    # Guards against a count that grows by each connection that ends late.
+    memory = CallerMemory(100)
+    ended = memory.open(dict)
+    memory.update(ended, 50, is_optional=True)
+    memory.close(ended)
+    memory.update(ended, 60, is_optional=True)
+    assert memory.total_bytes == 0
+
+
+def test_idle_connections_get_nothing_when_memory_is_full():
+    # Guards against the same on real connections.
+    async def scenario(address):
+        async with contextlib.AsyncExitStack() as stack:
+            idle = [
+                await stack.enter_async_context(connect(address))
+                for _ in range(3)
+            ]
+            reader, writer = await stack.enter_async_context(connect(address))
+            writer.write(b'POST / HTTP/1.1\r\ncontent-length: 9000\r\n\r\n')
+            writer.write(b'x' * 8000)
+            answer = await reader.read()
+            assert answer.startswith(b'HTTP/1.1 503 ')
+            for reader, writer in idle:
+                writer.write(REQUESTS[0])
+                answer = await reader.readuntil(b'done')
+                assert answer.startswith(b'HTTP/1.1 200 ')
+
+    async def wait_for_body(scope, receive, send):
+        body = b''
+        is_whole = False
+        while not is_whole:
+            message = await receive()
+            if message['type'] == 'http.disconnect':
+                return
+            body += message['body']
+            is_whole = not message['more_body']
+        await door(scope, receive, send)
+
+    door = Door(memory=CallerMemory(20_000))
+    door.app = wait_for_body
+    door.run(scenario)
+    assert door.reasons() == ['memory_full']
+
+
 def test_the_bounds_follow_the_limits_of_the_process():
     assert callers_memory_bytes(400) == 100
     assert callers_memory_bytes(0) > 0
@@ -137,6 +193,7 @@
 
     def __init__(self, **bounds):
         self.body = b'done'
+        self.app = self
         self.lines = []
         self.callers = Callers(log=self.log, **bounds)
 
@@ -154,7 +211,7 @@
     def run(self, scenario):
         async def main():
             listener = server.bind('127.0.0.1:0')
-            web = server.Server(server.server_config(self, self.callers))
+            web = server.Server(server.server_config(self.app, self.callers))
             serving = asyncio.ensure_future(web.serve([listener]))
             async with asyncio.timeout(20):
                 while not web.started:
