Keep requests out of evacuated availability zones

Hosts knew nothing of the operator's evacuations, so callers' requests went on reaching targets of an evacuated zone.

Hosts now read the records that evacuate zones from the operator's topic. Targets of these zones get no sends, resumed streams, orders or reports; the lease holder counts them as absent and orders their models elsewhere. If all targets of a service are in evacuated zones, callers get a 503 at once.

All records of the operator's topic are now passed on to other hosts. A record that is deleted and written again alike would have been lost to a host that saw the deletion while its reader did not.

--- a/ebonywell/adapterloads.py
+++ b/ebonywell/adapterloads.py
@@ -130,7 +130,7 @@
 
     def _engines_with(self, request: LoadRequest) -> Iterator[KnownTarget]:
         now = boot_time()
-        for known in self.inventory.of_service(request.service):
+        for known in self.inventory.list_open(request.service):
             is_usable = known.is_reachable(now) and request.accepts(known)
             if is_usable and known.holds(request.model):
                 yield known
--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -53,6 +53,9 @@
 PARTS_TO_SURVIVE = 2
 # Reason that is reported if a target accepts no connection.
 UNREACHABLE = 'unreachable'
+# Reason that is reported if the zone of a target was evacuated while a request
+# waited to be sent there.
+EVACUATED = 'evacuated'
 
 
 class Attempts:
@@ -159,6 +162,8 @@
         left_s = request.deadline - boot_time()
         if left_s < MIN_LEFT_S:
             raise AttemptError('deadline', has_run=False)
+        if self.selector.is_closed(sending.target):
+            raise AttemptError(EVACUATED, has_run=False)
         last_id = progress.splitter.last_id if progress.splitter else b''
         encoded = self.format.encode(request, sending.target, left_s, last_id)
         exchange = _send(sending.connection, encoded)
--- a/ebonywell/explain.py
+++ b/ebonywell/explain.py
@@ -17,6 +17,8 @@
         'signal',
         'joined',
         'configuration_applied',
+        'evacuation_begun',
+        'evacuation_ended',
         'store_lost',
         'store_regained',
         'lease_claimed',
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -28,7 +28,7 @@
 from .proxying import MAX_SENDS, Proxy
 from .selection import Choice
 from .shutdown import STOPPING_RETRY_AFTER_S, Shutdown
-from .targeting import TargetSelector, cache_namespace
+from .targeting import TargetSelector, cache_namespace, is_evacuated
 
 # Interval between checks whether a model or an adapter has been loaded.
 RECHECK_INTERVAL_S = 0.02
@@ -355,6 +355,7 @@
 
         Another target is asked to load the model meanwhile.
         """
+        check_evacuated(self.selector, request)
         due_s = self.selector.limit_due_s(request)
         if due_s is None:
             return
@@ -407,6 +408,7 @@
             started_at = boot_time()
             while not self.selector.list_eligible(request, set()):
                 await anyio.sleep(RECHECK_INTERVAL_S)
+                check_evacuated(self.selector, request)
                 self.load_requests.request_load(request)
                 is_loading = not is_absent or self.load_requests.is_loading(
                     request
@@ -469,6 +471,12 @@
         )
 
 
+def check_evacuated(selector: TargetSelector, request: AdmittedRequest) -> None:
+    """Reject a request that only targets of evacuated zones could serve."""
+    if is_evacuated(selector.inventory, request):
+        raise RejectionError(_UNAVAILABLE, 'evacuated', ABSENT_RETRY_S)
+
+
 def may_find_another(request: AdmittedRequest, reason: str) -> bool:
     """Return whether to look for a target again after a rejection.
 
--- a/ebonywell/hostfeeds.py
+++ b/ebonywell/hostfeeds.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from .clock import boot_time
+from .evacuation.records import EvacuationRecords
 from .exceptions import EbonywellError
 from .feedrelay import FeedKnowledge, FeedRelay, Network
 from .feedtail import FeedTail
@@ -36,6 +37,8 @@
     configuration, targets : Follower
     eras : StoreEras
         The store's era, from the reads of both.
+    evacuations : EvacuationRecords
+        Reads which zones are evacuated.
     """
 
     def __init__(
@@ -54,9 +57,9 @@
         self.configuration = Follower(
             store,
             Feed(translators.configuration_topic, 0, CONFIG_WAIT_S, 0),
+            self.apply_all_configuration,
             self.apply_configuration,
-            self.apply_configuration,
-            FeedTail(_is_other_value),
+            FeedTail(_is_news),
             log,
             rng,
         )
@@ -76,6 +79,9 @@
             rng,
         )
         self.resynced_at = float('-inf')
+        self.evacuations = EvacuationRecords(
+            inventory.evacuations, translators.evacuation_prefix, log
+        )
         self.eras = StoreEras(log)
 
     def share(self, relay: FeedRelay) -> None:
@@ -95,6 +101,7 @@
         """Pass on the feeds' freshness, and drop targets that have gone."""
         self.intake.proven_at = self.configuration.state.proven_at
         self._note_outages()
+        self.evacuations.check_zones(self.inventory)
         for name in self.inventory.expire(now):
             self.log('target_expired', target=name)
         if now - self.resynced_at >= RESYNC_PERIOD_S:
@@ -103,10 +110,18 @@
 
     def apply_configuration(self, records: Sequence[KeyedRecord]) -> None:
         """Apply the newest configuration."""
+        proven_at = self.configuration.state.proven_at
         for record in records:
             is_ours = record.key == self.translators.configuration_key
             if is_ours and record.value is not None:
                 self._adopt(record, record.value)
+            if self.evacuations.zone_of(record.key):
+                self.evacuations.apply(record, proven_at, boot_time())
+
+    def apply_all_configuration(self, records: Sequence[KeyedRecord]) -> None:
+        """Apply all of the operator's records."""
+        self.evacuations.apply_all(records)
+        self.apply_configuration(records)
 
     def apply_all_targets(self, records: Sequence[KeyedRecord]) -> None:
         """Apply the complete list of targets."""
@@ -200,5 +215,10 @@
     return relay
 
 
-def _is_other_value(before: bytes, after: bytes) -> bool:
-    return before != after
+def _is_news(before: bytes, after: bytes) -> bool:
+    """Return whether a record of the operator is news, which all of them are.
+
+    A record that is deleted and written again alike would otherwise not reach a
+    host that has seen the deletion, if the reader that it asks has not.
+    """
+    return True
--- a/ebonywell/hostgauges.py
+++ b/ebonywell/hostgauges.py
@@ -30,6 +30,8 @@
         sink.gauge('config_version', known.intake.version)
         sink.gauge('proof_age_seconds', age_s if math.isfinite(age_s) else -1)
         sink.gauge('targets', len(known.inventory.targets))
+        evacuated = len(known.inventory.evacuations.closed_at)
+        sink.gauge('evacuated_zones', evacuated)
         sink.gauge('hosts_known', known.fleet.size)
         sink.gauge('hosts_silent', len(known.fleet.silent(now)))
         for name, window in known.limits.windows.items():
--- a/ebonywell/hostknowledge.py
+++ b/ebonywell/hostknowledge.py
@@ -5,6 +5,7 @@
 
 from .clock import boot_time
 from .digests import LoadShare
+from .evacuation.zones import Evacuations
 from .fleetview import FleetView
 from .health import HealthTracker
 from .hostsettings import HostSettings
@@ -37,7 +38,9 @@
 
     def __init__(self, settings: HostSettings, rng: random.Random) -> None:
         self.intake = Intake(rng, settings.bounds.revoke_s)
-        self.inventory = Inventory()
+        self.inventory = Inventory(
+            evacuations=Evacuations(settings.bounds.evacuation)
+        )
         self.board = LoadBoard()
         self.health = HealthTracker()
         self.demand = HostDemand()
--- a/ebonywell/hostsettings.py
+++ b/ebonywell/hostsettings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from .evacuation.zones import EvacuationBounds
 from .loadpace import LoadWindow
 
 
@@ -30,6 +31,8 @@
         Maximum time for which callers may cache a directory answer.
     load_window : LoadWindow
         Window over which loads from the weight store are counted.
+    evacuation : EvacuationBounds
+        Times within which the evacuation of a zone must be in force.
     """
 
     revoke_s: float = 5
@@ -42,6 +45,7 @@
     quota_window_s: float = 8
     max_directory_ttl_s: float = 5
     load_window: LoadWindow = LoadWindow()
+    evacuation: EvacuationBounds = EvacuationBounds()
 
 
 @dataclass(slots=True, frozen=True)
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from .evacuation.zones import Evacuations
+
 # Longest time between the writing of an announcement and its reading: the
 # heartbeat's period and the pause between reads.
 MAX_ANNOUNCEMENT_AGE_S = 2.2
@@ -205,6 +207,8 @@
         Whether all entries have been read once.
     ready : dict of str to list of KnownTarget
         Targets that take new requests, by service; cached until one changes.
+    evacuations : Evacuations
+        Zones whose targets get no new requests.
     """
 
     targets: dict[str, KnownTarget] = field(default_factory=dict)
@@ -212,6 +216,7 @@
     proven_at: float = -math.inf
     is_loaded: bool = False
     ready: dict[str, list[KnownTarget]] = field(default_factory=dict)
+    evacuations: Evacuations = field(default_factory=Evacuations)
 
     def announce(self, announcement: Announcement, now: float) -> KnownTarget:
         """Record an announcement, and return the target."""
@@ -320,6 +325,13 @@
             self.ready[service] = ready
         return ready
 
+    def list_open(self, service: str) -> list[KnownTarget]:
+        """Return the targets of a service outside evacuated zones."""
+        ready = self.of_service(service)
+        if self.evacuations.is_empty:
+            return ready
+        return self.evacuations.list_open(ready)
+
     def _remove(self, name: str) -> None:
         self.targets.pop(name)
         self.ready.clear()
--- a/ebonywell/loadrequests.py
+++ b/ebonywell/loadrequests.py
@@ -89,7 +89,7 @@
         now = boot_time()
         holding = [
             known
-            for known in self.inventory.of_service(wanted.service)
+            for known in self.inventory.list_open(wanted.service)
             if known.holds(wanted.model) and wanted.accepts(known)
         ]
         if wanted.release is None:
--- a/ebonywell/modelservices.py
+++ b/ebonywell/modelservices.py
@@ -47,7 +47,12 @@
 ) -> ModelServices:
     """Return the model services of one host, connected to each other."""
     order_sender = OrderSender(
-        settings.name, leadership, translators.engines, limits, log
+        settings.name,
+        leadership,
+        translators.engines,
+        limits,
+        log,
+        evacuations=known.inventory.evacuations,
     )
     demand = FleetDemand(known.demand, known.board, known.fleet)
     adapters = AdapterLoads(
--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -11,6 +11,7 @@
     OrderTrack,
     present_adapters,
 )
+from .evacuation.zones import Evacuations
 from .exceptions import TransportError
 from .inventory import KnownTarget
 from .leadership import Leadership
@@ -40,6 +41,8 @@
         Orders and reports count as requests to their engine.
     tracks : dict of str to OrderTrack
         Order records by target.
+    evacuations : Evacuations
+        Zones whose engines get neither orders nor questions.
     """
 
     name: str
@@ -48,6 +51,7 @@
     limits: TargetLimits
     log: Logger
     tracks: dict[str, OrderTrack] = field(default_factory=dict)
+    evacuations: Evacuations = field(default_factory=Evacuations)
 
     def track(self, known: KnownTarget) -> OrderTrack:
         """Return the order record of a target's current incarnation.
@@ -74,7 +78,7 @@
             executing an order for a model.
         """
         track = self.track(known)
-        if not await self.limits.claim(known, MAX_PERMIT_WAIT_S):
+        if not await self._claim(known):
             return False
         try:
             report = await self.client.report(known)
@@ -116,7 +120,7 @@
         action : Action
         model, adapter : str
         """
-        is_permitted = await self.limits.claim(known, MAX_PERMIT_WAIT_S)
+        is_permitted = await self._claim(known)
         if not is_permitted or self.track(known) is not track:
             return OrderAnswer.unproven
         avoids_store = (
@@ -158,6 +162,11 @@
         )
         return answer
 
+    async def _claim(self, known: KnownTarget) -> bool:
+        """Wait until an engine may be sent something; return whether it may."""
+        is_permitted = await self.limits.claim(known, MAX_PERMIT_WAIT_S)
+        return is_permitted and not self.evacuations.is_evacuated(known)
+
 
 def resident_message(known: KnownTarget) -> ResidentMessage:
     """Return the message that informs other hosts of what a target holds."""
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -51,6 +51,7 @@
         exchange.target_format(),
         exchange.host_format(host_name),
         orders.engine_client(client),
+        catalog.EVACUATION_PREFIX,
     )
 
 
--- a/ebonywell/platform/catalog.py
+++ b/ebonywell/platform/catalog.py
@@ -20,6 +20,8 @@
 
 TOPIC = 'keyed.op'
 KEY = 'config'
+# Records with this prefix before the name of a zone evacuate it.
+EVACUATION_PREFIX = 'evacuate/'
 _MS = 0.001
 _MEGABYTE = 1_000_000
 _TOKENS = 'tokens'
--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 import yaml
 
+from ..evacuation.zones import EvacuationBounds
 from ..exceptions import SettingsError
 from ..hostsettings import Bounds, HostSettings, LogSettings
 from ..loadpace import LoadWindow
@@ -38,6 +39,9 @@
     # rate.
     ceiling_overshoot: float = 1.1
     ceiling_window_s: float = 5
+    evacuate_ms: Annotated[float, msgspec.Meta(ge=0)] = 5000
+    # Time within which hosts see new records of the operator's topic.
+    config_ms: Annotated[float, msgspec.Meta(ge=0)] = 3000
     # The platform writes this key in snake case, unlike all others.
     ttl_max_s: float = msgspec.field(default=5, name='ttl_max_s')
 
@@ -197,4 +201,7 @@
         quota_window_s=found.quota_window_s,
         max_directory_ttl_s=found.ttl_max_s,
         load_window=LoadWindow(found.ceiling_window_s, found.ceiling_overshoot),
+        evacuation=EvacuationBounds(
+            found.evacuate_ms * _MS, found.config_ms * _MS
+        ),
     )
--- a/ebonywell/progress.py
+++ b/ebonywell/progress.py
@@ -225,6 +225,9 @@
     ) -> tuple[KnownTarget, Choice] | None:
         """Return the target to which a request may be sent, or None."""
 
+    def is_closed(self, known: KnownTarget) -> bool:
+        """Return whether the zone of a target takes no request any more."""
+
     def record_rejection(
         self,
         request: AdmittedRequest,
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -214,7 +214,7 @@
         reserved = reserved_adapter_bytes(engine)
         engines = [
             self._engine_state(known, engine, reserved, now)
-            for known in self.inventory.of_service(service)
+            for known in self.inventory.list_open(service)
             if known.is_reachable(now)
         ]
         pool = EnginePool(engines, self._model_states(engine, demand, now), now)
@@ -474,7 +474,7 @@
     reserved = reserved_adapter_bytes(engine)
     engines = [
         provisioner._engine_state(known, engine, reserved, now)
-        for known in provisioner.inventory.of_service(request.service)
+        for known in provisioner.inventory.list_open(request.service)
         if known.is_reachable(now) and request.accepts(known)
     ]
     # The hosts that ask cannot reach the engines that hold the model, unless
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from .attempts import (
+    EVACUATED,
     MIN_LEFT_S,
     UNREACHABLE,
     Attempts,
@@ -128,7 +129,7 @@
         selected = await self.selector.reserve(
             request, progress.avoided, is_trial=bool(progress.trial)
         )
-        was_reached = error.reason != UNREACHABLE
+        was_reached = error.reason not in {EVACUATED, UNREACHABLE}
         if selected is None or not was_reached:
             return selected
         if not self.budget_of(request.service).spend(boot_time()):
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -123,6 +123,10 @@
             known.is_reachable(now) for known in holding
         )
 
+    def is_closed(self, known: KnownTarget) -> bool:
+        """Return whether the zone of a target takes no request any more."""
+        return self.inventory.evacuations.is_closed(known, boot_time())
+
     def limit_due_s(self, request: AdmittedRequest) -> float | None:
         """Return when a request may be due that only limits hold back.
 
@@ -201,10 +205,20 @@
         """Return the targets that have the model and adapter."""
         ready = self.inventory.of_service(request.service)
         generation = request.generation
-        if generation is None:
-            return ready
-        model, adapter = generation.model, generation.adapter
-        return [known for known in ready if known.holds(model, adapter)]
+        holding = ready
+        if generation is not None:
+            model, adapter = generation.model, generation.adapter
+            holding = [known for known in ready if known.holds(model, adapter)]
+        if self.inventory.evacuations.is_empty:
+            return holding
+        elsewhere = list_elsewhere(self.inventory, request)
+        return self.inventory.evacuations.list_usable(
+            holding,
+            is_elsewhere=generation is None
+            or any(known.holds(generation.model) for known in elsewhere),
+            is_coming=bool(elsewhere),
+            now=boot_time(),
+        )
 
     def _has_room(self, known: KnownTarget) -> bool:
         """Return whether a target that must not reject has a free slot."""
@@ -297,6 +311,28 @@
         )
 
 
+def list_elsewhere(
+    inventory: Inventory, request: AdmittedRequest
+) -> list[KnownTarget]:
+    """Return the targets outside evacuated zones that can serve a request.
+
+    They may have to load its model first.
+    """
+    return [
+        known
+        for known in inventory.list_open(request.service)
+        if request.release in {None, known.announcement.release}
+    ]
+
+
+def is_evacuated(inventory: Inventory, request: AdmittedRequest) -> bool:
+    """Return whether only targets of evacuated zones could serve a request."""
+    if inventory.evacuations.is_empty:
+        return False
+    is_known = bool(inventory.of_service(request.service))
+    return is_known and not list_elsewhere(inventory, request)
+
+
 def cache_namespace(generation: Generation) -> str:
     """Return the name under which an engine caches prompts."""
     return f'{generation.model}/{generation.adapter}'
--- a/ebonywell/translators.py
+++ b/ebonywell/translators.py
@@ -27,6 +27,9 @@
     target_format : TargetFormat
     host_format : HostFormat
     engines : EngineClient
+    evacuation_prefix : str
+        With the name of a zone appended, the key of the record in the topic of
+        the configuration that evacuates the zone; empty if there are none.
     """
 
     configuration_topic: str
@@ -38,3 +41,4 @@
     target_format: TargetFormat
     host_format: HostFormat
     engines: EngineClient
+    evacuation_prefix: str = ''
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -8,6 +8,7 @@
 import contextlib
 import socket
 import time
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -150,7 +151,8 @@
     guard = CrashGuard('host-1', None, discard_event, Metrics())
     with ConnectionPool() as pool:
         attempts = Attempts(
-            pool, LoadBoard(), HealthTracker(), target_format(), None,
+            pool, LoadBoard(), HealthTracker(), target_format(),
+            SimpleNamespace(is_closed=lambda known: False),
             Coordination(guard, no_limits(), None), TargetReach(),
                 discard_event,
         )  # fmt: skip
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -8,6 +8,7 @@
 
 from ebonywell.gateway import Gateway
 from ebonywell.inbound import AdmittedRequest, Generation, RejectionError
+from ebonywell.inventory import Inventory
 from ebonywell.loadrequests import MODEL_READY_S, LoadRequests
 from ebonywell.modeldemand import HostDemand
 from ebonywell.overload import (
@@ -35,7 +36,9 @@
 
 
 def make_gateway(load_requests, able):
-    targeting = SimpleNamespace(list_eligible=lambda call, avoided: able())
+    targeting = SimpleNamespace(
+        list_eligible=lambda call, avoided: able(), inventory=Inventory()
+    )
     return Gateway(
         None, targeting, None, None, load_requests, HostDemand(), None, None,
         None, None,
@@ -64,7 +67,7 @@
 
 
 def make_load_requests(loading=(), *, has_holder=True):
-    inventory = SimpleNamespace(of_service=lambda service: [])
+    inventory = Inventory()
     return LoadRequests(
         inventory,
         lambda: has_holder,
