Learn how fast each target works, from what all hosts observe

Callers were sent to targets that answered late, while others were idle: every target counted as reading 22 tokens per ms for every model, so the expected time to the first byte was far from the actual one.

Cause: nothing learned a target's or a model's pace, and Server-Load was dropped unread, so a machine that was slow for 600 ms was seen only through the short-lived slowness of health.py.

Change: the header is read into a neutral ServerLoad. After the first byte of a first send, a host forms an Observation, learns from it and repeats it in its digests for a second (two appended fields with defaults). PaceBook learns logarithms of the service's, the model's and the target's factors with bounded steps; candidates carry the pace, and selection uses it in place of its constants for services whose targets state a percent. Waiting prompts are counted in tokens at the usual pace, so those of dear models count by their cost.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -20,6 +20,12 @@
 from .inventory import KnownTarget
 from .loadboard import LoadBoard, Run
 from .logs import Logger
+from .pace.firstbytes import (
+    FirstByte,
+    Observer,
+    ignore_first_byte,
+    pace_fields,
+)
 from .progress import (
     NOT_RUN_VERDICTS,
     AttemptError,
@@ -70,6 +76,8 @@
     origins : StreamOrigins
     reach : TargetReach
     buffers : AnswerBuffers
+    observer : callable
+        Called with the head of each answer of the right target.
     """
 
     def __init__(
@@ -93,6 +101,7 @@
         self.limits = coordination.limits
         self.origins = coordination.origins
         self.buffers = AnswerBuffers()
+        self.observer: Observer = ignore_first_byte
         self.log = log
 
     async def run(
@@ -172,6 +181,18 @@
             progress.note_not_run()
         now = boot_time()
         self._note_statement(sending, verdict, head)
+        if verdict not in {Verdict.crossed, Verdict.other_target}:
+            self.observer(
+                FirstByte(
+                    request,
+                    sending.target,
+                    sending.choice,
+                    self.format.read_load(head),
+                    sending.sent_at,
+                    now,
+                    is_answer=verdict is Verdict.answer and progress.sends == 1,
+                )
+            )
         if verdict is Verdict.answer or verdict is Verdict.failed:
             is_good = verdict is Verdict.answer
             self.health.record_result(sending.target.name, now, is_good=is_good)
@@ -248,6 +269,7 @@
             ahead_tokens=sum(chosen.load.waiting_tokens.values()),
             new_tokens=chosen.new_tokens,
             running=chosen.load.running,
+            **pace_fields(chosen.pace),
             held_tokens=chosen.load.held_tokens,
             failing=chosen.health.failure_share,
             slowness=chosen.health.slowness,
@@ -559,7 +581,7 @@
     chosen = choice.candidate
     return Run(
         choice.name,
-        chosen.new_tokens,
+        chosen.usual_tokens,
         chosen.total_tokens,
         request.rank,
         resources,
--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from .exceptions import MalformedFrameError
+from .pace.observations import Observation
 
 # Loads and counts are useful only while they are fresh: the choice of a target
 # and the limits both assume a delay of this length.
@@ -83,6 +84,10 @@
     loads, usage : tuple
     reaches_targets : bool
         False if the host seems to be cut off from the targets.
+    observations : tuple of Observation
+        Those of the last second, the newest first; see `pace.sharing`.
+    observation_ages : tuple of int
+        Their ages when the digest was made, in hundredths of a second.
     """
 
     name: str
@@ -100,6 +105,8 @@
     loads: tuple[LoadShare, ...] = ()
     usage: tuple[UsageShare, ...] = ()
     reaches_targets: bool = True
+    observations: tuple[Observation, ...] = ()
+    observation_ages: tuple[int, ...] = ()
 
 
 class HolderStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/ebonywell/fleetview.py
+++ b/ebonywell/fleetview.py
@@ -63,6 +63,9 @@
     by_life : dict of int to Peer
     note_restart : callable
         Called with a host that has restarted, in its state before the restart.
+    receive_observations : callable
+        Called with each new digest, the number of digests that its host is
+        known to have sent since, and the time.
     """
 
     own_name: str
@@ -71,6 +74,9 @@
     peers: dict[str, Peer] = field(default_factory=dict)
     by_life: dict[int, Peer] = field(default_factory=dict)
     note_restart: Callable[[Peer], None] = lambda peer: None
+    receive_observations: Callable[[Digest, int, float], None] = (
+        lambda digest, followed, now: None
+    )
 
     def add_host(self, name: str, address: str, life: int, now: float) -> None:
         """Add a host from its record in the store."""
@@ -124,6 +130,7 @@
             },
             now,
         )
+        self.receive_observations(digest, known.number - digest.number, now)
         return True
 
     def digest_numbers(self, now: float) -> list[tuple[int, int]]:
--- a/ebonywell/hostknowledge.py
+++ b/ebonywell/hostknowledge.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections.abc import Collection
 
 from .clock import boot_time
 from .digests import LoadShare
@@ -9,9 +10,10 @@
 from .health import HealthTracker
 from .hostsettings import HostSettings
 from .intake import Intake
-from .inventory import Inventory
+from .inventory import Inventory, KnownTarget
 from .loadboard import LoadBoard
 from .modeldemand import HostDemand
+from .pace.sharing import SharedObservations
 from .routetable import EngineSpec
 from .sharedlimits import SharedLimits
 
@@ -33,6 +35,8 @@
     fleet : FleetView
         Other hosts.
     limits : SharedLimits
+    observations : SharedObservations
+        What the hosts learned of the targets' paces.
     """
 
     def __init__(self, settings: HostSettings, rng: random.Random) -> None:
@@ -45,6 +49,14 @@
         self.limits = SharedLimits(settings.bounds.quota_window_s, self.fleet)
         self.limits.restart.note_start(boot_time())
         self.fleet.note_restart = self.limits.note_restart
+        self.observations = SharedObservations()
+        self.fleet.receive_observations = self.observations.receive
+
+    def retain(self, targets: Collection[KnownTarget], now: float) -> None:
+        """Forget what is known of all targets except these."""
+        self.health.retain(one.name for one in targets)
+        borns = {one.name: one.announcement.born for one in targets}
+        self.observations.retain(borns, self.fleet.peers, now)
 
     def engine_of(self, service: str) -> EngineSpec | None:
         """Return a service's engine settings, None if it has no engines."""
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -303,6 +303,7 @@
             self.known.own_loads(),
             self.known.limits.usage(now),
             not self.forwarder.is_cut(),
+            *self.known.observations.list_recent(now),
         )
 
     def _receive_digest(self, digest: Digest) -> None:
@@ -329,12 +330,11 @@
             self.feeds.refresh(now)
             self.models.load_requests.expire(now)
             self.models.link.expire(now)
-            life_s = loads_ttl_s(self.known.fleet.size)
-            self.known.board.expire(now, life_s)
+            self.known.board.expire(now, loads_ttl_s(self.known.fleet.size))
             self.known.limits.note_limits(self.known.intake.list_limits(), now)
             self.known.limits.expire(now)
             targets = self.known.inventory.targets.values()
-            self.known.health.retain(one.name for one in targets)
+            self.known.retain(targets, now)
             self.coordination.expire(
                 targets, self.feeds.targets.state.proven_at, now
             )
--- /dev/null
+++ b/ebonywell/pace/machines.py
@@ -0,0 +1,83 @@
+"""How slow the machines of targets are at the moment, as their answers state.
+
+Addresses targets that share a machine and take longer for some 600 ms: such a
+target is avoided while that lasts, and not for seconds after it.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from .serverload import MAX_PERCENT, MIN_PERCENT
+
+# Time in which what is known of a machine's state loses most of its meaning;
+# the states last about this long.
+STATE_S = 0.5
+# Weight of one statement in the mean of all.
+MEAN_SMOOTHING = 0.005
+USUAL_PERCENT = 100
+
+
+@dataclass(slots=True)
+class MachineState:
+    """The newest statement about one target's machine.
+
+    Attributes
+    ----------
+    percent : int
+        How long work takes, in percent of the usual time; 0 if unknown.
+    stated_at : float
+    """
+
+    percent: int = 0
+    stated_at: float = -math.inf
+
+    def note(self, percent: int, now: float) -> None:
+        """Record a statement, unless a newer one is known."""
+        if percent and now >= self.stated_at:
+            self.percent = min(max(percent, MIN_PERCENT), MAX_PERCENT)
+            self.stated_at = now
+
+    def age_s(self, now: float) -> float:
+        """Return the age of the statement, in seconds."""
+        return max(0, now - self.stated_at)
+
+
+@dataclass(slots=True)
+class MeanState:
+    """The mean of all statements, which is expected where none is fresh.
+
+    Attributes
+    ----------
+    factor : float
+        How long work takes, as a multiple of the usual time.
+    """
+
+    factor: float = field(default=1)
+
+    def note(self, percent: int) -> None:
+        """Take a statement into the mean."""
+        self.factor += MEAN_SMOOTHING * (percent / USUAL_PERCENT - self.factor)
+
+    def expect(self, state: MachineState, now: float) -> float:
+        """Return how long work is expected to take, as a multiple of usual."""
+        if not state.percent:
+            return self.factor
+        weight = math.exp(-state.age_s(now) / STATE_S)
+        stated = state.percent / USUAL_PERCENT
+        return self.factor + weight * (stated - self.factor)
+
+    def over(self, percent: int, waited_s: float) -> tuple[float, float]:
+        """Return the factor over a wait, given the percent at its end.
+
+        Returns
+        -------
+        factor : float
+        known_share : float
+            Share of the wait for which the statement tells the state.
+        """
+        if not percent:
+            return self.factor, 0
+        periods = max(waited_s / STATE_S, math.ulp(1))
+        share = -math.expm1(-periods) / periods
+        speed = share * USUAL_PERCENT / percent + (1 - share) / self.factor
+        return 1 / speed, share
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -2,6 +2,7 @@
 
 from ..inbound import AdmittedRequest
 from ..inventory import KnownTarget
+from ..pace.serverload import NO_LOAD, ServerLoad, read_server_load
 from ..peerforwarding import HostFormat
 from ..progress import TargetFormat, Verdict
 from ..statements import Notice, Statement, read_pause, read_rate
@@ -37,6 +38,7 @@
         answer_headers,
         read_statement,
         read_notice,
+        read_load,
     )
 
 
@@ -168,6 +170,14 @@
     return Notice(is_leaving, pause_s, max_rejections)
 
 
+def read_load(head: AnswerHead) -> ServerLoad:
+    """Return the load that an answer states; unusable figures are left out."""
+    stated = head.get(headers.SERVER_LOAD)
+    if stated is None:
+        return NO_LOAD
+    return read_server_load(stated.decode('ascii', 'replace').split(','))
+
+
 def answer_headers(head: AnswerHead) -> list[tuple[bytes, bytes]]:
     """Return the headers of an answer that are forwarded to the caller."""
     return [pair for pair in head.headers if pair[0] not in _DROPPED]
--- a/ebonywell/progress.py
+++ b/ebonywell/progress.py
@@ -10,6 +10,7 @@
 from .events import EventSplitter
 from .inbound import AdmittedRequest, Refund, RejectionError
 from .inventory import KnownTarget
+from .pace.serverload import NO_LOAD, ServerLoad
 from .selection import Choice
 from .statements import Notice, Statement
 from .upstream import AnswerHead
@@ -79,6 +80,8 @@
     read_notice : callable
         Returns what the head of an answer asks of this host; raises
         `ValueError` if it cannot be read.
+    read_load : callable
+        Returns the load of its target that the head of an answer states.
     """
 
     encode: Callable[[AdmittedRequest, KnownTarget, float, bytes], bytes]
@@ -86,6 +89,7 @@
     answer_headers: Callable[[AnswerHead], list[tuple[bytes, bytes]]]
     read_statement: Callable[[AnswerHead], Statement]
     read_notice: Callable[[AnswerHead], Notice]
+    read_load: Callable[[AnswerHead], ServerLoad] = lambda head: NO_LOAD
 
 
 @dataclass(slots=True)
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -13,6 +13,8 @@
 from .loadrequests import LoadRequests
 from .logs import Logger
 from .metrics import Metrics
+from .pace.firstbytes import make_observer
+from .pace.gauges import add_pace_gauges
 from .peerforwarding import PeerForwarder
 from .prefixes import PrefixIndex
 from .proxying import Proxy
@@ -54,6 +56,7 @@
         coordination.limits,
         observers.log,
         observers.rng,
+        known.observations.paces,
     )
     budgets = RetryBudgets(
         bounds.retry_window_s,
@@ -72,6 +75,10 @@
         observers.log,
     )
     attempts.buffers = forwarder.buffers
+    known.observations.log = observers.log
+    known.observations.metrics = observers.metrics
+    attempts.observer = make_observer(known.observations)
+    add_pace_gauges(observers.metrics, known.observations)
     detect_crashes(guard, pool)
     proxy = Proxy(
         attempts,
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -14,6 +14,7 @@
 
 from .health import TargetHealth
 from .loadboard import TargetLoad
+from .pace.paces import Pace
 from .urgency import tokens_ahead
 
 # Prompt tokens that an engine processes per millisecond, from the deployments'
@@ -68,6 +69,8 @@
         Whether the target is in this host's availability zone.
     lacks_adapter : bool
         Whether the adapter must be loaded there first.
+    pace : Pace or None
+        Learned pace of the target now; None to use the constants.
     """
 
     name: str
@@ -80,6 +83,19 @@
     rank: int = 0
     is_same_zone: bool = True
     lacks_adapter: bool = False
+    pace: Pace | None = None
+
+    @property
+    def slowness(self) -> float:
+        """Correction by recent waits, unless the pace is learned."""
+        return self.health.slowness if self.pace is None else 1
+
+    @property
+    def usual_tokens(self) -> int:
+        """New tokens in tokens at the usual pace, as waiting ones count."""
+        if self.pace is None:
+            return self.new_tokens
+        return self.pace.usual_tokens(self.new_tokens)
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,19 +126,36 @@
 def estimate_first_byte_ms(candidate: Candidate) -> float:
     """Return the expected time to the first byte, from the target's load."""
     load = candidate.load
+    pace = candidate.pace
     if not candidate.cache_tokens:
-        ahead = load.waiting + load.running
-        queued = max(0, ahead + 1 - candidate.slots)
-        return PLAIN_REQUEST_MS * (1 + queued / candidate.slots)
+        plain_ms = PLAIN_REQUEST_MS if pace is None else pace.plain_ms
+        return plain_ms * (1 + queued_share(candidate))
     tokens = tokens_ahead(load.waiting_tokens, candidate.rank)
-    tokens += candidate.new_tokens
-    busy_ms = tokens / PROMPT_TOKENS_PER_MS + STEP_MS
+    if pace is None:
+        tokens += candidate.new_tokens
+        busy_ms = tokens / PROMPT_TOKENS_PER_MS + STEP_MS
+    else:
+        busy_ms = tokens / pace.ahead_tokens_per_ms + pace.step_ms
+        busy_ms += candidate.new_tokens / pace.tokens_per_ms
+    return busy_ms + full_wait_ms(candidate)
+
+
+def queued_share(candidate: Candidate) -> float:
+    """Return the requests ahead at a plain service, by its slots."""
+    load = candidate.load
+    queued = max(0, load.waiting + load.running + 1 - candidate.slots)
+    return queued / candidate.slots
+
+
+def full_wait_ms(candidate: Candidate) -> float:
+    """Return the expected wait until a full batch or cache has room."""
+    load = candidate.load
     full = load.waiting + load.running + 1 - candidate.slots
     wanted = load.held_tokens + candidate.total_tokens
     over_tokens = wanted - candidate.cache_tokens * MAX_CACHE_SHARE
     mean_tokens = load.held_tokens / max(1, load.waiting + load.running)
     crowded = over_tokens / max(1, mean_tokens)
-    return busy_ms + FULL_SLOT_MS * max(0, full, crowded)
+    return FULL_SLOT_MS * max(0, full, crowded)
 
 
 def choose(
@@ -134,7 +167,7 @@
     least_ms = math.inf
     for candidate in candidates:
         expected_ms = estimate_first_byte_ms(candidate)
-        wait_ms = expected_ms * candidate.health.slowness
+        wait_ms = expected_ms * candidate.slowness
         cost_ms = wait_ms + candidate.health.failure_share * FAILURE_COST_MS
         cost_ms += rng.uniform(0, SPREAD_MS)
         if not candidate.is_same_zone:
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from .clock import boot_time
 from .health import HealthTracker
@@ -11,6 +11,7 @@
 from .loadboard import LoadBoard
 from .logs import Logger
 from .overload import max_wait_s
+from .pace.pacebook import PaceBook
 from .prefixes import PrefixIndex
 from .progress import Verdict
 from .routetable import EngineSpec
@@ -37,6 +38,7 @@
     engine_of : callable
         Returns the engine capacity of a service, None for a plain service.
     limits : TargetLimits
+    paces : PaceBook
     """
 
     zone: str
@@ -48,6 +50,7 @@
     limits: TargetLimits
     log: Logger
     rng: random.Random
+    paces: PaceBook = field(default_factory=PaceBook)
 
     def list_eligible(
         self,
@@ -277,6 +280,7 @@
                 health,
                 known.announcement.slots,
                 is_same_zone=is_same_zone,
+                pace=self.paces.pace(request.service, '', known.name, now),
             )
         cached_tokens = self.prefixes.cached_tokens(
             known.name,
@@ -294,6 +298,7 @@
             request.rank,
             is_same_zone,
             not known.holds(generation.model, generation.adapter),
+            self.paces.pace(request.service, generation.model, known.name, now),
         )
 
 
