Reject requests whose load ends too late, and wait for loads that begin later

Cause: hosts assumed that each load takes 1.4 s, a property of the first customers' engines. An engine whose unload waited for long streams got its load order 16 times in 1.2 s and then stayed empty. Change: the time of a load comes from the configuration and from the weights that targets have cached; the lease holder says when a load ends; a rejected request counts as demand until its caller returns; the demand average grows with the time of a load; load orders behind an unload are repeated for 6 s with growing pauses.

--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -325,10 +325,18 @@
 
 
 class LoadingMessage(msgspec.Struct, frozen=True, array_like=True, tag='c'):
-    """Reply to a host's load request: a load of the model is under way."""
+    """Reply to a host's load request: a load of the model is under way.
+
+    Attributes
+    ----------
+    service, model : str
+    left_s : float
+        Expected time until it is loaded, in seconds; 0 if unknown.
+    """
 
     service: str
     model: str
+    left_s: float = 0
 
 
 class DemandMessage(msgspec.Struct, frozen=True, array_like=True, tag='a'):
--- a/ebonywell/engineorders.py
+++ b/ebonywell/engineorders.py
@@ -131,6 +131,8 @@
         Whether an order for a model is being executed.
     loading, unloading : set of str
         Models that a swap is loading or unloading.
+    load_due_at : float
+        When the load of the swap is expected to end.
     loaded_at : dict of str to float
         When each model was loaded.
     adapters : set of str
@@ -150,6 +152,7 @@
     is_busy: bool = False
     loading: set[str] = field(default_factory=set)
     unloading: set[str] = field(default_factory=set)
+    load_due_at: float = 0
     loaded_at: dict[str, float] = field(default_factory=dict)
     adapters: set[str] = field(default_factory=set)
     is_synced: bool = False
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -13,7 +13,7 @@
 from .inbound import AdmittedRequest, Charge, RejectionError, Responder
 from .intake import Intake, ReceivedRequest
 from .inventory import KnownTarget
-from .loadrequests import MODEL_READY_S, LoadRequests
+from .loadrequests import LoadRequests
 from .logs import Logger
 from .metrics import Metrics
 from .modeldemand import HostDemand
@@ -46,6 +46,9 @@
         'model_not_coming',
     )
 )
+# Time for which a rejected request counts as demand for its model. Callers
+# return within a third of the time that they have left.
+MAX_RETURNING_S = 4.0
 # Shortest time after which a caller retries a request held back by a limit.
 MIN_LIMIT_RETRY_S = 0.1
 
@@ -391,14 +394,15 @@
         )
         wait_s = self.load_requests.request_load(request)
         if wait_s > max_first_byte_s * MAX_WAIT_SHARE:
-            raise RejectionError(
-                _UNAVAILABLE,
-                'model_absent',
-                min(wait_s, ABSENT_RETRY_S),
+            retry_after_s = max(
+                ABSENT_RETRY_S, self.load_requests.left_s(request)
             )
+            _count_returning(self.demand, request, retry_after_s)
+            raise RejectionError(_UNAVAILABLE, 'model_absent', retry_after_s)
         if request.generation is None:
             return
-        is_absent = wait_s >= MODEL_READY_S
+        is_absent = self.load_requests.lacks_model(request)
+        load_s = self.load_requests.expected_load_s(request)
         with self.demand.count_waiting(
             request.service,
             request.generation,
@@ -415,8 +419,11 @@
                     boot_time() - started_at,
                     max_first_byte_s,
                     is_loading=is_loading,
+                    spare_s=request.route.goal_s - load_s,
+                    load_left_s=self.load_requests.left_s(request),
                 )
                 if retry_after_s:
+                    _count_returning(self.demand, request, retry_after_s)
                     reason = 'no_target' if is_loading else 'model_not_coming'
                     raise RejectionError(_UNAVAILABLE, reason, retry_after_s)
 
@@ -481,6 +488,18 @@
     return request.release is not None and reason == UNREACHABLE
 
 
+def _count_returning(
+    demand: HostDemand, request: AdmittedRequest, retry_after_s: float
+) -> None:
+    """Count a rejected request as demand until its caller returns."""
+    if request.generation is not None:
+        demand.count_returning(
+            request.service,
+            request.generation,
+            boot_time() + min(retry_after_s, MAX_RETURNING_S),
+        )
+
+
 def _refund(progress: Progress, outcome: Outcome) -> None:
     """Refund the charge of a request that is reported as not run."""
     if outcome.status == _UNAVAILABLE and progress.refund is not None:
--- a/ebonywell/holderlink.py
+++ b/ebonywell/holderlink.py
@@ -43,7 +43,8 @@
     serve_request : callable
         Handles a load request if this host is the lease holder.
     list_loading : callable
-        Returns the models that are loading if this host is the lease holder.
+        Returns when each model that is loading is expected to be loaded, if
+        this host is the lease holder.
     holder_changed : anyio.Event
         Set when the lease passes to another host.
     holder_name : str
@@ -51,6 +52,8 @@
     loading_reported_at : dict of (str, str) to float
         When the lease holder last reported that a model is loading, by
         service and model.
+    load_due_at : dict of (str, str) to float
+        When that load is expected to end, if the lease holder said so.
     """
 
     name: str
@@ -60,10 +63,11 @@
     leadership: Leadership
     demand: FleetDemand
     serve_request: Callable[[LoadRequest, str], None]
-    list_loading: Callable[[], tuple[ModelKey, ...]]
+    list_loading: Callable[[], dict[ModelKey, float]]
     holder_changed: anyio.Event = field(default_factory=anyio.Event)
     holder_name: str = ''
     loading_reported_at: dict[ModelKey, float] = field(default_factory=dict)
+    load_due_at: dict[ModelKey, float] = field(default_factory=dict)
 
     async def send_demand(self) -> None:
         """Send this host's demand to the lease holder until cancelled."""
@@ -113,11 +117,19 @@
         reported_at = self.loading_reported_at.get((service, model), -math.inf)
         return boot_time() - reported_at < LOADING_LIFE_S
 
+    def load_left_s(self, service: str, model: str) -> float:
+        """Return the expected time until a model is loaded, 0 if unknown."""
+        due_at = self.load_due_at
+        if self.leadership.may_order_cached():
+            due_at = self.list_loading()
+        return max(0, due_at.get((service, model), 0) - boot_time())
+
     def expire(self, now: float) -> None:
         """Drop expired reports of loading models and expired demand."""
         for key, reported_at in list(self.loading_reported_at.items()):
             if now - reported_at >= LOADING_LIFE_S:
                 self.loading_reported_at.pop(key)
+                self.load_due_at.pop(key, None)
         self.demand.expire(now)
 
     def receive(self, message: Message) -> None:
@@ -137,6 +149,7 @@
             case LoadingMessage():
                 key = (message.service, message.model)
                 self.loading_reported_at[key] = boot_time()
+                self.load_due_at[key] = boot_time() + message.left_s
             case ResidentMessage():
                 self._receive_resident(message)
 
--- a/ebonywell/hostknowledge.py
+++ b/ebonywell/hostknowledge.py
@@ -40,7 +40,7 @@
         self.inventory = Inventory()
         self.board = LoadBoard()
         self.health = HealthTracker()
-        self.demand = HostDemand()
+        self.demand = HostDemand(load_s_of=self.load_s_of)
         self.fleet = FleetView(settings.name, self.board, settings.zone)
         self.limits = SharedLimits(settings.bounds.quota_window_s, self.fleet)
         self.limits.restart.note_start(boot_time())
@@ -53,6 +53,13 @@
             return None
         return configuration.engines.get(service)
 
+    def load_s_of(self, service: str, model: str) -> float:
+        """Return how long a load of a model takes, 0 if it is not listed."""
+        engine = self.engine_of(service)
+        if engine is None or model not in engine.models:
+            return 0
+        return engine.models[model].load_s
+
     def list_resumable_services(self) -> set[str]:
         """Return the services of routes whose streams may be resumed."""
         configuration = self.intake.configuration
--- a/ebonywell/modelservices.py
+++ b/ebonywell/modelservices.py
@@ -82,5 +82,7 @@
         link.has_holder,
         link.request_load,
         link.is_loading,
+        link.load_left_s,
+        known.engine_of,
     )
     return ModelServices(load_requests, link, provisioner)
--- a/ebonywell/overload.py
+++ b/ebonywell/overload.py
@@ -22,6 +22,9 @@
 LOAD_DECISION_S = 0.45
 # Approximate time for the order and the load of a model that no target holds.
 ABSENT_RETRY_S = 1.0
+# Part of the time between a load and the goal that a request may wait for the
+# load to begin. The rest covers the queue at the target.
+SPARE_WAIT_SHARE = 0.6
 
 
 def max_wait_s(goal_s: float, first_byte_timeout_s: float) -> float:
@@ -58,9 +61,14 @@
     first_byte_timeout_s: float,
     *,
     is_loading: bool,
+    spare_s: float = 0,
+    load_left_s: float = 0,
 ) -> float:
     """Return after how long the caller of an absent model should retry.
 
+    Engines carry out one load after the other, so where loads take seconds, a
+    request with a long goal is served if it waits for the load to begin.
+
     Parameters
     ----------
     waited_s : float
@@ -69,6 +77,10 @@
         Time after which the caller disconnects.
     is_loading : bool
         Whether the model is loading.
+    spare_s : float
+        Goal of the request less the time that a load takes.
+    load_left_s : float
+        Time until the model is loaded, 0 if unknown.
 
     Returns
     -------
@@ -77,5 +89,8 @@
     """
     longest_s = first_byte_timeout_s * MAX_WAIT_SHARE
     if not is_loading:
-        longest_s = min(longest_s, LOAD_DECISION_S)
-    return ABSENT_RETRY_S if waited_s >= longest_s else 0
+        patience_s = max(LOAD_DECISION_S, spare_s * SPARE_WAIT_SHARE)
+        longest_s = min(longest_s, patience_s)
+    if waited_s + load_left_s < longest_s:
+        return 0
+    return max(ABSENT_RETRY_S, load_left_s)
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -17,6 +17,7 @@
 from .loading import fits, load_s, reserved_adapter_bytes
 from .loadpace import LoadPace, LoadWindow
 from .logs import Logger
+from .modeldemand import ModelKey
 from .modelswaps import (
     MAX_SWAPS_PER_DECISION,
     Budget,
@@ -46,9 +47,12 @@
 LOAD_TIMEOUT_S = 6.0
 # Approximate duration of an unload of a model without requests in flight.
 UNLOAD_S = 0.05
-# An engine rejects an order while it executes the previous one; an unload of a
-# model in use takes a few of these pauses.
+# An engine rejects an order while it executes the previous one. An unload of a
+# model in use lasts until its streams have ended, so each pause is longer than
+# the one before. Without its load, the engine would stay without a model.
 BUSY_RETRY_GAP_S = 0.07
+BUSY_RETRY_GROWTH = 1.3
+MAX_BUSY_RETRY_GAP_S = 0.4
 BUSY_ATTEMPTS = 20
 # Pause after an order that was rejected or not answered, since the engine's
 # own reports lag by some hundred milliseconds.
@@ -141,8 +145,10 @@
             key = (request.service, request.model)
             self.adapters.demand.note_load_request(key, host, boot_time())
             self.wake_event.set()
-            if key in self.list_loading():
-                message = LoadingMessage(request.service, request.model)
+            due_at = self.list_loading().get(key)
+            if due_at is not None:
+                left_s = max(0, due_at - boot_time())
+                message = LoadingMessage(*key, left_s)
                 self.link.notify_hosts(message, (host,))
             return
         is_new = request not in self.adapters.waiting_hosts
@@ -150,17 +156,26 @@
         if is_new:
             self.task_group.start_soon(self.adapters.ensure_loaded, request)
 
-    def list_loading(self) -> tuple[tuple[str, str], ...]:
-        """Return the service and name of each model that is loading."""
+    def list_loading(self) -> dict[ModelKey, float]:
+        """Return when each model that is loading is expected to be loaded.
+
+        Returns
+        -------
+        dict of (str, str) to float
+            Keyed by service and model.
+        """
+        due_at: dict[ModelKey, float] = {}
         if not self.order_sender.leadership.may_order_cached():
-            return ()
-        pairs = {
-            (known.announcement.service, model)
-            for name, track in self.order_sender.tracks.items()
-            if (known := self.inventory.targets.get(name)) is not None
-            for model in track.loading
-        }
-        return tuple(pairs)
+            return due_at
+        for name, track in self.order_sender.tracks.items():
+            known = self.inventory.targets.get(name)
+            if known is None:
+                continue
+            for model in track.loading:
+                key = (known.announcement.service, model)
+                first_at = due_at.get(key, math.inf)
+                due_at[key] = min(first_at, track.load_due_at)
+        return due_at
 
     async def _decide_repeatedly(self) -> None:
         while True:
@@ -323,6 +338,7 @@
             return
         # Set before the task starts, since the next decision depends on it.
         track.is_busy = True
+        track.load_due_at = boot_time() + load_s(swap.load, known, engine)
         self.task_group.start_soon(
             self._execute_swap,
             swap,
@@ -398,6 +414,7 @@
         note_answer: NoteAnswer = _ignore_answer,
     ) -> bool:
         """Send an order, with retries until the previous one was executed."""
+        gap_s = BUSY_RETRY_GAP_S
         for _ in range(BUSY_ATTEMPTS):
             answer = await self.order_sender.order(known, track, action, model)
             note_answer(answer)
@@ -405,7 +422,8 @@
                 return True
             if answer not in _RETRYABLE:
                 return False
-            await anyio.sleep(BUSY_RETRY_GAP_S)
+            await anyio.sleep(gap_s)
+            gap_s = min(gap_s * BUSY_RETRY_GROWTH, MAX_BUSY_RETRY_GAP_S)
         return False
 
     async def _await_swap(
@@ -420,7 +438,9 @@
         behind others. The target's own report lags by some hundred
         milliseconds, so hosts are first notified when that time is over.
         """
-        await anyio.sleep(load_s(swap.load, known, engine))
+        duration_s = load_s(swap.load, known, engine)
+        self.order_sender.track(known).load_due_at = boot_time() + duration_s
+        await anyio.sleep(duration_s)
         known.add(swap.load, '')
         known.confirmed_at = boot_time()
         self.link.notify_hosts(resident_message(known), ())
