--- a/ebonywell/modelswaps.py
+++ b/ebonywell/modelswaps.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from itertools import islice
 from operator import itemgetter
+from types import MappingProxyType
 
 # Cost per unit of work that no engine serves. Such requests fail, whereas a
 # fully loaded engine only delays them.
@@ -48,6 +49,7 @@
 # Engine time of a typical request, in seconds, from the deployments' sheets.
 REQUEST_WORK_S = 0.12
 _NO_ENGINES: frozenset[str] = frozenset()
+_EQUAL_ENGINES: Mapping[str, float] = MappingProxyType({})
 
 
 @dataclass(slots=True)
@@ -87,7 +89,9 @@
     in_use : frozenset of str
         Models with requests in flight.
     load : float
-        Work assigned to the engine; 1.0 is its full capacity.
+        Share of the engine's time that its assigned work takes.
+    time_factor : float
+        Time that the engine takes for its work, relative to the others.
     """
 
     name: str
@@ -97,6 +101,7 @@
     is_busy: bool = False
     in_use: frozenset[str] = frozenset()
     load: float = 0
+    time_factor: float = 1
 
 
 @dataclass(slots=True, frozen=True)
@@ -152,6 +157,8 @@
         The engines by name.
     models : dict of str to ModelState
         The models by name.
+    factors : dict of str to float
+        Time factor of each engine.
     shares : dict of str to dict of str to float
         Assigned work by model and engine.
     engines_by_model : dict of str to set of str
@@ -165,6 +172,9 @@
         now: float,
     ) -> None:
         self.engines = {one.name: one for one in engines}
+        self.factors = {
+            one.name: one.time_factor for one in self.engines.values()
+        }
         self.models = {one.name: one for one in models}
         self.now = now
         self.shares: dict[str, dict[str, float]] = {}
@@ -195,14 +205,14 @@
     def _spread_demand(self, model: ModelState) -> None:
         """Reassign one model's demand so that its engines' loads even out."""
         for name, share in self.shares.pop(model.name, {}).items():
-            self.engines[name].load -= share
+            self.engines[name].load -= share * self.factors[name]
         loads = {
             engine_name: self.engines[engine_name].load
             for engine_name in self.engines_with(model.name)
         }
-        shares = spread_work(loads, model.demand)
+        shares = spread_work(loads, model.demand, self.factors)
         for engine_name, work in shares.items():
-            self.engines[engine_name].load += work
+            self.engines[engine_name].load += work * self.factors[engine_name]
         self.shares[model.name] = shares
 
     def _find_best(self, budget: Budget) -> SwapCandidate | None:
@@ -234,7 +244,8 @@
         if not shares:
             return UNSERVED_COST * model.demand
         return 2 * sum(
-            self.engines[name].load * share for name, share in shares.items()
+            self.engines[name].load * share * self.factors[name]
+            for name, share in shares.items()
         )
 
     def _candidates(
@@ -333,7 +344,7 @@
         for moved in changed:
             shares = self.shares[moved.name]
             for engine_name, share in shares.items():
-                loads[engine_name] -= share
+                loads[engine_name] -= share * self.factors[engine_name]
             if not shares:
                 before += UNSERVED_COST * moved.demand
         after = IN_USE_UNLOAD_COST * len(engine.in_use & set(unloads))
@@ -356,10 +367,12 @@
                 model.name
             )
         spread = spread_work(
-            {name: loads[name] for name in engine_names}, model.demand
+            {name: loads[name] for name in engine_names},
+            model.demand,
+            self.factors,
         )
         for engine_name, share in spread.items():
-            loads[engine_name] += share
+            loads[engine_name] += share * self.factors[engine_name]
         return 0
 
     def _apply(self, candidate: SwapCandidate, budget: Budget) -> None:
@@ -460,7 +473,11 @@
     return sum(load * load for load in loads.values())
 
 
-def spread_work(loads: Mapping[str, float], work: float) -> dict[str, float]:
+def spread_work(
+    loads: Mapping[str, float],
+    work: float,
+    factors: Mapping[str, float] = _EQUAL_ENGINES,
+) -> dict[str, float]:
     """Distribute work over engines so that their loads are as even as possible.
 
     Parameters
@@ -469,6 +486,8 @@
         Load of each engine without the work.
     work : float
         The work to distribute.
+    factors : mapping of str to float
+        Time that each engine takes for a unit of work; 1 if it is not listed.
 
     Returns
     -------
@@ -477,13 +496,20 @@
     """
     if not loads:
         return {}
-    ranked = [*sorted(loads.values()), float('inf')]
-    level = ranked[0]
+    ranked = sorted(loads, key=lambda name: loads[name])
+    bounds = [*(loads[name] for name in ranked[1:]), float('inf')]
+    level = loads[ranked[0]]
     left = work
-    for count, after in enumerate(ranked[1:], 1):
-        step = min(left, (after - level) * count)
-        level += step / count
+    # Work that raises the load of all engines below the level by one.
+    rate = 0.0
+    for name, after in zip(ranked, bounds, strict=True):
+        rate += 1 / factors.get(name, 1)
+        step = min(left, (after - level) * rate)
+        level += step / rate
         left -= step
         if left <= 0:
             break
-    return {name: max(0, level - before) for name, before in loads.items()}
+    return {
+        name: max(0, level - before) / factors.get(name, 1)
+        for name, before in loads.items()
+    }
--- a/tests/test_modelswaps.py
+++ b/tests/test_modelswaps.py
@@ -40,6 +40,26 @@
     assert spread_work({}, 1.0) == {}
 
 
+def test_a_slow_engine_gets_less_work_than_a_fast_one():
+    """Engines that took 1.7 times as long were loaded like all others."""
+    shares = spread_work({'a': 0.0, 'b': 0.0}, 1.0, {'a': 1.7, 'b': 0.7})
+    assert shares['a'] * 1.7 == pytest.approx(shares['b'] * 0.7)
+    assert sum(shares.values()) == pytest.approx(1)
+
+
+def test_a_model_on_a_slow_engine_gets_another_copy_sooner():
+    models = [model('busy', 0.7), model('idle')]
+    swaps = []
+    for factor in 1.0, 1.7:
+        slow = engine('a', ['busy'])
+        slow.time_factor = factor
+        spare = engine('b', ['idle'], cached=['busy'], free=70)
+        pool = EnginePool([slow, spare], models, NOW)
+        assert pool.engines['a'].load == pytest.approx(0.7 * factor)
+        swaps.append(pool._gain_bound(models[0]))
+    assert swaps[1] > swaps[0]
+
+
 def test_shares_of_the_work_sum_to_all_of_it():
     rng = random.Random(3)
     for _ in range(200):
