Place models by what their work costs and how fast each engine is

Cause: demand counted all models and engines alike. Change: demand is multiplied by the learned cost of its model, and an engine's load by its lasting time factor; work is spread so that times even out.

--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -285,8 +285,11 @@
         if request.workspace is not None:
             progress.refund = self.charge(request.workspace, request)
         if request.generation is not None:
+            now = boot_time()
+            model = request.generation.model
+            cost = self.selector.paces.cost(request.service, model, now)
             self.demand.count_request(
-                request.service, request.generation, boot_time()
+                request.service, request.generation, now, cost
             )
         while True:
             selected = await self._find_target(
--- a/ebonywell/modeldemand.py
+++ b/ebonywell/modeldemand.py
@@ -82,12 +82,26 @@
     load_s_of: Callable[[str, str], float] = lambda service, model: 0
 
     def count_request(
-        self, service: str, generation: Generation, now: float
+        self,
+        service: str,
+        generation: Generation,
+        now: float,
+        cost: float = 1,
     ) -> None:
-        """Add a request's work to the demand for its model."""
+        """Add a request's work to the demand for its model.
+
+        Parameters
+        ----------
+        service : str
+        generation : Generation
+        now : float
+        cost : float
+            Time that the model takes for its work, by that of a usual one.
+        """
         meter = self.meter(service, generation.model)
         meter.decay(now)
-        meter.work_ms += estimate_work_ms(generation) / meter.average_s
+        work_ms = cost * estimate_work_ms(generation)
+        meter.work_ms += work_ms / meter.average_s
         if generation.adapter:
             name = f'{generation.model}/{generation.adapter}'
             self.adapters[name] = now
--- a/ebonywell/modelservices.py
+++ b/ebonywell/modelservices.py
@@ -64,6 +64,7 @@
         lambda: known.intake.configuration,
         log,
         settings.bounds.load_window,
+        known.observations.paces,
     )
     link = HolderLink(
         settings.name,
--- a/ebonywell/modelswaps.py
+++ b/ebonywell/modelswaps.py
@@ -501,9 +501,9 @@
     level = loads[ranked[0]]
     left = work
     # Work that raises the load of all engines below the level by one.
-    rate = 0.0
-    for name, after in zip(ranked, bounds, strict=True):
-        rate += 1 / factors.get(name, 1)
+    rate: float = 0
+    for slowest, after in zip(ranked, bounds, strict=True):
+        rate += 1 / factors.get(slowest, 1)
         step = min(left, (after - level) * rate)
         level += step / rate
         left -= step
--- a/ebonywell/pace/pacebook.py
+++ b/ebonywell/pace/pacebook.py
@@ -181,6 +181,18 @@
             state.age_s(now) if state.percent else 0,
         )
 
+    def cost(self, service: str, model: str, now: float) -> float:
+        """Return the time for a model's work, by the starting value."""
+        known = self.services.get((service, not model))
+        if known is None:
+            return 1
+        return math.exp(self._log_cost(known, service, model, now))
+
+    def time_factor(self, target: str, now: float) -> float:
+        """Return a target's lasting factor, 1 if nothing is known of it."""
+        known = self.targets.get(target)
+        return 1 if known is None else math.exp(known.factor.log_at(now))
+
     def tokens_per_ms(
         self, service: str, model: str, target: str, now: float
     ) -> float | None:
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -30,6 +30,7 @@
 )
 from .ordering import ACCEPTED_ANSWERS, OrderSender, resident_message
 from .orders import Action
+from .pace.pacebook import PaceBook
 from .routetable import Configuration, EngineSpec
 
 # Longest interval between decisions; received demand is already a few hundred
@@ -93,13 +94,14 @@
         Returns the current configuration, None before the first.
     window : LoadWindow
         Window over which loads are counted.
+    paces : PaceBook
     link : Link
         Connection to the other hosts; set before `run`.
     requested_at : dict of str to float
         When each model was last requested.
     release_requests : dict of LoadRequest to float
         When each model was last requested at targets of one release.
-    paces : dict of str to LoadPace
+    load_paces : dict of str to LoadPace
         Limiters of loads from the weight store, by service.
     wake_event : anyio.Event
         Set to start the next decision early.
@@ -115,10 +117,11 @@
     configuration: Callable[[], Configuration | None]
     log: Logger
     window: LoadWindow = LoadWindow()
+    paces: PaceBook = field(default_factory=PaceBook)
     link: Link = field(init=False)
     requested_at: dict[str, float] = field(default_factory=dict)
     release_requests: dict[LoadRequest, float] = field(default_factory=dict)
-    paces: dict[str, LoadPace] = field(default_factory=dict)
+    load_paces: dict[str, LoadPace] = field(default_factory=dict)
     wake_event: anyio.Event = field(default_factory=anyio.Event)
     task_group: TaskGroup | None = None
     holder_since: float | None = None
@@ -196,7 +199,7 @@
         if is_holder == (self.holder_since is not None):
             return
         self.holder_since = boot_time() if is_holder else None
-        self.paces.clear()
+        self.load_paces.clear()
         self.log('orders_begin' if is_holder else 'orders_end')
 
     def _decide(self, *, only_cached: bool) -> None:
@@ -276,7 +279,7 @@
     def _pace(self, service: str) -> LoadPace:
         # The bucket starts empty, since the previous lease holder may have used
         # up what the window allows.
-        return self.paces.setdefault(
+        return self.load_paces.setdefault(
             service,
             LoadPace(self.window, boot_time()),
         )
@@ -325,6 +328,7 @@
             track.is_busy or rate is not None,
             frozenset(self.adapters.demand.models_in_use(known.name)),
             limited_load(rate),
+            self.paces.time_factor(known.name, now),
         )
 
     def _start_swap(
