--- a/ebonywell/modelservices.py
+++ b/ebonywell/modelservices.py
@@ -69,6 +69,7 @@
         lambda: known.intake.configuration,
         log,
         settings.bounds.load_window,
+        known.observations.paces,
     )
     link = HolderLink(
         settings.name,
@@ -87,5 +88,7 @@
         link.has_holder,
         link.request_load,
         link.is_loading,
+        link.load_left_s,
+        known.engine_of,
     )
     return ModelServices(load_requests, link, provisioner)
