Measure the longest pause of each stream

Callers count a stream with a pause over the route's gapAimMs as late, but no line said how long the pauses were or when they happened.

The times are taken where the bytes arrive from the target, so that neither a slow caller nor the host's own work between two reads counts. The pause between the targets of a resumed stream counts. request_ended says parts, longest_pause_s, longest_pause_after_s and pause_goal_s; stream_pauses_total{is_over_goal} counts streams of routes with a goal. The configuration's gapAimMs and stride are decoded.

Tests: test_stream_pauses, test_gateway, test_platform_formats and test_slow_streams pass.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -409,6 +409,8 @@
     ) -> Outcome:
         exchange = sending.connection.exchange
         assert exchange is not None
+        exchange.arrivals.take_up(progress.arrivals, request.route.pause_goal_s)
+        progress.arrivals = exchange.arrivals
         await self._note_begun(request, progress, sending)
         if not progress.is_started:
             progress.first_byte_s = boot_time() - request.received_at
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -10,6 +10,7 @@
 from .attempts import UNREACHABLE
 from .clock import boot_time
 from .crashguard import CRASHES_TARGETS, CrashGuard
+from .headroom.arrivals import count_pauses, describe_pauses
 from .inbound import AdmittedRequest, Charge, RejectionError, Responder
 from .intake import Intake, ReceivedRequest
 from .inventory import KnownTarget
@@ -451,6 +452,7 @@
             reason=outcome.reason,
         )
         self.metrics.observe('request_seconds', took_s)
+        count_pauses(self.metrics, progress.arrivals)
         generation = received.generation
         self.log(
             'request_ended',
@@ -466,6 +468,7 @@
             model=generation.model if generation else None,
             version=self.intake.version,
             stop_age_s=self.shutdown.age_s(received.received_at),
+            **describe_pauses(progress.arrivals),
         )
 
 
--- a/ebonywell/platform/catalog.py
+++ b/ebonywell/platform/catalog.py
@@ -44,6 +44,8 @@
     kind: str
     timeout_ms: float
     goal_ms: float = 1000
+    # Goal for the longest pause between two events of a stream; 0 for none.
+    gap_aim_ms: float = 0
     priority: int = 0
     service: str = ''
     split: tuple[_Split, ...] = ()
@@ -70,6 +72,8 @@
     weights_mb: float = 0
     adapter_slots: int = 0
     loads_per_s: float = 1
+    # Output tokens in one event of a stream.
+    stride: int = 1
     models: tuple[_Model, ...] = ()
 
 
@@ -164,6 +168,7 @@
         max(1, route.max_attempts),
         route.anonymous,
         kind is RequestKind.stream and route.allow_resume,
+        max(0, route.gap_aim_ms) * _MS,
     )
 
 
@@ -178,6 +183,7 @@
         engine.adapter_slots,
         engine.loads_per_s,
         {one.name: _translate_model(one) for one in engine.models},
+        max(1, engine.stride),
     )
     return Service(service.name, service.max_conns, spec)
 
--- a/ebonywell/progress.py
+++ b/ebonywell/progress.py
@@ -8,6 +8,7 @@
 from .blame import NO_TRAITS, Traits
 from .crashdetector import Breakage
 from .events import EventSplitter
+from .headroom.arrivals import Arrivals
 from .inbound import AdmittedRequest, Refund, RejectionError
 from .inventory import KnownTarget
 from .selection import Choice
@@ -125,6 +126,8 @@
         Release of the target that sent the first event.
     breakage : Breakage or None
         Set if the last attempt broke off, perhaps by a crash of its target.
+    arrivals : Arrivals or None
+        When the parts of the stream arrived; None before its head.
     """
 
     sends: int = 0
@@ -142,6 +145,7 @@
     trial: Traits = NO_TRAITS
     release: str | None = None
     breakage: Breakage | None = None
+    arrivals: Arrivals | None = None
 
     @property
     def may_run(self) -> bool:
--- a/ebonywell/routetable.py
+++ b/ebonywell/routetable.py
@@ -56,6 +56,9 @@
         Whether requests need no key.
     is_resumable : bool
         Whether a broken stream may be resumed on another target.
+    pause_goal_s : float
+        Goal for the longest pause between two events of a stream, in seconds;
+        0 for none.
     """
 
     name: str
@@ -69,6 +72,7 @@
     max_runs: int
     is_open: bool
     is_resumable: bool
+    pause_goal_s: float = 0
 
     @property
     def is_repeatable(self) -> bool:
@@ -128,6 +132,8 @@
     loads_per_s : float
         Loads per second that the weight store allows over all targets.
     models : dict of str to ModelSpec
+    tokens_per_event : int
+        Output tokens in one event of a stream.
     """
 
     slots: int
@@ -136,6 +142,7 @@
     adapter_slots: int
     loads_per_s: float
     models: dict[str, ModelSpec]
+    tokens_per_event: int = 1
 
 
 @dataclass(slots=True, frozen=True)
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -19,6 +19,7 @@
 
 from .clock import boot_time
 from .exceptions import TargetUnreachableError
+from .headroom.arrivals import Arrivals
 from .misc import bound_reads, split_address
 
 # 20 times the round trip and handshake to a distant availability zone.
@@ -129,6 +130,8 @@
     waiter : asyncio.Future or None
         Done when a part is added. A plain future, because each event of each
         stream waits for one.
+    arrivals : Arrivals
+        When the parts of the body arrived.
     """
 
     shared: PoolBuffers
@@ -140,10 +143,12 @@
     head: AnswerHead | None = None
     ending: Ending | None = None
     waiter: asyncio.Future[None] | None = None
+    arrivals: Arrivals = field(default_factory=Arrivals)
 
     def add_body(self, body: bytes) -> None:
         """Add a part of the body, to the last one if many are buffered."""
         self.count(len(body))
+        self.arrivals.note(boot_time())
         if len(self.parts) < MAX_SEPARATE_PARTS:
             self.add(body)
             return
@@ -277,6 +282,7 @@
             self._end(Ending.broken)
             self.close()
         if self.transport and self.buffers.is_full(exchange.buffered_bytes):
+            exchange.arrivals.is_suspended = True
             self.transport.pause_reading()
 
     def eof_received(self) -> bool:
