Weigh the pauses that a prompt causes when a target is chosen

A choice now also costs what the predicted pause exceeds the goal by, for each stream that runs at the target, and what the prompts that are read later do to the request's own stream. Requests have such terms where the service has a pause goal or several ranks; others are chosen as before.

Tests: test_pause_costs, test_request_decisions, test_gateway, test_cut_from_targets and test_platform_formats pass. The weight is chosen, not measured with engines.

--- a/ebonywell/headroom/__init__.py
+++ b/ebonywell/headroom/__init__.py
@@ -5,5 +5,6 @@
 there. A request that is admitted although it could be read later takes batch
 and memory from a more urgent one.
 
-`arrivals` measures the pauses of one stream.
+`arrivals` measures the pauses of one stream, `pauses` predicts those of a
+target's streams, and `terms` says which requests are judged by them.
 """
--- a/ebonywell/routetable.py
+++ b/ebonywell/routetable.py
@@ -3,7 +3,7 @@
 import enum
 import hashlib
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .urgency import UrgencyKey, assign_ranks
 
@@ -134,6 +134,11 @@
     models : dict of str to ModelSpec
     tokens_per_event : int
         Output tokens in one event of a stream.
+    pause_goal_s : float
+        Shortest goal of the service's routes for the longest pause of a
+        stream, in seconds; 0 for none.
+    ranks : tuple of int
+        Ranks of the requests that the service may get, the most urgent first.
     """
 
     slots: int
@@ -143,6 +148,13 @@
     loads_per_s: float
     models: dict[str, ModelSpec]
     tokens_per_event: int = 1
+    pause_goal_s: float = 0
+    ranks: tuple[int, ...] = ()
+
+    @property
+    def has_terms(self) -> bool:
+        """Whether requests must leave headroom; see `headroom`."""
+        return self.pause_goal_s > 0 or len(self.ranks) > 1
 
 
 @dataclass(slots=True, frozen=True)
@@ -265,7 +277,7 @@
             urgency_key(route, owner) for route in routes for owner in owners
         )
         self.engines = {
-            name: service.engine
+            name: self._describe_requests(service.engine, name)
             for name, service in self.services.items()
             if service.engine is not None
         }
@@ -299,3 +311,29 @@
         """Return the workspace that owns a key, None for an unknown key."""
         owner = self.key_owners.get(digest_key(key))
         return None if owner is None else self.workspaces.get(owner)
+
+    def _describe_requests(self, engine: EngineSpec, name: str) -> EngineSpec:
+        """Return an engine with the goals and ranks of its requests."""
+        routes = [
+            route
+            for named in self.routes.values()
+            for route in named.values()
+            if any(one.service == name for one in route.services)
+        ]
+        goals_s = [one.pause_goal_s for one in routes if one.pause_goal_s > 0]
+        ranks = {
+            self.rank_of(route, owner)
+            for route in routes
+            for owner in self._list_owners(route)
+        }
+        return replace(
+            engine,
+            pause_goal_s=min(goals_s, default=0),
+            ranks=tuple(sorted(ranks)),
+        )
+
+    def _list_owners(self, route: Route) -> list[WorkspaceLimit | None]:
+        """Return the workspaces that a route's requests may belong to."""
+        if route.is_open or not self.workspaces:
+            return [None]
+        return list(self.workspaces.values())
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -12,6 +12,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from .headroom.pauses import pause_cost_ms, predicted_pause_ms
+from .headroom.terms import Terms
 from .health import TargetHealth
 from .loadboard import TargetLoad
 from .urgency import tokens_ahead
@@ -125,9 +127,48 @@
     return busy_ms + FULL_SLOT_MS * max(0, full, crowded)
 
 
+def pace_of(candidate: Candidate) -> tuple[float, float]:
+    """Return a target's pace for a request.
+
+    Returns
+    -------
+    tokens_per_ms : float
+        Prompt tokens that it reads per millisecond.
+    step_ms : float
+        Duration of one decoding step.
+    """
+    return PROMPT_TOKENS_PER_MS, STEP_MS
+
+
+def estimate_pause_cost_ms(candidate: Candidate, terms: Terms) -> float:
+    """Return the cost of the pauses that a request causes and meets.
+
+    Its prompt lengthens the pauses of the streams that run at the target, and
+    the prompts that are read after its own lengthen those of its own stream.
+    """
+    tokens_per_ms, step_ms = pace_of(candidate)
+    load = candidate.load
+    waiting = sum(load.waiting_tokens.values())
+    later = waiting - tokens_ahead(load.waiting_tokens, candidate.rank)
+    caused_ms = predicted_pause_ms(
+        waiting,
+        candidate.new_tokens,
+        tokens_per_ms,
+        step_ms,
+        terms.tokens_per_event,
+    )
+    met_ms = predicted_pause_ms(
+        later, 0, tokens_per_ms, step_ms, terms.tokens_per_event
+    )
+    goal_ms = terms.pause_goal_ms
+    cost_ms = pause_cost_ms(caused_ms, goal_ms, load.running)
+    return cost_ms + pause_cost_ms(met_ms, goal_ms, 1)
+
+
 def choose(
     candidates: Sequence[Candidate],
     rng: random.Random,
+    terms: Terms | None = None,
 ) -> Choice | None:
     """Return the target with the least cost; near ties are broken at random."""
     best: Choice | None = None
@@ -141,6 +182,8 @@
             cost_ms += OTHER_ZONE_COST_MS
         if candidate.lacks_adapter:
             cost_ms += ADAPTER_COST_MS
+        if terms is not None and candidate.cache_tokens:
+            cost_ms += estimate_pause_cost_ms(candidate, terms)
         if cost_ms < least_ms:
             least_ms = cost_ms
             best = Choice(
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 
 from .clock import boot_time
+from .headroom.terms import Terms, make_terms
 from .health import HealthTracker
 from .inbound import AdmittedRequest, Generation
 from .inventory import Inventory, KnownTarget
@@ -21,6 +22,8 @@
 # Targets with a limit that a request may ask for, one after the other.
 MAX_CLAIMS = 3
 
+TermsOf = Callable[[AdmittedRequest, EngineSpec | None], Terms | None]
+
 
 @dataclass(slots=True)
 class TargetSelector:
@@ -37,6 +40,8 @@
     engine_of : callable
         Returns the engine capacity of a service, None for a plain service.
     limits : TargetLimits
+    terms_of : callable
+        Returns the terms of a request to a service with the given engines.
     """
 
     zone: str
@@ -48,6 +53,7 @@
     limits: TargetLimits
     log: Logger
     rng: random.Random
+    terms_of: TermsOf = make_terms
 
     def list_eligible(
         self,
@@ -252,7 +258,8 @@
         candidates = [
             self._describe(request, known, engine) for known in eligible
         ]
-        choice = choose(candidates, self.rng)
+        terms = self.terms_of(request, engine)
+        choice = choose(candidates, self.rng, terms)
         if choice is None:
             return None
         age_s = boot_time() - self.inventory.proven_at
