Hold requests until a target has headroom for their rank

Callers of urgent kinds were served less often than others: each host judged each request alone by 1.2 times its own goal, so that a kind with a long goal filled batches and memory, and kinds with tight goals were turned away.

A pure function says how much prompt work may wait at a target before a request: all of a pause goal for the most urgent rank, less for the others and for workspaces above their usual share of the recent work. A request for which no target has room, but one is due to have it in time, is held on its host, by rank, excess and end of its goal. Retry-After is spread over the time when room is due. Services with one rank and no pause goal are judged as before.

No run with engines yet; the reserves are chosen, not measured.

--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -11,6 +11,7 @@
 from .clock import boot_time
 from .crashguard import CRASHES_TARGETS, CrashGuard
 from .headroom.arrivals import count_pauses, describe_pauses
+from .headroom.gate import Gate
 from .inbound import AdmittedRequest, Charge, RejectionError, Responder
 from .intake import Intake, ReceivedRequest
 from .inventory import KnownTarget
@@ -100,6 +101,8 @@
         State of the host's planned stop.
     active : dict of int to ActiveRequest
         Requests in flight, by the identity of the request object.
+    gate : Gate or None
+        Holds requests until a target has headroom; None to hold none.
     """
 
     intake: Intake
@@ -114,6 +117,7 @@
     metrics: Metrics
     shutdown: Shutdown = field(default_factory=Shutdown)
     active: dict[int, ActiveRequest] = field(default_factory=dict)
+    gate: Gate | None = None
 
     async def serve(
         self,
@@ -329,6 +333,8 @@
             If no target can answer the request in time.
         """
         await self._request_adapter(request)
+        if self.gate and not is_trial and request.release is None:
+            await self.gate.wait_for_room(request)
         selected = await self.selector.reserve(
             request, set(), is_trial=is_trial
         )
@@ -445,6 +451,8 @@
         progress: Progress,
         outcome: Outcome,
     ) -> None:
+        if self.gate is not None:
+            self.gate.note_ended()
         took_s = boot_time() - received.received_at
         self.metrics.count(
             'requests_total',
--- a/ebonywell/headroom/__init__.py
+++ b/ebonywell/headroom/__init__.py
@@ -5,6 +5,13 @@
 there. A request that is admitted although it could be read later takes batch
 and memory from a more urgent one.
 
-`arrivals` measures the pauses of one stream, `pauses` predicts those of a
-target's streams, and `terms` says which requests are judged by them.
+- `arrivals` measures the pauses of one stream, and `pauses` predicts those of a
+  target's streams.
+- `terms` says which requests must leave headroom, and how much.
+- `room` holds the decisions: how much prompt work may wait at a target for each
+  rank, what a target lacks, and whether a request is admitted, held or
+  rejected.
+- `fairness` finds workspaces that are above their usual share of the work.
+- `holding` keeps the held requests of a host, `gate` runs them, and
+  `retrytimes` says when those that were turned away should return.
 """
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from .headroom.pauses import pause_cost_ms, predicted_pause_ms
+from .headroom.room import Shortage, TargetWork, find_shortage
 from .headroom.terms import Terms
 from .health import TargetHealth
 from .loadboard import TargetLoad
@@ -45,6 +46,8 @@
 # share of the cache counts as usable.
 MAX_CACHE_SHARE = 0.92
 MS_PER_S = 1000.0
+# Cost of a target without headroom, which is chosen only if no other has any.
+NO_ROOM_COST_MS = 10000.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -100,6 +103,8 @@
         Load and health of the target at the time of the choice.
     proof_age_s : float
         Age of the proof that all announcements of targets were known.
+    shortage : Shortage
+        What the target lacks for the request; see `headroom`.
     """
 
     name: str
@@ -107,6 +112,7 @@
     wait_s: float
     candidate: Candidate
     proof_age_s: float = 0
+    shortage: Shortage = Shortage()
 
 
 def estimate_first_byte_ms(candidate: Candidate) -> float:
@@ -165,6 +171,21 @@
     return cost_ms + pause_cost_ms(met_ms, goal_ms, 1)
 
 
+def estimate_shortage(candidate: Candidate, terms: Terms) -> Shortage:
+    """Return what a target lacks for a request."""
+    tokens_per_ms, _ = pace_of(candidate)
+    load = candidate.load
+    ahead = tokens_ahead(load.waiting_tokens, candidate.rank)
+    work = TargetWork(
+        ahead / tokens_per_ms,
+        load.in_flight,
+        candidate.slots,
+        load.held_tokens + candidate.total_tokens,
+        candidate.cache_tokens,
+    )
+    return find_shortage(work, terms.room_ms, terms.reserve)
+
+
 def choose(
     candidates: Sequence[Candidate],
     rng: random.Random,
@@ -178,12 +199,16 @@
         wait_ms = expected_ms * candidate.health.slowness
         cost_ms = wait_ms + candidate.health.failure_share * FAILURE_COST_MS
         cost_ms += rng.uniform(0, SPREAD_MS)
+        shortage = Shortage()
         if not candidate.is_same_zone:
             cost_ms += OTHER_ZONE_COST_MS
         if candidate.lacks_adapter:
             cost_ms += ADAPTER_COST_MS
         if terms is not None and candidate.cache_tokens:
             cost_ms += estimate_pause_cost_ms(candidate, terms)
+            shortage = estimate_shortage(candidate, terms)
+            if shortage.due_ms:
+                cost_ms += NO_ROOM_COST_MS
         if cost_ms < least_ms:
             least_ms = cost_ms
             best = Choice(
@@ -191,5 +216,6 @@
                 expected_ms / MS_PER_S,
                 wait_ms / MS_PER_S,
                 candidate,
+                shortage=shortage,
             )
     return best
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from .clock import boot_time
-from .headroom.terms import Terms, make_terms
+from .headroom.terms import TermsOf, plain_terms
 from .health import HealthTracker
 from .inbound import AdmittedRequest, Generation
 from .inventory import Inventory, KnownTarget
@@ -22,8 +22,6 @@
 # Targets with a limit that a request may ask for, one after the other.
 MAX_CLAIMS = 3
 
-TermsOf = Callable[[AdmittedRequest, EngineSpec | None], Terms | None]
-
 
 @dataclass(slots=True)
 class TargetSelector:
@@ -53,7 +51,7 @@
     limits: TargetLimits
     log: Logger
     rng: random.Random
-    terms_of: TermsOf = make_terms
+    terms_of: TermsOf = plain_terms
 
     def list_eligible(
         self,
--- a/tests/test_pause_costs.py
+++ b/tests/test_pause_costs.py
@@ -28,7 +28,7 @@
 )
 from ebonywell.selection import Candidate, choose
 
-TERMS = Terms(400, 4)
+TERMS = Terms(400, 4, 10**6)
 
 
 def candidate(name, waiting=0, running=0, rank=0, waiting_rank=0):
@@ -130,20 +130,21 @@
 
 
 @pytest.mark.parametrize(
-    ('routes', 'terms'),
+    ('routes', 'pause_goal_ms'),
     [
         ([make_route('a')], None),
-        ([make_route('a', 0, 0.3)], Terms(300, 3)),
-        ([make_route('a'), make_route('b', 1)], Terms(0, 3)),
+        ([make_route('a', 0, 0.3)], 300),
+        ([make_route('a'), make_route('b', 1)], 0),
     ],
 )
-def test_terms_need_a_pause_goal_or_several_ranks(routes, terms):
+def test_terms_need_a_pause_goal_or_several_ranks(routes, pause_goal_ms):
     """Requests to other services must be judged as before."""
     engine = make_configuration(*routes).engines['s']
     request = AdmittedRequest(
         'id', 'POST', b'/', (), b'', routes[0], 's', None, Generation('m'),
         0, 4,
     )  # fmt: skip
-    assert make_terms(request, engine) == terms
-    assert make_terms(replace(request, generation=None), engine) is None
-    assert make_terms(request, None) is None
+    terms = make_terms(request, engine, 0)
+    assert (terms and terms.pause_goal_ms) == pause_goal_ms
+    assert make_terms(replace(request, generation=None), engine, 0) is None
+    assert make_terms(request, None, 0) is None
