--- a/ebonywell/loadrequests.py
+++ b/ebonywell/loadrequests.py
@@ -96,7 +96,7 @@
             return 0
         if generation.model not in engine.models:
             return 0
-        targets = self.inventory.of_service(call.service)
+        targets = self.inventory.list_open(call.service)
         times = [load_s(generation.model, known, engine) for known in targets]
         return min(times, default=engine.models[generation.model].load_s)
 
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -12,6 +12,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from .headroom.pauses import pause_cost_ms, predicted_pause_ms
+from .headroom.room import Shortage, TargetWork, find_shortage
+from .headroom.terms import Terms
 from .health import TargetHealth
 from .loadboard import TargetLoad
 from .pace.paces import Pace
@@ -44,6 +47,8 @@
 # share of the cache counts as usable.
 MAX_CACHE_SHARE = 0.92
 MS_PER_S = 1000.0
+# Cost of a target without headroom, which is chosen only if no other has any.
+NO_ROOM_COST_MS = 10000.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -114,6 +119,8 @@
         Load and health of the target at the time of the choice.
     proof_age_s : float
         Age of the proof that all announcements of targets were known.
+    shortage : Shortage
+        What the target lacks for the request; see `headroom`.
     """
 
     name: str
@@ -121,6 +128,7 @@
     wait_s: float
     candidate: Candidate
     proof_age_s: float = 0
+    shortage: Shortage = Shortage()
 
 
 def estimate_first_byte_ms(candidate: Candidate) -> float:
@@ -158,9 +166,66 @@
     return FULL_SLOT_MS * max(0, full, crowded)
 
 
+def pace_of(candidate: Candidate) -> tuple[float, float]:
+    """Return a target's pace for a request.
+
+    Returns
+    -------
+    tokens_per_ms : float
+        Prompt tokens that it reads per millisecond, as waiting ones count.
+    step_ms : float
+        Duration of one decoding step.
+    """
+    pace = candidate.pace
+    if pace is None:
+        return PROMPT_TOKENS_PER_MS, STEP_MS
+    return pace.ahead_tokens_per_ms, pace.step_ms
+
+
+def estimate_pause_cost_ms(candidate: Candidate, terms: Terms) -> float:
+    """Return the cost of the pauses that a request causes and meets.
+
+    Its prompt lengthens the pauses of the streams that run at the target, and
+    the prompts that are read after its own lengthen those of its own stream.
+    """
+    tokens_per_ms, step_ms = pace_of(candidate)
+    load = candidate.load
+    waiting = sum(load.waiting_tokens.values())
+    later = waiting - tokens_ahead(load.waiting_tokens, candidate.rank)
+    caused_ms = predicted_pause_ms(
+        waiting,
+        candidate.usual_tokens,
+        tokens_per_ms,
+        step_ms,
+        terms.tokens_per_event,
+    )
+    met_ms = predicted_pause_ms(
+        later, 0, tokens_per_ms, step_ms, terms.tokens_per_event
+    )
+    goal_ms = terms.pause_goal_ms
+    cost_ms = pause_cost_ms(caused_ms, goal_ms, load.running)
+    return cost_ms + pause_cost_ms(met_ms, goal_ms, 1)
+
+
+def estimate_shortage(candidate: Candidate, terms: Terms) -> Shortage:
+    """Return what a target lacks for a request."""
+    tokens_per_ms, _ = pace_of(candidate)
+    load = candidate.load
+    ahead = tokens_ahead(load.waiting_tokens, candidate.rank)
+    work = TargetWork(
+        ahead / tokens_per_ms,
+        load.in_flight,
+        candidate.slots,
+        load.held_tokens + candidate.total_tokens,
+        candidate.cache_tokens,
+    )
+    return find_shortage(work, terms.room_ms, terms.reserve)
+
+
 def choose(
     candidates: Sequence[Candidate],
     rng: random.Random,
+    terms: Terms | None = None,
 ) -> Choice | None:
     """Return the target with the least cost; near ties are broken at random."""
     best: Choice | None = None
@@ -170,10 +235,16 @@
         wait_ms = expected_ms * candidate.slowness
         cost_ms = wait_ms + candidate.health.failure_share * FAILURE_COST_MS
         cost_ms += rng.uniform(0, SPREAD_MS)
+        shortage = Shortage()
         if not candidate.is_same_zone:
             cost_ms += OTHER_ZONE_COST_MS
         if candidate.lacks_adapter:
             cost_ms += ADAPTER_COST_MS
+        if terms is not None and candidate.cache_tokens:
+            cost_ms += estimate_pause_cost_ms(candidate, terms)
+            shortage = estimate_shortage(candidate, terms)
+            if shortage.due_ms:
+                cost_ms += NO_ROOM_COST_MS
         if cost_ms < least_ms:
             least_ms = cost_ms
             best = Choice(
@@ -181,5 +252,6 @@
                 expected_ms / MS_PER_S,
                 wait_ms / MS_PER_S,
                 candidate,
+                shortage=shortage,
             )
     return best
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from .clock import boot_time
+from .headroom.terms import TermsOf, plain_terms
 from .health import HealthTracker
 from .inbound import AdmittedRequest, Generation
 from .inventory import Inventory, KnownTarget
@@ -39,6 +40,8 @@
         Returns the engine capacity of a service, None for a plain service.
     limits : TargetLimits
     paces : PaceBook
+    terms_of : callable
+        Returns the terms of a request to a service with the given engines.
     """
 
     zone: str
@@ -51,6 +54,7 @@
     log: Logger
     rng: random.Random
     paces: PaceBook = field(default_factory=PaceBook)
+    terms_of: TermsOf = plain_terms
 
     def list_eligible(
         self,
@@ -269,7 +273,8 @@
         candidates = [
             self._describe(request, known, engine) for known in eligible
         ]
-        choice = choose(candidates, self.rng)
+        terms = self.terms_of(request, engine)
+        choice = choose(candidates, self.rng, terms)
         if choice is None:
             return None
         age_s = boot_time() - self.inventory.proven_at
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -8,6 +8,7 @@
 
 from ebonywell.gateway import Gateway
 from ebonywell.inbound import AdmittedRequest, Generation, RejectionError
+from ebonywell.inventory import Inventory
 from ebonywell.loadrequests import ORDER_READY_S, LoadRequests
 from ebonywell.modeldemand import AVERAGE_S, HostDemand
 from ebonywell.overload import (
