--- a/ebonywell/pace/pacebook.py
+++ b/ebonywell/pace/pacebook.py
@@ -226,15 +226,15 @@
         percent = observation.machine_percent
         key = (observation.service, not observation.model)
         service = self.services.get(key)
-        if percent:
-            if service is None and len(self.services) < MAX_SERVICES:
-                service = ServicePace(
-                    new_factor(SERVICE_DEVIATION, now),
-                    new_factor(STEP_DEVIATION, now),
-                )
-                self.services[key] = service
-            if service is not None:
-                service.machines.note(percent)
+        is_learned = bool(percent or observation.model)
+        if is_learned and service is None and len(self.services) < MAX_SERVICES:
+            service = ServicePace(
+                new_factor(SERVICE_DEVIATION, now),
+                new_factor(STEP_DEVIATION, now),
+            )
+            self.services[key] = service
+        if percent and service is not None:
+            service.machines.note(percent)
             target.machine.note(percent, now)
         return service
 
