--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -328,7 +328,7 @@
             track.is_busy or rate is not None,
             frozenset(self.adapters.demand.models_in_use(known.name)),
             limited_load(rate),
-            self.paces.time_factor(known.name, now),
+            self.paces.time_factor(known.announcement.service, known.name, now),
         )
 
     def _start_swap(
