Read streams on from targets while their callers read slowly

Seen: a caller that does not read its stream keeps the slot and the memory of its target until its deadline. A stream whose caller had been behind and has caught up gets a 503 in its middle when memory is short. Cause: the application waits for the caller at 16 KB, and the target with it. The memory of a connection that is cut was counted until the next turn of the event loop, and that of one that has caught up until its next request. Change: streams are held back on the caller's connection, up to 1 MiB and within the memory for all connections. Beyond that memory the caller whose oldest unread byte has waited longest is cut. A caller is also cut if its target has to wait for 2 s, or if the rest is not read 30 s after the end. Requests sent ahead wait until the answer before them is read.

--- a/ebonywell/callerconnection.py
+++ b/ebonywell/callerconnection.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
 
@@ -12,35 +11,13 @@
 from .requestprogress import Stage
 from .serialconnection import SerialConnection, encode_rejection
 
-# Unsent bytes of an answer beyond which its target has to wait.
+# Unsent bytes of an answer beyond which its caller is behind with reading. What
+# follows of a stream is held back then; any other answer has to wait.
 MAX_UNSENT_BYTES = 16_384
 # A caller that gets 503 for lack of memory should retry after this time.
 MEMORY_RETRY_S = 1.0
 
 
-@dataclass(slots=True)
-class Unsent:
-    """What a caller has not read of an answer, once it fell behind.
-
-    Attributes
-    ----------
-    size : int
-        In bytes; 0 while the caller keeps up.
-    moved_at : float
-        When the caller last read some of it, in seconds.
-    """
-
-    size: int = 0
-    moved_at: float = 0
-
-    def is_stalled(self, size: int, now: float, timeout_s: float) -> bool:
-        """Return whether the caller has read nothing for too long."""
-        if size < self.size:
-            self.size = size
-            self.moved_at = now
-        return now - self.moved_at > timeout_s
-
-
 class CallerConnection(SerialConnection):
     """A connection of a caller.
 
@@ -48,14 +25,15 @@
     ----------
     callers : Callers
     holding : Holding
-    unsent : Unsent
+    noted_unread_bytes : int
+        Bytes of answers that `holding` counts.
     """
 
     def __init__(self, callers: Callers, config: Config, **server: Any) -> None:
         super().__init__(config, **server)
         self.callers = callers
         self.holding = callers.memory.open(self.give_up)
-        self.unsent = Unsent()
+        self.noted_unread_bytes = 0
 
     @property
     def waits_since(self) -> float | None:
@@ -71,6 +49,7 @@
         """Bound the unsent bytes, and the number of connections."""
         super().connection_made(transport)
         transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
+        self.output.note_held = self._note_kept
         self.callers.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -80,16 +59,25 @@
         self.callers.memory.close(self.holding)
 
     def pause_writing(self) -> None:
-        """Note that the caller falls behind with reading."""
-        super().pause_writing()
-        self.unsent.size = self.transport.get_write_buffer_size()
-        self.unsent.moved_at = self.loop.time()
+        """Note that the caller falls behind with reading.
+
+        What follows of a stream is held back; other answers wait.
+        """
+        self.output.block()
+        if not self.output.is_streaming:
+            super().pause_writing()
         self._note_kept()
 
     def resume_writing(self) -> None:
-        """Note that the caller has caught up."""
-        super().resume_writing()
-        self.unsent.size = 0
+        """Send what was held back, or note that the caller has caught up."""
+        output = self.output
+        output.unblock()
+        is_free = not output.state.is_blocked
+        if is_free or (output.is_streaming and not output.backlog.is_full):
+            super().resume_writing()
+        self._note_kept()
+        if not output.backlog.is_behind:
+            self.parse()
 
     # Called by the parser and `SerialConnection`
 
@@ -123,23 +111,32 @@
     def check(self, now: float) -> None:
         """End the connection if its caller takes too long."""
         limits = self.callers.limits()
-        if self.unsent.size:
-            size = self.transport.get_write_buffer_size()
-            if self.unsent.is_stalled(size, now, limits.idle_timeout_s):
-                self.cut('answer_unread')
-        elif self.output.is_closing():
+        reason = self.output.find_fault(
+            now, limits.idle_timeout_s, is_paused=self.flow.write_paused
+        )
+        if reason:
+            self.cut(reason)
+            return
+        is_behind = self.output.backlog.is_behind
+        if is_behind or self.output.unread_bytes != self.noted_unread_bytes:
+            self._note_kept()
+        if not is_behind and self.output.is_closing():
             self.output.check(now, limits.idle_timeout_s)
-        else:
+        elif not is_behind:
             self._check_overdue(self.progress.find_overdue(now, limits))
 
     def cut(self, reason: str) -> None:
-        """End the connection at once."""
+        """End the connection at once and free its memory."""
         self._report(reason)
+        if self.output.state.is_stream and self.output.backlog.is_behind:
+            self.callers.count('slow_streams_cut_total', reason=reason)
         self.transport.abort()
+        self.output.discard()
+        self.callers.memory.close(self.holding)
 
     def give_up(self) -> None:
         """End what the connection is doing and free its memory."""
-        if self.unsent.size:
+        if self.output.backlog.is_behind:
             self.cut('memory_full')
             return
         retry_after = b'retry-after: %.3f' % MEMORY_RETRY_S
@@ -163,7 +160,12 @@
             self.reject(HTTPStatus.REQUEST_TIMEOUT, reason)
 
     def _note_kept(self) -> None:
-        kept_bytes = self.unsent.size
+        """Count what the connection keeps; let a full stream's target wait."""
+        if self.output.is_streaming and self.output.backlog.is_full:
+            self.flow.pause_writing()
+        self.noted_unread_bytes = self.output.unread_bytes
+        kept_bytes = self.noted_unread_bytes
+        unread_since = self.output.backlog.unread_since
         is_closing = self.output.is_closing()
         if not is_closing:
             kept_bytes += self.progress.count_kept(len(self.headers or ()))
@@ -171,12 +173,15 @@
         self.callers.memory.update(
             self.holding,
             kept_bytes,
-            is_optional=self.unsent.size > 0
+            is_optional=unread_since is not None
             or (is_unfinished and not is_closing),
+            unread_since=unread_since,
         )
 
     def _report(self, reason: str, status: int | None = None) -> None:
         progress = self.progress
+        now = self.loop.time()
+        unread_since = self.output.backlog.unread_since
         request_id = dict(self.headers or ()).get(
             self.callers.request_id_header, b''
         )
@@ -191,8 +196,9 @@
             port=self.server and self.server[1],
             head_bytes=progress.head_bytes or progress.framing_bytes,
             body_bytes=progress.body_bytes,
-            unsent_bytes=self.unsent.size,
-            age_s=self.loop.time() - progress.since,
+            unsent_bytes=self.output.unread_bytes,
+            behind_s=None if unread_since is None else now - unread_since,
+            age_s=now - progress.since,
             kept_bytes=self.callers.memory.total_bytes,
         )
 
--- a/ebonywell/callermemory.py
+++ b/ebonywell/callermemory.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .slowcallers.victims import select_victim
+
 # Memory for callers' connections if the limit of the process is not known.
 DEFAULT_MEMORY_BYTES = 67_108_864
 # Share of the process's memory limit that callers' connections may take. The
@@ -26,11 +28,15 @@
     is_optional : bool
         Whether it may be given up: its request is still being received, or its
         answer is not read.
+    unread_since : float or None
+        When the oldest byte was written that its caller has not read, in
+        seconds; None if its caller is not behind with reading.
     """
 
     give_up: Callable[[], None]
     kept_bytes: int = 0
     is_optional: bool = False
+    unread_since: float | None = None
 
 
 class CallerMemory:
@@ -63,34 +69,43 @@
         self.holdings.discard(holding)
 
     def update(
-        self, holding: Holding, kept_bytes: int, *, is_optional: bool
+        self,
+        holding: Holding,
+        kept_bytes: int,
+        *,
+        is_optional: bool,
+        unread_since: float | None = None,
     ) -> None:
         """Note what a connection takes now.
 
-        If all connections together take too much, the largest that may be given
-        up is given up. Requests that were received whole are kept.
+        If all connections together take too much, some are given up; see
+        `select_victim`. Requests that were received whole are kept.
         """
         if holding not in self.holdings:
             return
         added = kept_bytes - holding.kept_bytes
         holding.kept_bytes = kept_bytes
         holding.is_optional = is_optional
+        holding.unread_since = unread_since
         self.total_bytes += added
         if added > 0 and self.total_bytes > self.max_bytes:
             self._reclaim()
 
+    def list_behind(self) -> list[Holding]:
+        """Return the connections whose callers are behind with reading."""
+        return [one for one in self.holdings if one.unread_since is not None]
+
     def _reclaim(self) -> None:
         while self.total_bytes > self.max_bytes:
-            optional = [
+            victim = select_victim(
                 one
                 for one in self.holdings
                 if one.is_optional and one.kept_bytes
-            ]
-            if not optional:
+            )
+            if victim is None:
                 return
-            largest = max(optional, key=lambda one: one.kept_bytes)
-            largest.is_optional = False
-            largest.give_up()
+            victim.is_optional = False
+            victim.give_up()
 
 
 def callers_memory_bytes(process_bytes: int) -> int:
--- a/ebonywell/hostgauges.py
+++ b/ebonywell/hostgauges.py
@@ -85,5 +85,10 @@
     def collect_callers(sink: Metrics) -> None:
         sink.gauge('caller_connections', len(callers.connections))
         sink.gauge('caller_memory_bytes', callers.memory.total_bytes)
+        behind = callers.memory.list_behind()
+        sink.gauge('callers_behind', len(behind))
+        sink.gauge(
+            'callers_behind_bytes', sum(one.kept_bytes for one in behind)
+        )
 
     metrics.collectors.append(collect_callers)
--- a/ebonywell/platform/app.py
+++ b/ebonywell/platform/app.py
@@ -14,6 +14,7 @@
 from ..metrics import Metrics
 from ..misc import split_address
 from ..server import Message, Receive, Send, close_when_stopping
+from ..slowcallers.streamsends import note_streams
 from . import ingress
 
 METRICS_PATH = '/metrics'
@@ -111,7 +112,7 @@
             return
         request = ingress.parse_request(scope, body, received_at)
         guarded = close_when_stopping(
-            send,
+            note_streams(scope, send),
             lambda: request.has_unread_body or self.is_stopping(),
         )
 
--- a/ebonywell/serialconnection.py
+++ b/ebonywell/serialconnection.py
@@ -7,10 +7,12 @@
 from uvicorn.config import Config
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from .answertransport import AnswerTransport, ReadGate
+from .answertransport import ReadGate
 from .misc import bound_reads
 from .requestprogress import RequestProgress, Stage
 from .requestsplitter import RequestSplitter, stated_length
+from .slowcallers.heldanswers import HoldingTransport
+from .slowcallers.streamsends import EXTENSION
 
 
 class SerialConnection(HttpToolsProtocol):
@@ -24,7 +26,7 @@
     progress : RequestProgress
     splitter : RequestSplitter
     flow : ReadGate
-    output : AnswerTransport
+    output : HoldingTransport
     keeps_alive : bool
         Whether the connection stays open after the answer, if the request has
         been received whole by then.
@@ -48,13 +50,19 @@
         # What is read at once is the most that is kept of later requests.
         bound_reads(transport)
         self.flow = ReadGate(transport)
-        self.output = AnswerTransport(transport, self.progress)
+        self.output = HoldingTransport(transport, self.progress, self.loop.time)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drop what would keep the request in memory."""
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
-        self._drop_head()
+        _drop_head(self)
+        self.output.discard()
+
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Return whether an answer is still to be sent."""
+        super().eof_received()
+        return self.output.end_reading()
 
     def data_received(self, data: bytes) -> None:
         """Parse the bytes up to the end of the request that they belong to."""
@@ -70,6 +78,10 @@
         """Begin a request."""
         super().on_message_begin()
         self.progress.begin_head(self.loop.time())
+        self.output.begin_request()
+        self.scope['extensions'] = {
+            EXTENSION: self.output.begin_stream  # type: ignore[dict-item]
+        }
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Keep a header; trailers are dropped."""
@@ -108,6 +120,7 @@
 
     def on_response_complete(self) -> None:
         """Go on with the request that follows."""
+        self.output.end_answer()
         self.progress.enter(Stage.idle, self.loop.time())
         super().on_response_complete()
         self.parse()
@@ -115,10 +128,12 @@
     def shutdown(self) -> None:
         """Close the connection as soon as it has no request."""
         self.keeps_alive = False
-        if self.output.is_closing():
-            self.transport.close()
-        else:
+        if self.output.holds_back and self.output.state.is_ended:
+            self.output.close()
+        elif self.output.holds_back or not self.output.is_closing():
             super().shutdown()
+        else:
+            self.transport.close()
 
     # For subclasses
 
@@ -144,10 +159,10 @@
             progress.unparsed = b''
         if progress.stage is Stage.body and not progress.framing_bytes:
             progress.moved_at = self.loop.time()
-        is_waiting = progress.stage is Stage.answering and bool(
-            progress.unparsed
+        is_busy = (
+            progress.stage is Stage.answering or self.output.backlog.is_behind
         )
-        self.flow.set_shut(is_shut=is_waiting)
+        self.flow.set_shut(is_shut=is_busy and bool(progress.unparsed))
 
     def answer_early(self, answer: bytes) -> None:
         """Answer a request that was not received whole, and close."""
@@ -161,14 +176,9 @@
         else:
             self.output.write(answer)
             self.output.close()
-        self._drop_head()
+        _drop_head(self)
         self.settle()
 
-    def _drop_head(self) -> None:
-        self.headers = []
-        # The scope holds the same headers.
-        self.scope = None  # type: ignore[assignment]
-
 
 def encode_rejection(
     status: HTTPStatus, headers: tuple[bytes, ...], body: bytes
@@ -193,6 +203,14 @@
     return b'\r\n'.join(lines)
 
 
+def _drop_head(connection: SerialConnection) -> None:
+    connection.headers = []
+    # The scope holds the same headers.
+    connection.scope = None  # type: ignore[assignment]
+
+
 def _may_parse(connection: SerialConnection) -> bool:
-    is_free = connection.progress.stage is not Stage.answering
-    return is_free and not connection.output.is_closing()
+    output = connection.output
+    is_answering = connection.progress.stage is Stage.answering
+    is_busy = is_answering or output.backlog.is_behind
+    return not is_busy and not output.is_closing()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -208,7 +208,9 @@
     def log(self, event, **fields):
         self.lines.append((event, fields))
 
-    def run(self, scenario):
+    def run(self, scenario, stopping=None):
+        """Run a scenario; stop after it, or once `stopping` is set."""
+
         async def main():
             listener = server.bind('127.0.0.1:0')
             web = server.Server(server.server_config(self.app, self.callers))
@@ -216,8 +218,12 @@
             async with asyncio.timeout(20):
                 while not web.started:
                     await asyncio.sleep(0.01)
-                await scenario(listener.getsockname())
+                running = asyncio.ensure_future(
+                    scenario(listener.getsockname())
+                )
+                await (stopping.wait() if stopping else running)
                 web.should_exit = True
+                await running
                 await serving
 
         asyncio.run(main())
@@ -296,6 +302,9 @@
             while len(door.lines) < 4:
                 await asyncio.sleep(0.05)
             assert door.callers.memory.total_bytes <= 100_000_000
+            # Guards against cutting all of them for one that is too many.
+            await asyncio.sleep(0.3)
+            assert len(door.lines) < 6
 
     door = Door(memory=CallerMemory(100_000_000))
     door.body = b'x' * 30_000_000
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -64,7 +64,12 @@
     table = PAGE[begin : PAGE.index('## Events')]
     texts = [
         (ROOT / f'ebonywell/{name}.py').read_text()
-        for name in ('callerconnection', 'callers', 'requestprogress')
+        for name in (
+            'callerconnection',
+            'callers',
+            'requestprogress',
+            'slowcallers/backlog',
+        )
     ]
     reasons = set(
         re.findall(
@@ -74,6 +79,6 @@
         )
     )
     named = {one for pair in reasons for one in pair if one}
-    assert len(named) > 7
+    assert len(named) > 9
     for reason in named - {'idle'}:
         assert reason in table, reason
