Say where a request would go now, and why

Seen: why a host sends a request to one target and not to another shows only in the log line of a request that was sent. Change: `ebonywell where` asks a running host on its metrics port, from the host itself. The answer is made by the selector that serves requests; for it, `TargetSelector.describe_all` is split off `_select_from`.

--- a/ebonywell/cmdline.py
+++ b/ebonywell/cmdline.py
@@ -12,6 +12,7 @@
 from .platform.deployfile import check_deploy
 from .platform.settings import check_settings
 from .version import __version__
+from .where.commands import ask_where
 
 EXIT_USAGE = 2
 
@@ -24,6 +25,7 @@
 opcommands.register(app)
 config_app = App(name='config', help='Check configuration files.')
 app.command(config_app)
+app.command(ask_where, name='where', config=())
 
 
 @app.command(name='entry')
--- a/ebonywell/platform/app.py
+++ b/ebonywell/platform/app.py
@@ -18,6 +18,7 @@
 from . import ingress
 
 METRICS_PATH = '/metrics'
+WHERE_PATH = '/where'
 _OK = 200
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
@@ -56,6 +57,8 @@
     list_addresses : callable
         Returns the addresses that callers may use.
     directory_ttl_s : float
+    answer_where : callable or None
+        Answers an operator's question where a request would go.
     """
 
     settings: HostSettings
@@ -65,6 +68,7 @@
     is_stopping: Callable[[], bool]
     list_addresses: Callable[[], list[str]]
     directory_ttl_s: float
+    answer_where: Callable[[Message], tuple[int, str]] | None = None
 
     async def __call__(
         self,
@@ -83,10 +87,15 @@
             await ingress.send_text(send, status, '')
         elif path == ingress.DIRECTORY_PATH:
             await self._serve_directory(send)
-        elif path == METRICS_PATH:
-            await ingress.send_text(send, _OK, self.metrics.expose())
         else:
-            await ingress.send_text(send, _NOT_FOUND, '')
+            await ingress.send_text(send, *self._answer_operator(scope))
+
+    def _answer_operator(self, scope: Message) -> tuple[int, str]:
+        if scope['path'] == METRICS_PATH:
+            return _OK, self.metrics.expose()
+        if scope['path'] == WHERE_PATH and self.answer_where is not None:
+            return self.answer_where(scope)
+        return _NOT_FOUND, ''
 
     async def _serve_directory(
         self,
--- a/ebonywell/platform/assembly.py
+++ b/ebonywell/platform/assembly.py
@@ -19,7 +19,7 @@
 from ..metrics import Metrics
 from ..translators import Translators
 from ..transport import HttpClient
-from . import catalog, exchange, orders, targets
+from . import catalog, exchange, orders, targets, whereabouts
 from .app import HostApplication, filter_server_log
 from .hostcallers import make_callers
 from .settings import find_file, read_settings
@@ -192,6 +192,7 @@
             lambda: host.shutdown.is_begun,
             host.list_addresses,
             ttl_s,
+            functools.partial(whereabouts.answer, host),
         ),
         callers,
         proxy_headers=False,
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -152,6 +152,13 @@
             request, self._list_unlimited(eligible) or eligible
         )
 
+    def describe_all(
+        self, request: AdmittedRequest, eligible: Sequence[KnownTarget]
+    ) -> list[Candidate]:
+        """Return what is known of targets that could serve a request."""
+        engine = self.engine_of(request.service)
+        return [self._describe(request, known, engine) for known in eligible]
+
     def record_rejection(
         self,
         request: AdmittedRequest,
@@ -248,11 +255,7 @@
         request: AdmittedRequest,
         eligible: list[KnownTarget],
     ) -> tuple[KnownTarget, Choice] | None:
-        engine = self.engine_of(request.service)
-        candidates = [
-            self._describe(request, known, engine) for known in eligible
-        ]
-        choice = choose(candidates, self.rng)
+        choice = choose(self.describe_all(request, eligible), self.rng)
         if choice is None:
             return None
         age_s = boot_time() - self.inventory.proven_at
