--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -163,6 +163,13 @@
             request, self._list_unlimited(eligible) or eligible
         )
 
+    def describe_all(
+        self, request: AdmittedRequest, eligible: Sequence[KnownTarget]
+    ) -> list[Candidate]:
+        """Return what is known of targets that could serve a request."""
+        engine = self.engine_of(request.service)
+        return [self._describe(request, known, engine) for known in eligible]
+
     def record_rejection(
         self,
         request: AdmittedRequest,
@@ -269,11 +276,8 @@
         request: AdmittedRequest,
         eligible: list[KnownTarget],
     ) -> tuple[KnownTarget, Choice] | None:
-        engine = self.engine_of(request.service)
-        candidates = [
-            self._describe(request, known, engine) for known in eligible
-        ]
-        terms = self.terms_of(request, engine)
+        terms = self.terms_of(request, self.engine_of(request.service))
+        candidates = self.describe_all(request, eligible)
         choice = choose(candidates, self.rng, terms)
         if choice is None:
             return None
