Learn from all hosts what the targets' prefix caches hold

Each host knew only what it had sent itself, kept 256 parts per target whatever their size, noted them when they were sent, and never dropped them when a target restarted or unloaded a model.

PrefixCacheIndex replaces PrefixIndex. A part counts as coming from the send and as cached from the first byte. It ends with the target's incarnation, with its model, adapter or weights, and when the target has read more tokens since than its memory holds beside its requests. What other hosts observe counts with a trust below 1. Requests with an unknown shared prefix gather on the same targets, within the range of the random cost that broke ties before.

tests/test_prefixcache.py, test_request_decisions.py, test_gateway.py and test_endless_replies.py pass (116).

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -20,6 +20,9 @@
 from .inventory import KnownTarget
 from .loadboard import LoadBoard, Run
 from .logs import Logger
+from .prefixcache.index import PrefixCacheIndex
+from .prefixcache.prompts import describe_prompt
+from .prefixcache.targetcache import SentPrompt
 from .progress import (
     NOT_RUN_VERDICTS,
     AttemptError,
@@ -70,6 +73,7 @@
     origins : StreamOrigins
     reach : TargetReach
     buffers : AnswerBuffers
+    prefixes : PrefixCacheIndex
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         self.limits = coordination.limits
         self.origins = coordination.origins
         self.buffers = AnswerBuffers()
+        self.prefixes = PrefixCacheIndex()
         self.log = log
 
     async def run(
@@ -113,7 +118,8 @@
         progress.avoided.add(target.name)
         progress.target = target.name
         run = _make_run(request, choice)
-        with self.board.running(run):
+        sent = _make_sent_prompt(request, selected)
+        with self.board.running(run), self.prefixes.sending(sent):
             connection = await self._connect(target, progress)
             try:
                 with self.guard.exposures.track(
@@ -123,7 +129,9 @@
                         request,
                         responder,
                         progress,
-                        Sending(target, choice, run, connection, exposure),
+                        Sending(
+                            target, choice, run, connection, exposure, sent
+                        ),
                     )
             finally:
                 self.pool.release(target.announcement.address, connection)
@@ -185,6 +193,7 @@
         if verdict is Verdict.answer:
             sending.exposure.phase = Phase.begun
             self.board.note_first_token(sending.run)
+            self.prefixes.note_first_byte(sending.prompt, now)
             return await self._forward_answer(
                 request, responder, progress, sending, head
             )
@@ -247,6 +256,8 @@
             ahead=chosen.load.waiting,
             ahead_tokens=sum(chosen.load.waiting_tokens.values()),
             new_tokens=chosen.new_tokens,
+            kept_tokens=chosen.kept_tokens,
+            is_gathered=chosen.fill_order is not None,
             running=chosen.load.running,
             held_tokens=chosen.load.held_tokens,
             failing=chosen.health.failure_share,
@@ -515,6 +526,7 @@
         Entry of the request on the load board.
     connection : Connection
     exposure : Exposure
+    prompt : SentPrompt
     sent_at : float
         Time in seconds by the clock of the process.
     """
@@ -524,6 +536,7 @@
     run: Run
     connection: Connection
     exposure: Exposure
+    prompt: SentPrompt
     sent_at: float = 0
 
 
@@ -566,6 +579,18 @@
     )
 
 
+def _make_sent_prompt(
+    request: AdmittedRequest, selected: tuple[KnownTarget, Choice]
+) -> SentPrompt:
+    target, choice = selected
+    return SentPrompt(
+        target.incarnation,
+        describe_prompt(request.generation),
+        request.rank,
+        choice.candidate.new_tokens,
+    )
+
+
 def _format_parts(request: AdmittedRequest) -> str | None:
     """Return the ids of the parts of a prompt, for the log."""
     if request.generation is None:
--- a/ebonywell/gateway.py
+++ b/ebonywell/gateway.py
@@ -28,7 +28,7 @@
 from .proxying import MAX_SENDS, Proxy
 from .selection import Choice
 from .shutdown import STOPPING_RETRY_AFTER_S, Shutdown
-from .targeting import TargetSelector, cache_namespace
+from .targeting import TargetSelector
 
 # Interval between checks whether a model or an adapter has been loaded.
 RECHECK_INTERVAL_S = 0.02
@@ -289,7 +289,6 @@
             selected = await self._find_target(
                 request, is_trial=bool(progress.trial)
             )
-            self._record_prefix(request, selected[0])
             try:
                 return await self.proxy.serve(
                     request,
@@ -303,17 +302,6 @@
                     raise
             progress.avoided.clear()
 
-    def _record_prefix(
-        self, request: AdmittedRequest, known: KnownTarget
-    ) -> None:
-        generation = request.generation
-        if generation is not None:
-            self.selector.prefixes.record(
-                known.name,
-                cache_namespace(generation),
-                generation.prefix,
-            )
-
     async def _find_target(
         self,
         request: AdmittedRequest,
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -335,6 +335,7 @@
             self.known.limits.expire(now)
             targets = self.known.inventory.targets.values()
             self.known.health.retain(one.name for one in targets)
+            self.gateway.selector.prefixes.retain(targets)
             self.coordination.expire(
                 targets, self.feeds.targets.state.proven_at, now
             )
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -14,7 +14,7 @@
 from .logs import Logger
 from .metrics import Metrics
 from .peerforwarding import PeerForwarder
-from .prefixes import PrefixIndex
+from .prefixcache.index import PrefixCacheIndex
 from .proxying import Proxy
 from .retries import RetryBudgets
 from .targeting import TargetSelector
@@ -44,12 +44,13 @@
     """Return the gateway of one host with all of its components."""
     bounds = settings.bounds
     guard = coordination.guard
+    prefixes = PrefixCacheIndex(observers.log)
     targeting = TargetSelector(
         settings.zone,
         known.inventory,
         known.board,
         known.health,
-        PrefixIndex(),
+        prefixes,
         known.engine_of,
         coordination.limits,
         observers.log,
@@ -71,7 +72,9 @@
         forwarder.reach,
         observers.log,
     )
+    prefixes.memory_of = targeting.find_memory
     attempts.buffers = forwarder.buffers
+    attempts.prefixes = prefixes
     detect_crashes(guard, pool)
     proxy = Proxy(
         attempts,
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -68,6 +68,11 @@
         Whether the target is in this host's availability zone.
     lacks_adapter : bool
         Whether the adapter must be loaded there first.
+    kept_tokens : int
+        Prompt tokens that the target is expected to have cached.
+    fill_order : float or None
+        Position among the targets if nothing is known of the prompt's shared
+        prefix, from 0 for the first one to below 1.
     """
 
     name: str
@@ -80,6 +85,8 @@
     rank: int = 0
     is_same_zone: bool = True
     lacks_adapter: bool = False
+    kept_tokens: int = 0
+    fill_order: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,7 +143,7 @@
         expected_ms = estimate_first_byte_ms(candidate)
         wait_ms = expected_ms * candidate.health.slowness
         cost_ms = wait_ms + candidate.health.failure_share * FAILURE_COST_MS
-        cost_ms += rng.uniform(0, SPREAD_MS)
+        cost_ms += _spread_ms(candidate, rng)
         if not candidate.is_same_zone:
             cost_ms += OTHER_ZONE_COST_MS
         if candidate.lacks_adapter:
@@ -150,3 +157,14 @@
                 candidate,
             )
     return best
+
+
+def _spread_ms(candidate: Candidate, rng: random.Random) -> float:
+    """Return the cost that breaks near ties.
+
+    Requests with an unknown prefix gather on the same targets.
+    """
+    random_ms = rng.uniform(0, SPREAD_MS)
+    if candidate.fill_order is None:
+        return random_ms
+    return candidate.fill_order * SPREAD_MS
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -6,12 +6,14 @@
 
 from .clock import boot_time
 from .health import HealthTracker
-from .inbound import AdmittedRequest, Generation
+from .inbound import AdmittedRequest
 from .inventory import Inventory, KnownTarget
 from .loadboard import LoadBoard
 from .logs import Logger
 from .overload import max_wait_s
-from .prefixes import PrefixIndex
+from .prefixcache.index import PrefixCacheIndex, TargetMemory
+from .prefixcache.prompts import Prompt, describe_prompt
+from .prefixcache.weighing import order_by_prefix
 from .progress import Verdict
 from .routetable import EngineSpec
 from .selection import Candidate, Choice, choose
@@ -33,7 +35,7 @@
     inventory : Inventory
     board : LoadBoard
     health : HealthTracker
-    prefixes : PrefixIndex
+    prefixes : PrefixCacheIndex
     engine_of : callable
         Returns the engine capacity of a service, None for a plain service.
     limits : TargetLimits
@@ -43,7 +45,7 @@
     inventory: Inventory
     board: LoadBoard
     health: HealthTracker
-    prefixes: PrefixIndex
+    prefixes: PrefixCacheIndex
     engine_of: Callable[[str], EngineSpec | None]
     limits: TargetLimits
     log: Logger
@@ -89,6 +91,19 @@
             eligible = self._list_idlest(eligible)
         return self._select_from(request, eligible)
 
+    def find_memory(self, name: str) -> TargetMemory | None:
+        """Return the memory of a target; None if it caches no prompts."""
+        known = self.inventory.targets.get(name)
+        if known is None:
+            return None
+        engine = self.engine_of(known.announcement.service)
+        if engine is None:
+            return None
+        held_tokens = self.board.total(name).held_tokens
+        room_tokens = max(0, engine.cache_tokens - held_tokens)
+        born = known.announcement.born
+        return TargetMemory(born, room_tokens, known.models)
+
     async def reserve(
         self,
         request: AdmittedRequest,
@@ -249,10 +264,11 @@
         eligible: list[KnownTarget],
     ) -> tuple[KnownTarget, Choice] | None:
         engine = self.engine_of(request.service)
+        prompt = describe_prompt(request.generation)
         candidates = [
-            self._describe(request, known, engine) for known in eligible
+            self._describe(request, known, engine, prompt) for known in eligible
         ]
-        choice = choose(candidates, self.rng)
+        choice = choose(_gather(candidates, prompt), self.rng)
         if choice is None:
             return None
         age_s = boot_time() - self.inventory.proven_at
@@ -264,6 +280,7 @@
         request: AdmittedRequest,
         known: KnownTarget,
         engine: EngineSpec | None,
+        prompt: Prompt,
     ) -> Candidate:
         now = boot_time()
         generation = request.generation
@@ -278,10 +295,8 @@
                 known.announcement.slots,
                 is_same_zone=is_same_zone,
             )
-        cached_tokens = self.prefixes.cached_tokens(
-            known.name,
-            cache_namespace(generation),
-            generation.prefix,
+        kept_tokens = self.prefixes.kept_tokens(
+            known.incarnation, prompt, request.rank, now
         )
         return Candidate(
             known.name,
@@ -289,14 +304,20 @@
             health,
             known.announcement.slots,
             engine.cache_tokens,
-            max(0, generation.prompt_tokens - cached_tokens),
+            max(0, generation.prompt_tokens - kept_tokens),
             generation.prompt_tokens + generation.likely_output_tokens,
             request.rank,
             is_same_zone,
             not known.holds(generation.model, generation.adapter),
+            kept_tokens,
         )
 
 
-def cache_namespace(generation: Generation) -> str:
-    """Return the name under which an engine caches prompts."""
-    return f'{generation.model}/{generation.adapter}'
+def _gather(candidates: list[Candidate], prompt: Prompt) -> list[Candidate]:
+    """Give the candidates an order if none has a shared prefix cached."""
+    is_known = any(one.kept_tokens for one in candidates)
+    if is_known or not prompt.shared_digests:
+        return candidates
+    names = [one.name for one in candidates]
+    order = order_by_prefix(prompt.digests[0], names)
+    return [replace(one, fill_order=order[one.name]) for one in candidates]
--- a/tests/test_request_decisions.py
+++ b/tests/test_request_decisions.py
@@ -10,7 +10,7 @@
 from ebonywell.events import EventSplitter
 from ebonywell.exceptions import EventOrderError
 from ebonywell.health import HALF_LIFE_S, HealthTracker, TargetHealth
-from ebonywell.inbound import PromptPart, RejectionError
+from ebonywell.inbound import RejectionError
 from ebonywell.intake import PROOF_MARGIN_S, Intake, ReceivedRequest
 from ebonywell.inventory import (
     MAX_ANNOUNCEMENT_AGE_S,
@@ -21,7 +21,6 @@
     TargetState,
 )
 from ebonywell.loadboard import LoadBoard, Run, TargetLoad
-from ebonywell.prefixes import PARTS_PER_TARGET, PrefixIndex
 from ebonywell.retries import RetryBudgets, WindowBudget
 from ebonywell.routetable import (
     CallerLimits,
@@ -358,19 +357,6 @@
             assert board.total(target) == sums
 
 
-def test_a_prompt_is_cached_up_to_its_first_unknown_part():
-    book = PrefixIndex()
-    parts = [PromptPart(str(n), 10) for n in range(3)]
-    book.record('t', 'm/', parts)
-    assert book.cached_tokens('t', 'm/', parts) == 30
-    other = [parts[0], PromptPart('x', 5), parts[2]]
-    assert book.cached_tokens('t', 'm/', other) == 10
-    assert book.cached_tokens('t', 'm/a1', parts) == 0
-    for number in range(PARTS_PER_TARGET):
-        book.record('t', 'm/', [PromptPart(f'n{number}', 1)])
-    assert book.cached_tokens('t', 'm/', parts) == 0
-
-
 # Retries
 
 
