--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -33,7 +33,7 @@
     Verdict,
 )
 from .routetable import RequestKind
-from .selection import Choice
+from .selection import MS_PER_S, Choice, estimate_saved_ms
 from .statements import NO_NOTICE
 from .streamheads import continues, is_event_stream
 from .targetreach import TargetReach
@@ -173,6 +173,7 @@
         progress.note_sent()
         progress.addresses.add(sending.target.announcement.address)
         sending.sent_at = boot_time()
+        self.prefixes.note_written(sending.prompt, sending.sent_at)
         self._log_attempt(request, progress, sending)
         head = await self._receive_head(request, progress, sending, exchange)
         verdict = self._judge(request, progress, sending, head)
@@ -583,11 +584,15 @@
     request: AdmittedRequest, selected: tuple[KnownTarget, Choice]
 ) -> SentPrompt:
     target, choice = selected
+    chosen = choice.candidate
     return SentPrompt(
         target.incarnation,
         describe_prompt(request.generation),
         request.rank,
-        choice.candidate.new_tokens,
+        chosen.new_tokens,
+        chosen.kept_tokens,
+        estimate_saved_ms(chosen) if chosen.kept_tokens else 0,
+        choice.wait_s * MS_PER_S,
     )
 
 
--- a/ebonywell/prefixcache/index.py
+++ b/ebonywell/prefixcache/index.py
@@ -13,15 +13,17 @@
 
 from ..inventory import KnownTarget, Resident
 from ..logs import Logger, discard_event
+from ..metrics import Metrics
 from ..pace.observations import BORN_MASK, Observation
 from .prompts import MAX_PARTS_PER_PROMPT, Prompt, cache_namespace
 from .targetcache import SentPrompt, TargetCache
-from .weighing import HEARSAY_TRUST, OWN_TRUST
+from .weighing import HEARSAY_TRUST, OWN_TRUST, is_missed
 
 # Parts of all targets together; they take less than 2 MB.
 MAX_PARTS = 5000
 # Own exchanges whose observation this host may still be told of.
 MAX_OWN_EXCHANGES = 16
+MS_PER_S = 1000.0
 
 Incarnation = tuple[str, int]
 OwnExchange = tuple[str, int, str, tuple[int, ...]]
@@ -66,6 +68,7 @@
     """
 
     log: Logger = discard_event
+    metrics: Metrics = field(default_factory=Metrics)
     memory_of: Callable[[str], TargetMemory | None] = _NO_TARGETS.get
     caches: dict[str, TargetCache] = field(default_factory=dict)
     size: int = 0
@@ -88,9 +91,21 @@
         if cache is not None and sent.prompt.digests:
             cache.coming.append(sent)
 
+    def note_written(self, sent: SentPrompt, now: float) -> None:
+        """Record that a prompt is written to the connection of a target."""
+        sent.sent_at = now
+        if sent.prompt.prompt_tokens:
+            self.metrics.count(
+                'prompt_tokens_sent_total', sent.prompt.prompt_tokens
+            )
+            self.metrics.count(
+                'prompt_tokens_expected_cached_total', sent.kept_tokens
+            )
+
     def note_first_byte(self, sent: SentPrompt, now: float) -> None:
         """Record that a target has read a prompt, and has it cached."""
         self.note_failed(sent)
+        self._judge(sent, now)
         cache = self._find(sent.target)
         if cache is None:
             return
@@ -177,6 +192,20 @@
             if dropped:
                 self._log_end(name, 'unloaded', dropped)
 
+    def _judge(self, sent: SentPrompt, now: float) -> None:
+        """Count and log an answer that came as late as without the cache."""
+        waited_ms = (now - sent.sent_at) * MS_PER_S
+        if is_missed(waited_ms, sent.expected_ms, sent.saved_ms):
+            self.metrics.count('prefix_cache_misses_total')
+            self.log(
+                'prefix_cache_missed',
+                target=sent.target[0],
+                kept_tokens=sent.kept_tokens,
+                saved_s=sent.saved_ms / MS_PER_S,
+                expected_s=sent.expected_ms / MS_PER_S,
+                waited_s=waited_ms / MS_PER_S,
+            )
+
     def _find(self, target: Incarnation) -> TargetCache | None:
         """Return the cache of an incarnation, None if it has ended."""
         name, born = target
--- a/ebonywell/prefixcache/targetcache.py
+++ b/ebonywell/prefixcache/targetcache.py
@@ -49,12 +49,24 @@
         Urgency; 0 is the most urgent.
     new_tokens : int
         Prompt tokens that the target was expected to read.
+    kept_tokens : int
+        Prompt tokens that it was expected to have cached.
+    saved_ms : float
+        How much sooner the answer was expected thanks to them.
+    expected_ms : float
+        Expected time to the first byte.
+    sent_at : float
+        Time in seconds by the clock of the process; 0 until it is sent.
     """
 
     target: tuple[str, int]
     prompt: Prompt
     rank: int = 0
     new_tokens: int = 0
+    kept_tokens: int = 0
+    saved_ms: float = 0
+    expected_ms: float = 0
+    sent_at: float = 0
 
 
 @dataclass(slots=True)
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -44,7 +44,7 @@
     """Return the gateway of one host with all of its components."""
     bounds = settings.bounds
     guard = coordination.guard
-    prefixes = PrefixCacheIndex(observers.log)
+    prefixes = PrefixCacheIndex(observers.log, observers.metrics)
     targeting = TargetSelector(
         settings.zone,
         known.inventory,
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .health import TargetHealth
 from .loadboard import TargetLoad
@@ -132,6 +132,16 @@
     return busy_ms + FULL_SLOT_MS * max(0, full, crowded)
 
 
+def estimate_saved_ms(candidate: Candidate) -> float:
+    """Return how much sooner a target answers thanks to its prefix cache."""
+    tokens = candidate.new_tokens + candidate.kept_tokens
+    without = replace(candidate, new_tokens=tokens, kept_tokens=0)
+    saved_ms = estimate_first_byte_ms(without) - estimate_first_byte_ms(
+        candidate
+    )
+    return saved_ms * candidate.health.slowness
+
+
 def choose(
     candidates: Sequence[Candidate],
     rng: random.Random,
