Bound the prefix cache index in bytes and processor time

A measurement of 918 hosts found 3.2 MB and 2.3 s of processor time a second in the index: each namespace of a target had a dictionary of its own, and each new part searched all of them for the largest cache. Parts of a target now lie in one dictionary by their digests, which cover the namespace, and namespaces are interned.

--- a/ebonywell/hostgauges.py
+++ b/ebonywell/hostgauges.py
@@ -65,6 +65,7 @@
 
     def collect_traffic(sink: Metrics) -> None:
         sink.gauge('requests_active', len(gateway.active))
+        sink.gauge('prefix_cache_parts', gateway.selector.prefixes.size)
         sink.gauge('target_connections_opened', pool.opened)
         sink.gauge(
             'target_connections_idle',
--- a/ebonywell/prefixcache/index.py
+++ b/ebonywell/prefixcache/index.py
@@ -227,12 +227,15 @@
         room_tokens = 0 if memory is None else memory.room_tokens
         self.size += added - cache.evict(room_tokens)
         while self.size > MAX_PARTS:
-            largest = max(self.caches.values(), key=_size_of)
-            largest.drop_oldest()
+            # Most caches have about their even share then, so that a search
+            # for the largest one is rare.
+            if len(cache.parts) * len(self.caches) <= MAX_PARTS:
+                cache = max(self.caches.values(), key=_size_of)
+            cache.parts.popitem(last=False)
             self.size -= 1
 
     def _drop(self, name: str, why: str) -> None:
-        dropped = self.caches.pop(name).size
+        dropped = len(self.caches.pop(name).parts)
         self.size -= dropped
         if dropped:
             self._log_end(name, why, dropped)
@@ -242,4 +245,4 @@
 
 
 def _size_of(cache: TargetCache) -> int:
-    return cache.size
+    return len(cache.parts)
--- a/ebonywell/prefixcache/prompts.py
+++ b/ebonywell/prefixcache/prompts.py
@@ -1,5 +1,6 @@
 """Names the parts of a prompt under which targets cache them."""
 
+import sys
 from dataclasses import dataclass
 
 from ..inbound import Generation
@@ -54,5 +55,8 @@
 
 
 def cache_namespace(model: str, adapter: str) -> str:
-    """Return the name under which a target caches prompts."""
-    return f'{model}/{adapter}'
+    """Return the name under which a target caches prompts.
+
+    Many parts share a name, so that it is kept in memory once.
+    """
+    return sys.intern(f'{model}/{adapter}')
--- a/ebonywell/prefixcache/targetcache.py
+++ b/ebonywell/prefixcache/targetcache.py
@@ -26,14 +26,14 @@
         Time in seconds by the clock of the process.
     trust : float
         What the word of its source is worth, up to 1.
+    namespace : str
+        Model and adapter for which the part is cached.
     """
 
     read_tokens: int
     used_at: float
     trust: float
-
-
-_NO_PARTS: collections.OrderedDict[int, PartUse] = collections.OrderedDict()
+    namespace: str
 
 
 @dataclass(slots=True, eq=False)
@@ -80,8 +80,9 @@
         Models on the target when the parts were last compared with them.
     read_tokens : int
         Prompt tokens that the target is known to have read.
-    parts : dict of str to OrderedDict
-        Last uses by namespace and digest, the least recent first.
+    parts : OrderedDict of int to PartUse
+        Last uses by digest, the least recent first. Digests cover the
+        namespace.
     coming : list of SentPrompt
         Prompts that the target reads now or has queued.
     """
@@ -89,16 +90,11 @@
     born: int
     models: dict[str, Resident] = field(default_factory=dict)
     read_tokens: int = 0
-    parts: dict[str, collections.OrderedDict[int, PartUse]] = field(
-        default_factory=dict
+    parts: collections.OrderedDict[int, PartUse] = field(
+        default_factory=collections.OrderedDict
     )
     coming: list[SentPrompt] = field(default_factory=list)
 
-    @property
-    def size(self) -> int:
-        """Number of parts."""
-        return sum(len(used) for used in self.parts.values())
-
     def note_use(
         self,
         namespace: str,
@@ -115,15 +111,12 @@
             Number of parts that were not known before.
         """
         self.read_tokens += new_tokens
-        used = self.parts.setdefault(namespace, collections.OrderedDict())
-        before = len(used)
+        before = len(self.parts)
+        use = PartUse(self.read_tokens, now, trust, namespace)
         for digest in digests:
-            used[digest] = PartUse(self.read_tokens, now, trust)
-            used.move_to_end(digest)
-        added = len(used) - before
-        if not used:
-            self.parts.pop(namespace)
-        return added
+            self.parts[digest] = use
+            self.parts.move_to_end(digest)
+        return len(self.parts) - before
 
     def evict(self, room_tokens: float) -> int:
         """Drop the parts that the target no longer has room for.
@@ -133,26 +126,14 @@
         int
             Their number.
         """
+        before = len(self.parts)
         oldest = self.read_tokens - max(0, room_tokens)
-        dropped = 0
-        for namespace, used in list(self.parts.items()):
-            while used and next(iter(used.values())).read_tokens < oldest:
-                used.popitem(last=False)
-                dropped += 1
-            if not used:
-                self.parts.pop(namespace)
-        return dropped
-
-    def drop_oldest(self) -> None:
-        """Drop the part that was used least recently."""
-        namespace = min(
-            self.parts,
-            key=lambda name: next(iter(self.parts[name].values())).used_at,
-        )
-        used = self.parts[namespace]
-        used.popitem(last=False)
-        if not used:
-            self.parts.pop(namespace)
+        while self.parts:
+            use = next(iter(self.parts.values()))
+            if use.read_tokens >= oldest:
+                break
+            self.parts.popitem(last=False)
+        return before - len(self.parts)
 
     def retain(self, models: dict[str, Resident]) -> int:
         """Drop the parts of models and adapters that are gone or replaced.
@@ -164,13 +145,15 @@
         """
         if models == self.models:
             return 0
-        dropped = 0
-        for namespace in list(self.parts):
-            model, _, adapter = namespace.partition('/')
-            if not _is_same(self.models.get(model), models.get(model), adapter):
-                dropped += len(self.parts.pop(namespace))
+        ended = [
+            digest
+            for digest, use in self.parts.items()
+            if not _is_same(self.models, models, use.namespace)
+        ]
+        for digest in ended:
+            self.parts.pop(digest)
         self.models = dict(models)
-        return dropped
+        return len(ended)
 
     def kept_tokens(
         self, prompt: Prompt, rank: int, room_tokens: float, now: float
@@ -179,12 +162,11 @@
 
         A part counts only as far as all parts before it.
         """
-        used = self.parts.get(prompt.namespace, _NO_PARTS)
         coming = self._list_coming(prompt.namespace, rank)
         belief: float = 1
         kept: float = 0
         for digest, tokens in zip(prompt.digests, prompt.tokens, strict=True):
-            use = used.get(digest)
+            use = self.parts.get(digest)
             if digest not in coming:
                 belief = min(belief, self._believe(use, room_tokens, now))
             if not belief:
@@ -212,10 +194,13 @@
 
 
 def _is_same(
-    before: Resident | None, after: Resident | None, adapter: str
+    before: dict[str, Resident], after: dict[str, Resident], namespace: str
 ) -> bool:
     """Return whether a model and adapter have stayed where they were."""
-    if after is None or (adapter and adapter not in after.adapters):
+    model, _, adapter = namespace.partition('/')
+    resident = after.get(model)
+    if resident is None or (adapter and adapter not in resident.adapters):
         return False
     # An observation may arrive before the announcement of a new model.
-    return before is None or before.version == after.version
+    earlier = before.get(model, resident)
+    return earlier.version == resident.version
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -11,7 +11,7 @@
     'peerforwarding proxying roster '
     'targetlimits storeeras streamorigins streamrecords '
     'callerconnection charging crashdetector crashguard supervision targeting '
-    'platform/assembly'
+    'platform/assembly prefixcache/index'
 ).split()
 EVENT = re.compile(
     r"(?:\blog|self\._add)\(\s*'(\w+)'|'(orders_\w+)' (?:if|else)|"
--- a/tests/test_prefixcache.py
+++ b/tests/test_prefixcache.py
@@ -3,9 +3,7 @@
 Each test names the failure that it guards against.
 """
 
-import collections
 import random
-import sys
 
 from ebonywell.inbound import Generation, PromptPart
 from ebonywell.inventory import (
@@ -28,6 +26,7 @@
     is_missed,
     order_by_prefix,
 )
+from lab.prefix_cache_cost import count_bytes
 
 ROOM = 100_000
 BORN = 70_001
@@ -272,10 +271,11 @@
     rng = random.Random(1)
     for number in range(10_000):
         one = prompt(f'p{number}', f'q{number}', model=f'm{number % 147}')
+        index.note_observation(seen(one, rng.choice(names)), float(number))
         serve(index, one, float(number), rng.choice(names))
     assert index.size <= MAX_PARTS
-    assert index.size == sum(one.size for one in index.caches.values())
-    assert _bytes_of(index) < 2_000_000
+    assert index.size == sum(len(one.parts) for one in index.caches.values())
+    assert count_bytes([index.caches, index.own_exchanges]) < 2_000_000
 
 
 def test_absurd_observations_change_nothing_else():
@@ -300,26 +300,6 @@
     assert kept(index, prompt('rare', 'x'), ('a', 1)) == 1000
 
 
-def _bytes_of(root):
-    """Return the bytes of all objects that only the index refers to."""
-    sizes = {}
-    left = [root.caches, root.own_exchanges]
-    while left:
-        one = left.pop()
-        if id(one) in sizes or isinstance(one, type):
-            continue
-        sizes[id(one)] = sys.getsizeof(one)
-        if isinstance(one, dict):
-            left.extend(one.keys())
-            left.extend(one.values())
-        elif isinstance(one, (list, tuple, collections.deque)):
-            left.extend(one)
-        else:
-            slots = getattr(type(one), '__slots__', ())
-            left.extend(getattr(one, name) for name in slots)
-    return sum(sizes.values())
-
-
 # Order and misses
 
 
