--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -167,12 +167,7 @@
             self.leadership,
             self.feeds,
         )
-        add_traffic_gauges(
-            self.metrics,
-            self.gateway,
-            self.gossip,
-            self.pool,
-        )
+        add_traffic_gauges(self.metrics, self.gateway, self.gossip, self.pool)
 
     async def run(self) -> None:
         """Run all services until cancelled."""
