--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -26,6 +26,9 @@
     ignore_first_byte,
     pace_fields,
 )
+from .prefixcache.index import PrefixCacheIndex
+from .prefixcache.prompts import describe_prompt
+from .prefixcache.targetcache import SentPrompt
 from .progress import (
     NOT_RUN_VERDICTS,
     AttemptError,
@@ -36,7 +39,7 @@
     Verdict,
 )
 from .routetable import RequestKind
-from .selection import Choice
+from .selection import MS_PER_S, Choice, estimate_saved_ms
 from .statements import NO_NOTICE
 from .streamheads import continues, is_event_stream
 from .targetreach import TargetReach
@@ -81,6 +84,7 @@
     buffers : AnswerBuffers
     observer : callable
         Called with the head of each answer of the right target.
+    prefixes : PrefixCacheIndex
     """
 
     def __init__(
@@ -105,6 +109,7 @@
         self.origins = coordination.origins
         self.buffers = AnswerBuffers()
         self.observer: Observer = ignore_first_byte
+        self.prefixes = PrefixCacheIndex()
         self.log = log
 
     async def run(
@@ -125,7 +130,8 @@
         progress.avoided.add(target.name)
         progress.target = target.name
         run = _make_run(request, choice)
-        with self.board.running(run):
+        sent = _make_sent_prompt(request, selected)
+        with self.board.running(run), self.prefixes.sending(sent):
             connection = await self._connect(target, progress)
             try:
                 with self.guard.exposures.track(
@@ -135,7 +141,9 @@
                         request,
                         responder,
                         progress,
-                        Sending(target, choice, run, connection, exposure),
+                        Sending(
+                            target, choice, run, connection, exposure, sent
+                        ),
                     )
             finally:
                 self.pool.release(target.announcement.address, connection)
@@ -179,6 +187,7 @@
         progress.note_sent()
         progress.addresses.add(sending.target.announcement.address)
         sending.sent_at = boot_time()
+        self.prefixes.note_written(sending.prompt, sending.sent_at)
         self._log_attempt(request, progress, sending)
         head = await self._receive_head(request, progress, sending, exchange)
         verdict = self._judge(request, progress, sending, head)
@@ -186,6 +195,9 @@
             progress.note_not_run()
         now = boot_time()
         self._note_statement(sending, verdict, head)
+        if verdict is Verdict.answer:
+            # The observation of this exchange then adds nothing.
+            self.prefixes.note_first_byte(sending.prompt, now)
         if verdict not in {Verdict.crossed, Verdict.other_target}:
             self.observer(
                 FirstByte(
@@ -273,6 +285,8 @@
             ahead=chosen.load.waiting,
             ahead_tokens=sum(chosen.load.waiting_tokens.values()),
             new_tokens=chosen.new_tokens,
+            kept_tokens=chosen.kept_tokens,
+            is_gathered=chosen.fill_order is not None,
             running=chosen.load.running,
             **pace_fields(chosen.pace),
             held_tokens=chosen.load.held_tokens,
@@ -544,6 +558,7 @@
         Entry of the request on the load board.
     connection : Connection
     exposure : Exposure
+    prompt : SentPrompt
     sent_at : float
         Time in seconds by the clock of the process.
     """
@@ -553,6 +568,7 @@
     run: Run
     connection: Connection
     exposure: Exposure
+    prompt: SentPrompt
     sent_at: float = 0
 
 
@@ -595,6 +611,22 @@
     )
 
 
+def _make_sent_prompt(
+    request: AdmittedRequest, selected: tuple[KnownTarget, Choice]
+) -> SentPrompt:
+    target, choice = selected
+    chosen = choice.candidate
+    return SentPrompt(
+        target.incarnation,
+        describe_prompt(request.generation),
+        request.rank,
+        chosen.new_tokens,
+        chosen.kept_tokens,
+        estimate_saved_ms(chosen) if chosen.kept_tokens else 0,
+        choice.wait_s * MS_PER_S,
+    )
+
+
 def _format_parts(request: AdmittedRequest) -> str | None:
     """Return the ids of the parts of a prompt, for the log."""
     if request.generation is None:
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -167,12 +167,7 @@
             self.leadership,
             self.feeds,
         )
-        add_traffic_gauges(
-            self.metrics,
-            self.gateway,
-            self.gossip,
-            self.pool,
-        )
+        add_traffic_gauges(self.metrics, self.gateway, self.gossip, self.pool)
 
     async def run(self) -> None:
         """Run all services until cancelled."""
@@ -335,6 +330,7 @@
             self.known.limits.expire(now)
             targets = self.known.inventory.targets.values()
             self.known.retain(targets, now)
+            self.gateway.selector.prefixes.retain(targets)
             self.coordination.expire(
                 targets, self.feeds.targets.state.proven_at, now
             )
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -21,7 +21,7 @@
 from .pace.firstbytes import make_observer
 from .pace.gauges import add_pace_gauges
 from .peerforwarding import PeerForwarder
-from .prefixes import PrefixIndex
+from .prefixcache.index import PrefixCacheIndex
 from .proxying import Proxy
 from .retries import RetryBudgets
 from .targeting import TargetSelector
@@ -51,12 +51,13 @@
     """Return the gateway of one host with all of its components."""
     bounds = settings.bounds
     guard = coordination.guard
+    prefixes = PrefixCacheIndex(observers.log, observers.metrics)
     targeting = TargetSelector(
         settings.zone,
         known.inventory,
         known.board,
         known.health,
-        PrefixIndex(),
+        prefixes,
         known.engine_of,
         coordination.limits,
         observers.log,
@@ -79,11 +80,14 @@
         forwarder.reach,
         observers.log,
     )
+    prefixes.memory_of = targeting.find_memory
     attempts.buffers = forwarder.buffers
     known.observations.log = observers.log
     known.observations.metrics = observers.metrics
     attempts.observer = make_observer(known.observations)
     add_pace_gauges(observers.metrics, known.observations)
+    known.observations.listeners.append(prefixes.note_observation)
+    attempts.prefixes = prefixes
     detect_crashes(guard, pool)
     proxy = Proxy(
         attempts,
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .headroom.pauses import pause_cost_ms, predicted_pause_ms
 from .headroom.room import Shortage, TargetWork, find_shortage
@@ -76,6 +76,11 @@
         Whether the adapter must be loaded there first.
     pace : Pace or None
         Learned pace of the target now; None to use the constants.
+    kept_tokens : int
+        Prompt tokens that the target is expected to have cached.
+    fill_order : float or None
+        Position among the targets if nothing is known of the prompt's shared
+        prefix, from 0 for the first one to below 1.
     """
 
     name: str
@@ -89,6 +94,8 @@
     is_same_zone: bool = True
     lacks_adapter: bool = False
     pace: Pace | None = None
+    kept_tokens: int = 0
+    fill_order: float | None = None
 
     @property
     def slowness(self) -> float:
@@ -222,6 +229,16 @@
     return find_shortage(work, terms.room_ms, terms.reserve)
 
 
+def estimate_saved_ms(candidate: Candidate) -> float:
+    """Return how much sooner a target answers thanks to its prefix cache."""
+    tokens = candidate.new_tokens + candidate.kept_tokens
+    without = replace(candidate, new_tokens=tokens, kept_tokens=0)
+    saved_ms = estimate_first_byte_ms(without) - estimate_first_byte_ms(
+        candidate
+    )
+    return saved_ms * candidate.slowness
+
+
 def choose(
     candidates: Sequence[Candidate],
     rng: random.Random,
@@ -234,7 +251,7 @@
         expected_ms = estimate_first_byte_ms(candidate)
         wait_ms = expected_ms * candidate.slowness
         cost_ms = wait_ms + candidate.health.failure_share * FAILURE_COST_MS
-        cost_ms += rng.uniform(0, SPREAD_MS)
+        cost_ms += _spread_ms(candidate, rng)
         shortage = Shortage()
         if not candidate.is_same_zone:
             cost_ms += OTHER_ZONE_COST_MS
@@ -255,3 +272,14 @@
                 shortage=shortage,
             )
     return best
+
+
+def _spread_ms(candidate: Candidate, rng: random.Random) -> float:
+    """Return the cost that breaks near ties.
+
+    Requests with an unknown prefix gather on the same targets.
+    """
+    random_ms = rng.uniform(0, SPREAD_MS)
+    if candidate.fill_order is None:
+        return random_ms
+    return candidate.fill_order * SPREAD_MS
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -11,7 +11,7 @@
     'peerforwarding proxying roster '
     'targetlimits storeeras streamorigins streamrecords '
     'callerconnection charging crashdetector crashguard supervision targeting '
-    'platform/assembly evacuation/records pace/sharing'
+    'platform/assembly evacuation/records pace/sharing prefixcache/index'
 ).split()
 EVENT = re.compile(
     r"(?:\blog|self\._add|self\._log_rarely)\(\s*'(\w+)'|"
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -21,7 +21,7 @@
 from ebonywell.loadboard import LoadBoard, Run
 from ebonywell.logs import discard_event
 from ebonywell.platform.catalog import decode_configuration
-from ebonywell.prefixes import PrefixIndex
+from ebonywell.prefixcache.index import PrefixCacheIndex
 from ebonywell.targeting import TargetSelector
 from ebonywell.where.questions import (
     Question,
@@ -49,7 +49,7 @@
 def make_selector(*targets):
     inventory = Inventory({known.name: known for known in targets})
     return TargetSelector(
-        'z1', inventory, LoadBoard(), HealthTracker(), PrefixIndex(),
+        'z1', inventory, LoadBoard(), HealthTracker(), PrefixCacheIndex(),
         CONFIGURATION.engines.get, no_limits(), discard_event,
         random.Random(1),
     )  # fmt: skip
