--- a/ebonywell/digestrelay.py
+++ b/ebonywell/digestrelay.py
@@ -13,9 +13,10 @@
 
 # Observations that a host passes on with the digest of another.
 RELAYED_OBSERVATIONS = 1
-# Digests of which the newest is relayed. Old ones are known to most hosts, but
-# a host that always took the newest of all would relay some hosts never.
-RELAY_DRAWS = 8
+# Most digests of which the newest is relayed. Old ones are known to most hosts,
+# but a host that always took the newest of several would relay some hosts
+# never, so the number of draws is random and may be one.
+MAX_RELAY_DRAWS = 12
 
 
 def take_for_relay(
@@ -27,7 +28,8 @@
     observations only: its loads matter more, and all observations would leave
     room for a quarter of the relayed digests.
     """
-    drawn = rng.sample(range(len(digests)), min(RELAY_DRAWS, len(digests)))
+    draws = rng.randint(1, MAX_RELAY_DRAWS)
+    drawn = rng.sample(range(len(digests)), min(draws, len(digests)))
     place = min(
         drawn,
         key=lambda one: fleet.peers[digests[one].name].digest_age_s(now),
