Log a changed belief of a target's lasting pace

Whoever reads the logs could not see when a host took a target for slow.

Cause: request_routed tells the factor at each choice only.

--- a/ebonywell/linelog.py
+++ b/ebonywell/linelog.py
@@ -28,6 +28,7 @@
         'order_given',
         'target_announced',
         'target_gone',
+        'target_pace_changed',
         'configuration_applied',
         'joined',
         'limit_refused',
--- a/ebonywell/pace/pacebook.py
+++ b/ebonywell/pace/pacebook.py
@@ -75,12 +75,15 @@
     machine : MachineState
     observed : int
         Number of observations.
+    logged : float
+        Logarithm of the factor that was logged last.
     """
 
     born: int
     factor: Factor
     machine: MachineState = field(default_factory=MachineState)
     observed: int = 0
+    logged: float = 0
 
 
 @dataclass(slots=True)
--- a/ebonywell/pace/sharing.py
+++ b/ebonywell/pace/sharing.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -36,6 +37,8 @@
 NUMBERS_KEPT = 64
 # Interval between two log lines about faults of the same kind.
 LOG_PERIOD_S = 10.0
+# Change of the logarithm of a lasting factor that is logged (by a third).
+LOGGED_STEP = 0.29
 
 Listener = Callable[[Observation, float], None]
 
@@ -208,9 +211,20 @@
 
     def _apply(self, observation: Observation, made_at: float) -> None:
         self.paces.note(observation, made_at)
+        self._log_change(observation.target)
         for listener in self.listeners:
             listener(observation, made_at)
 
+    def _log_change(self, name: str) -> None:
+        target = self.paces.targets.get(name)
+        if target is None:
+            return
+        log_factor = target.factor.mean
+        if abs(log_factor - target.logged) >= LOGGED_STEP:
+            target.logged = log_factor
+            factor = math.exp(log_factor)
+            self.log('target_pace_changed', target=name, factor=factor)
+
     def _log_rarely(self, event: str, now: float, **fields: str) -> None:
         if now - self.logged_at.get(event, -LOG_PERIOD_S) >= LOG_PERIOD_S:
             self.logged_at[event] = now
