Send cold targets no more than they survive, over all hosts

A target that has just started, or has lost its caches, crashes if it gets requests at its usual rate, and hosts took no notice of its announcement.

Hosts now read for how long a target is cold, and take a new incarnation for cold for its service's time. Each send to a cold target needs a permit of the host that schedules for it, as for targets that state a limit. The rate leaves room for two hosts that schedule at once. A host that reaches few others, or has started less than 1.5 s ago, grants none, and a permit that is used late is void. Hosts tell each other of cold targets, for those that are out of touch with the store. A cold engine still gets its loads, each with a permit.

--- a/ebonywell/coordination.py
+++ b/ebonywell/coordination.py
@@ -107,7 +107,14 @@
     name = known.fleet.own_name
     return Coordination(
         CrashGuard(name, gossip.broadcast, log, metrics),
-        TargetLimits(known.fleet, gossip, is_ready, log, metrics),
+        TargetLimits(
+            known.fleet,
+            gossip,
+            is_ready,
+            log,
+            metrics,
+            cold=known.inventory.cold,
+        ),
         StreamOrigins(
             StreamRecords(store, own_topic, name, life, log),
             known.fleet,
--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -153,12 +153,20 @@
     age_s : float
         Time since the answer was received, in seconds.
     rate_limit : float or None
+    service : str
+    cold_left_s : float
+        Time for which the target is still cold, 0 if that is not known.
+    cold_age_s : float
+        Time since the announcement was read that says so.
     """
 
     target: str
     born: int
     age_s: float
     rate_limit: float | None = None
+    service: str = ''
+    cold_left_s: float = 0
+    cold_age_s: float = 0
 
 
 class PermitRequestMessage(
--- a/ebonywell/hostfeeds.py
+++ b/ebonywell/hostfeeds.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from .clock import boot_time
+from .evacuation.cold import ColdChange
 from .evacuation.records import EvacuationRecords
 from .exceptions import EbonywellError
 from .feedrelay import FeedKnowledge, FeedRelay, Network
@@ -102,6 +103,8 @@
         self.intake.proven_at = self.configuration.state.proven_at
         self._note_outages()
         self.evacuations.check_zones(self.inventory)
+        for change in self.inventory.cold.update(now):
+            self._log_cold(change)
         for name in self.inventory.expire(now):
             self.log('target_expired', target=name)
         if now - self.resynced_at >= RESYNC_PERIOD_S:
@@ -148,6 +151,22 @@
                     service=announcement.service,
                 )
 
+    def _log_cold(self, change: ColdChange) -> None:
+        if change.left_s:
+            self.log('target_cold', target=change.target, for_s=change.left_s)
+        else:
+            self.log('target_warm', target=change.target)
+
+    def _check_cold(self, announcement: Announcement) -> None:
+        incarnation = (announcement.name, announcement.born)
+        is_odd = not announcement.is_cold_sound
+        if is_odd and self.inventory.cold.note_odd(incarnation):
+            self.log(
+                'cold_left_odd',
+                target=announcement.name,
+                taken_s=announcement.cold_left_s,
+            )
+
     def _note_outages(self) -> None:
         reach = self.targets.state.reach
         self.inventory.store_recovered_at = reach.recovered_at
@@ -192,7 +211,7 @@
             if record.value is None:
                 continue
             try:
-                yield decode(record.key, record.value)
+                found = decode(record.key, record.value)
             except Exception as error:
                 # One unreadable record must not block all others.
                 self.log(
@@ -200,6 +219,9 @@
                     offset=record.offset,
                     why=repr(error),
                 )
+            else:
+                self._check_cold(found)
+                yield found
 
 
 def make_relay(
--- a/ebonywell/hostgauges.py
+++ b/ebonywell/hostgauges.py
@@ -9,6 +9,7 @@
 from .gossip import Gossip
 from .hostfeeds import HostFeeds
 from .hostknowledge import Knowledge
+from .inventory import Inventory
 from .leadership import Leadership
 from .metrics import Metrics
 from .upstream import ConnectionPool
@@ -30,8 +31,6 @@
         sink.gauge('config_version', known.intake.version)
         sink.gauge('proof_age_seconds', age_s if math.isfinite(age_s) else -1)
         sink.gauge('targets', len(known.inventory.targets))
-        evacuated = len(known.inventory.evacuations.closed_at)
-        sink.gauge('evacuated_zones', evacuated)
         sink.gauge('hosts_known', known.fleet.size)
         sink.gauge('hosts_silent', len(known.fleet.silent(now)))
         for name, window in known.limits.windows.items():
@@ -52,11 +51,28 @@
         peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         sink.gauge('memory_peak_bytes', peak_kib * _KIB)
 
+    add_evacuation_gauges(metrics, known.inventory)
     metrics.collectors.extend(
-        (collect_known, collect_lease, collect_feeds, collect_memory)
+        (
+            collect_known,
+            collect_lease,
+            collect_feeds,
+            collect_memory,
+        )
     )
 
 
+def add_evacuation_gauges(metrics: Metrics, inventory: Inventory) -> None:
+    """Add a collector for targets that get no requests, or few."""
+
+    def collect_evacuation(sink: Metrics) -> None:
+        evacuated = len(inventory.evacuations.closed_at)
+        sink.gauge('evacuated_zones', evacuated)
+        sink.gauge('cold_targets', len(inventory.cold.ends))
+
+    metrics.collectors.append(collect_evacuation)
+
+
 def add_traffic_gauges(
     metrics: Metrics,
     gateway: Gateway,
--- a/ebonywell/hostknowledge.py
+++ b/ebonywell/hostknowledge.py
@@ -5,6 +5,7 @@
 
 from .clock import boot_time
 from .digests import LoadShare
+from .evacuation.cold import ColdSpec, ColdTargets
 from .evacuation.zones import Evacuations
 from .fleetview import FleetView
 from .health import HealthTracker
@@ -39,7 +40,8 @@
     def __init__(self, settings: HostSettings, rng: random.Random) -> None:
         self.intake = Intake(rng, settings.bounds.revoke_s)
         self.inventory = Inventory(
-            evacuations=Evacuations(settings.bounds.evacuation)
+            evacuations=Evacuations(settings.bounds.evacuation),
+            cold=ColdTargets(self.cold_spec_of, settings.bounds.cold),
         )
         self.board = LoadBoard()
         self.health = HealthTracker()
@@ -56,6 +58,14 @@
             return None
         return configuration.engines.get(service)
 
+    def cold_spec_of(self, service: str) -> ColdSpec | None:
+        """Return how a service's targets start, None if they take any rate."""
+        configuration = self.intake.configuration
+        if configuration is None:
+            return None
+        found = configuration.services.get(service)
+        return None if found is None else found.cold
+
     def list_resumable_services(self) -> set[str]:
         """Return the services of routes whose streams may be resumed."""
         configuration = self.intake.configuration
--- a/ebonywell/hostsettings.py
+++ b/ebonywell/hostsettings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from .evacuation.cold import ColdBounds
 from .evacuation.zones import EvacuationBounds
 from .loadpace import LoadWindow
 
@@ -33,6 +34,8 @@
         Window over which loads from the weight store are counted.
     evacuation : EvacuationBounds
         Times within which the evacuation of a zone must be in force.
+    cold : ColdBounds
+        Requests that a cold target survives in a second.
     """
 
     revoke_s: float = 5
@@ -46,6 +49,7 @@
     max_directory_ttl_s: float = 5
     load_window: LoadWindow = LoadWindow()
     evacuation: EvacuationBounds = EvacuationBounds()
+    cold: ColdBounds = ColdBounds()
 
 
 @dataclass(slots=True, frozen=True)
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from .evacuation.cold import ColdTargets
 from .evacuation.zones import Evacuations
 
 # Longest time between the writing of an announcement and its reading: the
@@ -65,6 +66,10 @@
         Models whose weights the target has cached in memory or on disk.
     release : str
         Version of the target's software.
+    cold_left_s : float
+        Time for which it is still cold, 0 if it is warm.
+    is_cold_sound : bool
+        Whether it stated that time properly.
     """
 
     name: str
@@ -79,6 +84,8 @@
     memory_weights: frozenset[str] = frozenset()
     disk_weights: frozenset[str] = frozenset()
     release: str = ''
+    cold_left_s: float = 0
+    is_cold_sound: bool = True
 
     @property
     def cached_weights(self) -> frozenset[str]:
@@ -209,6 +216,8 @@
         Targets that take new requests, by service; cached until one changes.
     evacuations : Evacuations
         Zones whose targets get no new requests.
+    cold : ColdTargets
+        Targets that get few requests for a while.
     """
 
     targets: dict[str, KnownTarget] = field(default_factory=dict)
@@ -217,12 +226,21 @@
     is_loaded: bool = False
     ready: dict[str, list[KnownTarget]] = field(default_factory=dict)
     evacuations: Evacuations = field(default_factory=Evacuations)
+    cold: ColdTargets = field(default_factory=ColdTargets)
 
     def announce(self, announcement: Announcement, now: float) -> KnownTarget:
         """Record an announcement, and return the target."""
         self.ready.clear()
         known = self.targets.get(announcement.name)
-        if known is None or known.announcement.born != announcement.born:
+        is_new = known is None or known.announcement.born != announcement.born
+        self.cold.note_announcement(
+            (announcement.name, announcement.born),
+            announcement.service,
+            announcement.cold_left_s,
+            now,
+            is_new=is_new and self.is_loaded,
+        )
+        if known is None or is_new:
             known = KnownTarget(announcement, dict(announcement.models))
             self.targets[announcement.name] = known
             return known
--- a/ebonywell/platform/catalog.py
+++ b/ebonywell/platform/catalog.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..evacuation.cold import MAX_COLD_S, ColdSpec
 from ..exceptions import RecordError
 from ..routetable import (
     CallerLimits,
@@ -78,6 +79,10 @@
 class _Service(msgspec.Struct, rename='camel'):
     name: str
     max_conns: int = 100
+    # Time for which a target is cold after its start, and the requests per
+    # second that it takes then; 0 for any number.
+    cold_start_s: float = 0
+    cold_per_s: float = 0
     engine: _Engine | None = None
 
 
@@ -171,8 +176,12 @@
 
 def _translate_service(service: _Service) -> Service:
     engine = service.engine
+    cold = None
+    if service.cold_per_s > 0:
+        start_s = min(max(service.cold_start_s, 0), MAX_COLD_S)
+        cold = ColdSpec(start_s, service.cold_per_s)
     if engine is None:
-        return Service(service.name, service.max_conns)
+        return Service(service.name, service.max_conns, cold=cold)
     spec = EngineSpec(
         engine.slots,
         engine.kv_capacity_tokens,
@@ -181,7 +190,7 @@
         engine.loads_per_s,
         {one.name: _translate_model(one) for one in engine.models},
     )
-    return Service(service.name, service.max_conns, spec)
+    return Service(service.name, service.max_conns, spec, cold)
 
 
 def _translate_model(model: _Model) -> ModelSpec:
--- a/ebonywell/platform/settings.py
+++ b/ebonywell/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 import yaml
 
+from ..evacuation.cold import ColdBounds
 from ..evacuation.zones import EvacuationBounds
 from ..exceptions import SettingsError
 from ..hostsettings import Bounds, HostSettings, LogSettings
@@ -42,6 +43,10 @@
     evacuate_ms: Annotated[float, msgspec.Meta(ge=0)] = 5000
     # Time within which hosts see new records of the operator's topic.
     config_ms: Annotated[float, msgspec.Meta(ge=0)] = 3000
+    # Requests that a cold target survives in a second: a multiple of the rate
+    # of its service, and more.
+    cold_overshoot: Annotated[float, msgspec.Meta(ge=0)] = 1.5
+    cold_slack: Annotated[float, msgspec.Meta(ge=0)] = 5
     # The platform writes this key in snake case, unlike all others.
     ttl_max_s: float = msgspec.field(default=5, name='ttl_max_s')
 
@@ -204,4 +209,5 @@
         evacuation=EvacuationBounds(
             found.evacuate_ms * _MS, found.config_ms * _MS
         ),
+        cold=ColdBounds(found.cold_overshoot, found.cold_slack),
     )
--- a/ebonywell/platform/targets.py
+++ b/ebonywell/platform/targets.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..engineorders import TargetReport
+from ..evacuation.cold import read_cold_left
 from ..exceptions import RecordError, SettingsError
 from ..inventory import Announcement, Resident, TargetState
 from ..misc import split_address
@@ -40,6 +41,8 @@
     born: _Count = 0
     models: tuple[_LoadedModel, ...] = ()
     remaining_ms: float | None = None
+    # Kept as it is, since a value that cannot be read must not hide a target.
+    cold_left_ms: msgspec.Raw = msgspec.Raw(b'0')
     # Cached weights, which need no transfer from the weight store.
     at_hand: _CachedWeights = msgspec.field(default_factory=_CachedWeights)
 
@@ -71,6 +74,7 @@
     _check_name(name)
     _check_target_address(name, entry.address)
     remaining_ms = entry.remaining_ms
+    cold_left_s, is_cold_sound = _read_cold_left(entry.cold_left_ms)
     return Announcement(
         name,
         entry.born,
@@ -84,6 +88,8 @@
         frozenset(entry.at_hand.in_memory),
         frozenset(entry.at_hand.on_disk),
         str(entry.version),
+        cold_left_s,
+        is_cold_sound,
     )
 
 
@@ -112,6 +118,13 @@
     }
 
 
+def _read_cold_left(stated: msgspec.Raw) -> tuple[float, bool]:
+    try:
+        return read_cold_left(msgspec.json.decode(stated))
+    except (msgspec.MsgspecError, RecursionError):
+        return 0, False
+
+
 def _check_name(name: str) -> None:
     # The name is sent in a header of each request to the target, so it must be
     # a valid header value.
--- a/ebonywell/provisioning.py
+++ b/ebonywell/provisioning.py
@@ -301,7 +301,7 @@
         loaded_at = now if track.loaded_at else -math.inf
         for kept in held:
             track.loaded_at.setdefault(kept, loaded_at)
-        rate = self.order_sender.limits.rate_of(known)
+        rate = self.order_sender.limits.stated_rate_of(known)
         return EngineState(
             known.name,
             engine.weight_bytes - used,
--- a/ebonywell/routetable.py
+++ b/ebonywell/routetable.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
+from .evacuation.cold import ColdSpec
 from .urgency import UrgencyKey, assign_ranks
 
 
@@ -150,11 +151,14 @@
         callers.
     engine : EngineSpec or None
         None for a plain service.
+    cold : ColdSpec or None
+        None if cold targets take requests at any rate.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None = None
+    cold: ColdSpec | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/ebonywell/targetlimits.py
+++ b/ebonywell/targetlimits.py
@@ -3,6 +3,10 @@
 A host tells the others what a target has stated, and asks the host that
 schedules the target's requests for permission before each send. Nothing is
 asked, and nothing waits, for a target without a limit.
+
+A cold target has a limit too, which it must not exceed even for a second.
+Permits for it are therefore granted only by a host that is in contact with most
+others, and that has been so for long enough to be known to them.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -18,13 +22,15 @@
     PermitRequestMessage,
     StatementMessage,
 )
+from .evacuation.cold import PERMIT_LATE_S, ColdTargets, Contact
+from .evacuation.permits import find_scheduler, least_rate, may_grant_cold
 from .fleetview import FleetView, Peer
 from .inventory import KnownTarget
 from .logs import Logger
 from .metrics import Metrics
 from .questions import Questions
 from .repeats import FRESH_S, DigestRepeats
-from .sendschedule import SendSchedule, effective_rate, pick_scheduler
+from .sendschedule import SendSchedule, effective_rate
 from .statements import (
     NOTHING_STATED,
     Incarnation,
@@ -41,6 +47,8 @@
 PERMIT_TIMEOUT_S = 0.1
 # Time after which a host asks again if it got no answer.
 UNANSWERED_RETRY_S = MAX_PERMIT_WAIT_S + PERMIT_TIMEOUT_S
+# Age that stands for no statement, in messages on a target that is cold only.
+NEVER_S = 1e9
 
 
 class Network(Protocol):
@@ -72,6 +80,10 @@
     questions : Questions
         Requests for permission that wait for an answer.
     repeats : DigestRepeats
+    cold : ColdTargets
+        Targets that have a limit while they are cold.
+    contact : Contact
+        This host's contact with the others.
     """
 
     fleet: FleetView
@@ -84,16 +96,20 @@
     due_at: dict[Incarnation, float] = field(default_factory=dict)
     questions: Questions[PermitMessage] = field(default_factory=Questions)
     repeats: DigestRepeats = field(default_factory=DigestRepeats)
+    cold: ColdTargets = field(default_factory=ColdTargets)
+    contact: Contact = field(default_factory=Contact)
 
     @property
     def is_empty(self) -> bool:
-        """Whether no target has stated anything."""
-        return not self.statements.known
+        """Whether no target has stated anything, or is cold."""
+        return not self.statements.known and not self.cold.ends
 
     def rate_of(self, known: KnownTarget) -> float | None:
         """Return the requests per second to keep for a target, or None."""
-        if self.is_empty:
-            return None
+        return None if self.is_empty else self._find_rate(known.incarnation)
+
+    def stated_rate_of(self, known: KnownTarget) -> float | None:
+        """Return the requests per second that a target states, or None."""
         return effective_rate(self.statements.get(known.incarnation).rate_limit)
 
     def is_limited(self, known: KnownTarget) -> bool:
@@ -123,7 +139,7 @@
             incarnation, statement, sent_at, boot_time()
         ):
             self._note_change(incarnation)
-            self.network.broadcast(self._make_message(incarnation))
+            self.network.broadcast(_make_message(self, incarnation))
 
     async def claim(self, known: KnownTarget, max_wait_s: float) -> bool:
         """Wait until a request may be sent to a target.
@@ -145,11 +161,14 @@
         wait_s = min(max_wait_s, MAX_PERMIT_WAIT_S)
         is_granted, due_s = await self._ask(known.incarnation, rate, wait_s)
         self.metrics.count('target_permits_total', granted=str(is_granted))
-        if is_granted:
-            await anyio.sleep(due_s)
-        else:
-            self.due_at[known.incarnation] = boot_time() + due_s
-        return is_granted
+        due_at = boot_time() + due_s
+        if not is_granted:
+            self.due_at[known.incarnation] = due_at
+            return False
+        await anyio.sleep(due_s)
+        # A host that was frozen meanwhile would send later than scheduled.
+        is_late = boot_time() - due_at > PERMIT_LATE_S
+        return not (is_late and self.cold.left_s(known.incarnation, due_at))
 
     def receive(
         self,
@@ -167,19 +186,24 @@
     def list_messages(self) -> Iterator[StatementMessage]:
         """Yield the statements to repeat with the next digest."""
         now = boot_time()
-        repeated = (
-            incarnation
+        repeated = dict.fromkeys(self.cold.ends)
+        if repeated:
+            self.repeats.note_change(now)
+        repeated.update(
+            (incarnation, None)
             for incarnation, found in self.statements.known.items()
             if _is_repeated(found, now)
         )
         for incarnation in self.repeats.pick(repeated, now):
-            yield self._make_message(incarnation)
+            yield _make_message(self, incarnation)
 
     def expire(self, incarnations: Iterable[Incarnation]) -> None:
         """Forget all targets except these."""
-        if not self.statements.known and not self.schedules:
-            return
+        now = boot_time()
+        is_sound = self.is_ready() and not self.fleet.is_minority(now)
+        self.contact.update(is_sound=is_sound, now=now)
         current = set(incarnations)
+        self.cold.retain(current)
         self.statements.retain(current)
         for gone in self.schedules.keys() - current:
             self.schedules.pop(gone)
@@ -190,15 +214,15 @@
         self, incarnation: Incarnation, rate: float, max_wait_s: float
     ) -> tuple[bool, float]:
         """Ask the host that schedules a target's requests for permission."""
-        if self.fleet.is_minority(boot_time()):
-            # The others schedule without this host.
-            return self._reserve(
-                incarnation, rate / self.fleet.size, max_wait_s
-            )
-        scheduler = self._find_scheduler(incarnation)
+        is_alone = self.fleet.is_minority(boot_time())
+        scheduler = None if is_alone else _find_scheduler(self, incarnation)
         if scheduler is None:
-            return self._reserve(incarnation, rate, max_wait_s)
-        statement = self._make_message(incarnation)
+            if not _may_grant(self, incarnation):
+                return False, UNANSWERED_RETRY_S
+            # The others schedule without a host that is alone.
+            share = self.fleet.size if is_alone else 1
+            return self._reserve(incarnation, rate / share, max_wait_s)
+        statement = _make_message(self, incarnation)
 
         def send(number: int) -> None:
             message = PermitRequestMessage(
@@ -216,19 +240,6 @@
             return False, UNANSWERED_RETRY_S
         return reply.is_granted, reply.due_s
 
-    def _find_scheduler(self, incarnation: Incarnation) -> Peer | None:
-        """Return the host to ask, None for this host."""
-        names = {
-            one.name
-            for one in self.fleet.recent_digests(boot_time())
-            if one.is_ready
-        }
-        own_name = self.fleet.own_name
-        if self.is_ready() or not names:
-            names.add(own_name)
-        name = pick_scheduler(names, incarnation)
-        return None if name == own_name else self.fleet.peers.get(name)
-
     def _reserve(
         self, incarnation: Incarnation, rate: float, max_wait_s: float
     ) -> tuple[bool, float]:
@@ -239,6 +250,15 @@
 
     def _receive_statement(self, message: StatementMessage) -> None:
         incarnation = (message.target, message.born)
+        self.cold.note_told(
+            incarnation,
+            message.service,
+            message.cold_left_s,
+            message.cold_age_s,
+            boot_time(),
+        )
+        if message.age_s >= NEVER_S:
+            return
         statement = Statement(message.rate_limit)
         if self.statements.merge(
             incarnation, statement, boot_time() - message.age_s
@@ -251,9 +271,13 @@
         if sender is None:
             return
         incarnation = (message.statement.target, message.statement.born)
-        rate = effective_rate(self.statements.get(incarnation).rate_limit)
+        rate = self._find_rate(incarnation)
         reply = PermitMessage(message.number, is_granted=True, due_s=0)
-        if rate is not None:
+        if not _may_grant(self, incarnation):
+            reply = PermitMessage(
+                message.number, is_granted=False, due_s=UNANSWERED_RETRY_S
+            )
+        elif rate is not None:
             reply = PermitMessage(
                 message.number,
                 *self._reserve(incarnation, rate, message.max_wait_s),
@@ -270,13 +294,11 @@
             rate_limit=self.statements.get(incarnation).rate_limit,
         )
 
-    def _make_message(self, incarnation: Incarnation) -> StatementMessage:
-        found = self.statements.known[incarnation]
-        return StatementMessage(
-            *incarnation,
-            boot_time() - found.received_at,
-            found.statement.rate_limit,
-        )
+    def _find_rate(self, incarnation: Incarnation) -> float | None:
+        """Return the requests per second to keep for a target, or None."""
+        stated = self.statements.get(incarnation).rate_limit
+        cold = self.cold.rate_of(incarnation, boot_time())
+        return least_rate((effective_rate(stated), cold))
 
 
 def _is_repeated(found: KnownStatement, now: float) -> bool:
@@ -286,3 +308,38 @@
     """
     is_withdrawn = found.statement == NOTHING_STATED
     return not is_withdrawn or now - found.received_at < FRESH_S
+
+
+def _make_message(
+    limits: TargetLimits, incarnation: Incarnation
+) -> StatementMessage:
+    """Return what a host knows of a target, to tell others."""
+    now = boot_time()
+    found = limits.statements.known.get(incarnation)
+    cold = limits.cold.known.get(incarnation)
+    return StatementMessage(
+        *incarnation,
+        NEVER_S if found is None else now - found.received_at,
+        limits.statements.get(incarnation).rate_limit,
+        '' if cold is None else cold.service,
+        limits.cold.left_s(incarnation, now),
+        0 if cold is None else now - cold.noted_at,
+    )
+
+
+def _find_scheduler(
+    limits: TargetLimits, incarnation: Incarnation
+) -> Peer | None:
+    """Return the host to ask, None for this host."""
+    return find_scheduler(
+        limits.fleet, incarnation, boot_time(), is_ready=limits.is_ready()
+    )
+
+
+def _may_grant(limits: TargetLimits, incarnation: Incarnation) -> bool:
+    """Return whether this host may grant permits for a target."""
+    now = boot_time()
+    if not limits.cold.left_s(incarnation, now):
+        return True
+    scheduler = _find_scheduler(limits, incarnation)
+    return may_grant_cold(limits.fleet, limits.contact, scheduler, now)
