Hosts pass on only what they have read of cold targets

Each host that passed on the end of a cold time added the time that a message takes, so hosts that tell each other would have put the end off: at five digests a second, a delay of one digest period would have kept a target cold for good. What others tell is now kept apart and is not passed on. A test with two such hosts guards against it.

A zone whose targets leave during its evacuation is no longer logged as one that does not exist.

--- a/ebonywell/evacuation/cold.py
+++ b/ebonywell/evacuation/cold.py
@@ -81,17 +81,29 @@
     ----------
     service : str
     noted_at : float
-        When the announcement was read that says so, by this host or another.
+        When this host last read an announcement of it.
     until : float
         When it is warm, by its announcements.
     first_at : float or None
         When it was first announced, if this host saw that.
+    told_until : float
+        When it is warm, by what other hosts tell. It is not passed on: each
+        host would add the time that a message takes, and the end would recede.
     """
 
     service: str
-    noted_at: float
+    noted_at: float = -math.inf
     until: float = -math.inf
     first_at: float | None = None
+    told_until: float = -math.inf
+
+    def find_own_end(self, spec: ColdSpec | None) -> float:
+        """Return when it is warm, by what this host has read itself."""
+        if spec is None:
+            return -math.inf
+        if self.first_at is None:
+            return self.until
+        return max(self.until, self.first_at + spec.start_s)
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,6 +114,27 @@
     left_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class ColdReport:
+    """What one host tells others of a target.
+
+    Attributes
+    ----------
+    service : str
+    left_s : float
+        Time for which it is still cold, 0 if that is not known.
+    age_s : float
+        Time since its announcement was read.
+    """
+
+    service: str = ''
+    left_s: float = 0
+    age_s: float = 0
+
+
+NOT_COLD = ColdReport()
+
+
 def _no_spec(service: str) -> ColdSpec | None:
     """Return None; for a host without a configuration."""
 
@@ -155,50 +188,48 @@
         """
         found = self.known.get(incarnation)
         if found is None:
-            found = ColdState(service, now)
+            found = ColdState(service)
             self.known[incarnation] = found
         if is_new:
             found.first_at = now
         found.noted_at = now
+        found.told_until = -math.inf
         found.until = now
         if left_s > 0:
             found.until = now + left_s + ANNOUNCEMENT_AGE_S
         self._find_end(incarnation, found, now)
 
     def note_told(
-        self,
-        incarnation: Incarnation,
-        service: str,
-        left_s: float,
-        age_s: float,
-        now: float,
+        self, incarnation: Incarnation, report: ColdReport, now: float
     ) -> None:
-        """Record what another host says of a target.
-
-        Parameters
-        ----------
-        incarnation : (str, int)
-        service : str
-        left_s : float
-            Time for which it is still cold.
-        age_s : float
-            Time since the other host read the announcement.
-        now : float
-        """
+        """Record what another host tells of a target."""
+        left_s, age_s = report.left_s, report.age_s
         if not (math.isfinite(left_s) and math.isfinite(age_s)) or left_s <= 0:
             return
-        noted_at = now - max(0, age_s)
         found = self.known.get(incarnation)
         if found is None:
-            found = ColdState(service, noted_at)
+            found = ColdState(report.service)
             self.known[incarnation] = found
-        elif noted_at <= found.noted_at:
+        elif now - max(0, age_s) <= found.noted_at:
             return
-        found.noted_at = noted_at
         longest_s = MAX_COLD_S + ANNOUNCEMENT_AGE_S
-        found.until = max(found.until, now + min(left_s, longest_s))
+        found.told_until = max(found.told_until, now + min(left_s, longest_s))
         self._find_end(incarnation, found, now)
 
+    def tell(self, incarnation: Incarnation, now: float) -> ColdReport:
+        """Return what this host can tell others of a target."""
+        found = self.known.get(incarnation)
+        if found is None:
+            return NOT_COLD
+        left_s = found.find_own_end(self.spec_of(found.service)) - now
+        if left_s <= 0:
+            return NOT_COLD
+        return ColdReport(found.service, left_s, now - found.noted_at)
+
+    def list_own(self, now: float) -> list[Incarnation]:
+        """Return the cold targets of which this host can tell others."""
+        return [one for one in self.ends if self.tell(one, now).left_s]
+
     def rate_of(self, incarnation: Incarnation, now: float) -> float | None:
         """Return the rate of permits for a target, None if it is not cold."""
         if now >= self.ends.get(incarnation, now):
@@ -244,11 +275,9 @@
     ) -> None:
         """Find when a target is warm."""
         spec = self.spec_of(found.service)
-        end = -math.inf
+        end = found.find_own_end(spec)
         if spec is not None:
-            end = found.until
-            if found.first_at is not None:
-                end = max(end, found.first_at + spec.start_s)
+            end = max(end, found.told_until)
         if now < end:
             self.ends[incarnation] = end
         else:
--- a/ebonywell/evacuation/records.py
+++ b/ebonywell/evacuation/records.py
@@ -77,9 +77,8 @@
         if self.evacuations.is_empty or not inventory.is_loaded:
             return
         known = {one.announcement.zone for one in inventory.targets.values()}
-        for zone in self.evacuations.closed_at.keys() - known:
-            if self.evacuations.note_odd(zone):
-                self.log('evacuation_odd', zone=zone, why='no target there')
+        for zone in self.evacuations.list_missing(known):
+            self.log('evacuation_odd', zone=zone, why='no target there')
 
     def _log_begun(self, zone: str) -> None:
         self.log('evacuation_begun', zone=zone)
--- a/ebonywell/evacuation/zones.py
+++ b/ebonywell/evacuation/zones.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
 
@@ -67,12 +67,15 @@
         By evacuated zone, when the models that are ready nowhere else are no
         longer requested there, by the clock of this process.
     reported : set of str
-        Evacuated zones about which something odd was logged.
+        Evacuated zones whose record holds something odd, which was logged.
+    checked : set of str
+        Evacuated zones that were looked for among the targets' zones.
     """
 
     bounds: EvacuationBounds = EvacuationBounds()
     closed_at: dict[str, float] = field(default_factory=dict)
     reported: set[str] = field(default_factory=set)
+    checked: set[str] = field(default_factory=set)
 
     @property
     def is_empty(self) -> bool:
@@ -106,6 +109,7 @@
     def end(self, zone: str) -> bool:
         """Record that an evacuation ended; return whether there was one."""
         self.reported.discard(zone)
+        self.checked.discard(zone)
         return self.closed_at.pop(zone, None) is not None
 
     def replace_all(self, zones: Iterable[str]) -> tuple[list[str], list[str]]:
@@ -128,12 +132,21 @@
         return begun, ended
 
     def note_odd(self, zone: str) -> bool:
-        """Return whether nothing odd was logged yet about an evacuation."""
+        """Return whether the record's content was not known to be odd."""
         if zone in self.reported:
             return False
         self.reported.add(zone)
         return True
 
+    def list_missing(self, zones: Set[str]) -> list[str]:
+        """Return the evacuated zones that do not exist, each of them once.
+
+        The targets of a zone may leave later, which is nothing odd.
+        """
+        unchecked = self.closed_at.keys() - self.checked
+        self.checked |= unchecked
+        return [zone for zone in unchecked if zone not in zones]
+
     def is_evacuated(self, target: Zoned) -> bool:
         """Return whether the zone of a target is evacuated."""
         return target.announcement.zone in self.closed_at
--- a/ebonywell/targetlimits.py
+++ b/ebonywell/targetlimits.py
@@ -22,7 +22,7 @@
     PermitRequestMessage,
     StatementMessage,
 )
-from .evacuation.cold import PERMIT_LATE_S, ColdTargets, Contact
+from .evacuation.cold import PERMIT_LATE_S, ColdReport, ColdTargets, Contact
 from .evacuation.permits import find_scheduler, least_rate, may_grant_cold
 from .fleetview import FleetView, Peer
 from .inventory import KnownTarget
@@ -186,7 +186,7 @@
     def list_messages(self) -> Iterator[StatementMessage]:
         """Yield the statements to repeat with the next digest."""
         now = boot_time()
-        repeated = dict.fromkeys(self.cold.ends)
+        repeated = dict.fromkeys(self.cold.list_own(now))
         if repeated:
             self.repeats.note_change(now)
         repeated.update(
@@ -250,13 +250,10 @@
 
     def _receive_statement(self, message: StatementMessage) -> None:
         incarnation = (message.target, message.born)
-        self.cold.note_told(
-            incarnation,
-            message.service,
-            message.cold_left_s,
-            message.cold_age_s,
-            boot_time(),
+        report = ColdReport(
+            message.service, message.cold_left_s, message.cold_age_s
         )
+        self.cold.note_told(incarnation, report, boot_time())
         if message.age_s >= NEVER_S:
             return
         statement = Statement(message.rate_limit)
@@ -316,14 +313,14 @@
     """Return what a host knows of a target, to tell others."""
     now = boot_time()
     found = limits.statements.known.get(incarnation)
-    cold = limits.cold.known.get(incarnation)
+    report = limits.cold.tell(incarnation, now)
     return StatementMessage(
         *incarnation,
         NEVER_S if found is None else now - found.received_at,
         limits.statements.get(incarnation).rate_limit,
-        '' if cold is None else cold.service,
-        limits.cold.left_s(incarnation, now),
-        0 if cold is None else now - cold.noted_at,
+        report.service,
+        report.left_s,
+        report.age_s,
     )
 
 
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -13,10 +13,12 @@
     ANNOUNCEMENT_AGE_S,
     CONTACT_S,
     MAX_COLD_S,
+    NOT_COLD,
     SCHEDULERS,
     SENT_LATE_S,
     ColdBounds,
     ColdChange,
+    ColdReport,
     ColdSpec,
     ColdTargets,
     Contact,
@@ -124,31 +126,54 @@
 def test_a_host_without_the_store_is_told():
     cold = make_cold()
     note(cold, 0, 100)
-    cold.note_told(TARGET, 'pool', 5, 0.1, 110)
+    cold.note_told(TARGET, ColdReport('pool', 5, 0.1), 110)
     assert cold.left_s(TARGET, 110) == 5
 
 
 def test_what_is_older_than_the_own_knowledge_has_no_effect():
     cold = make_cold()
     note(cold, 0, 110)
-    cold.note_told(TARGET, 'pool', 5, 1, 110.5)
+    cold.note_told(TARGET, ColdReport('pool', 5, 1), 110.5)
     assert cold.rate_of(TARGET, 110.5) is None
 
 
 @pytest.mark.parametrize('odd', [math.nan, math.inf, -1, 0])
 def test_a_malformed_time_from_another_host_is_ignored(odd):
     cold = make_cold()
-    cold.note_told(TARGET, 'pool', odd, 0, 100)
+    cold.note_told(TARGET, ColdReport('pool', odd, 0), 100)
     assert not cold.ends
 
 
 def test_a_huge_time_from_another_host_is_bounded():
     cold = make_cold()
-    cold.note_told(TARGET, 'pool', 1e12, 0, 100)
+    cold.note_told(TARGET, ColdReport('pool', 1e12, 0), 100)
     left_s = cold.left_s(TARGET, 100)
     assert left_s == pytest.approx(MAX_COLD_S + ANNOUNCEMENT_AGE_S)
 
 
+def test_hosts_that_tell_each_other_do_not_put_off_the_end():
+    # Each message takes time, which would add up if it were passed on.
+    one, other = make_cold(), make_cold()
+    note(one, 3, 100)
+    note(other, 3, 100.1)
+    now = 100.2
+    while now < 106:
+        other.note_told(TARGET, one.tell(TARGET, now), now + 0.05)
+        one.note_told(TARGET, other.tell(TARGET, now), now + 0.05)
+        now += 0.1
+    assert not one.update(106)
+    assert not other.update(106)
+
+
+def test_a_host_passes_on_only_what_it_has_read():
+    cold = make_cold()
+    cold.note_told(TARGET, ColdReport('pool', 5, 0), 100)
+    assert cold.tell(TARGET, 100) == NOT_COLD
+    assert cold.list_own(100) == []
+    note(cold, 5, 101)
+    assert cold.list_own(101) == [TARGET]
+
+
 # Formats
 
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -162,6 +162,9 @@
     host.see(('z-1', b'{}'), ('nowhere', b'{}'))
     for _ in range(3):
         host.feeds.refresh(100)
+    # Targets that leave an evacuated zone are nothing odd.
+    host.inventory.targets.clear()
+    host.feeds.refresh(101)
     odd = [zone for one, zone in host.lines if one == 'evacuation_odd']
     assert odd == ['nowhere']
 
