--- a/ebonywell/evacuation/cold.py
+++ b/ebonywell/evacuation/cold.py
@@ -116,13 +116,13 @@
 
 @dataclass(slots=True, frozen=True)
 class ColdReport:
-    """What one host tells others of a target.
+    """What a target says of itself, or one host tells others of it.
 
     Attributes
     ----------
     service : str
     left_s : float
-        Time for which it is still cold, 0 if that is not known.
+        Time for which it is still cold; 0 if it is warm, or is not known.
     age_s : float
         Time since its announcement was read.
     """
@@ -167,8 +167,7 @@
     def note_announcement(
         self,
         incarnation: Incarnation,
-        service: str,
-        left_s: float,
+        report: ColdReport,
         now: float,
         *,
         is_new: bool,
@@ -178,9 +177,8 @@
         Parameters
         ----------
         incarnation : (str, int)
-        service : str
-        left_s : float
-            Time for which it is still cold, 0 if it is warm.
+        report : ColdReport
+            What it says of itself.
         now : float
             When the announcement was read.
         is_new : bool
@@ -188,15 +186,15 @@
         """
         found = self.known.get(incarnation)
         if found is None:
-            found = ColdState(service)
+            found = ColdState(report.service)
             self.known[incarnation] = found
         if is_new:
             found.first_at = now
         found.noted_at = now
         found.told_until = -math.inf
         found.until = now
-        if left_s > 0:
-            found.until = now + left_s + ANNOUNCEMENT_AGE_S
+        if report.left_s > 0:
+            found.until = now + report.left_s + ANNOUNCEMENT_AGE_S
         self._find_end(incarnation, found, now)
 
     def note_told(
--- a/ebonywell/evacuation/zones.py
+++ b/ebonywell/evacuation/zones.py
@@ -157,6 +157,8 @@
 
     def list_open(self, targets: Iterable[_Target]) -> list[_Target]:
         """Return the targets whose zones are not evacuated."""
+        if self.is_empty:
+            return list(targets)
         return [one for one in targets if not self.is_evacuated(one)]
 
     def list_usable(
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .evacuation.cold import ColdTargets
+from .evacuation.cold import ColdReport, ColdTargets
 from .evacuation.zones import Evacuations
 
 # Longest time between the writing of an announcement and its reading: the
@@ -67,9 +67,8 @@
     release : str
         Version of the target's software.
     cold_left_s : float
-        Time for which it is still cold, 0 if it is warm.
     is_cold_sound : bool
-        Whether it stated that time properly.
+        Time until it is no longer cold, and whether it stated that properly.
     """
 
     name: str
@@ -215,9 +214,8 @@
     ready : dict of str to list of KnownTarget
         Targets that take new requests, by service; cached until one changes.
     evacuations : Evacuations
-        Zones whose targets get no new requests.
     cold : ColdTargets
-        Targets that get few requests for a while.
+        Targets that get no new requests for a while, and those that get few.
     """
 
     targets: dict[str, KnownTarget] = field(default_factory=dict)
@@ -235,8 +233,7 @@
         is_new = known is None or known.announcement.born != announcement.born
         self.cold.note_announcement(
             (announcement.name, announcement.born),
-            announcement.service,
-            announcement.cold_left_s,
+            ColdReport(announcement.service, announcement.cold_left_s),
             now,
             is_new=is_new and self.is_loaded,
         )
@@ -345,10 +342,7 @@
 
     def list_open(self, service: str) -> list[KnownTarget]:
         """Return the targets of a service outside evacuated zones."""
-        ready = self.of_service(service)
-        if self.evacuations.is_empty:
-            return ready
-        return self.evacuations.list_open(ready)
+        return self.evacuations.list_open(self.of_service(service))
 
     def _remove(self, name: str) -> None:
         self.targets.pop(name)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -47,7 +47,8 @@
 
 
 def note(cold, left_s, now, *, is_new=False):
-    cold.note_announcement(TARGET, 'pool', left_s, now, is_new=is_new)
+    report = ColdReport('pool', left_s)
+    cold.note_announcement(TARGET, report, now, is_new=is_new)
 
 
 # Announcements
@@ -326,7 +327,10 @@
         host.limits.cold.spec_of = find_spec
         host.limits.cold.bounds = BOUNDS
         host.limits.cold.note_announcement(
-            world.known.incarnation, 'pool', left_s, now, is_new=False
+            world.known.incarnation,
+            ColdReport('pool', left_s),
+            now,
+            is_new=False,
         )
     world.cold_at = now
 
