--- a/ebonywell/hostknowledge.py
+++ b/ebonywell/hostknowledge.py
@@ -6,6 +6,7 @@
 
 from .clock import boot_time
 from .digests import LoadShare
+from .evacuation.cold import ColdSpec, ColdTargets
 from .evacuation.zones import Evacuations
 from .fleetview import FleetView
 from .health import HealthTracker
@@ -43,7 +44,8 @@
     def __init__(self, settings: HostSettings, rng: random.Random) -> None:
         self.intake = Intake(rng, settings.bounds.revoke_s)
         self.inventory = Inventory(
-            evacuations=Evacuations(settings.bounds.evacuation)
+            evacuations=Evacuations(settings.bounds.evacuation),
+            cold=ColdTargets(self.cold_spec_of, settings.bounds.cold),
         )
         self.board = LoadBoard()
         self.health = HealthTracker()
@@ -75,6 +77,14 @@
             return 0
         return engine.models[model].load_s
 
+    def cold_spec_of(self, service: str) -> ColdSpec | None:
+        """Return how a service's targets start, None if they take any rate."""
+        configuration = self.intake.configuration
+        if configuration is None:
+            return None
+        found = configuration.services.get(service)
+        return None if found is None else found.cold
+
     def list_resumable_services(self) -> set[str]:
         """Return the services of routes whose streams may be resumed."""
         configuration = self.intake.configuration
--- a/ebonywell/inventory.py
+++ b/ebonywell/inventory.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from .evacuation.cold import ColdReport, ColdTargets
 from .evacuation.zones import Evacuations
 
 # Longest time between the writing of an announcement and its reading: the
@@ -65,6 +66,9 @@
         Models whose weights the target has cached in memory or on disk.
     release : str
         Version of the target's software.
+    cold_left_s : float
+    is_cold_sound : bool
+        Time until it is no longer cold, and whether it stated that properly.
     """
 
     name: str
@@ -79,6 +83,8 @@
     memory_weights: frozenset[str] = frozenset()
     disk_weights: frozenset[str] = frozenset()
     release: str = ''
+    cold_left_s: float = 0
+    is_cold_sound: bool = True
 
     @property
     def cached_weights(self) -> frozenset[str]:
@@ -208,7 +214,8 @@
     ready : dict of str to list of KnownTarget
         Targets that take new requests, by service; cached until one changes.
     evacuations : Evacuations
-        Zones whose targets get no new requests.
+    cold : ColdTargets
+        Targets that get no new requests for a while, and those that get few.
     """
 
     targets: dict[str, KnownTarget] = field(default_factory=dict)
@@ -217,12 +224,20 @@
     is_loaded: bool = False
     ready: dict[str, list[KnownTarget]] = field(default_factory=dict)
     evacuations: Evacuations = field(default_factory=Evacuations)
+    cold: ColdTargets = field(default_factory=ColdTargets)
 
     def announce(self, announcement: Announcement, now: float) -> KnownTarget:
         """Record an announcement, and return the target."""
         self.ready.clear()
         known = self.targets.get(announcement.name)
-        if known is None or known.announcement.born != announcement.born:
+        is_new = known is None or known.announcement.born != announcement.born
+        self.cold.note_announcement(
+            (announcement.name, announcement.born),
+            ColdReport(announcement.service, announcement.cold_left_s),
+            now,
+            is_new=is_new and self.is_loaded,
+        )
+        if known is None or is_new:
             known = KnownTarget(announcement, dict(announcement.models))
             self.targets[announcement.name] = known
             return known
@@ -327,10 +342,7 @@
 
     def list_open(self, service: str) -> list[KnownTarget]:
         """Return the targets of a service outside evacuated zones."""
-        ready = self.of_service(service)
-        if self.evacuations.is_empty:
-            return ready
-        return self.evacuations.list_open(ready)
+        return self.evacuations.list_open(self.of_service(service))
 
     def _remove(self, name: str) -> None:
         self.targets.pop(name)
