Cut the load of workspaces above their share when others find no room

A workspace at seven times its load was served as often as the others: a small room bounds it little, since many of its requests find an idle target. Now a share of its requests is turned away at once while requests of workspaces within their share find no room; its usual share is left to it.

The cost of a pause counts what other hosts may have sent meanwhile: a pause just below its goal or a slow target costs more than a short pause on a fast one. The room is half of the pause goal.

--- a/ebonywell/headroom/__init__.py
+++ b/ebonywell/headroom/__init__.py
@@ -11,7 +11,8 @@
 - `room` holds the decisions: how much prompt work may wait at a target for each
   rank, what a target lacks, and whether a request is admitted, held or
   rejected.
-- `fairness` finds workspaces that are above their usual share of the work.
+- `fairness` finds workspaces that are above their usual share of the work, and
+  `cuts` says how many of their requests are turned away at once.
 - `holding` keeps the held requests of a host, `gate` runs them, and
   `retrytimes` says when those that were turned away should return.
 """
--- a/ebonywell/headroom/gate.py
+++ b/ebonywell/headroom/gate.py
@@ -19,11 +19,13 @@
 from ..metrics import Metrics
 from ..routetable import EngineSpec
 from ..selection import Choice
+from .cuts import Cuts
 from .holding import HeldRequest, Holding
 from .retrytimes import spread_retry_s
 from .room import (
     ADMITTED,
     HELD,
+    NO_ROOM,
     Cause,
     Judgement,
     Situation,
@@ -39,7 +41,6 @@
 # this time would see the same loads.
 MIN_RECHECK_S = 0.01
 _UNAVAILABLE = 503
-_FULL = Judgement(Verdict.reject, 'no_room')
 
 
 class Selector(Protocol):
@@ -67,6 +68,7 @@
     ----------
     selector : Selector
     holding : Holding
+    cuts : Cuts
     examined_at : float
         When the held requests were last examined.
     """
@@ -76,6 +78,7 @@
     log: Logger
     metrics: Metrics
     rng: random.Random = field(default_factory=random.Random)
+    cuts: Cuts = field(default_factory=Cuts)
     examined_at: float = 0
 
     async def wait_for_room(self, request: AdmittedRequest) -> None:
@@ -87,7 +90,9 @@
             If none has any, nor is due to have it in time.
         """
         judgement, cause = self._judge(request, 0)
-        if judgement is ADMITTED and self.holding.precedes(request):
+        if self._is_cut(request, cause):
+            judgement = NO_ROOM
+        elif judgement is ADMITTED and self.holding.precedes(request):
             judgement = HELD
         if judgement.verdict is Verdict.hold:
             held = HeldRequest(request, boot_time(), cause)
@@ -115,10 +120,25 @@
         if self.holding.requests:
             self.examine()
 
+    def _is_cut(self, request: AdmittedRequest, cause: Cause) -> bool:
+        """Return whether to turn away a request of a workspace at once.
+
+        It then leaves its place to workspaces that are within their share.
+        """
+        engine = self.selector.engine_of(request.service)
+        if engine is None or not engine.has_terms or not request.workspace:
+            return False
+        kind = request.service, request.rank
+        excess = self.holding.excess_of(request.workspace.name)
+        if excess <= 1:
+            self.cuts.note(*kind, has_room=cause is Cause.nothing)
+            return False
+        return self.rng.random() < self.cuts.share(*kind, excess)
+
     async def _hold(self, held: HeldRequest) -> Judgement:
         displaced = self.holding.add(held)
         if displaced is not None:
-            displaced.settle(_FULL)
+            displaced.settle(NO_ROOM)
         result = 'withdrawn'
         try:
             while not held.settled.is_set():
--- a/ebonywell/headroom/room.py
+++ b/ebonywell/headroom/room.py
@@ -12,12 +12,14 @@
 
 from ..overload import max_wait_s, overload_retry_after_s
 
-# Prompt work that may wait at a target of a service without a pause goal.
-DEFAULT_ROOM_MS = 400.0
-# Share of the room that the least urgent rank leaves to the others. The rest
-# must keep a target busy until other hosts learn that its queue is empty, some
-# hundred milliseconds later.
-WORK_RESERVE = 0.4
+# Prompt work that may wait at a target, as a share of its pause goal. The rest
+# of the goal is left for the request's own prompt, for the decoding steps, and
+# for what other hosts send before they know of it.
+GOAL_SHARE = 0.5
+# The same for a service without a pause goal.
+DEFAULT_ROOM_MS = 200.0
+# Share of the room that the least urgent rank leaves to the others.
+WORK_RESERVE = 0.8
 # The same for slots and for memory, which a request keeps until its end.
 HOLD_RESERVE = 0.25
 # Share of the room that is open to each rank and workspace at any time.
@@ -129,6 +131,7 @@
 
 ADMITTED = Judgement(Verdict.admit)
 HELD = Judgement(Verdict.hold)
+NO_ROOM = Judgement(Verdict.reject, 'no_room')
 
 
 def reserve_share(
@@ -184,7 +187,7 @@
     float
         Time to read it at the target's pace, in milliseconds.
     """
-    full_ms = pause_goal_ms if pause_goal_ms > 0 else DEFAULT_ROOM_MS
+    full_ms = pause_goal_ms * GOAL_SHARE or DEFAULT_ROOM_MS
     share = 1 - WORK_RESERVE * reserve_share(rank, ranks, time_used)
     return full_ms * max(MIN_SHARE, share * fair_share(excess))
 
--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -12,7 +12,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .headroom.pauses import pause_cost_ms, predicted_pause_ms
+from .headroom.pauses import (
+    MIN_UNSEEN_TOKENS,
+    expected_excess_ms,
+    pause_cost_ms,
+    predicted_pause_ms,
+)
 from .headroom.room import Shortage, TargetWork, find_shortage
 from .headroom.terms import Terms
 from .health import TargetHealth
@@ -146,29 +151,50 @@
     return PROMPT_TOKENS_PER_MS, STEP_MS
 
 
-def estimate_pause_cost_ms(candidate: Candidate, terms: Terms) -> float:
+def estimate_pause_cost_ms(
+    candidate: Candidate, terms: Terms, unseen_tokens: float
+) -> float:
     """Return the cost of the pauses that a request causes and meets.
 
     Its prompt lengthens the pauses of the streams that run at the target, and
     the prompts that are read after its own lengthen those of its own stream.
+
+    Parameters
+    ----------
+    candidate : Candidate
+    terms : Terms
+    unseen_tokens : float
+        Prompt tokens that may wait there beyond those that are known.
     """
+    goal_ms = terms.pause_goal_ms
+    if not goal_ms:
+        return 0
     tokens_per_ms, step_ms = pace_of(candidate)
     load = candidate.load
+
+    def excess_ms(waiting: float, new_tokens: int) -> float:
+        pause_ms = predicted_pause_ms(
+            waiting, new_tokens, tokens_per_ms, step_ms, terms.tokens_per_event
+        )
+        return expected_excess_ms(
+            pause_ms, goal_ms, unseen_tokens / tokens_per_ms
+        )
+
     waiting = sum(load.waiting_tokens.values())
     later = waiting - tokens_ahead(load.waiting_tokens, candidate.rank)
-    caused_ms = predicted_pause_ms(
-        waiting,
-        candidate.new_tokens,
-        tokens_per_ms,
-        step_ms,
-        terms.tokens_per_event,
-    )
-    met_ms = predicted_pause_ms(
-        later, 0, tokens_per_ms, step_ms, terms.tokens_per_event
-    )
-    goal_ms = terms.pause_goal_ms
-    cost_ms = pause_cost_ms(caused_ms, goal_ms, load.running)
-    return cost_ms + pause_cost_ms(met_ms, goal_ms, 1)
+    caused_ms = excess_ms(waiting, candidate.new_tokens)
+    met_ms = excess_ms(later, 0)
+    cost_ms = pause_cost_ms(caused_ms, load.running)
+    return cost_ms + pause_cost_ms(met_ms, 1)
+
+
+def estimate_unseen_tokens(candidates: Sequence[Candidate]) -> float:
+    """Return how many prompt tokens wait at a target beyond those known.
+
+    What the others send meanwhile is about as much as waits at one target now.
+    """
+    waiting = sum(sum(one.load.waiting_tokens.values()) for one in candidates)
+    return max(MIN_UNSEEN_TOKENS, waiting / max(1, len(candidates)))
 
 
 def estimate_shortage(candidate: Candidate, terms: Terms) -> Shortage:
@@ -194,6 +220,7 @@
     """Return the target with the least cost; near ties are broken at random."""
     best: Choice | None = None
     least_ms = math.inf
+    unseen_tokens = estimate_unseen_tokens(candidates)
     for candidate in candidates:
         expected_ms = estimate_first_byte_ms(candidate)
         wait_ms = expected_ms * candidate.health.slowness
@@ -205,7 +232,7 @@
         if candidate.lacks_adapter:
             cost_ms += ADAPTER_COST_MS
         if terms is not None and candidate.cache_tokens:
-            cost_ms += estimate_pause_cost_ms(candidate, terms)
+            cost_ms += estimate_pause_cost_ms(candidate, terms, unseen_tokens)
             shortage = estimate_shortage(candidate, terms)
             if shortage.due_ms:
                 cost_ms += NO_ROOM_COST_MS
