--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -220,7 +220,7 @@
     """Return the target with the least cost; near ties are broken at random."""
     best: Choice | None = None
     least_ms = math.inf
-    unseen_tokens = estimate_unseen_tokens(candidates)
+    unseen_tokens = estimate_unseen_tokens(candidates) if terms else 0
     for candidate in candidates:
         expected_ms = estimate_first_byte_ms(candidate)
         wait_ms = expected_ms * candidate.health.slowness
@@ -232,10 +232,9 @@
         if candidate.lacks_adapter:
             cost_ms += ADAPTER_COST_MS
         if terms is not None and candidate.cache_tokens:
-            cost_ms += estimate_pause_cost_ms(candidate, terms, unseen_tokens)
             shortage = estimate_shortage(candidate, terms)
-            if shortage.due_ms:
-                cost_ms += NO_ROOM_COST_MS
+            cost_ms += estimate_pause_cost_ms(candidate, terms, unseen_tokens)
+            cost_ms += NO_ROOM_COST_MS * bool(shortage.due_ms)
         if cost_ms < least_ms:
             least_ms = cost_ms
             best = Choice(
