Count and log requests of workspaces above their share that are cut

An operator could not tell a cut from another no_room. requests_cut_total and request_cut say so; the page's test also reads the gate's events.

Tests: test_headroom_gate, test_operations_page and test_pages pass.

--- a/ebonywell/headroom/gate.py
+++ b/ebonywell/headroom/gate.py
@@ -133,7 +133,17 @@
         if excess <= 1:
             self.cuts.note(*kind, has_room=cause is Cause.nothing)
             return False
-        return self.rng.random() < self.cuts.share(*kind, excess)
+        is_cut = self.rng.random() < self.cuts.share(*kind, excess)
+        if is_cut:
+            self.metrics.count('requests_cut_total', rank=str(request.rank))
+            self.log(
+                'request_cut',
+                request=request.request_id,
+                workspace=request.workspace.name,
+                rank=request.rank,
+                excess=excess,
+            )
+        return is_cut
 
     async def _hold(self, held: HeldRequest) -> Judgement:
         displaced = self.holding.add(held)
--- a/tests/test_headroom_gate.py
+++ b/tests/test_headroom_gate.py
@@ -243,6 +243,27 @@
         assert world.selector.asked == 0
 
 
+def test_a_workspace_above_its_share_gives_way_while_others_find_no_room(run):
+    async def scenario(world, group):
+        world.gate.holding.excess_of = {'flood': 7, 'team': 1}.get
+        world.selector.due_ms = 950
+        for number in range(20):
+            await world.send(f'r{number}', 1)
+        world.selector.due_ms = 0
+        for number in range(20):
+            await world.send(f'f{number}', 1, workspace='flood')
+        await world.send('usual', 1)
+
+    world = run(scenario)
+    flooding = [world.results[f'f{number}'][0] for number in range(20)]
+    assert flooding.count('no_room') > 10
+    assert 'admitted' in flooding
+    assert world.results['usual'] == ('admitted', 0)
+    cut = [fields for event, fields in world.lines if event == 'request_cut']
+    assert len(cut) == flooding.count('no_room')
+    assert 'requests_cut_total{rank="1"}' in world.metrics.expose()
+
+
 def test_terms_leave_less_room_to_a_workspace_above_its_share(monkeypatch):
     monkeypatch.setattr('ebonywell.headroom.terms.boot_time', lambda: 70.0)
     rates = {'a': 20, 'b': 20, 'c': 20}
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -11,6 +11,7 @@
     'peerforwarding proxying roster '
     'targetlimits storeeras streamorigins streamrecords '
     'callerconnection charging crashdetector crashguard supervision targeting '
+    'headroom/gate '
     'platform/assembly'
 ).split()
 EVENT = re.compile(
