--- a/ebonywell/selection.py
+++ b/ebonywell/selection.py
@@ -12,7 +12,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from .headroom.pauses import pause_cost_ms, predicted_pause_ms
+from .headroom.pauses import (
+    MIN_UNSEEN_TOKENS,
+    expected_excess_ms,
+    pause_cost_ms,
+    predicted_pause_ms,
+)
 from .headroom.room import Shortage, TargetWork, find_shortage
 from .headroom.terms import Terms
 from .health import TargetHealth
@@ -189,29 +194,50 @@
     return pace.ahead_tokens_per_ms, pace.step_ms
 
 
-def estimate_pause_cost_ms(candidate: Candidate, terms: Terms) -> float:
+def estimate_pause_cost_ms(
+    candidate: Candidate, terms: Terms, unseen_tokens: float
+) -> float:
     """Return the cost of the pauses that a request causes and meets.
 
     Its prompt lengthens the pauses of the streams that run at the target, and
     the prompts that are read after its own lengthen those of its own stream.
+
+    Parameters
+    ----------
+    candidate : Candidate
+    terms : Terms
+    unseen_tokens : float
+        Prompt tokens that may wait there beyond those that are known.
     """
+    goal_ms = terms.pause_goal_ms
+    if not goal_ms:
+        return 0
     tokens_per_ms, step_ms = pace_of(candidate)
     load = candidate.load
+
+    def excess_ms(waiting: float, new_tokens: int) -> float:
+        pause_ms = predicted_pause_ms(
+            waiting, new_tokens, tokens_per_ms, step_ms, terms.tokens_per_event
+        )
+        return expected_excess_ms(
+            pause_ms, goal_ms, unseen_tokens / tokens_per_ms
+        )
+
     waiting = sum(load.waiting_tokens.values())
     later = waiting - tokens_ahead(load.waiting_tokens, candidate.rank)
-    caused_ms = predicted_pause_ms(
-        waiting,
-        candidate.usual_tokens,
-        tokens_per_ms,
-        step_ms,
-        terms.tokens_per_event,
-    )
-    met_ms = predicted_pause_ms(
-        later, 0, tokens_per_ms, step_ms, terms.tokens_per_event
-    )
-    goal_ms = terms.pause_goal_ms
-    cost_ms = pause_cost_ms(caused_ms, goal_ms, load.running)
-    return cost_ms + pause_cost_ms(met_ms, goal_ms, 1)
+    caused_ms = excess_ms(waiting, candidate.usual_tokens)
+    met_ms = excess_ms(later, 0)
+    cost_ms = pause_cost_ms(caused_ms, load.running)
+    return cost_ms + pause_cost_ms(met_ms, 1)
+
+
+def estimate_unseen_tokens(candidates: Sequence[Candidate]) -> float:
+    """Return how many prompt tokens wait at a target beyond those known.
+
+    What the others send meanwhile is about as much as waits at one target now.
+    """
+    waiting = sum(sum(one.load.waiting_tokens.values()) for one in candidates)
+    return max(MIN_UNSEEN_TOKENS, waiting / max(1, len(candidates)))
 
 
 def estimate_shortage(candidate: Candidate, terms: Terms) -> Shortage:
@@ -247,6 +273,7 @@
     """Return the target with the least cost; near ties are broken at random."""
     best: Choice | None = None
     least_ms = math.inf
+    unseen_tokens = estimate_unseen_tokens(candidates) if terms else 0
     for candidate in candidates:
         expected_ms = estimate_first_byte_ms(candidate)
         wait_ms = expected_ms * candidate.slowness
@@ -258,10 +285,9 @@
         if candidate.lacks_adapter:
             cost_ms += ADAPTER_COST_MS
         if terms is not None and candidate.cache_tokens:
-            cost_ms += estimate_pause_cost_ms(candidate, terms)
             shortage = estimate_shortage(candidate, terms)
-            if shortage.due_ms:
-                cost_ms += NO_ROOM_COST_MS
+            cost_ms += estimate_pause_cost_ms(candidate, terms, unseen_tokens)
+            cost_ms += NO_ROOM_COST_MS * bool(shortage.due_ms)
         if cost_ms < least_ms:
             least_ms = cost_ms
             best = Choice(
