--- a/ebonywell/pace/pacebook.py
+++ b/ebonywell/pace/pacebook.py
@@ -30,6 +30,9 @@
 AHEAD_DEVIATION = 1.0
 STEPS_DEVIATION = 0.5
 MACHINE_DEVIATION = 0.4
+# Largest cost that counts as demand. Models take at most the time of the
+# largest ones, which the starting values are made for.
+MAX_COST = 1.5
 # Models whose cost is kept; the one that was observed longest ago goes first.
 MAX_MODELS = 2000
 # Services whose pace is learned; others are estimated as before.
@@ -190,11 +193,18 @@
         )
 
     def cost(self, service: str, model: str, now: float) -> float:
-        """Return the time for a model's work, by the starting value."""
+        """Return the time for a model's work, by the starting value.
+
+        Waits at its targets seem to raise it while more is asked for than they
+        can do, so it is bounded. Else a model in high demand would count for
+        several times its work, and take the engines of others.
+        """
         known = self.services.get((service, not model))
         if known is None:
             return 1
-        return math.exp(self._log_cost(known, service, model, now))
+        return min(
+            math.exp(self._log_cost(known, service, model, now)), MAX_COST
+        )
 
     def time_factor(self, service: str, target: str, now: float) -> float:
         """Return the time that a target takes for work, by that of others."""
--- a/tests/prefixworld.py
+++ b/tests/prefixworld.py
@@ -140,7 +140,7 @@
                 ),
                 0,
             )  # fmt: skip
-        spec = SimpleNamespace(cache_tokens=CACHE_TOKENS)
+        spec = SimpleNamespace(cache_tokens=CACHE_TOKENS, has_terms=False)
         prefixes = SentParts() if is_before else PrefixCacheIndex()
         selector = targeting.TargetSelector(
             'z', inventory, LoadBoard(), HealthTracker(), prefixes,
--- a/tests/test_evacuation_choice.py
+++ b/tests/test_evacuation_choice.py
@@ -4,6 +4,7 @@
 
 import anyio
 import pytest
+from ebonywell.prefixes import PrefixIndex
 
 from ebonywell.attempts import EVACUATED, Attempts
 from ebonywell.coordination import Coordination
@@ -21,7 +22,6 @@
 from ebonywell.metrics import Metrics
 from ebonywell.ordering import OrderSender
 from ebonywell.orders import Action
-from ebonywell.prefixes import PrefixIndex
 from ebonywell.progress import AttemptError, Progress
 from ebonywell.routetable import RequestKind, Route, WeightedService
 from ebonywell.selection import Candidate, Choice
--- a/tests/test_pace_learning.py
+++ b/tests/test_pace_learning.py
@@ -12,7 +12,7 @@
 from ebonywell.pace.learning import FADE_HALF_LIFE_S, MAX_LOG, MAX_STEP
 from ebonywell.pace.machines import STATE_S
 from ebonywell.pace.observations import Observation
-from ebonywell.pace.pacebook import MAX_MODELS, PaceBook
+from ebonywell.pace.pacebook import MAX_COST, MAX_MODELS, PaceBook
 from ebonywell.pace.serverload import (
     MAX_PERCENT,
     MAX_REQUESTS,
@@ -266,3 +266,11 @@
         book.note(observe(model=f'm{number}', service=f's{number}'), number)
     assert len(book.models) <= MAX_MODELS
     assert len(book.services) <= 200
+
+
+def test_waits_in_queues_do_not_raise_the_demand_for_a_model_without_bound():
+    """A model whose targets were overloaded counted as 45 engines of demand."""
+    book = PaceBook()
+    for step in range(300):
+        book.note(observe(waited=4000, machine_percent=0), step)
+    assert book.cost('pool', 'm', 300) <= MAX_COST
