--- a/tests/test_prefix_choices.py
+++ b/tests/test_prefix_choices.py
@@ -55,7 +55,9 @@
     prefixes = PrefixCacheIndex()
     selector = TargetSelector(
         'z', inventory, LoadBoard(), HealthTracker(), prefixes,
-        lambda service: SimpleNamespace(cache_tokens=CACHE_TOKENS, has_terms=False),
+        lambda service: SimpleNamespace(
+            cache_tokens=CACHE_TOKENS, has_terms=False
+        ),
         limits or SimpleNamespace(is_empty=True), discard_event,
         random.Random(seed),
     )  # fmt: skip
