--- a/tests/headroomworld.py
+++ b/tests/headroomworld.py
@@ -245,7 +245,8 @@
         self.hosts = [Host(number, self) for number in range(hosts)]
 
     def log(self, event, /, **fields):
-        if fields['result'] in {'no_room', 'overloaded'} and self.is_counting:
+        is_rejected = fields.get('result') in {'no_room', 'overloaded'}
+        if event == 'request_held' and is_rejected and self.is_counting:
             self.rejected_held_s.append(fields['for_s'])
 
     def list_holding(self, model):
