Turn no request away for want of headroom that can be answered in time

Cause: a request that could be held no longer was turned away unless its rank was the first, whatever its own wait. Change: it goes if it can still be answered within its goal, and does not count as one that found room, so that later ones are held for a shorter time.

--- a/ebonywell/headroom/gate.py
+++ b/ebonywell/headroom/gate.py
@@ -198,7 +198,7 @@
         request = held.request
         held_s = boot_time() - held.begun_at
         if result != 'withdrawn':
-            is_admitted = held.judgement.verdict is Verdict.admit
+            is_admitted = held.judgement is ADMITTED
             self.holding.note_result(request, is_admitted=is_admitted)
         rank = str(request.rank)
         self.metrics.count('requests_held_total', rank=rank, result=result)
--- a/ebonywell/headroom/room.py
+++ b/ebonywell/headroom/room.py
@@ -130,6 +130,8 @@
 
 
 ADMITTED = Judgement(Verdict.admit)
+# It may go, though its target has no headroom for it.
+WITHOUT_ROOM = Judgement(Verdict.admit, 'without_room')
 HELD = Judgement(Verdict.hold)
 NO_ROOM = Judgement(Verdict.reject, 'no_room')
 
@@ -255,7 +257,8 @@
     longest_s = max_wait_s(one.goal_s, one.first_byte_timeout_s)
     if one.elapsed_s + one.wait_s > longest_s:
         return Judgement(Verdict.reject, 'overloaded', due_s)
-    # It could be answered only at the cost of others.
-    if one.is_first_rank:
-        return ADMITTED
+    # One that can still be answered within its goal is worth more to its caller
+    # than the room that it takes. A later one is answered at others' cost only.
+    if one.is_first_rank or one.elapsed_s + one.wait_s <= one.goal_s:
+        return WITHOUT_ROOM
     return Judgement(Verdict.reject, 'no_room', due_s)
