Leave headroom and learned paces to the services that need them

Change: headroom applies from three levels of priority among a service's routes on; paces are used where targets state how slow their machines are, or models differ by more than 5 to 1. A request that can be held no longer goes if it is expected within three quarters of its goal, and none is held for longer than half of it.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -27,8 +27,7 @@
     pace_fields,
 )
 from .prefixcache.index import PrefixCacheIndex
-from .prefixcache.prompts import describe_prompt
-from .prefixcache.targetcache import SentPrompt
+from .prefixcache.sends import SentPrompt, make_sent_prompt
 from .progress import (
     NOT_RUN_VERDICTS,
     AttemptError,
@@ -39,7 +38,7 @@
     Verdict,
 )
 from .routetable import RequestKind
-from .selection import MS_PER_S, Choice, estimate_saved_ms
+from .selection import Choice
 from .statements import NO_NOTICE
 from .streamheads import continues, is_event_stream
 from .targetreach import TargetReach
@@ -130,7 +129,7 @@
         progress.avoided.add(target.name)
         progress.target = target.name
         run = _make_run(request, choice)
-        sent = _make_sent_prompt(request, selected)
+        sent = make_sent_prompt(request, selected)
         with self.board.running(run), self.prefixes.sending(sent):
             connection = await self._connect(target, progress)
             try:
@@ -195,21 +194,7 @@
             progress.note_not_run()
         now = boot_time()
         self._note_statement(sending, verdict, head)
-        if verdict is Verdict.answer:
-            # The observation of this exchange then adds nothing.
-            self.prefixes.note_first_byte(sending.prompt, now)
-        if verdict not in {Verdict.crossed, Verdict.other_target}:
-            self.observer(
-                FirstByte(
-                    request,
-                    sending.target,
-                    sending.choice,
-                    self.format.read_load(head),
-                    sending.sent_at,
-                    now,
-                    is_answer=verdict is Verdict.answer and progress.sends == 1,
-                )
-            )
+        self._observe(request, progress, sending, FirstHead(verdict, head, now))
         if verdict is Verdict.answer or verdict is Verdict.failed:
             is_good = verdict is Verdict.answer
             self.health.record_result(sending.target.name, now, is_good=is_good)
@@ -228,6 +213,32 @@
             )
         raise await self._read_rejection(request, sending, verdict, head)
 
+    def _observe(
+        self,
+        request: AdmittedRequest,
+        progress: Progress,
+        sending: 'Sending',
+        first: 'FirstHead',
+    ) -> None:
+        """Record what the head of an answer shows of its target."""
+        is_answer = first.verdict is Verdict.answer
+        if is_answer:
+            # The observation of this exchange then adds nothing.
+            self.prefixes.note_first_byte(sending.prompt, first.received_at)
+        if first.verdict in {Verdict.crossed, Verdict.other_target}:
+            return
+        self.observer(
+            FirstByte(
+                request,
+                sending.target,
+                sending.choice,
+                self.format.read_load(first.head),
+                sending.sent_at,
+                first.received_at,
+                is_answer=is_answer and progress.sends == 1,
+            )
+        )
+
     def _judge(
         self,
         request: AdmittedRequest,
@@ -546,6 +557,15 @@
             progress.splitter.resume()
 
 
+@dataclass(slots=True, frozen=True)
+class FirstHead:
+    """The head of an answer, what it means, and when it arrived."""
+
+    verdict: Verdict
+    head: AnswerHead
+    received_at: float
+
+
 @dataclass(slots=True, eq=False)
 class Sending:
     """One attempt: its target and its connection.
@@ -611,22 +631,6 @@
     )
 
 
-def _make_sent_prompt(
-    request: AdmittedRequest, selected: tuple[KnownTarget, Choice]
-) -> SentPrompt:
-    target, choice = selected
-    chosen = choice.candidate
-    return SentPrompt(
-        target.incarnation,
-        describe_prompt(request.generation),
-        request.rank,
-        chosen.new_tokens,
-        chosen.kept_tokens,
-        estimate_saved_ms(chosen) if chosen.kept_tokens else 0,
-        choice.wait_s * MS_PER_S,
-    )
-
-
 def _format_parts(request: AdmittedRequest) -> str | None:
     """Return the ids of the parts of a prompt, for the log."""
     if request.generation is None:
--- a/ebonywell/headroom/room.py
+++ b/ebonywell/headroom/room.py
@@ -31,8 +31,14 @@
 MAX_MEMORY_SHARE = 0.92
 # Time until a running request ends and frees its slot and its memory.
 SLOT_DUE_MS = 40.0
+# Share of its goal within which a request is expected to be answered in time.
+# Waits vary, so that one that is expected at its goal is late as often as not.
+IN_TIME_SHARE = 0.75
 # A request may be held for this share of its goal at no cost to its caller.
 FREE_HOLD_SHARE = 0.125
+# Longest hold as a share of the goal. The rest is for the answer, and those that
+# are turned away in the end have not been held long.
+MAX_HOLD_SHARE = 0.5
 
 
 class Cause(enum.StrEnum):
@@ -236,7 +242,9 @@
         caller nothing.
     """
     hope = min(max(2 * admitted_share - 1, 0), 1)
-    return goal_s * (FREE_HOLD_SHARE + (1 - FREE_HOLD_SHARE) * hope)
+    return goal_s * (
+        FREE_HOLD_SHARE + (MAX_HOLD_SHARE - FREE_HOLD_SHARE) * hope
+    )
 
 
 def judge(one: Situation) -> Judgement:
@@ -257,8 +265,13 @@
     longest_s = max_wait_s(one.goal_s, one.first_byte_timeout_s)
     if one.elapsed_s + one.wait_s > longest_s:
         return Judgement(Verdict.reject, 'overloaded', due_s)
-    # One that can still be answered within its goal is worth more to its caller
-    # than the room that it takes. A later one is answered at others' cost only.
-    if one.is_first_rank or one.elapsed_s + one.wait_s <= one.goal_s:
+    # One that can still be answered in time is worth more to its caller than the
+    # room that it takes. A later one is answered at others' cost only.
+    if one.is_first_rank or _is_in_time(one):
         return WITHOUT_ROOM
     return Judgement(Verdict.reject, 'no_room', due_s)
+
+
+def _is_in_time(one: Situation) -> bool:
+    expected_s = one.elapsed_s + one.wait_s
+    return expected_s <= one.goal_s * IN_TIME_SHARE
--- a/ebonywell/pace/pacebook.py
+++ b/ebonywell/pace/pacebook.py
@@ -30,6 +30,12 @@
 AHEAD_DEVIATION = 1.0
 STEPS_DEVIATION = 0.5
 MACHINE_DEVIATION = 0.4
+# Range of the logarithms of its models' costs (5 to 1) from which a service's
+# paces are used. Up to it the starting values err by about two either way, less
+# than waits vary anyhow, and the service is estimated as before.
+UNEVEN_LOG = 1.6
+# Variance up to which a model's cost is known well.
+SURE_VARIANCE = 0.02
 # Largest cost that counts as demand. Models take at most the time of the
 # largest ones, which the starting values are made for.
 MAX_COST = 1.5
@@ -58,11 +64,29 @@
     steps : Factor
         Duration of a step, by the starting value.
     machines : MeanState
+    has_states : bool
+        Whether its targets state how slow their machines are.
+    least, greatest : float
+        Logarithms of the costs of its models, of those that are known well.
     """
 
     cost: Factor
     steps: Factor
     machines: MeanState = field(default_factory=MeanState)
+    has_states: bool = False
+    least: float = math.inf
+    greatest: float = -math.inf
+
+    @property
+    def is_uneven(self) -> bool:
+        """Whether its targets or models differ so much that paces matter."""
+        return self.has_states or self.greatest - self.least > UNEVEN_LOG
+
+    def note_model(self, model: Factor) -> None:
+        """Take the cost of a model into the range, once it is known well."""
+        if model.variance <= SURE_VARIANCE:
+            self.least = min(self.least, model.mean)
+            self.greatest = max(self.greatest, model.mean)
 
 
 @dataclass(slots=True)
@@ -140,6 +164,7 @@
             _noise(wait, known_share),
         )
         target.observed += 1
+        service.note_model(model)
 
     def note_machine(
         self, target: str, born: int, percent: int, now: float
@@ -171,7 +196,7 @@
         now : float
         """
         known_service = self.services.get((service, not model))
-        if known_service is None:
+        if known_service is None or not known_service.is_uneven:
             return None
         known = self.targets.get(target)
         log_factor = 0 if known is None else known.factor.log_at(now)
@@ -200,7 +225,7 @@
         several times its work, and take the engines of others.
         """
         known = self.services.get((service, not model))
-        if known is None:
+        if known is None or not known.is_uneven:
             return 1
         return min(
             math.exp(self._log_cost(known, service, model, now)), MAX_COST
@@ -209,11 +234,11 @@
     def time_factor(self, service: str, target: str, now: float) -> float:
         """Return the time that a target takes for work, by that of others."""
         known = self.targets.get(target)
-        if known is None:
+        found = self.services.get((service, False))
+        if known is None or found is None or not found.is_uneven:
             return 1
         lasting = math.exp(known.factor.log_at(now))
-        found = self.services.get((service, False))
-        mean = 1 if found is None else found.machines.factor
+        mean = found.machines.factor
         return lasting * known.machine.usual(mean) / mean
 
     def tokens_per_ms(
@@ -257,6 +282,7 @@
             )
             self.services[key] = service
         if percent and service is not None:
+            service.has_states = True
             service.machines.note(percent, target.machine.age_s(now))
             target.machine.note(percent, now)
         return service
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -5,14 +5,10 @@
 
 from .attempts import Attempts
 from .charging import make_charge
-from .clock import boot_time
 from .coordination import Coordination
 from .crashguard import detect_crashes
 from .gateway import Gateway
-from .headroom.fairness import FairShares, rates_from
-from .headroom.gate import Gate
-from .headroom.holding import Holding
-from .headroom.terms import fair_terms
+from .headroom.assembly import make_gate
 from .hostknowledge import Knowledge
 from .hostsettings import HostSettings
 from .loadrequests import LoadRequests
@@ -109,18 +105,12 @@
         observers.log,
         observers.metrics,
     )
-    gateway.gate = _make_gate(known, targeting, observers)
+    gateway.gate = make_gate(
+        known.limits,
+        targeting,
+        observers.log,
+        observers.metrics,
+        observers.rng,
+    )
     guard.on_quarantine = gateway.stop_quarantined
     return gateway
-
-
-def _make_gate(
-    known: Knowledge, targeting: TargetSelector, observers: Observers
-) -> Gate:
-    """Return what admits, holds or rejects a host's requests."""
-    shares = FairShares(rates_from(known.limits))
-    targeting.terms_of = fair_terms(shares)
-    holding = Holding(lambda workspace: shares.excess(workspace, boot_time()))
-    return Gate(
-        targeting, holding, observers.log, observers.metrics, observers.rng
-    )
--- a/ebonywell/routetable.py
+++ b/ebonywell/routetable.py
@@ -8,6 +8,10 @@
 from .evacuation.cold import ColdSpec
 from .urgency import UrgencyKey, assign_ranks
 
+# Levels of priority among a service's routes from which requests leave headroom
+# to more urgent ones. Engines tell two levels apart well enough by themselves.
+MIN_PRIORITY_LEVELS = 3
+
 
 class RequestKind(enum.StrEnum):
     """Whether a request may run more than once, and how it is answered.
@@ -140,6 +144,8 @@
         stream, in seconds; 0 for none.
     ranks : tuple of int
         Ranks of the requests that the service may get, the most urgent first.
+    priority_levels : int
+        Number of different priorities among the routes to the service.
     """
 
     slots: int
@@ -151,11 +157,12 @@
     tokens_per_event: int = 1
     pause_goal_s: float = 0
     ranks: tuple[int, ...] = ()
+    priority_levels: int = 1
 
     @property
     def has_terms(self) -> bool:
         """Whether requests must leave headroom; see `headroom`."""
-        return self.pause_goal_s > 0 or len(self.ranks) > 1
+        return self.priority_levels >= MIN_PRIORITY_LEVELS
 
 
 @dataclass(slots=True, frozen=True)
@@ -334,6 +341,7 @@
             engine,
             pause_goal_s=min(goals_s, default=0),
             ranks=tuple(sorted(ranks)),
+            priority_levels=len({one.priority for one in routes}),
         )
 
     def _list_owners(self, route: Route) -> list[WorkspaceLimit | None]:
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -70,7 +70,7 @@
             for known in self._list_holding(request)
             if known.name not in avoided
             and known.is_reachable(now)
-            and self._has_room(known)
+            and _has_room(self.board, known)
             and request.release in {None, known.announcement.release}
         ]
 
@@ -95,7 +95,7 @@
                 if self.limits.due_in_s(known) <= wait_s
             ]
         if is_trial:
-            eligible = self._list_idlest(eligible)
+            eligible = _list_idlest(self.board, eligible)
         return self._select_from(request, eligible)
 
     def find_memory(self, name: str) -> TargetMemory | None:
@@ -253,13 +253,6 @@
             now=boot_time(),
         )
 
-    def _has_room(self, known: KnownTarget) -> bool:
-        """Return whether a target that must not reject has a free slot."""
-        if known.max_rejections is None:
-            return True
-        in_flight = self.board.total(known.name).in_flight
-        return in_flight < known.announcement.slots
-
     def _list_unlimited(
         self, eligible: Sequence[KnownTarget]
     ) -> list[KnownTarget]:
@@ -281,15 +274,6 @@
         )
         return min(longest_s, MAX_PERMIT_WAIT_S)
 
-    def _list_idlest(self, eligible: list[KnownTarget]) -> list[KnownTarget]:
-        """Return those targets on which the fewest requests are in flight."""
-        in_flight = {
-            known.name: self.board.total(known.name).in_flight
-            for known in eligible
-        }
-        fewest = min(in_flight.values(), default=0)
-        return [known for known in eligible if in_flight[known.name] == fewest]
-
     def _select_from(
         self,
         request: AdmittedRequest,
@@ -374,3 +358,22 @@
     names = [one.name for one in candidates]
     order = order_by_prefix(prompt.digests[0], names)
     return [replace(one, fill_order=order[one.name]) for one in candidates]
+
+
+def _has_room(board: LoadBoard, known: KnownTarget) -> bool:
+    """Return whether a target that must not reject has a free slot."""
+    if known.max_rejections is None:
+        return True
+    in_flight = board.total(known.name).in_flight
+    return in_flight < known.announcement.slots
+
+
+def _list_idlest(
+    board: LoadBoard, eligible: list[KnownTarget]
+) -> list[KnownTarget]:
+    """Return those targets on which the fewest requests are in flight."""
+    in_flight = {
+        known.name: board.total(known.name).in_flight for known in eligible
+    }
+    fewest = min(in_flight.values(), default=0)
+    return [known for known in eligible if in_flight[known.name] == fewest]
--- a/tests/test_pace_learning.py
+++ b/tests/test_pace_learning.py
@@ -75,6 +75,25 @@
 # What is learned
 
 
+def test_services_whose_targets_state_no_percent_are_estimated_as_before():
+    book = PaceBook()
+    for _ in range(50):
+        book.note(observe(waited=900, machine_percent=0), 0)
+    assert book.pace('pool', 'm', 't', 0) is None
+    assert book.tokens_per_ms('pool', 'm', 't', 0) is None
+    assert book.plain_ms('pool', 't', 0) is None
+
+
+def test_models_that_differ_by_three_to_one_are_estimated_as_before():
+    book = PaceBook()
+    for step in range(200):
+        for model, waited in (('fast', 33), ('dear', 100)):
+            seen = observe(model=model, waited=waited, machine_percent=0)
+            book.note(seen, step)
+    assert book.pace('pool', 'fast', 't', 200) is None
+    assert book.cost('pool', 'fast', 200) == 1
+
+
 def test_plain_services_without_a_percent_are_estimated_as_before():
     book = PaceBook()
     for _ in range(50):
