--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -477,7 +477,7 @@
             try:
                 boundary.feed(part)
             except EventTooLongError as error:
-                self._record_broken_stream(sending, progress)
+                _record_broken_stream(self.health, sending, progress)
                 raise self._note_broken(
                     request, progress, sending, 'event_too_long'
                 ) from error
@@ -490,7 +490,7 @@
                 progress.release = sending.target.announcement.release
             part = await sending.connection.receive(exchange)
         if not _is_complete(part, received_parts, boundary):
-            self._record_broken_stream(sending, progress)
+            _record_broken_stream(self.health, sending, progress)
             raise self._note_broken(request, progress, sending, 'stream_broken')
         self.guard.note_survived(sending.exposure)
         await responder.finish()
@@ -514,7 +514,7 @@
         try:
             events = progress.splitter.feed(part) if progress.splitter else part
         except EventOrderError as error:
-            self._record_broken_stream(sending, progress)
+            _record_broken_stream(self.health, sending, progress)
             self.log(
                 'continuation_unfit',
                 request=request.request_id,
@@ -548,14 +548,6 @@
         if not await self.origins.note_begun(request, release):
             raise AttemptError('origin_unwritten', has_run=True)
 
-    def _record_broken_stream(
-        self, sending: 'Sending', progress: Progress
-    ) -> None:
-        now = boot_time()
-        self.health.record_result(sending.target.name, now, is_good=False)
-        if progress.splitter:
-            progress.splitter.resume()
-
 
 @dataclass(slots=True, frozen=True)
 class FirstHead:
@@ -592,6 +584,14 @@
     sent_at: float = 0
 
 
+def _record_broken_stream(
+    health: HealthTracker, sending: Sending, progress: Progress
+) -> None:
+    health.record_result(sending.target.name, boot_time(), is_good=False)
+    if progress.splitter:
+        progress.splitter.resume()
+
+
 def _is_complete(
     ending: Ending | AnswerHead, received_parts: int, boundary: EventBoundary
 ) -> bool:
--- a/ebonywell/headroom/room.py
+++ b/ebonywell/headroom/room.py
@@ -36,8 +36,8 @@
 IN_TIME_SHARE = 0.75
 # A request may be held for this share of its goal at no cost to its caller.
 FREE_HOLD_SHARE = 0.125
-# Longest hold as a share of the goal. The rest is for the answer, and those that
-# are turned away in the end have not been held long.
+# Longest hold as a share of the goal. The rest is for the answer, and requests
+# that are turned away in the end have not been held long.
 MAX_HOLD_SHARE = 0.5
 
 
@@ -265,8 +265,8 @@
     longest_s = max_wait_s(one.goal_s, one.first_byte_timeout_s)
     if one.elapsed_s + one.wait_s > longest_s:
         return Judgement(Verdict.reject, 'overloaded', due_s)
-    # One that can still be answered in time is worth more to its caller than the
-    # room that it takes. A later one is answered at others' cost only.
+    # One that can still be answered in time is worth more to its caller than
+    # the room that it takes. A later one is answered at others' cost only.
     if one.is_first_rank or _is_in_time(one):
         return WITHOUT_ROOM
     return Judgement(Verdict.reject, 'no_room', due_s)
