--- a/ebonywell/headroom/room.py
+++ b/ebonywell/headroom/room.py
@@ -39,6 +39,9 @@
 # Longest hold as a share of the goal. The rest is for the answer, and requests
 # that are turned away in the end have not been held long.
 MAX_HOLD_SHARE = 0.5
+# Longest hold. Room that a burst took is due within a second or two; requests
+# with a goal of 15 s were held for seconds and then turned away.
+MAX_HOLD_S = 2.5
 
 
 class Cause(enum.StrEnum):
@@ -242,9 +245,8 @@
         caller nothing.
     """
     hope = min(max(2 * admitted_share - 1, 0), 1)
-    return goal_s * (
-        FREE_HOLD_SHARE + (MAX_HOLD_SHARE - FREE_HOLD_SHARE) * hope
-    )
+    share = FREE_HOLD_SHARE + (MAX_HOLD_SHARE - FREE_HOLD_SHARE) * hope
+    return min(MAX_HOLD_S, goal_s * share)
 
 
 def judge(one: Situation) -> Judgement:
