--- a/ebonywell/where/views.py
+++ b/ebonywell/where/views.py
@@ -103,7 +103,9 @@
         ExcludedView(
             known.name,
             known.announcement.zone,
-            find_obstacle(known, request, now),
+            'evacuated'
+            if selector.inventory.evacuations.is_evacuated(known)
+            else find_obstacle(known, request, now),
         )
         for known in selector.inventory.targets.values()
         if known.announcement.service == request.service
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -89,6 +89,16 @@
         assert ask(selector)[0].verdict == 'overloaded'
 
 
+def test_targets_of_an_evacuated_zone_are_shown_as_such():
+    # Guards against a target that looks full though its zone is closed.
+    selector = make_selector(make_target('a'), make_target('b'))
+    zone = selector.inventory.targets['a'].announcement.zone
+    selector.inventory.evacuations.replace_all([zone])
+    view, _ = ask(selector)
+    assert {one.why for one in view.excluded} == {'evacuated'}
+    assert view.verdict == 'no_target'
+
+
 def test_each_excluded_target_has_a_reason():
     # Guards against targets that are missing from the answer.
     leaving = make_target('leaving')
