--- a/ebonywell/hostgauges.py
+++ b/ebonywell/hostgauges.py
@@ -95,7 +95,14 @@
         sink.gauge('datagram_bytes', gossip.last_sent.datagram_bytes)
         sink.gauge('digests_relayed', gossip.last_sent.relayed)
 
-    metrics.collectors.append(collect_traffic)
+    def collect_breakages(sink: Metrics) -> None:
+        detector = gateway.guard.detector
+        if detector is not None:
+            sink.gauge('breakages_open', len(detector.breakages))
+            age_s = detector.oldest_age_s(boot_time())
+            sink.gauge('breakage_age_seconds', age_s)
+
+    metrics.collectors.extend((collect_traffic, collect_breakages))
 
 
 def add_caller_gauges(metrics: Metrics, callers: Callers) -> None:
--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+import anyio
+
 from .attempts import (
     EVACUATED,
     MIN_LEFT_S,
@@ -12,6 +14,7 @@
 )
 from .blame import NO_TRAITS
 from .clock import boot_time
+from .crashdetector import SETTLE_TIMEOUT_S, Breakage
 from .crashguard import CRASHES_TARGETS, CrashGuard
 from .inbound import AdmittedRequest, RejectionError, Responder
 from .inventory import KnownTarget
@@ -160,7 +163,7 @@
         """
         if progress.breakage is None:
             return True
-        await progress.breakage.settled.wait()
+        await self._wait_settled(request, progress.breakage)
         progress.breakage = None
         self.guard.end_trial(progress.trial)
         progress.trial = NO_TRAITS
@@ -171,6 +174,24 @@
             return False
         return True
 
+    async def _wait_settled(
+        self, request: AdmittedRequest, breakage: Breakage
+    ) -> None:
+        """Wait until it is known whether the target of an attempt crashed.
+
+        The wait leaves half of the time to the deadline for the repeat.
+        """
+        left_s = request.deadline - boot_time()
+        with anyio.move_on_after(min(SETTLE_TIMEOUT_S, left_s / 2)):
+            await breakage.settled.wait()
+        if not breakage.settled.is_set():
+            self.log(
+                'breakage_unsettled',
+                request=request.request_id,
+                target=breakage.target.name,
+                open_s=boot_time() - breakage.crash.noted_at,
+            )
+
     def _give_up(self, progress: Progress) -> Outcome:
         if progress.is_started:
             return Outcome(0, f'cut_{progress.last_reason}')
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,11 +1,13 @@
 """Requests that crash targets, sent to real hosts by callers that repeat."""
 
+import random
 from dataclasses import replace
 
 import anyio
 
 from ebonywell.blame import PRESUMED_S
 from lab.platform_world import run_scenario
+from lab.standin_http import Reply
 
 DEADLY_BODY = b'deadly'
 # Longest time that a target of these tests is down after a crash.
@@ -83,6 +85,39 @@
     run_scenario(tmp_path, scenario, ('host-1', 'host-2'))
 
 
+# Guards against crashes that go unnoticed, and repeats that wait in vain, once
+# a target has broken off two answers (review 7).
+def test_crashes_are_noticed_after_targets_have_broken_off_answers(tmp_path):
+    broken = Reply(200, raw=b'HTTP/1.1')
+
+    rng = random.Random(1)
+
+    def break_at_random(replica):
+        async def behave(request):
+            return broken if rng.random() < 0.5 else replica.run(request)
+
+        return behave
+
+    async def scenario(world):
+        hosts = list(world.hosts.values())
+        for replica in world.replicas.values():
+            replica.behave = break_at_random(replica)
+        statuses = set()
+        for number in range(40):
+            answer = await world.ask(hosts[number % 2], '/look/1')
+            statuses.add(answer.status)
+        # None has waited until its deadline (504).
+        assert statuses <= {200, 502}
+        crashes = crash_on(world, lambda request: request.body == DEADLY_BODY)
+        for number in range(20):
+            await world.ask(hosts[number % 2], '/look/1', body=DEADLY_BODY)
+            await anyio.sleep(0.3)
+        assert 2 <= len(crashes)
+        assert count_late_retries(crashes) <= MAX_LATE_RETRIES
+
+    run_scenario(tmp_path, scenario, ('host-1', 'host-2'))
+
+
 def test_a_part_that_crashed_five_targets_is_not_sent_on_by_any_host(tmp_path):
     def is_deadly(request):
         return ',dead:' in request.headers.get('prompt-prefix', '')
