Give a request that is refused its repeat the status that the guard chose

Cause: Proxy._give_up answered each refusal of a repeat with 400, also those to which the crash guard had given 503 and a time.

--- a/ebonywell/proxying.py
+++ b/ebonywell/proxying.py
@@ -15,7 +15,7 @@
 from .blame import NO_TRAITS
 from .clock import boot_time
 from .crashdetector import SETTLE_TIMEOUT_S, Breakage
-from .crashguard import CRASHES_TARGETS, CrashGuard
+from .crashguard import CrashGuard
 from .inbound import AdmittedRequest, RejectionError, Responder
 from .inventory import KnownTarget
 from .logs import Logger
@@ -27,7 +27,6 @@
 # Maximum number of times that a request is sent, including those that targets
 # rejected.
 MAX_SENDS = 5
-_BAD_REQUEST = 400
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 
@@ -159,7 +158,12 @@
         Returns
         -------
         bool
-            False if it must not be sent again.
+            False if it must not be sent again, after a part of its answer.
+
+        Raises
+        ------
+        RejectionError
+            If it must not be sent again, before any part of its answer.
         """
         if progress.breakage is None:
             return True
@@ -170,6 +174,8 @@
         try:
             progress.trial = await self.guard.admit(request)
         except RejectionError as error:
+            if not progress.is_started:
+                raise
             progress.last_reason = error.reason
             return False
         return True
@@ -195,8 +201,6 @@
     def _give_up(self, progress: Progress) -> Outcome:
         if progress.is_started:
             return Outcome(0, f'cut_{progress.last_reason}')
-        if progress.last_reason == CRASHES_TARGETS:
-            raise RejectionError(_BAD_REQUEST, progress.last_reason)
         if progress.may_run:
             raise RejectionError(_BAD_GATEWAY, progress.last_reason)
         raise RejectionError(_UNAVAILABLE, progress.last_reason)
