Remember where a stream began for as long as it was granted

Cause: STREAM_LIFE_S = 20 stood for the longest request of the known sheets. A stream that ran on was forgotten by its host and in the store, and one without a record counts as one of the default release. Change: each origin lasts until the deadline that its request was granted, and take-ups prolong it. The replacement of a default and the completeness of records follow the longest time-out of all recent configurations. What hosts of an earlier build may have forgotten is unknown (503), by a field of digests and a statement of the lease holder; without routes over 20 s nothing differs.

--- a/ebonywell/coordination.py
+++ b/ebonywell/coordination.py
@@ -19,6 +19,7 @@
 from .inventory import KnownTarget
 from .logs import Logger
 from .metrics import Metrics
+from .origins.defaults import DefaultReleases
 from .sharedstore import SharedStore
 from .streamorigins import StreamOrigins
 from .streamrecords import StreamRecords
@@ -105,6 +106,7 @@
     metrics : Metrics
     """
     name = known.fleet.own_name
+    records = StreamRecords(store, own_topic, name, life, log)
     return Coordination(
         CrashGuard(name, gossip.broadcast, log, metrics),
         TargetLimits(
@@ -116,11 +118,17 @@
             cold=known.inventory.cold,
         ),
         StreamOrigins(
-            StreamRecords(store, own_topic, name, life, log),
+            records,
             known.fleet,
             known.inventory,
             gossip,
-            known.list_resumable_services,
+            DefaultReleases(
+                records,
+                known.fleet,
+                known.inventory,
+                known.list_resumable_services,
+                log,
+            ),
             log,
         ),
     )
--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -88,6 +88,10 @@
         Those of the last second, the newest first; see `pace.sharing`.
     observation_ages : tuple of int
         Their ages when the digest was made, in hundredths of a second.
+    remembers_granted : bool
+        Whether the host remembers each stream for as long as it was granted.
+        Those of earlier builds don't say so, and forget it after
+        `origins.granted.MIN_LIFE_S`.
     """
 
     name: str
@@ -107,6 +111,7 @@
     reaches_targets: bool = True
     observations: tuple[Observation, ...] = ()
     observation_ages: tuple[int, ...] = ()
+    remembers_granted: bool = False
 
 
 class HolderStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/ebonywell/hostknowledge.py
+++ b/ebonywell/hostknowledge.py
@@ -85,20 +85,28 @@
         found = configuration.services.get(service)
         return None if found is None else found.cold
 
-    def list_resumable_services(self) -> set[str]:
-        """Return the services of routes whose streams may be resumed."""
+    def list_resumable_services(self) -> dict[str, float]:
+        """Return the services of routes whose streams may be resumed.
+
+        Returns
+        -------
+        dict of str to float
+            The longest duration of such a stream, by service.
+        """
         configuration = self.intake.configuration
         if configuration is None:
-            return set()
+            return {}
         routes = itertools.chain.from_iterable(
             by_prefix.values() for by_prefix in configuration.routes.values()
         )
-        return {
-            one.service
-            for route in routes
-            for one in route.services
-            if route.is_resumable
-        }
+        longest_s: dict[str, float] = {}
+        for route in routes:
+            if not route.is_resumable:
+                continue
+            for one in route.services:
+                known_s = longest_s.get(one.service, 0)
+                longest_s[one.service] = max(known_s, route.timeout_s)
+        return longest_s
 
     def own_loads(self) -> tuple[LoadShare, ...]:
         """Return this host's load on each target, for its digest."""
--- a/ebonywell/hostprocess.py
+++ b/ebonywell/hostprocess.py
@@ -273,7 +273,7 @@
         )
 
     async def _maintain_defaults(self) -> None:
-        await self.coordination.origins.maintain_defaults(
+        await self.coordination.origins.defaults.maintain(
             lambda: self.leadership.state.is_proven(boot_time())
         )
 
@@ -299,6 +299,7 @@
             self.known.limits.usage(now),
             not self.forwarder.is_cut(),
             *self.known.observations.list_recent(now),
+            remembers_granted=True,
         )
 
     def _receive_digest(self, digest: Digest) -> None:
--- a/ebonywell/releases.py
+++ b/ebonywell/releases.py
@@ -10,20 +10,28 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-# A stream and its caller's attempts to resume it last no longer than this.
-STREAM_LIFE_S = 20.0
 # A host trusts the default release while its targets were away for at most
 # this long. It exceeds the time in which discovery loses and restores entries.
 MAX_ABSENCE_S = 12.0
 # How much later than another host one may learn of a target.
 DISCOVERY_LAG_S = 5.0
-# The default release is replaced when its targets were away for so long. Other
-# hosts must have stopped trusting it, and its streams must have ended.
-RETIRE_AFTER_S = MAX_ABSENCE_S + STREAM_LIFE_S + DISCOVERY_LAG_S
 
 Release = tuple[str, str]
 
 
+def retire_after_s(life_s: float) -> float:
+    """Return after which absence of its targets a default is replaced.
+
+    Other hosts must have stopped trusting it, and its streams must have ended.
+
+    Parameters
+    ----------
+    life_s : float
+        Longest duration of a stream.
+    """
+    return MAX_ABSENCE_S + life_s + DISCOVERY_LAG_S
+
+
 @dataclass(slots=True)
 class ReleaseHistory:
     """When targets of each release last took requests.
@@ -45,10 +53,10 @@
         seen_at = self.seen_at.get(release)
         return seen_at is not None and now - seen_at < MAX_ABSENCE_S
 
-    def expire(self, now: float) -> None:
-        """Forget releases that have left long ago."""
+    def expire(self, life_s: float, now: float) -> None:
+        """Forget releases of which no stream can be left."""
         for release, seen_at in list(self.seen_at.items()):
-            if now - seen_at >= RETIRE_AFTER_S:
+            if now - seen_at >= retire_after_s(life_s):
                 self.seen_at.pop(release)
 
     def list_current(self, service: str, now: float) -> list[str]:
@@ -66,6 +74,7 @@
     history: ReleaseHistory,
     service: str,
     watched_s: float,
+    life_s: float,
     now: float,
 ) -> str | None:
     """Return the new default release of a service, None to keep the old one.
@@ -78,6 +87,8 @@
     service : str
     watched_s : float
         For how long the history has been kept without a gap.
+    life_s : float
+        Longest duration of a stream.
     now : float
     """
     candidates = history.list_current(service, now)
@@ -86,4 +97,5 @@
     if current is None:
         return candidates[0]
     is_away = (service, current) not in history.seen_at
-    return candidates[0] if is_away and watched_s >= RETIRE_AFTER_S else None
+    has_watched = watched_s >= retire_after_s(life_s)
+    return candidates[0] if is_away and has_watched else None
--- a/ebonywell/streamorigins.py
+++ b/ebonywell/streamorigins.py
@@ -4,7 +4,9 @@
 hosts may be killed at once, the store answers for those that are gone: it names
 one default release for each service, and each stream that began at another one,
 written before its first event is forwarded. A stream that nobody knows began at
-the default release. While one release serves alone, nothing is written.
+the default release, unless a host may have forgotten it. While one release
+serves alone, nothing is written. All that is remembered lasts for as long as
+the stream was granted when it began; see the package `origins`.
 
 A store that comes back from an older copy has lost the newest records. Hosts
 write theirs again, and record all streams until the lease holder states that
@@ -12,32 +14,23 @@
 have ended. Until then the origin of a stream without a record is not known.
 """
 
-import math
-from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 import anyio
 
 from .clock import boot_time
 from .digests import OriginMessage, OriginRequestMessage
-from .exceptions import ConflictError, LogServiceError
+from .exceptions import LogServiceError
 from .fingerprints import stream_key
 from .fleetview import FleetView
 from .inbound import AdmittedRequest, RejectionError
 from .inventory import Inventory
 from .logs import Logger
+from .origins.defaults import DefaultReleases
+from .origins.granted import MIN_LIFE_S, RETURN_S
+from .origins.memory import Origin, OriginMemory
 from .questions import Questions
-from .releases import (
-    DISCOVERY_LAG_S,
-    STREAM_LIFE_S,
-    ReleaseHistory,
-    choose_default,
-)
-from .streamrecords import (
-    COMPLETE_ERA_KEY,
-    RecordedDefaults,
-    StreamRecords,
-)
+from .streamrecords import StreamRecords
 from .targetlimits import Network
 
 # Longest wait for the record of a stream; its caller waits for the first event.
@@ -46,39 +39,19 @@
 PEER_TIMEOUT_S = 0.06
 # Longest wait for the store's records of a stream to resume.
 READ_TIMEOUT_S = 0.6
-# Streams that a host remembers; the oldest are forgotten first.
+# Streams that a host remembers; those that end first are forgotten first. The
+# store's records, which are never forgotten early, still tell them apart.
 MAX_STREAMS = 20_000
 # Streams in a host's record, at 20 bytes each; no more may begin at a release
 # that needs a record.
 MAX_RECORDED_STREAMS = 4_000
-CHECK_PERIOD_S = 1.0
-# Interval between reads of the default releases while one is not known.
-REREAD_PERIOD_S = 5.0
 # Time after which a caller may ask again for a stream of unknown origin.
 UNKNOWN_RETRY_S = 1.0
 # Pause before records are written again that the store may have lost.
 REWRITE_DELAY_S = 0.5
-# Time since a new era of the store was noticed, after which all streams whose
-# records it has lost have ended.
-COMPLETE_AFTER_S = STREAM_LIFE_S + DISCOVERY_LAG_S
 _UNAVAILABLE = 503
 
 
-@dataclass(slots=True, frozen=True)
-class Origin:
-    """Where and when a stream began.
-
-    Attributes
-    ----------
-    release : str
-    began_at : float
-        Time in seconds, by the clock of this process.
-    """
-
-    release: str
-    began_at: float
-
-
 @dataclass(slots=True, eq=False)
 class Batch:
     """Records that are written to the store together."""
@@ -97,43 +70,25 @@
     fleet : FleetView
     inventory : Inventory
     network : Network
-    list_services : callable
-        Returns the services of routes whose streams may be resumed.
-    history : ReleaseHistory
-    watched_since : float
-        Since when the history has no gap, by the clock of this process.
-    proven_at : float
-        When discovery last proved which targets there are.
-    defaults : dict of str to str
-        Default releases by service, as last read from the store.
-    streams : dict of bytes to Origin
+    defaults : DefaultReleases
+    streams : OriginMemory
         This host's streams, by `stream_key`.
-    recorded : dict of bytes to Origin
+    recorded : OriginMemory
         Those that are written to the store.
-    era : int or None
-        Era of the store, None while it is unknown.
-    era_noted_at : float
-        When this host learned of it.
-    is_complete : bool
-        Whether a stream without a record began at the default release.
     """
 
     records: StreamRecords
     fleet: FleetView
     inventory: Inventory
     network: Network
-    list_services: Callable[[], Iterable[str]]
+    defaults: DefaultReleases
     log: Logger
-    history: ReleaseHistory = field(default_factory=ReleaseHistory)
-    watched_since: float = math.inf
-    proven_at: float = -math.inf
-    defaults: dict[str, str] = field(default_factory=dict)
-    defaults_read_at: float = -math.inf
-    streams: dict[bytes, Origin] = field(default_factory=dict)
-    recorded: dict[bytes, Origin] = field(default_factory=dict)
-    era: int | None = None
-    era_noted_at: float = -math.inf
-    is_complete: bool = False
+    streams: OriginMemory = field(
+        default_factory=lambda: OriginMemory(MAX_STREAMS)
+    )
+    recorded: OriginMemory = field(
+        default_factory=lambda: OriginMemory(MAX_RECORDED_STREAMS)
+    )
     batch: Batch = field(default_factory=Batch)
     batch_wanted: anyio.Event = field(default_factory=anyio.Event)
     questions: Questions[str] = field(default_factory=Questions)
@@ -149,16 +104,11 @@
             False if its origin could not be written to the store; then nothing
             of it may be forwarded.
         """
-        now = boot_time()
-        origin = Origin(release, now)
+        origin = Origin(release, _end_of(request, boot_time()))
         key = stream_key(request, request.request_id)
-        if len(self.streams) >= MAX_STREAMS:
-            self.streams.pop(next(iter(self.streams)))
-        self.streams[key] = origin
-        # A record that an earlier attempt needed must be replaced.
-        is_default = self._is_default(request.service, release, now)
-        if is_default and key not in self.recorded:
-            if not self.is_complete:
+        self.streams.put(key, origin)
+        if not self._needs_record(request, key, release):
+            if not self.defaults.is_complete:
                 self._record(key, origin)
             return True
         is_written = False
@@ -169,7 +119,7 @@
                 'origin_unwritten',
                 request=request.request_id,
                 release=release,
-                recorded=len(self.recorded),
+                recorded=len(self.recorded.origins),
             )
         return is_written
 
@@ -184,7 +134,7 @@
                 await self.records.write(
                     {
                         stream: origin.release
-                        for stream, origin in self.recorded.items()
+                        for stream, origin in self.recorded.origins.items()
                     }
                 )
                 batch.is_written = True
@@ -192,24 +142,23 @@
                 self.log('origins_unwritten', why=str(error))
             finally:
                 batch.done.set()
-            if self.era and not (batch.is_written or self.is_complete):
+            is_complete = batch.is_written or self.defaults.is_complete
+            if self.defaults.era and not is_complete:
                 # No caller waits for what is written again in a new era.
                 await anyio.sleep(REWRITE_DELAY_S)
                 self.batch_wanted.set()
 
     def note_era(self, era: int) -> None:
         """Write the records again if the store has lost the newest ones."""
-        is_rolled_back = self.era is not None
-        self.era = era
-        self.era_noted_at = boot_time()
-        if not is_rolled_back:
+        if not self.defaults.note_era(era):
             return
-        self.is_complete = False
-        self.defaults_read_at = -math.inf
-        newest = list(self.streams.items())[-MAX_RECORDED_STREAMS:]
-        self.recorded = dict(newest)
+        # Those that need a record go first, then the newest.
+        for stream, origin in reversed(self.streams.origins.items()):
+            if self.recorded.has_room_for(stream):
+                self.recorded.put(stream, origin)
         self.batch_wanted.set()
-        self.log('origins_rewritten', era=era, streams=len(newest))
+        streams = len(self.recorded.origins)
+        self.log('origins_rewritten', era=era, streams=streams)
 
     # Streams that are resumed
 
@@ -225,6 +174,8 @@
         """
         assert request.resumes is not None
         release, source = await self._find(request)
+        if release is not None and source != 'default':
+            self._note_resumed(request, release)
         known = {
             one.announcement.release
             for one in self.inventory.of_service(request.service)
@@ -253,109 +204,59 @@
         if isinstance(message, OriginMessage):
             self.questions.answer(message.number, message.release)
             return
-        origin = self.streams.get(message.stream)
+        origin = self._recall(message.stream)
         sender = self.fleet.peers.get(message.sender)
         if origin is not None and sender is not None:
             reply = OriginMessage(message.number, origin.release)
             self.network.send(sender.address, reply)
 
-    # Default releases
-
     def note_targets(self, proven_at: float, now: float) -> None:
-        """Record which releases serve, as discovery proved at a time."""
-        if proven_at - self.proven_at > DISCOVERY_LAG_S:
-            self.watched_since = proven_at
-        self.proven_at = proven_at
-        targets = self.inventory.targets.values()
-        self.history.note(
-            {
-                (one.announcement.service, one.announcement.release)
-                for one in targets
-            },
-            proven_at,
-        )
-        self.history.expire(now)
-        for service, release in list(self.defaults.items()):
-            if not self.history.is_recent((service, release), now):
-                self.defaults.pop(service)
-        _expire(self.streams, now)
-        _expire(self.recorded, now)
-
-    async def maintain_defaults(self, is_holder: Callable[[], bool]) -> None:
-        """Keep the default releases known, and as the lease holder, current."""
-        while True:
-            await anyio.sleep(CHECK_PERIOD_S)
-            try:
-                await self._update_defaults(is_holder=is_holder())
-            except ConflictError as error:
-                self.log('default_release_conflict', why=str(error))
-            except LogServiceError as error:
-                self.log('default_releases_unread', why=str(error))
-
-    async def _update_defaults(self, *, is_holder: bool) -> None:
-        now = boot_time()
-        services = set(self.list_services())
-        unknown = {
-            service
-            for service in services - self.defaults.keys()
-            if self.history.list_current(service, now)
-        }
-        period_s = CHECK_PERIOD_S if is_holder else REREAD_PERIOD_S
-        is_needed = unknown or (services and not self.is_complete)
-        if not is_needed or now - self.defaults_read_at < period_s:
-            return
-        found = await self._read_defaults()
-        if is_holder:
-            await self._maintain_records(found, unknown)
-
-    async def _maintain_records(
-        self, found: RecordedDefaults, unknown: Iterable[str]
-    ) -> None:
-        """Write what is due about default releases, as the lease holder."""
-        now = boot_time()
-        for service in unknown:
-            chosen = choose_default(
-                found.releases.get(service),
-                self.history,
-                service,
-                now - self.watched_since,
-                now,
-            )
-            if chosen is not None:
-                await self.records.write_default(service, chosen, found.end)
-                self.log('default_release', service=service, release=chosen)
-                await self._read_defaults()
-                return
-        is_over = now - self.era_noted_at >= COMPLETE_AFTER_S
-        if is_over and not found.is_complete:
-            era = str(self.era)
-            await self.records.write_default(COMPLETE_ERA_KEY, era, found.end)
-            self.log('origins_complete', era=era)
-            await self._read_defaults()
-
-    async def _read_defaults(self) -> RecordedDefaults:
-        asked_at = boot_time()
-        found = await self.records.read_defaults()
-        if found.era < (self.era or 0):
-            raise LogServiceError(f'answer of era {found.era}')
-        self.defaults_read_at = asked_at
-        self.is_complete = found.is_complete
-        self.defaults = {
-            service: release
-            for service, release in found.releases.items()
-            if self.history.is_recent((service, release), asked_at)
-        }
-        return found
+        """Record which releases serve, and forget streams that have ended."""
+        self.defaults.note_targets(proven_at, now)
+        self.streams.expire(now)
+        self.recorded.expire(now)
 
     def _record(self, stream: bytes, origin: Origin) -> bool:
         """Have a stream written to the store, if there is room for it."""
-        is_known = stream in self.recorded
-        if not is_known and len(self.recorded) >= MAX_RECORDED_STREAMS:
+        if not self.recorded.has_room_for(stream):
             return False
-        self.recorded[stream] = origin
+        self.recorded.put(stream, origin)
         self.batch_wanted.set()
         return True
 
+    def _recall(self, stream: bytes) -> Origin | None:
+        """Return the origin of one of this host's streams."""
+        known = self.streams.origins.get(stream)
+        return known or self.recorded.origins.get(stream)
+
+    def _needs_record(
+        self, request: AdmittedRequest, stream: bytes, release: str
+    ) -> bool:
+        """Return whether the store has to tell where a stream began."""
+        # A record that an earlier attempt needed must be replaced.
+        is_recorded = stream in self.recorded.origins
+        return is_recorded or not self.defaults.is_default(
+            request.service, release, boot_time()
+        )
+
+    def _note_resumed(self, request: AdmittedRequest, release: str) -> None:
+        """Remember the origin of a stream for as long as it is resumed.
+
+        An invented id has none, and takes no place.
+        """
+        assert request.resumes is not None
+        key = stream_key(request, request.resumes)
+        ends_at = _end_of(request, boot_time())
+        if self._recall(key) is not None:
+            self.streams.prolong(key, ends_at)
+            self.recorded.prolong(key, ends_at)
+            return
+        origin = Origin(release, ends_at)
+        self.streams.put(key, origin)
+        needs_record = self._needs_record(request, key, release)
+        if needs_record or not self.defaults.is_complete:
+            self._record(key, origin)
+
     async def _wait_written(self) -> bool:
         """Wait until the next batch is written; return whether it was."""
         batch = self.batch
@@ -363,16 +264,12 @@
             await batch.done.wait()
         return batch.is_written
 
-    def _is_default(self, service: str, release: str, now: float) -> bool:
-        is_default = self.defaults.get(service) == release
-        return is_default and self.history.is_recent((service, release), now)
-
     async def _find(self, request: AdmittedRequest) -> tuple[str | None, str]:
         """Return the release at which a stream began, and who knows it."""
         if not request.resumes:
             return None, 'none'
         key = stream_key(request, request.resumes)
-        origin = self.streams.get(key)
+        origin = self._recall(key)
         if origin is not None:
             return origin.release, 'own'
         release = await self._ask_peers(key)
@@ -407,17 +304,9 @@
         release = (await self.records.read()).get(stream)
         if release is not None:
             return release, 'store'
-        found = await self._read_defaults()
-        if not found.is_complete:
-            return None, 'incomplete'
-        default = found.releases.get(service)
-        return default, 'none' if default is None else 'default'
-
-
-def _expire(streams: dict[bytes, Origin], now: float) -> None:
-    """Forget streams that can no longer be resumed; the oldest stand first."""
-    while streams:
-        oldest = next(iter(streams))
-        if now - streams[oldest].began_at < STREAM_LIFE_S:
-            return
-        streams.pop(oldest)
+        return await self.defaults.find(service)
+
+
+def _end_of(request: AdmittedRequest, now: float) -> float:
+    """Return until when a stream may be resumed that a request begins."""
+    return max(now + MIN_LIFE_S, request.deadline + RETURN_S)
--- a/ebonywell/streamrecords.py
+++ b/ebonywell/streamrecords.py
@@ -8,6 +8,7 @@
 from .clock import boot_time
 from .exceptions import LogRefusedError, LogServiceError
 from .logs import Logger
+from .origins.granted import LifeStatement, read_statement
 from .sharedstore import KeyedRecord, SharedStore
 
 # Partitions of the hosts' own topic.
@@ -18,6 +19,9 @@
 # Key of the last era whose records are complete, among the default releases;
 # no service bears this name.
 COMPLETE_ERA_KEY = '/complete-era'
+# Key of the lease holder's `LifeStatement`. Hosts of earlier builds take it for
+# a service that they don't know.
+STREAM_LIFE_KEY = '/stream-life'
 # Entry in a record of streams that says how new the record is. The keys of
 # streams are longer.
 _NUMBER_ENTRY = b''
@@ -39,12 +43,14 @@
         Era of the store.
     end : int
         End of the partition.
+    statement : LifeStatement or None
     """
 
     releases: Mapping[str, str]
     is_complete: bool
     era: int
     end: int
+    statement: LifeStatement | None
 
 
 @dataclass(slots=True)
@@ -140,11 +146,13 @@
             if one.value is not None
         }
         complete_era = releases.pop(COMPLETE_ERA_KEY, '0')
+        statement = read_statement(releases.pop(STREAM_LIFE_KEY, ''))
         return RecordedDefaults(
             releases,
             complete_era == str(page.era),
             page.era,
             page.next_offset,
+            statement,
         )
 
     async def write_default(self, key: str, content: str, end: int) -> None:
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -10,6 +10,7 @@
     'attempts hostprocess leadership linelog ordering provisioning '
     'peerforwarding proxying roster '
     'targetlimits storeeras streamorigins streamrecords '
+    'origins/defaults '
     'callerconnection charging crashdetector crashguard supervision targeting '
     'headroom/gate '
     'platform/assembly evacuation/records pace/sharing prefixcache/index'
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -12,18 +12,16 @@
 from ebonywell.inventory import Announcement, Inventory, TargetState
 from ebonywell.loadboard import LoadBoard
 from ebonywell.logs import discard_event
+from ebonywell.origins.defaults import DefaultReleases
+from ebonywell.origins.granted import MIN_LIFE_S
 from ebonywell.releases import (
+    DISCOVERY_LAG_S,
     MAX_ABSENCE_S,
-    RETIRE_AFTER_S,
-    STREAM_LIFE_S,
     ReleaseHistory,
     choose_default,
+    retire_after_s,
 )
-from ebonywell.streamorigins import (
-    COMPLETE_AFTER_S,
-    MAX_RECORDED_STREAMS,
-    StreamOrigins,
-)
+from ebonywell.streamorigins import MAX_RECORDED_STREAMS, StreamOrigins
 from ebonywell.streamrecords import (
     DEFAULTS_PARTITION,
     MAX_WRITE_DELAY_S,
@@ -34,6 +32,11 @@
 from .memorystore import MemoryStore
 
 SERVICE = 'pool'
+MODULES = ('streamorigins', 'streamrecords', 'inventory', 'origins.defaults')
+# Longest duration of a stream, unless a test sets another one.
+TIMEOUT_S = 6.0
+RETIRE_AFTER_S = retire_after_s(MIN_LIFE_S)
+COMPLETE_AFTER_S = MIN_LIFE_S + DISCOVERY_LAG_S
 # The largest record that the users' store takes.
 MAX_RECORD_BYTES = 262_144
 
@@ -48,10 +51,13 @@
         records = StreamRecords(
             world.store, 'own', name, lambda: world.lives, discard_event
         )
-        self.origins = StreamOrigins(
-            records, self.fleet, self.inventory, self, lambda: [SERVICE],
-            discard_event,
+        defaults = DefaultReleases(
+            records, self.fleet, self.inventory,
+            lambda: {SERVICE: world.timeout_s}, discard_event,
         )  # fmt: skip
+        self.origins = StreamOrigins(
+            records, self.fleet, self.inventory, self, defaults, discard_event
+        )
 
     def send(self, address, message):
         self.world.hosts[address].origins.receive(message)
@@ -62,11 +68,12 @@
                 host.origins.receive(message)
 
     async def begin(self, request_id, release):
-        return await self.origins.note_begun(make_request(request_id), release)
+        request = make_request(request_id, timeout_s=self.world.timeout_s)
+        return await self.origins.note_begun(request, release)
 
     async def resume(self, request_id):
         """Return the release to resume at, or the reason of a rejection."""
-        request = make_request('later', resumes=request_id)
+        request = make_request('later', request_id, self.world.timeout_s)
         try:
             return (await self.origins.pin(request)).release
         except RejectionError as error:
@@ -74,21 +81,29 @@
             return error.reason
 
 
-def make_request(request_id, resumes=None):
+def make_request(request_id, resumes=None, timeout_s=TIMEOUT_S):
     now = anyio.current_time()
     return AdmittedRequest(
         request_id, 'POST', b'/a/', (), b'', None, SERVICE, None, None,
-        now, now + 6, 4, resumes,
+        now, now + timeout_s, 4, resumes,
+    )  # fmt: skip
+
+
+def make_digest(name, number=1, *, remembers_granted=True):
+    return Digest(
+        name, 1, number, name, name, 'z', True, 1, 0, False, False, 0,
+        remembers_granted=remembers_granted,
     )  # fmt: skip
 
 
 class OriginWorld:
     """The store, its hosts, and the releases whose targets serve."""
 
-    def __init__(self, group, hosts):
+    def __init__(self, group, hosts, timeout_s):
         self.group = group
         self.store = MemoryStore()
         self.releases = ['1']
+        self.timeout_s = timeout_s
         self.lives = 0
         self.hosts = {}
         self.scopes = []
@@ -103,10 +118,7 @@
         for name, host in self.hosts.items():
             self.group.start_soon(self._run, host, name == names[0])
             for other in names:
-                digest = Digest(
-                    other, 1, 1, other, other, 'z', True, 1, 0, False, False, 0
-                )
-                host.fleet.note_digest(digest, anyio.current_time())
+                host.fleet.note_digest(make_digest(other), anyio.current_time())
 
     def count_appends(self):
         return len(self.store.records.get(('own', STREAMS_PARTITION), ()))
@@ -131,7 +143,7 @@
                 host.origins.note_era(self.store.era)
                 group.start_soon(host.origins.write_records)
                 group.start_soon(
-                    host.origins.maintain_defaults, lambda: is_holder
+                    host.origins.defaults.maintain, lambda: is_holder
                 )
                 while True:
                     self._discover(host)
@@ -154,14 +166,14 @@
         host.origins.note_targets(now, now)
 
 
-def simulate(monkeypatch, scenario, hosts=('a', 'b', 'c')):
-    for module in 'streamorigins', 'streamrecords', 'inventory':
+def simulate(monkeypatch, scenario, hosts=('a', 'b', 'c'), timeout_s=TIMEOUT_S):
+    for module in MODULES:
         name = f'ebonywell.{module}.boot_time'
         monkeypatch.setattr(name, anyio.current_time, raising=False)
 
     async def run():
         async with anyio.create_task_group() as group:
-            world = OriginWorld(group, hosts)
+            world = OriginWorld(group, hosts, timeout_s)
             await anyio.sleep(8)
             await scenario(world)
             group.cancel_scope.cancel()
@@ -283,9 +295,9 @@
         assert not await host.begin('one more', '2')
         records = world.store.records['own', STREAMS_PARTITION]
         assert len(records[-1].value) < MAX_RECORD_BYTES
-        await anyio.sleep(STREAM_LIFE_S + 1)
-        assert not host.origins.recorded
-        assert not host.origins.streams
+        await anyio.sleep(MIN_LIFE_S + 1)
+        assert not host.origins.recorded.origins
+        assert not host.origins.streams.origins
 
     simulate(monkeypatch, scenario, ('a',))
 
@@ -294,16 +306,19 @@
     history = ReleaseHistory()
     history.note([(SERVICE, '1'), (SERVICE, '2')], 0)
     history.note([(SERVICE, '2')], 30)
-    history.expire(30)
-    assert choose_default('1', history, SERVICE, 100, 30) is None
+    history.expire(MIN_LIFE_S, 30)
+    assert choose_default('1', history, SERVICE, 100, MIN_LIFE_S, 30) is None
     late = RETIRE_AFTER_S + 1
     history.note([(SERVICE, '2')], late)
-    history.expire(late)
-    assert choose_default('1', history, SERVICE, 10, late) is None
-    assert choose_default('1', history, SERVICE, 100, late) == '2'
-    assert choose_default(None, history, SERVICE, 0, late) == '2'
-    assert choose_default('2', history, SERVICE, 100, late) is None
-    assert choose_default(None, ReleaseHistory(), SERVICE, 100, late) is None
+    history.expire(MIN_LIFE_S, late)
+    assert choose_default('1', history, SERVICE, 10, MIN_LIFE_S, late) is None
+    assert choose_default('1', history, SERVICE, 100, MIN_LIFE_S, late) == '2'
+    assert choose_default(None, history, SERVICE, 0, MIN_LIFE_S, late) == '2'
+    assert choose_default('2', history, SERVICE, 100, MIN_LIFE_S, late) is None
+    assert (
+        choose_default(None, ReleaseHistory(), SERVICE, 100, MIN_LIFE_S, late)
+        is None
+    )
 
 
 def test_an_unreadable_record_hides_no_other(monkeypatch):
@@ -459,9 +474,10 @@
             return page
 
         world.store.read_newest = read_slowly
-        world.hosts['a'].origins.streams.clear()
+        world.hosts['a'].origins.streams.origins.clear()
+        world.hosts['a'].origins.recorded.origins.clear()
         assert await host.resume('absent') == 'origin_unknown'
-        assert not host.origins.is_complete
+        assert not host.origins.defaults.is_complete
         assert await host.resume('old') == 'origin_unknown'
 
     simulate(monkeypatch, scenario)
