Honour a Retry-After of targets over 30 s

Cause: MAX_PAUSE_S = 30 cut each pause, a constant in the place of what the target says. Change: pauses are bounded at an hour, and end with the target's incarnation. The pause of a brittle target that may not reject at all keeps its 30 s, under a name of its own. Result: a Retry-After of 90 is read as 90 (30 before, the test red).

--- a/ebonywell/statements.py
+++ b/ebonywell/statements.py
@@ -53,10 +53,12 @@
 
 
 NO_NOTICE = Notice()
-# A target that asks for a longer pause gets requests again after this time.
-MAX_PAUSE_S = 30.0
+# Bound for pauses that targets ask for by mistake; they end with the target.
+MAX_PAUSE_S = 3600.0
 # Rejections of a target that may fall over are counted over a second.
 MIN_BRITTLE_PAUSE_S = 1.0
+# Pause before a target that may not reject at all is tried again.
+MAX_BRITTLE_PAUSE_S = 30.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -161,8 +163,8 @@
     """
     if max_rejections is None:
         return 0
-    if max_rejections * MAX_PAUSE_S <= hosts:
-        return MAX_PAUSE_S
+    if max_rejections * MAX_BRITTLE_PAUSE_S <= hosts:
+        return MAX_BRITTLE_PAUSE_S
     return max(MIN_BRITTLE_PAUSE_S, hosts / max_rejections)
 
 
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -109,7 +109,7 @@
 
 @pytest.mark.parametrize(
     ('max_rejections', 'hosts', 'pause_s'),
-    [(None, 8, 0), (20, 8, 1), (2, 8, 4), (0, 8, MAX_PAUSE_S)],
+    [(None, 8, 0), (20, 8, 1), (2, 8, 4), (0, 8, 30)],
 )
 def test_hosts_together_are_rejected_no_more_than_a_target_bears(
     max_rejections, hosts, pause_s
@@ -132,6 +132,8 @@
         (head_with(200, server_leaving='1'), Notice(is_leaving=True)),
         (head_with(200, server_leaving='0'), Notice()),
         (head_with(503, retry_after='0.25'), Notice(pause_s=0.25)),
+        # Guards against pauses that end before the target wants requests again.
+        (head_with(503, retry_after='90'), Notice(pause_s=90)),
         (head_with(503, retry_after='1e9'), Notice(pause_s=MAX_PAUSE_S)),
         (head_with(429, retry_after='3'), Notice()),
         (head_with(200, server_brittle='3'), Notice(max_rejections=3)),
