End an attempt at once whose answer has no valid status

Cause: each place went by its parser. httptools lets any three digits pass, and all under 200 counted as interim answers; h11 lets pass up to 999. Change: framing/statuses.py says which statuses are interim and which are answers; both doors ask it, also for answers of other hosts and for streams that are taken up. Anything else, also 101, breaks the attempt and closes the connection. attempt_broken names the status.

--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -318,6 +318,7 @@
     ) -> AttemptError:
         """Record a broken exchange, and return the attempt's error."""
         address = sending.target.announcement.address
+        exchange = sending.connection.exchange
         self.log(
             'attempt_broken',
             request=request.request_id,
@@ -329,6 +330,7 @@
             parts=_format_parts(request),
             after_s=boot_time() - sending.sent_at,
             open_connections=self.pool.count_open(address),
+            invalid_status=exchange.invalid_status if exchange else None,
         )
         progress.breakage = self.guard.note_broken(sending.exposure)
         return AttemptError(reason, has_run=True)
--- a/ebonywell/dispatch.py
+++ b/ebonywell/dispatch.py
@@ -7,6 +7,7 @@
 import httpcore
 
 from .exceptions import TargetBrokenError, TargetUnreachableError
+from .framing.statuses import is_final
 
 CONNECT_TIMEOUT_S = 1.0
 # Targets echo it, which tells their answer from a late one to an earlier
@@ -143,8 +144,8 @@
         TargetUnreachableError
             If no byte of the request was sent to the target.
         TargetBrokenError
-            If the exchange broke after that, or if the answer does not name
-            this request.
+            If the exchange broke after that, or if the answer has a status that
+            is none or does not name this request.
         """
         progress = _SendTracker()
         manager = self.pool.stream(
@@ -175,13 +176,28 @@
             raise TargetUnreachableError(message) from error
         try:
             answer = Exchange(response.status, response.headers, response)
-            if answer.header(REQUEST_ID) != outgoing.request_id:
-                raise TargetBrokenError(f'{address}: answer to another request')
+            _check_answer(answer, address, outgoing)
             yield answer
         finally:
             await manager.__aexit__(None, None, None)
 
 
+def _check_answer(
+    answer: Exchange, address: str, outgoing: OutgoingRequest
+) -> None:
+    """Check that an answer has a status, and belongs to a request.
+
+    Raises
+    ------
+    TargetBrokenError
+        If that is not so.
+    """
+    if not is_final(answer.status):
+        raise TargetBrokenError(f'{address}: status {answer.status}')
+    if answer.header(REQUEST_ID) != outgoing.request_id:
+        raise TargetBrokenError(f'{address}: answer to another request')
+
+
 def _find_header(headers: Headers, name: bytes) -> bytes:
     for key, value in headers:
         if key.lower() == name:
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -12,8 +12,6 @@
 _CRLF = b'\r\n'
 _MS_PER_S = 1000
 _MISDIRECTED = 421
-# HTTP defines no higher status, so an answer with one cannot be forwarded.
-_MAX_STATUS = 599
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
 # Statuses by which a server says that it did not run the request. Without the
@@ -127,7 +125,7 @@
         return Verdict.other_target if is_other else Verdict.absent
     if head.get(headers.NOT_EXECUTED) is not None:
         return Verdict.not_run
-    if head.status in _NOT_RUN_STATUSES or head.status > _MAX_STATUS:
+    if head.status in _NOT_RUN_STATUSES:
         return Verdict.unclear
     if head.status >= _SERVER_ERROR:
         return Verdict.failed
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -19,6 +19,7 @@
 
 from .clock import boot_time
 from .exceptions import TargetUnreachableError
+from .framing.statuses import is_final, is_interim
 from .headroom.arrivals import Arrivals
 from .misc import bound_reads, split_address
 
@@ -50,7 +51,6 @@
 # Maximum size of a head, or of the framing of a body, such as chunk extensions.
 # Faulty targets may send such bytes until the connection is closed.
 MAX_BYTES_WITHOUT_PART = 65_536
-_FIRST_FINAL_STATUS = 200
 _KEEP_ALIVE = b'keep-alive'
 _TIMEOUT = 'timeout'
 
@@ -132,6 +132,8 @@
         stream waits for one.
     arrivals : Arrivals
         When the parts of the body arrived.
+    invalid_status : int or None
+        Status of an answer that was not taken, as no answer has it.
     """
 
     shared: PoolBuffers
@@ -144,6 +146,7 @@
     ending: Ending | None = None
     waiter: asyncio.Future[None] | None = None
     arrivals: Arrivals = field(default_factory=Arrivals)
+    invalid_status: int | None = None
 
     def add_body(self, body: bytes) -> None:
         """Add a part of the body, to the last one if many are buffered."""
@@ -276,7 +279,7 @@
         exchange.bytes_since_part += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._end(Ending.broken)
         if exchange.bytes_since_part > MAX_BYTES_WITHOUT_PART:
             self._end(Ending.broken)
@@ -318,10 +321,18 @@
         self.headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
-        """Add the head of the answer, unless it is an interim answer."""
+        """Add the head of the answer, unless it is an interim answer.
+
+        One whose status is none ends the exchange.
+        """
         exchange = self.exchange
         status = self.parser.get_status_code()
-        if exchange is None or exchange.ending or status < _FIRST_FINAL_STATUS:
+        if exchange is None or exchange.ending or is_interim(status):
+            return
+        if not is_final(status):
+            exchange.invalid_status = status
+            self._end(Ending.broken)
+            self.close()
             return
         exchange.head = AnswerHead(status, self.headers)
         stated_s = _stated_idle_s(exchange.head)
