--- a/tests/test_prefix_attempts.py
+++ b/tests/test_prefix_attempts.py
@@ -38,7 +38,9 @@
     """Gives the parts of an answer; None to keep the caller waiting."""
 
     def __init__(self, parts):
-        self.exchange = SimpleNamespace(arrivals=Arrivals())
+        self.exchange = SimpleNamespace(
+            arrivals=Arrivals(), invalid_status=None
+        )
         self.parts = list(parts)
 
     def send(self, encoded):
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -11,7 +11,7 @@
 from lab.platform_world import ROOT, run_scenario
 
 # The release that this one replaces.
-EARLIER = 'c4f0ed9'
+EARLIER = '5250e8d'
 DRILL_S = 0.5
 # Longer than a takeover of the lease.
 TAKEOVER_S = 3.0
