Fence off orders to an earlier life of an engine

Cause: a restart clears the engine's count of orders and its fencing number, so under the same lease a late order meets the count that it names. Change: after an order without an answer, the holder takes a new fencing number before it orders anything of a later life of that target: its next renewal is a claim of its own lease, without a pause or a further call to the store.

--- a/ebonywell/leadership.py
+++ b/ebonywell/leadership.py
@@ -137,9 +137,14 @@
 
     async def _step(self) -> None:
         now = boot_time()
-        if self.state.fence:
-            if now - self.state.renewed_at >= RENEW_PERIOD_S:
+        fence = self.state.fence
+        if fence:
+            is_due = now - self.state.renewed_at >= RENEW_PERIOD_S
+            if is_due or self.state.is_raise_wanted:
                 await self._renew()
+            if self.state.fence > fence:
+                raised = self.state.fence
+                self.log('lease_raised', fence=raised, before=fence)
             return
         if not self.candidacy.is_eligible():
             return
@@ -207,7 +212,8 @@
     async def _renew(self) -> None:
         sent_at = boot_time()
         era = self.state.era
-        record = self._record()
+        fence = 0 if self.state.is_raise_wanted else self.state.fence
+        record = LeaseRecord(self.name, self.life, fence)
         try:
             appended = await self._append(
                 ((LEASE_KEY, msgspec.json.encode(record)),)
@@ -216,8 +222,11 @@
             await self._check_lost()
             return
         self._check_era(appended.era)
-        if appended.era == era:
-            self.state.note_renewed(appended.offset, sent_at)
+        if appended.era != era:
+            return
+        self.state.note_renewed(appended.offset, sent_at)
+        if self.state.fence and not fence:
+            self.state.note_raised(appended.offset + 1)
 
     async def _check_lost(self) -> None:
         """Drop the lease, unless the conflict is this host's own renewal.
@@ -227,8 +236,13 @@
         """
         fence = self.state.fence
         record = await self._read()
-        if self.state.fence and record is not None and record.fence == fence:
-            return
+        if self.state.fence and record is not None:
+            if record.fence == fence:
+                return
+            is_own = record == LeaseRecord(self.name, self.life)
+            if is_own and self.state.is_raise_wanted:
+                self.state.note_raised(self.state.newest_fence)
+                return
         self.log('lease_lost', fence=fence, newer=self.state.newest_fence)
         self.state.note_lost()
 
--- a/ebonywell/leasestate.py
+++ b/ebonywell/leasestate.py
@@ -122,6 +122,10 @@
     is_padding_read : bool
         Whether `padded_era` was read together with `partition_end`. It wasn't
         if the end comes from a holder's status, and then it may be too low.
+    is_raise_wanted : bool
+        Whether the holder needs a new fencing number; see `note_raised`.
+    raised_from : int
+        Number that this host held under the same lease before; 0 for none.
     """
 
     lease_s: float
@@ -137,6 +141,8 @@
     era: int | None = None
     padded_era: int = 0
     is_padding_read: bool = False
+    is_raise_wanted: bool = False
+    raised_from: int = 0
 
     @property
     def is_padding_known(self) -> bool:
@@ -236,6 +242,7 @@
         """
         self.fence = offset + 1
         self.newest_fence = self.fence
+        self.raised_from = 0
         self.padded_era = max(self.padded_era, self.era or 0)
         self.partition_end = offset + 1
         self.renewed_at = sent_at
@@ -253,9 +260,26 @@
         self.partition_end = offset + 1
         self.renewed_at = sent_at
 
+    def request_raise(self) -> None:
+        """Have the next renewal bring a new fencing number, at once."""
+        if self.fence:
+            self.is_raise_wanted = True
+
+    def note_raised(self, fence: int) -> None:
+        """Record that the holder has claimed its own lease once more.
+
+        Targets then reject its earlier orders, and nobody has held the lease
+        in between.
+        """
+        self.raised_from = self.fence
+        self.fence = fence
+        self.newest_fence = fence
+        self.is_raise_wanted = False
+
     def note_lost(self) -> None:
         """Record that another host may hold the lease."""
         self.fence = 0
+        self.is_raise_wanted = False
         self.may_order_at = math.inf
 
     @property
--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -22,6 +22,21 @@
 ACCEPTED_ANSWERS = frozenset((OrderAnswer.accepted, OrderAnswer.held))
 
 
+@dataclass(slots=True, frozen=True)
+class UnansweredOrder:
+    """An order without an answer, which may be executed late.
+
+    Attributes
+    ----------
+    life : (str, int)
+        Incarnation of the target to which it was sent.
+    fence : int
+    """
+
+    life: tuple[str, int]
+    fence: int
+
+
 @dataclass(slots=True)
 class OrderSender:
     """Sends orders to engines and records the accepted ones.
@@ -43,6 +58,8 @@
         Order records by target.
     evacuations : Evacuations
         Zones whose engines get neither orders nor questions.
+    unanswered : dict of str to UnansweredOrder
+        By target, the newest order that may still be executed.
     """
 
     name: str
@@ -52,14 +69,18 @@
     log: Logger
     tracks: dict[str, OrderTrack] = field(default_factory=dict)
     evacuations: Evacuations = field(default_factory=Evacuations)
+    unanswered: dict[str, 'UnansweredOrder'] = field(default_factory=dict)
 
     def track(self, known: KnownTarget) -> OrderTrack:
         """Return the order record of a target's current incarnation.
 
-        Each lease starts a new record.
+        Each lease starts a new record. A lease that was only raised does not.
         """
         fence = self.leadership.state.fence
         track = self.tracks.get(known.name)
+        if track is not None and fence:
+            if track.fence == self.leadership.state.raised_from:
+                track.fence = fence
         if track is None or (track.life, track.fence) != (
             known.incarnation,
             fence,
@@ -123,6 +144,9 @@
         is_permitted = await self._claim(known)
         if not is_permitted or self.track(known) is not track:
             return OrderAnswer.unproven
+        if self._may_meet_earlier_life(known):
+            self.leadership.state.request_raise()
+            return OrderAnswer.unproven
         avoids_store = (
             action is not Action.load
             or model in known.announcement.cached_weights
@@ -148,8 +172,12 @@
         _note_answer(known, track, order, answer)
         if answer is OrderAnswer.unreachable:
             known.refused_at = boot_time()
+        if answer is OrderAnswer.unknown:
+            self.unanswered[known.name] = UnansweredOrder(
+                known.incarnation, order.fence
+            )
         if answer is OrderAnswer.fenced:
-            self.leadership.state.note_lost()
+            self._note_fenced(order)
         self.log(
             'order_given',
             target=known.name,
@@ -162,6 +190,25 @@
         )
         return answer
 
+    def _may_meet_earlier_life(self, known: KnownTarget) -> bool:
+        """Return whether an order to an earlier life may still be executed.
+
+        The counts of a target's lives don't tell them apart, but a target that
+        has had an order with a newer fencing number rejects it.
+        """
+        earlier = self.unanswered.get(known.name)
+        return (
+            earlier is not None
+            and earlier.life != known.incarnation
+            and earlier.fence == self.leadership.state.fence
+            and self.leadership.state.is_fenced
+        )
+
+    def _note_fenced(self, order: EngineOrder) -> None:
+        """Record that a target has had an order with a newer number."""
+        if order.fence == self.leadership.state.fence:
+            self.leadership.state.note_lost()
+
     async def _claim(self, known: KnownTarget) -> bool:
         """Wait until an engine may be sent something; return whether it may."""
         is_permitted = await self.limits.claim(known, MAX_PERMIT_WAIT_S)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -207,6 +207,22 @@
     assert fence == after == 1
 
 
+@pytest.mark.parametrize('lost_answers', [0, 1])
+def test_a_holder_raises_its_number_without_a_pause(lost_answers):
+    async def play():
+        store = MemoryStore()
+        one = make(store, 'one')
+        await step(one)
+        store.lost_answers = lost_answers
+        one.state.request_raise()
+        for _ in range(3):
+            await step(one)
+        assert one.may_order()
+        return one.state.raised_from, one.state.fence
+
+    assert anyio.run(play) == (1, 2)
+
+
 def test_after_a_lost_answer_to_a_claim_the_end_is_unknown():
     async def play():
         store = MemoryStore()
--- a/tests/test_lease_eras.py
+++ b/tests/test_lease_eras.py
@@ -1,5 +1,7 @@
 """The lease in a store that comes back from an older copy of itself."""
 
+import random
+
 import anyio
 import msgspec
 import pytest
@@ -129,6 +131,38 @@
     assert world.orders[-1][0] > world.ended_at - SETTLE_S
 
 
+async def raise_often(world, seed):
+    """Have the holder take a new fencing number, again and again."""
+    rng = random.Random(seed)
+    while True:
+        await anyio.sleep(rng.uniform(0, 1))
+        for host in world.hosts.values():
+            host.leadership.state.request_raise()
+
+
+# Guards against a raised fencing number that another holder has, or that a
+# holder goes on with whose lease is lost.
+@pytest.mark.parametrize('is_fenced', [True, False])
+@pytest.mark.parametrize('seed', range(40))
+def test_raised_fencing_numbers_are_held_by_one_host_each(
+    monkeypatch, seed, is_fenced
+):
+    async def scenario(world):
+        async with anyio.create_task_group() as raising:
+            raising.start_soon(raise_often, world, seed)
+            for _ in range(12):
+                await anyio.sleep(world.rng.uniform(0, 3))
+                await disturb(world)
+            raising.cancel_scope.cancel()
+        await anyio.sleep(2 * SETTLE_S)
+        world.ended_at = anyio.current_time()
+
+    world = play(monkeypatch, seed, scenario, is_fenced=is_fenced)
+    assert 'lease_raised' in {event for event, _ in world.events}
+    check(world)
+    assert world.orders[-1][0] > world.ended_at - SETTLE_S
+
+
 def era_store(era, records=3):
     """Return a store in an era with records that state none."""
     store = MemoryStore()
