Keep all buffers together within the memory limit of the process

Cause: each bound was kept, their sum wasn't bounded. Change: bodies over 64 KB are written piece by piece without a copy; the bounds for answers are shares of the limit; freed blocks of a megabyte and more are returned to the system.

--- a/ebonywell/answerbuffers.py
+++ b/ebonywell/answerbuffers.py
@@ -8,7 +8,8 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-# Maximum size of all answers that are buffered at the same time.
+# Maximum size of all answers that are buffered at the same time, if the memory
+# limit of the process is not known.
 MAX_BUFFERED_ANSWERS_BYTES = 50_331_648
 
 
@@ -35,10 +36,12 @@
     ----------
     in_use : set of AnswerBuffer
     total_bytes : int
+    max_bytes : int
     """
 
     in_use: set[AnswerBuffer] = field(default_factory=set)
     total_bytes: int = 0
+    max_bytes: int = MAX_BUFFERED_ANSWERS_BYTES
 
     @contextmanager
     def open(self) -> Iterator[AnswerBuffer]:
@@ -61,7 +64,7 @@
             return
         buffer.body += part
         self.total_bytes += len(part)
-        if self.total_bytes > MAX_BUFFERED_ANSWERS_BYTES:
+        if self.total_bytes > self.max_bytes:
             largest = max(self.in_use, key=lambda one: len(one.body))
             self.total_bytes -= len(largest.body)
             largest.body = bytearray()
--- a/ebonywell/attempts.py
+++ b/ebonywell/attempts.py
@@ -182,7 +182,7 @@
             raise AttemptError(EVACUATED, has_run=False)
         last_id = progress.splitter.last_id if progress.splitter else b''
         encoded = self.format.encode(request, sending.target, left_s, last_id)
-        exchange = _send(sending.connection, encoded)
+        exchange = _send(sending.connection, encoded, request.body)
         progress.note_sent()
         progress.addresses.add(sending.target.announcement.address)
         sending.sent_at = boot_time()
@@ -609,9 +609,9 @@
     return boundary.is_reached
 
 
-def _send(connection: Connection, encoded: bytes) -> Exchange:
+def _send(connection: Connection, encoded: bytes, body: bytes) -> Exchange:
     try:
-        return connection.send(encoded)
+        return connection.send(encoded, body)
     except TargetUnreachableError as error:
         raise AttemptError(UNREACHABLE, has_run=False) from error
 
--- a/ebonywell/peerforwarding.py
+++ b/ebonywell/peerforwarding.py
@@ -44,7 +44,8 @@
     Attributes
     ----------
     encode : callable
-        Takes the request and the seconds left; returns the encoded request.
+        Takes the request and the seconds left; returns the encoded
+        head.
     answer_headers : callable
         Returns the headers that are forwarded to the caller.
     """
@@ -233,7 +234,8 @@
         connection: Connection,
     ) -> Outcome:
         exchange = connection.send(
-            self.format.encode(request, request.deadline - boot_time())
+            self.format.encode(request, request.deadline - boot_time()),
+            request.body,
         )
         progress.note_sent()
         progress.target = host.name
--- a/ebonywell/platform/exchange.py
+++ b/ebonywell/platform/exchange.py
@@ -46,7 +46,7 @@
     remaining_s: float,
     last_event_id: bytes,
 ) -> bytes:
-    """Return the bytes of a request to a target.
+    """Return the head of a request to a target, as bytes.
 
     Parameters
     ----------
@@ -103,7 +103,7 @@
     lines.append(b'%s: %d' % (headers.DEADLINE_MS, remaining_ms))
     if call.body or call.method not in {'GET', 'HEAD'}:
         lines.append(b'content-length: %d' % len(call.body))
-    return _CRLF.join(lines) + _CRLF + _CRLF + call.body
+    return _CRLF.join(lines) + _CRLF + _CRLF
 
 
 def classify_answer(
--- a/ebonywell/platform/program.py
+++ b/ebonywell/platform/program.py
@@ -5,6 +5,7 @@
 import anyio
 
 from ..exceptions import SettingsError
+from ..processmemory.allocator import return_freed_blocks
 from .assembly import run
 from .settings import find_file, read_settings
 
@@ -18,4 +19,5 @@
     except SettingsError as error:
         sys.stderr.write(f'ebonywell: {error}\n')
         sys.exit(EXIT_USAGE)
+    return_freed_blocks()
     anyio.run(run, settings)
--- a/ebonywell/progress.py
+++ b/ebonywell/progress.py
@@ -69,7 +69,7 @@
     ----------
     encode : callable
         Takes the request, its target, the seconds left and the id of the
-        last event that the caller has received; returns the encoded request.
+        last event that the caller has received; returns the encoded head.
     judge : callable
         Takes the request, its target and the head of an answer; returns the
         verdict.
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -18,6 +18,7 @@
 from .pace.gauges import add_pace_gauges
 from .peerforwarding import PeerForwarder
 from .prefixcache.index import PrefixCacheIndex
+from .processmemory.shares import bound_buffers
 from .proxying import Proxy
 from .retries import RetryBudgets
 from .targeting import TargetSelector
@@ -78,6 +79,8 @@
     )
     prefixes.memory_of = targeting.find_memory
     attempts.buffers = forwarder.buffers
+    pools = (pool.buffers, forwarder.pool.buffers)
+    bound_buffers(settings.memory_bytes, forwarder.buffers, pools)
     known.observations.log = observers.log
     known.observations.metrics = observers.metrics
     attempts.observer = make_observer(known.observations)
--- a/ebonywell/upstream.py
+++ b/ebonywell/upstream.py
@@ -19,6 +19,7 @@
 
 from .clock import boot_time
 from .exceptions import TargetUnreachableError
+from .framing.bodies import BodyWriter
 from .framing.statuses import is_final, is_interim
 from .headroom.arrivals import Arrivals
 from .misc import bound_reads, split_address
@@ -41,7 +42,7 @@
 # Reading from the target pauses while this much is buffered for the caller.
 MAX_BUFFERED_BYTES = 262_144
 # While the connections of a pool have buffered so much together, each pauses
-# at less.
+# at less; the default if the memory limit of the process is not known.
 MAX_POOL_BYTES = 16_777_216
 MIN_BUFFERED_BYTES = 16_384
 # Parts that are buffered one by one. Those of a reader that lags further behind
@@ -101,13 +102,16 @@
     Attributes
     ----------
     total_bytes : int
+    max_bytes : int
+        Above it, each connection buffers less.
     """
 
     total_bytes: int = 0
+    max_bytes: int = MAX_POOL_BYTES
 
     def is_full(self, buffered_bytes: int) -> bool:
         """Return whether a connection with so much should not be read."""
-        is_scarce = self.total_bytes > MAX_POOL_BYTES
+        is_scarce = self.total_bytes > self.max_bytes
         limit = MIN_BUFFERED_BYTES if is_scarce else MAX_BUFFERED_BYTES
         return buffered_bytes > limit
 
@@ -175,13 +179,12 @@
             self.waiter.set_result(None)
 
 
-class Connection(asyncio.Protocol):
+class Connection(BodyWriter):
     """A connection to one target.
 
     Attributes
     ----------
     buffers : PoolBuffers
-    transport : asyncio.Transport or None
     exchange : Exchange or None
         None while idle.
     is_reusable : bool
@@ -192,8 +195,8 @@
     """
 
     def __init__(self, buffers: PoolBuffers | None = None) -> None:
+        super().__init__()
         self.buffers = buffers or PoolBuffers()
-        self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.exchange: Exchange | None = None
         self.is_reusable = True
@@ -204,7 +207,7 @@
 
     # Called by the owner
 
-    def send(self, request: bytes) -> Exchange:
+    def send(self, head: bytes, body: bytes = b'') -> Exchange:
         """Send a whole request and return the exchange that gets its answer.
 
         Raises
@@ -216,7 +219,7 @@
             raise TargetUnreachableError('connection closed while idle')
         self.exchange = Exchange(self.buffers)
         self.headers = []
-        self.transport.write(request)
+        self.write_request(head, body)
         return self.exchange
 
     async def receive(self, exchange: Exchange) -> AnswerPart:
@@ -257,6 +260,7 @@
     def close(self) -> None:
         """Close the connection at once; its target stops a running request."""
         self.is_closed = True
+        self.drop_body()
         if self.transport is not None:
             self.transport.abort()
 
@@ -303,6 +307,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """End the answer in progress as broken."""
         self.is_closed = True
+        self.drop_body()
         self._end(Ending.broken)
 
     # Called by the parser
@@ -370,7 +375,9 @@
 def _has_unsent(connection: Connection) -> bool:
     # A target may answer before it has read the whole request.
     transport = connection.transport
-    return transport is None or transport.get_write_buffer_size() > 0
+    if transport is None or connection.unwritten:
+        return True
+    return transport.get_write_buffer_size() > 0
 
 
 def _stated_idle_s(head: AnswerHead) -> float | None:
--- a/lab/plain_host.py
+++ b/lab/plain_host.py
@@ -32,7 +32,12 @@
 from ebonywell.platform.store import StoreClient
 from ebonywell.progress import TargetFormat
 from ebonywell.transport import HttpClient
-from ebonywell.upstream import AnswerHead, Connection, ConnectionPool
+from ebonywell.upstream import (
+    AnswerHead,
+    Connection,
+    ConnectionPool,
+    Exchange,
+)
 
 DIRECTORY_TTL_S = 1.0
 REFRESH_S = 0.1
@@ -102,19 +107,19 @@
         except TargetUnreachableError as error:
             raise RejectionError(_UNAVAILABLE, 'unreachable') from error
         left_s = admitted.deadline - boot_time()
-        encoded = self.format.encode(admitted, target, left_s, b'')
+        head = self.format.encode(admitted, target, left_s, b'')
         try:
-            await self._exchange(connection, encoded, responder)
+            exchange = connection.send(head, admitted.body)
+            await self._exchange(connection, exchange, responder)
         finally:
             self.pool.release(target.announcement.address, connection)
 
     async def _exchange(
         self,
         connection: Connection,
-        encoded: bytes,
+        exchange: Exchange,
         responder: Responder,
     ) -> None:
-        exchange = connection.send(encoded)
         head = await connection.receive(exchange)
         if not isinstance(head, AnswerHead):
             raise RejectionError(_BAD_GATEWAY, 'broken')
