Have all hosts pause after a brittle target's rejection

Cause: a host that was rejected paused by itself, for its part of what the target bears on average; in one second each host could have its first rejection. Change: it tells the others, who leave the target alone for 1 / N seconds and up to as long again at random. The new test with two real hosts fails without the message.

--- a/ebonywell/coordination.py
+++ b/ebonywell/coordination.py
@@ -9,6 +9,7 @@
     Message,
     OriginMessage,
     OriginRequestMessage,
+    PauseMessage,
     PermitMessage,
     PermitRequestMessage,
     StatementMessage,
@@ -26,6 +27,10 @@
 from .targetlimits import TargetLimits
 
 
+def _ignore_pause(message: PauseMessage) -> None:
+    """Do nothing; the default of `Coordination.pause_target`."""
+
+
 @dataclass(slots=True)
 class Coordination:
     """The parts of a host that decide with their like on other hosts.
@@ -38,11 +43,14 @@
         Keeps the limits that targets state.
     origins : StreamOrigins
         Knows where resumable streams began.
+    pause_target : callable
+        Has this host send a target nothing for a moment.
     """
 
     guard: CrashGuard
     limits: TargetLimits
     origins: StreamOrigins
+    pause_target: Callable[[PauseMessage], None] = _ignore_pause
 
     def receive(self, message: Message) -> bool:
         """Handle a message; return False if it is meant for other parts."""
@@ -51,6 +59,8 @@
                 self.guard.receive(message)
             case StatementMessage() | PermitRequestMessage() | PermitMessage():
                 self.limits.receive(message)
+            case PauseMessage():
+                self.pause_target(message)
             case OriginRequestMessage() | OriginMessage():
                 self.origins.receive(message)
             case _:
--- a/ebonywell/digests.py
+++ b/ebonywell/digests.py
@@ -219,6 +219,22 @@
     due_s: float
 
 
+class PauseMessage(msgspec.Struct, frozen=True, array_like=True, tag='z'):
+    """Tells all hosts that a target has rejected a request for want of room.
+
+    Attributes
+    ----------
+    target : str
+    born : int
+    pause_s : float
+        Time for which hosts leave it alone, in seconds.
+    """
+
+    target: str
+    born: int
+    pause_s: float
+
+
 class OriginRequestMessage(
     msgspec.Struct, frozen=True, array_like=True, tag='o'
 ):
@@ -419,6 +435,7 @@
     | ResidentMessage
     | CrashMessage
     | StatementMessage
+    | PauseMessage
     | PermitRequestMessage
     | PermitMessage
     | OriginRequestMessage
--- a/ebonywell/requestpath.py
+++ b/ebonywell/requestpath.py
@@ -1,5 +1,6 @@
 """Builds the request path of a host from its components."""
 
+import functools
 import random
 from dataclasses import dataclass
 
@@ -21,7 +22,7 @@
 from .processmemory.shares import bound_buffers
 from .proxying import Proxy
 from .retries import RetryBudgets
-from .targeting import TargetSelector
+from .targeting import TargetSelector, pause_target
 from .translators import Translators
 from .upstream import ConnectionPool
 
@@ -87,6 +88,7 @@
     add_pace_gauges(observers.metrics, known.observations)
     known.observations.listeners.append(prefixes.note_observation)
     attempts.prefixes = prefixes
+    coordination.pause_target = functools.partial(pause_target, targeting)
     detect_crashes(guard, pool)
     proxy = Proxy(
         attempts,
--- a/ebonywell/statements.py
+++ b/ebonywell/statements.py
@@ -57,6 +57,8 @@
 MAX_PAUSE_S = 3600.0
 # Rejections of a target that may fall over are counted over a second.
 MIN_BRITTLE_PAUSE_S = 1.0
+# Longest pause of hosts whose own requests were not rejected.
+MAX_SHARED_PAUSE_S = 1.0
 # Pause before a target that may not reject at all is tried again.
 MAX_BRITTLE_PAUSE_S = 30.0
 
@@ -168,6 +170,20 @@
     return max(MIN_BRITTLE_PAUSE_S, hosts / max_rejections)
 
 
+def shared_pause_s(max_rejections: float) -> float:
+    """Return for how long all hosts leave a target that has rejected one.
+
+    If one request is rejected after each such pause, the target rejects no more
+    than it can bear.
+
+    Parameters
+    ----------
+    max_rejections : float
+        Requests a second that the target can reject.
+    """
+    return MAX_SHARED_PAUSE_S / max(max_rejections, 1)
+
+
 def read_rate(values: Iterable[str]) -> float | None:
     """Return the least of the rates that a target states, in one per second.
 
--- a/ebonywell/targeting.py
+++ b/ebonywell/targeting.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from .clock import boot_time
+from .digests import PauseMessage
 from .headroom.terms import TermsOf, plain_terms
 from .health import HealthTracker
 from .inbound import AdmittedRequest
@@ -19,7 +20,12 @@
 from .progress import Verdict
 from .routetable import EngineSpec
 from .selection import Candidate, Choice, choose
-from .statements import Notice, brittle_pause_s
+from .statements import (
+    MAX_SHARED_PAUSE_S,
+    Notice,
+    brittle_pause_s,
+    shared_pause_s,
+)
 from .targetlimits import MAX_PERMIT_WAIT_S, TargetLimits
 
 # Targets with a limit that a request may ask for, one after the other.
@@ -226,10 +232,15 @@
                 notice.max_rejections, self.limits.fleet.size
             )
             pause_s = max(pause_s, brittle_s)
+            if notice.max_rejections is not None:
+                self.limits.network.broadcast(
+                    PauseMessage(
+                        *known.incarnation,
+                        shared_pause_s(notice.max_rejections),
+                    )
+                )
         if pause_s:
-            until = boot_time() + pause_s
-            known.paused_until = max(known.paused_until, until)
-            self.log('target_paused', target=known.name, for_s=pause_s)
+            _pause(self, known, pause_s)
         if notice.is_leaving and not known.is_leaving:
             self.inventory.note_leaving(known)
             self.log('target_leaving', target=known.name)
@@ -360,6 +371,27 @@
     return [replace(one, fill_order=order[one.name]) for one in candidates]
 
 
+def pause_target(selector: TargetSelector, message: PauseMessage) -> None:
+    """Send a target nothing for a moment that has rejected another host.
+
+    The hosts come back one after another, since none sees what the others have
+    sent at the same time.
+    """
+    known = selector.inventory.targets.get(message.target)
+    if known is None or known.announcement.born != message.born:
+        return
+    pause_s = min(max(message.pause_s, 0), MAX_SHARED_PAUSE_S)
+    _pause(selector, known, pause_s * selector.rng.uniform(1, 2))
+
+
+def _pause(
+    selector: TargetSelector, known: KnownTarget, pause_s: float
+) -> None:
+    until = boot_time() + pause_s
+    known.paused_until = max(known.paused_until, until)
+    selector.log('target_paused', target=known.name, for_s=pause_s)
+
+
 def _has_room(board: LoadBoard, known: KnownTarget) -> bool:
     """Return whether a target that must not reject has a free slot."""
     if known.max_rejections is None:
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -6,7 +6,13 @@
 import pytest
 
 from ebonywell.platform.exchange import read_notice
-from ebonywell.statements import MAX_PAUSE_S, Notice, brittle_pause_s
+from ebonywell.statements import (
+    MAX_PAUSE_S,
+    MAX_SHARED_PAUSE_S,
+    Notice,
+    brittle_pause_s,
+    shared_pause_s,
+)
 from ebonywell.upstream import AnswerHead
 from lab.platform_world import run_scenario
 from lab.standin_http import Reply
@@ -117,6 +123,51 @@
     assert brittle_pause_s(max_rejections, hosts) == pause_s
 
 
+# Guards against hosts that each have a first request rejected by a brittle
+# target in the same second (review 10).
+def test_a_host_leaves_a_target_alone_that_rejected_another_one(tmp_path):
+    async def scenario(world):
+        hosts = [world.hosts[name] for name in ('host-1', 'host-2')]
+        brittle = world.replicas['pool-1']
+        brittle.notices = {'Server-Brittle': '1'}
+
+        rejected_at = []
+        # Until the hosts have heard of each other.
+        await anyio.sleep(1.5)
+
+        async def refuse(request):
+            rejected_at.append(time.monotonic())
+            return Reply(
+                503,
+                headers={
+                    'Request-Id': request.headers['request-id'],
+                    'Not-Executed': '1',
+                },
+            )
+
+        brittle.behave = refuse
+        # No other target holds this model.
+        assert (await world.chat(hosts[0], 'm2')).status == 503
+        brittle.behave = None
+        before = len(brittle.seen)
+        while time.monotonic() < rejected_at[0] + 0.7:
+            await world.chat(hosts[1], 'm2', Deadline_Ms='200')
+        assert len(brittle.seen) == before
+        await anyio.sleep(1.5)
+        assert (await world.chat(hosts[1], 'm2')).status == 200
+
+    run_scenario(tmp_path, scenario, ('host-1', 'host-2'))
+
+
+@pytest.mark.parametrize('max_rejections', [0, 0.5, 1, 2, 20])
+def test_a_shared_pause_bounds_rejections_by_what_a_target_bears(
+    max_rejections,
+):
+    pause_s = shared_pause_s(max_rejections)
+    assert 1 / pause_s <= max(1, max_rejections)
+    assert pause_s <= MAX_SHARED_PAUSE_S
+
+
 def head_with(status, **named):
     pairs = [
         (name.replace('_', '-').encode(), value.encode())
