Start new records of engines with each lease

Cause: found by reading: a record that was made without a lease (fencing number 0) would have counted under the next, as the lease of a host that never raised it also has 0 as its number before. Change: only a number that was held carries a record over. Result: test_a_new_lease_starts_new_records, red before.

--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -69,7 +69,7 @@
     log: Logger
     tracks: dict[str, OrderTrack] = field(default_factory=dict)
     evacuations: Evacuations = field(default_factory=Evacuations)
-    unanswered: dict[str, 'UnansweredOrder'] = field(default_factory=dict)
+    unanswered: dict[str, UnansweredOrder] = field(default_factory=dict)
 
     def track(self, known: KnownTarget) -> OrderTrack:
         """Return the order record of a target's current incarnation.
@@ -77,9 +77,10 @@
         Each lease starts a new record. A lease that was only raised does not.
         """
         fence = self.leadership.state.fence
+        raised_from = self.leadership.state.raised_from
         track = self.tracks.get(known.name)
-        if track is not None and fence:
-            if track.fence == self.leadership.state.raised_from:
+        if fence and raised_from and track is not None:
+            if track.fence == raised_from:
                 track.fence = fence
         if track is None or (track.life, track.fence) != (
             known.incarnation,
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -128,6 +128,18 @@
     anyio.run(play)
 
 
+# Guards against a record of a time without a lease that counts under the next.
+def test_a_new_lease_starts_new_records():
+    async def play():
+        world = HolderWorld()
+        known = make_known(1)
+        track = world.sender.track(known)
+        await world.leadership._step()
+        assert world.sender.track(known) is not track
+
+    anyio.run(play)
+
+
 def test_nothing_is_raised_unless_an_engine_starts_again():
     async def play():
         world = HolderWorld()
