--- a/tests/test_evacuation_choice.py
+++ b/tests/test_evacuation_choice.py
@@ -212,7 +212,7 @@
     async def ask(*arguments):
         asked.append(arguments)
 
-    leadership = SimpleNamespace(state=SimpleNamespace(fence=1))
+    leadership = SimpleNamespace(state=SimpleNamespace(fence=1, raised_from=0))
     sender = OrderSender(
         'one', leadership, EngineClient(ask, ask), no_limits(), discard_event,
         evacuations=inventory.evacuations,
