Order on until a late order could reach an engine's later life

Cause: an engine that had started again got no orders until the holder had a newer fencing number, also while the store was slow, though a late order passes only at the count that it names. Change: the holder remembers the counts of unanswered orders, and holds back only the order after which the engine's count would be one of them. Result: test_orders_wait_for_a_newer_number_only_when_it_is_needed, red before (the first order waited).

--- a/ebonywell/ordering.py
+++ b/ebonywell/ordering.py
@@ -23,18 +23,21 @@
 
 
 @dataclass(slots=True, frozen=True)
-class UnansweredOrder:
-    """An order without an answer, which may be executed late.
+class UnansweredOrders:
+    """Orders to one life of a target that may be executed late.
 
     Attributes
     ----------
     life : (str, int)
-        Incarnation of the target to which it was sent.
+        Incarnation of the target.
     fence : int
+    counts : set of int
+        The numbers of previous orders that they name.
     """
 
     life: tuple[str, int]
     fence: int
+    counts: set[int] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -58,8 +61,8 @@
         Order records by target.
     evacuations : Evacuations
         Zones whose engines get neither orders nor questions.
-    unanswered : dict of str to UnansweredOrder
-        By target, the newest order that may still be executed.
+    unanswered : dict of str to UnansweredOrders
+        By target, under the newest fencing number of which there are any.
     """
 
     name: str
@@ -69,7 +72,7 @@
     log: Logger
     tracks: dict[str, OrderTrack] = field(default_factory=dict)
     evacuations: Evacuations = field(default_factory=Evacuations)
-    unanswered: dict[str, UnansweredOrder] = field(default_factory=dict)
+    unanswered: dict[str, UnansweredOrders] = field(default_factory=dict)
 
     def track(self, known: KnownTarget) -> OrderTrack:
         """Return the order record of a target's current incarnation.
@@ -145,8 +148,7 @@
         is_permitted = await self._claim(known)
         if not is_permitted or self.track(known) is not track:
             return OrderAnswer.unproven
-        if self._may_meet_earlier_life(known):
-            self.leadership.state.request_raise()
+        if self._may_meet_earlier_life(known, track):
             return OrderAnswer.unproven
         avoids_store = (
             action is not Action.load
@@ -174,9 +176,7 @@
         if answer is OrderAnswer.unreachable:
             known.refused_at = boot_time()
         if answer is OrderAnswer.unknown:
-            self.unanswered[known.name] = UnansweredOrder(
-                known.incarnation, order.fence
-            )
+            self._note_unanswered(known, order)
         if answer is OrderAnswer.fenced:
             self._note_fenced(order)
         self.log(
@@ -191,19 +191,32 @@
         )
         return answer
 
-    def _may_meet_earlier_life(self, known: KnownTarget) -> bool:
-        """Return whether an order to an earlier life may still be executed.
+    def _note_unanswered(self, known: KnownTarget, order: EngineOrder) -> None:
+        """Record that an order may be executed late."""
+        found = self.unanswered.get(known.name)
+        key = (known.incarnation, order.fence)
+        if found is None or (found.life, found.fence) != key:
+            found = UnansweredOrders(*key)
+            self.unanswered[known.name] = found
+        found.counts.add(order.order_count)
+
+    def _may_meet_earlier_life(
+        self, known: KnownTarget, track: OrderTrack
+    ) -> bool:
+        """Return whether an order would let one to an earlier life through.
 
         The counts of a target's lives don't tell them apart, but a target that
-        has had an order with a newer fencing number rejects it.
+        has had an order with a newer fencing number rejects it. The next
+        renewal brings one; orders wait for it only if it is needed now.
         """
         earlier = self.unanswered.get(known.name)
-        return (
-            earlier is not None
-            and earlier.life != known.incarnation
-            and earlier.fence == self.leadership.state.fence
-            and self.leadership.state.is_fenced
-        )
+        if earlier is None or earlier.life == known.incarnation:
+            return False
+        state = self.leadership.state
+        if earlier.fence != state.fence or not state.is_fenced:
+            return False
+        state.request_raise()
+        return track.order_count + 1 in earlier.counts
 
     def _note_fenced(self, order: EngineOrder) -> None:
         """Record that a target has had an order with a newer number."""
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -107,6 +107,31 @@
     anyio.run(play)
 
 
+# Guards against engines that wait for the store although no late order can
+# reach them yet.
+def test_orders_wait_for_a_newer_number_only_when_it_is_needed():
+    async def play():
+        world = HolderWorld()
+        await world.leadership._step()
+        first, second = make_known(1), make_known(2)
+        for number in range(3):
+            await world.load(first, f'old-{number}')
+        world.engine.is_silent = True
+        await world.load(first, 'late')
+        world.engine.is_silent = False
+        world.engine.restart()
+        answers = [await world.load(second, f'new-{n}') for n in range(3)]
+        assert answers == [
+            OrderAnswer.accepted,
+            OrderAnswer.accepted,
+            OrderAnswer.unproven,
+        ]
+        await world.leadership._step()
+        assert await world.load(second, 'new-2') is OrderAnswer.accepted
+
+    anyio.run(play)
+
+
 def test_a_late_rejection_of_an_older_number_does_not_lose_the_lease():
     async def play():
         world = HolderWorld()
