Keep the end of the heap beside the threshold for returned blocks

Cause: setting one threshold of glibc's allocator ends the adjustment of both, and the default of the other (128 KB) is below one read: a loop of 20,000 reads of 2 KB into 256 KB took 24,796 page faults (40,000 without any setting). Change: 2 MB at the end of the heap are kept. Result: 128 page faults in the same loop, 0.018 s of processor time instead of 0.100 (0.095 without any setting).

--- a/ebonywell/processmemory/allocator.py
+++ b/ebonywell/processmemory/allocator.py
@@ -9,7 +9,11 @@
 
 # Blocks from this size on are returned when they are freed.
 RETURNED_BLOCK_BYTES = 1_048_576
+# The end of the heap is returned from this size on. Without dynamic thresholds
+# the default is lower than one read, and each read would move the end.
+KEPT_HEAP_BYTES = 2_097_152
 # Source: malloc.h of the GNU C library.
+_TRIM_THRESHOLD_OPTION = -1
 _MMAP_THRESHOLD_OPTION = -3
 
 
@@ -20,4 +24,5 @@
         set_option = library.mallopt
     except AttributeError:
         return False
-    return bool(set_option(_MMAP_THRESHOLD_OPTION, RETURNED_BLOCK_BYTES))
+    is_set = set_option(_MMAP_THRESHOLD_OPTION, RETURNED_BLOCK_BYTES)
+    return bool(is_set and set_option(_TRIM_THRESHOLD_OPTION, KEPT_HEAP_BYTES))
