--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -157,3 +157,29 @@
         del records[copy.get(key, 0):]
     store.changed.set()
     store.changed = anyio.Event()
+
+
+def spread_zones():
+    """Have each machine start in a zone of its own, as on the sheet."""
+    dump = platform_world.yaml.safe_dump
+
+    def dump_changed(content, *args, **options):
+        settings = content['host']
+        settings['zone'] = f'zone-{settings["node"]}'
+        return dump(content, *args, **options)
+
+    platform_world.yaml.safe_dump = dump_changed
+
+
+async def keep_entry(world, name, delay_s):
+    """Write one replica's entry again, at moments of its own."""
+    await anyio.sleep(delay_s)
+    replica = world.replicas[name]
+    beat = 0
+    while True:
+        beat += 1
+        if not replica.is_down:
+            entry = replica.entry()
+            entry['seq'] = beat
+            world.store.put('keyed.servers', name, entry)
+        await anyio.sleep(HEARTBEAT_S)
