--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -133,7 +133,8 @@
         beat += 1
         for name, replica in list(world.replicas.items()):
             state = states.get(name, 'ready')
-            if state is None or replica.is_down:
+            is_away = world.store.is_down or replica.is_down
+            if state is None or is_away:
                 continue
             entry = replica.entry(state)
             entry['seq'] = beat
@@ -178,7 +179,7 @@
     beat = 0
     while True:
         beat += 1
-        if not replica.is_down:
+        if not (replica.is_down or world.store.is_down):
             entry = replica.entry()
             entry['seq'] = beat
             world.store.put('keyed.servers', name, entry)
